--- /dev/null
+++ b/src/coordination/configuration-chain/index.ts
@@ -0,0 +1,1 @@
+export { type ChainEntry, ConfigurationChain } from "./configuration-chain.ts";
--- /dev/null
+++ b/src/coordination/placement/index.ts
@@ -0,0 +1,2 @@
+export { chooseReplicas, type PlacementOptions } from "./choose-replicas.ts";
+export { type MembershipStep, type MembershipStepInput, nextMembershipStep } from "./next-membership.ts";
--- /dev/null
+++ b/src/coordination/placement/next-membership.ts
@@ -0,0 +1,71 @@
+import { isVoter, type Member, type Membership } from "../shard-group/index.ts";
+
+/** What the leader of a shard should do next to bring its replicas to where they are wanted. */
+export type MembershipStep =
+  | { readonly type: "none" }
+  | { readonly type: "change"; readonly membership: Membership }
+  /** The leader itself is not wanted any more, or another should lead. */
+  | { readonly type: "transfer"; readonly to: string | undefined };
+
+/** What the step depends on. */
+export interface MembershipStepInput {
+  readonly self: string;
+  readonly membership: Membership;
+  /** Where the replicas are wanted, the leader first. Never empty. */
+  readonly wanted: readonly Member[];
+  /** Whether a replica holds nearly all of the journal. */
+  readonly caughtUp: (instance: string) => boolean;
+}
+
+/**
+ * One small step at a time, each of which leaves a working group: a new replica first copies the journal as
+ * learner, then votes, and only then a replica that is not wanted is dropped.
+ */
+export function nextMembershipStep(input: MembershipStepInput): MembershipStep {
+  return (
+    dropUnwantedLearner(input) ??
+    promoteLearner(input) ??
+    addLearner(input) ??
+    dropVoter(input) ??
+    moveLeadership(input) ?? { type: "none" }
+  );
+}
+
+function dropUnwantedLearner({ membership, wanted }: MembershipStepInput): MembershipStep | undefined {
+  const kept = membership.learners.filter((learner) => isIn(wanted, learner.instance));
+  if (kept.length === membership.learners.length) return undefined;
+  return { type: "change", membership: { ...membership, learners: kept } };
+}
+
+function promoteLearner({ membership, caughtUp }: MembershipStepInput): MembershipStep | undefined {
+  const ready = membership.learners.find((learner) => caughtUp(learner.instance));
+  if (!ready) return membership.learners.length > 0 ? { type: "none" } : undefined;
+  const learners = membership.learners.filter((learner) => learner !== ready);
+  return { type: "change", membership: { voters: [...membership.voters, ready], learners } };
+}
+
+function addLearner({ membership, wanted }: MembershipStepInput): MembershipStep | undefined {
+  const missing = wanted.find((member) => !isVoter(membership, member.instance));
+  if (!missing) return undefined;
+  return { type: "change", membership: { ...membership, learners: [...membership.learners, missing] } };
+}
+
+function dropVoter({ self, membership, wanted }: MembershipStepInput): MembershipStep | undefined {
+  const unwanted = membership.voters.filter((voter) => !isIn(wanted, voter.instance));
+  const victim = unwanted.find((voter) => voter.instance !== self);
+  if (victim) {
+    const voters = membership.voters.filter((voter) => voter !== victim);
+    return { type: "change", membership: { ...membership, voters } };
+  }
+  return unwanted.length > 0 ? { type: "transfer", to: wanted[0].instance } : undefined;
+}
+
+function moveLeadership({ self, wanted, caughtUp }: MembershipStepInput): MembershipStep | undefined {
+  const preferred = wanted[0].instance;
+  if (preferred === self || !caughtUp(preferred)) return undefined;
+  return { type: "transfer", to: preferred };
+}
+
+function isIn(members: readonly Member[], instance: string): boolean {
+  return members.some((member) => member.instance === instance);
+}
--- /dev/null
+++ b/src/messages/rpc-messages.ts
@@ -0,0 +1,260 @@
+import type { Problem } from "../errors/problem.ts";
+import type { Decision } from "../scheduling/decision/decision.ts";
+import type { ApplyResult } from "../scheduling/program/program-table.ts";
+import type { EndReason, ForkPoint, ProgramRecord } from "../scheduling/program/records.ts";
+import type { ShardCommand } from "../scheduling/shard-state.ts";
+
+/** Opens a program; repeating it with the same identifier changes nothing. */
+export interface OpenProgramRequest {
+  readonly program: string;
+  readonly tenant: string;
+  readonly template: string;
+  readonly parent: ForkPoint | undefined;
+  /** Time until the deadline, in ms from now. */
+  readonly deadlineMs: number | undefined;
+}
+
+/** A program, with its calls, refusals and history. */
+export interface ProgramView {
+  readonly program: ProgramRecord;
+}
+
+/** Ends a program. */
+export interface EndProgramRequest {
+  readonly program: string;
+  readonly tenant: string | undefined;
+  readonly reason: EndReason;
+}
+
+/** Reads a program. */
+export interface ReadProgramRequest {
+  readonly program: string;
+  /** Refused when the program is another tenant's; undefined for operators. */
+  readonly tenant: string | undefined;
+}
+
+/** Reads why a call or program was treated as it was. */
+export interface ReadDecisionRequest {
+  readonly subject: string;
+  readonly tenant: string | undefined;
+}
+
+/** The decision, and how the call stands. */
+export interface DecisionView {
+  readonly decision: Decision;
+  readonly state: "running" | "answered" | "failed" | "refused" | "open" | "ended";
+  readonly problem: Problem | undefined;
+}
+
+/** What every process needs to find its way. */
+export interface ClusterView {
+  readonly shardCount: number;
+  readonly configurationVersion: number;
+  readonly nodes: readonly NodeView[];
+  readonly shards: readonly ShardView[];
+  readonly runners: readonly RunnerStatus[];
+}
+
+/** One node. */
+export interface NodeView {
+  readonly instance: string;
+  readonly address: string;
+  readonly zone: string;
+  readonly leaving: boolean;
+}
+
+/** One shard, as the answering node knows it. */
+export interface ShardView {
+  readonly shard: number;
+  readonly role: string;
+  readonly term: number;
+  readonly leader: string | undefined;
+  readonly replicas: readonly string[];
+  readonly programs: number;
+}
+
+/** One runner, as the answering node knows it. */
+export interface RunnerStatus {
+  readonly runner: string;
+  readonly pool: string;
+  readonly zone: string;
+  readonly home: string | undefined;
+  readonly leaving: boolean;
+  readonly slots: number;
+  readonly expectedWaitMs: number;
+}
+
+/** Asks the ledger's shard to lend. */
+export interface BorrowRequest {
+  readonly budget: string;
+  readonly tenant: string;
+  readonly template: string;
+  readonly borrower: string;
+  readonly wantedTotal: number;
+}
+
+/** The borrower's running total. */
+export interface BorrowResponse {
+  readonly grantedTotal: number;
+}
+
+/** Tells the ledger what a borrower returned and spent. */
+export interface ReportLoanRequest {
+  readonly budget: string;
+  readonly borrower: string;
+  readonly returnedTotal: number;
+  readonly spentTotal: number;
+}
+
+/** Reads a budget. */
+export interface ReadBudgetRequest {
+  readonly tenant: string;
+  readonly template: string;
+}
+
+/** A budget as its ledger has it; in tokens. */
+export interface BudgetView {
+  readonly budget: string;
+  readonly limit: number;
+  readonly lent: number;
+  readonly spentReported: number;
+  readonly borrowers: readonly { readonly borrower: string; readonly lent: number; readonly spent: number }[];
+}
+
+/** Asks a node for configuration entries that the asker lacks. */
+export interface FetchConfigurationRequest {
+  readonly afterVersion: number;
+}
+
+/** One accepted change of configuration. */
+export interface ConfigurationEntry {
+  readonly version: number;
+  /** Chosen by whoever applied it; the same identifier is accepted once. */
+  readonly change: string;
+  readonly atMs: number;
+  readonly key: string;
+  /** The new content; undefined when the key was removed. */
+  readonly content: string | undefined;
+}
+
+/** Entries in order of version. */
+export interface FetchConfigurationResponse {
+  readonly entries: readonly ConfigurationEntry[];
+  readonly newestVersion: number;
+}
+
+/** Applies a change of configuration. */
+export interface ApplyConfigurationRequest {
+  readonly change: string;
+  readonly key: string;
+  readonly content: string | undefined;
+  /** Version of the key that the change was made from; 0 for a new key. */
+  readonly baseVersion: number;
+}
+
+/** The change is accepted. */
+export interface ApplyConfigurationResponse {
+  readonly version: number;
+  readonly alreadyApplied: boolean;
+}
+
+/** Reads a key's history. */
+export interface ReadConfigurationRequest {
+  readonly prefix: string;
+}
+
+/** Entries that touched the keys, oldest first. */
+export interface ReadConfigurationResponse {
+  readonly entries: readonly ConfigurationEntry[];
+  readonly version: number;
+}
+
+/** Asks a node to hand its work over and leave. */
+export interface DrainNodeRequest {
+  readonly reason: string;
+}
+
+/** Changes a process's log level. */
+export interface SetLogLevelRequest {
+  readonly level: string;
+}
+
+/** Asks which programs need no cache any more. */
+export interface FindGoneRequest {
+  readonly programs: readonly string[];
+}
+
+/** The programs that have ended or are unknown. */
+export interface FindGoneResponse {
+  readonly gone: readonly string[];
+}
+
+/** Commits a command on a shard; sent by a node that carries out a call but no longer leads its shard. */
+export interface CommitRequest {
+  readonly shard: number;
+  readonly command: ShardCommand;
+}
+
+/** What became of the command. */
+export interface CommitResponse {
+  readonly result: ApplyResult;
+}
+
+/** A new leader asks whether a node still carries out a call. */
+export interface QueryCallRequest {
+  readonly call: string;
+  readonly attempt: number;
+}
+
+/** Whether the call is still being carried out. */
+export interface QueryCallResponse {
+  readonly running: boolean;
+}
+
+/** Nothing to say. */
+export type Empty = Record<string, never>;
+
+/** Every request with its response. */
+export interface RpcSchema {
+  openProgram: { request: OpenProgramRequest; response: ProgramView };
+  endProgram: { request: EndProgramRequest; response: ProgramView };
+  readProgram: { request: ReadProgramRequest; response: ProgramView };
+  readDecision: { request: ReadDecisionRequest; response: DecisionView };
+  commit: { request: CommitRequest; response: CommitResponse };
+  queryCall: { request: QueryCallRequest; response: QueryCallResponse };
+  findGone: { request: FindGoneRequest; response: FindGoneResponse };
+  readCluster: { request: Empty; response: ClusterView };
+  borrow: { request: BorrowRequest; response: BorrowResponse };
+  reportLoan: { request: ReportLoanRequest; response: Empty };
+  readBudget: { request: ReadBudgetRequest; response: BudgetView };
+  fetchConfiguration: { request: FetchConfigurationRequest; response: FetchConfigurationResponse };
+  applyConfiguration: { request: ApplyConfigurationRequest; response: ApplyConfigurationResponse };
+  readConfiguration: { request: ReadConfigurationRequest; response: ReadConfigurationResponse };
+  drainNode: { request: DrainNodeRequest; response: Empty };
+  setLogLevel: { request: SetLogLevelRequest; response: Empty };
+}
+
+/** The name of a request. */
+export type RpcName = keyof RpcSchema;
+
+/** A request on the wire. */
+export interface RpcRequest {
+  readonly type: "rpcRequest";
+  readonly id: string;
+  readonly name: RpcName;
+  readonly body: RpcSchema[RpcName]["request"];
+}
+
+/** How a request ended. */
+export type RpcResult =
+  | { readonly type: "done"; readonly body: RpcSchema[RpcName]["response"] }
+  | { readonly type: "problem"; readonly problem: Problem }
+  /** The receiver does not lead the shard that the request is about. */
+  | { readonly type: "redirect"; readonly leader: string | undefined };
+
+/** A response on the wire. */
+export interface RpcResponse {
+  readonly type: "rpcResponse";
+  readonly id: string;
+  readonly result: RpcResult;
+}
--- /dev/null
+++ b/src/node/budgets/budget-service.ts
@@ -0,0 +1,118 @@
+import { availableOf } from "../../coordination/budget-escrow/index.ts";
+import type { BorrowRequest, BorrowResponse, BudgetView, ReadBudgetRequest } from "../../messages/rpc-messages.ts";
+import type { RpcEndpoint } from "../../runtime/rpc.ts";
+import type { ShardRouter } from "../../runtime/shard-router.ts";
+import { budgetKey } from "../../scheduling/budget/budget-key.ts";
+import type { EffectivePolicy } from "../../scheduling/policy/effective-policy.ts";
+import type { ConfigurationService } from "../configuration/configuration-service.ts";
+import type { NodeContext } from "../node-context.ts";
+import type { ShardHost } from "../shard-host.ts";
+import type { ShardReplica } from "../shard-replica.ts";
+
+/** A loan is this many times what the call at hand needs, so that not every call asks the ledger. */
+const LOAN_FACTOR = 8;
+/** A single shard may hold at most this part of a budget beyond what the call at hand needs. */
+const MAX_SHARE = 1 / 16;
+const BORROW_TIMEOUT_MS = 3_000;
+
+/** Both sides of budgets on one node: borrowing for the shards it leads, and the ledgers of the shards it leads. */
+export class BudgetService {
+  readonly #context: NodeContext;
+  readonly #shards: ShardHost;
+  readonly #configuration: ConfigurationService;
+  readonly #router: ShardRouter;
+
+  constructor(
+    context: NodeContext,
+    shards: ShardHost,
+    configuration: ConfigurationService,
+    router: ShardRouter,
+    rpc: RpcEndpoint,
+  ) {
+    this.#context = context;
+    this.#shards = shards;
+    this.#configuration = configuration;
+    this.#router = router;
+    rpc.handle("borrow", (request) => this.#lend(request));
+    rpc.handle("readBudget", (request) => this.#read(request));
+    rpc.handle("reportLoan", async (request) => {
+      const replica = this.#shards.led(this.#ledgerShard(request.budget));
+      await this.#shards.propose(replica, { type: "reportLoan", ...request });
+      return {};
+    });
+  }
+
+  /** The budget that a call under this policy is charged to now. */
+  budgetOf(policy: EffectivePolicy): string {
+    const isoTime = new Date(this.#context.clock.wallMs()).toISOString();
+    return budgetKey(policy.tenant, policy.template, policy.budget.window, isoTime);
+  }
+
+  /** Makes sure that a shard may reserve `tokens`. Returns what is available, which may be less. */
+  async ensure(replica: ShardReplica, policy: EffectivePolicy, tokens: number): Promise<number> {
+    const budget = this.budgetOf(policy);
+    const held = replica.state.allotments.get(budget);
+    const available = availableOf(held);
+    if (available >= tokens) return available;
+    const extra = Math.min(tokens * LOAN_FACTOR, Math.floor(policy.budget.tokens * MAX_SHARE));
+    const wantedTotal = held.grantedTotal + (tokens - available) + extra;
+    const grantedTotal = await this.#borrow(replica, policy, budget, wantedTotal);
+    if (grantedTotal > held.grantedTotal) {
+      await this.#shards.propose(replica, { type: "takeAllotment", budget, grantedTotal });
+    }
+    return availableOf(replica.state.allotments.get(budget));
+  }
+
+  async #borrow(
+    replica: ShardReplica,
+    policy: EffectivePolicy,
+    budget: string,
+    wantedTotal: number,
+  ): Promise<number> {
+    const request: BorrowRequest = {
+      budget,
+      tenant: policy.tenant,
+      template: policy.template,
+      borrower: borrowerName(replica.shard),
+      wantedTotal,
+    };
+    const response = await this.#router.ask(this.#ledgerShard(budget), "borrow", request, BORROW_TIMEOUT_MS);
+    return response.grantedTotal;
+  }
+
+  async #lend(request: BorrowRequest): Promise<BorrowResponse> {
+    const { budget, borrower, wantedTotal } = request;
+    const replica = this.#shards.led(this.#ledgerShard(budget));
+    const limit = this.#configuration.policyOf(request.tenant, request.template).budget.tokens;
+    await this.#shards.propose(replica, { type: "lendAllotment", budget, limit, borrower, wantedTotal });
+    const loan = replica.state.ledger.account(budget)?.loans.get(borrower);
+    return { grantedTotal: loan?.grantedTotal ?? 0 };
+  }
+
+  async #read({ tenant, template }: ReadBudgetRequest): Promise<BudgetView> {
+    const policy = this.#configuration.policyOf(tenant, template);
+    const budget = this.budgetOf(policy);
+    const replica = this.#shards.led(this.#ledgerShard(budget));
+    const loans = [...(replica.state.ledger.account(budget)?.loans ?? [])];
+    return {
+      budget,
+      limit: policy.budget.tokens,
+      lent: replica.state.ledger.outstanding(budget),
+      spentReported: loans.reduce((sum, [, loan]) => sum + loan.spentTotal, 0),
+      borrowers: loans.map(([borrower, loan]) => ({
+        borrower,
+        lent: loan.grantedTotal - loan.returnedTotal,
+        spent: loan.spentTotal,
+      })),
+    };
+  }
+
+  #ledgerShard(budget: string): number {
+    return this.#shards.shardOfKey(`budget:${budget}`);
+  }
+}
+
+/** The name under which a shard borrows. */
+export function borrowerName(shard: number): string {
+  return `shard-${shard}`;
+}
--- /dev/null
+++ b/src/node/configuration/configuration-service.ts
@@ -0,0 +1,182 @@
+/**
+ * The node's copy of the configuration. News of a version arrives with any message of any process; the entries
+ * are then fetched from that process, so the platform's table is read by few.
+ */
+import { ConfigurationChain } from "../../coordination/configuration-chain/index.ts";
+import { requestError } from "../../errors/tulipwheel-error.ts";
+import type {
+  ApplyConfigurationRequest,
+  ApplyConfigurationResponse,
+  ConfigurationEntry,
+  FetchConfigurationResponse,
+  ReadConfigurationResponse,
+} from "../../messages/rpc-messages.ts";
+import { repeat } from "../../runtime/clock.ts";
+import type { RpcEndpoint } from "../../runtime/rpc.ts";
+import type { EffectivePolicy } from "../../scheduling/policy/effective-policy.ts";
+import { parseYaml } from "../../settings/parse-yaml.ts";
+import { resolvePolicy } from "../../settings/templates/resolve-policy.ts";
+import {
+  type ConfigurationDocument,
+  configurationDocumentSchema,
+  keyOfDocument,
+  type RunnerDocument,
+  runnerKey,
+  type TemplateDocument,
+  type TenantDocument,
+  templateKey,
+  tenantKey,
+} from "../../settings/templates/template-schema.ts";
+import type { NodeContext } from "../node-context.ts";
+import type { ConfigurationTable } from "./configuration-table.ts";
+
+const FETCH_LIMIT = 200;
+const FETCH_TIMEOUT_MS = 1_000;
+
+/** See the module's comment. */
+export class ConfigurationService {
+  readonly #context: NodeContext;
+  readonly #rpc: RpcEndpoint;
+  readonly #table: ConfigurationTable;
+  readonly #chain = new ConfigurationChain<ConfigurationEntry>();
+  readonly #policies = new Map<string, EffectivePolicy>();
+  #fetching = false;
+  #knowsNewest = false;
+  #stopPolling: () => void = () => undefined;
+  /** Called with a new version, to spread the news. */
+  onAdvanced: (version: number) => void = () => undefined;
+
+  constructor(context: NodeContext, rpc: RpcEndpoint, table: ConfigurationTable) {
+    this.#context = context;
+    this.#rpc = rpc;
+    this.#table = table;
+    rpc.handle("fetchConfiguration", async ({ afterVersion }) => this.#entriesAfter(afterVersion));
+    rpc.handle("applyConfiguration", (request) => this.#apply(request));
+    rpc.handle("readConfiguration", async ({ prefix }) => this.#read(prefix));
+  }
+
+  /** The newest version in force here. */
+  get version(): number {
+    return this.#chain.version;
+  }
+
+  /** Whether the newest version was known at least once; before that a node must serve nothing. */
+  get ready(): boolean {
+    return this.#knowsNewest;
+  }
+
+  /** Starts to follow the chain. */
+  start(): void {
+    void this.#poll();
+    this.#stopPolling = repeat(this.#context.clock, this.#context.settings.timing.configurationMs, () => {
+      void this.#poll();
+    });
+  }
+
+  /** Stops following the chain. */
+  stop(): void {
+    this.#stopPolling();
+  }
+
+  /** A message said that its sender has this version. */
+  noticeVersion(version: number, address: string): void {
+    if (version > this.#chain.version) void this.#fetchFromPeer(address);
+  }
+
+  /** What a tenant's template allows; throws `unknown-template` when there is none. */
+  policyOf(tenant: string, template: string): EffectivePolicy {
+    const policy = this.findPolicy({ tenant, template });
+    if (!policy) throw requestError("unknown-template", `Tenant ${tenant} has no template ${template}.`);
+    return policy;
+  }
+
+  /** What a tenant's template allows, if there is one. */
+  findPolicy({ tenant, template }: { tenant: string; template: string }): EffectivePolicy | undefined {
+    const cacheKey = `${tenant}/${template}`;
+    const cached = this.#policies.get(cacheKey);
+    if (cached) return cached;
+    const templateEntry = this.#chain.get(templateKey(template));
+    const tenantEntry = this.#chain.get(tenantKey(template, tenant));
+    if (!templateEntry?.content || !tenantEntry?.content) return undefined;
+    const policy = resolvePolicy(
+      parseDocument(templateEntry.content) as TemplateDocument,
+      parseDocument(tenantEntry.content) as TenantDocument,
+    );
+    this.#policies.set(cacheKey, policy);
+    return policy;
+  }
+
+  /** Whether an operator wants a runner to take no more work. */
+  isRunnerDrained(runner: string): boolean {
+    const entry = this.#chain.get(runnerKey(runner));
+    return entry?.content !== undefined && (parseDocument(entry.content) as RunnerDocument).draining;
+  }
+
+  async #poll(): Promise<void> {
+    if (this.#fetching) return;
+    this.#fetching = true;
+    try {
+      const newest = await this.#table.newestVersion();
+      while (this.#chain.version < newest) {
+        const added = this.#extend(await this.#table.entriesAfter(this.#chain.version));
+        if (added === 0) break;
+      }
+      this.#knowsNewest ||= this.#chain.version >= newest;
+    } catch {
+      // The table does not answer: peers still bring news.
+    } finally {
+      this.#fetching = false;
+    }
+  }
+
+  async #fetchFromPeer(address: string): Promise<void> {
+    if (this.#fetching) return;
+    this.#fetching = true;
+    try {
+      const body = { afterVersion: this.#chain.version };
+      const reply = await this.#rpc.ask(address, "fetchConfiguration", body, FETCH_TIMEOUT_MS);
+      if (reply.type === "done") this.#extend(reply.body.entries);
+    } finally {
+      this.#fetching = false;
+    }
+  }
+
+  #extend(entries: readonly ConfigurationEntry[]): number {
+    const added = this.#chain.extend(entries);
+    if (added.length === 0) return 0;
+    this.#policies.clear();
+    this.#context.transport.configurationVersion = this.#chain.version;
+    this.#context.log.info(
+      { version: this.#chain.version, keys: added.map((entry) => entry.key) },
+      "configuration in force",
+    );
+    this.onAdvanced(this.#chain.version);
+    return added.length;
+  }
+
+  #entriesAfter(version: number): FetchConfigurationResponse {
+    return { entries: this.#chain.entriesAfter(version, FETCH_LIMIT), newestVersion: this.#chain.version };
+  }
+
+  #read(prefix: string): ReadConfigurationResponse {
+    return { entries: this.#chain.historyOf(prefix), version: this.#chain.version };
+  }
+
+  async #apply(request: ApplyConfigurationRequest): Promise<ApplyConfigurationResponse> {
+    if (request.content !== undefined) checkContent(request.key, request.content);
+    const response = await this.#table.apply(request);
+    await this.#poll();
+    return response;
+  }
+}
+
+function parseDocument(content: string): ConfigurationDocument {
+  return parseYaml(content, "document", configurationDocumentSchema, "invalid-template")[0].value;
+}
+
+/** The node checks again what the command line checked, since anyone may send. */
+function checkContent(key: string, content: string): void {
+  const document = parseDocument(content);
+  if (keyOfDocument(document) === key) return;
+  throw requestError("invalid-template", `The document belongs under ${keyOfDocument(document)}, not ${key}.`);
+}
--- /dev/null
+++ b/src/node/node-daemon.ts
@@ -0,0 +1,209 @@
+/**
+ * One node: leads or follows shards, is home of runners, and answers sidecars and operators. The daemon only puts
+ * the parts together and hands each message to the part that it is for; the same code runs in the simulation.
+ */
+import type { ClusterView } from "../messages/rpc-messages.ts";
+import type { Message } from "../messages/message.ts";
+import { delay, repeat } from "../runtime/clock.ts";
+import { RpcEndpoint } from "../runtime/rpc.ts";
+import { ShardRouter } from "../runtime/shard-router.ts";
+import type { Sender } from "../runtime/transport.ts";
+import { BudgetService } from "./budgets/budget-service.ts";
+import { CallService } from "./calls/call-service.ts";
+import { CompletionRunner } from "./calls/completion-runner.ts";
+import { DecisionBuilder } from "./calls/decision-builder.ts";
+import { ServiceRunner } from "./calls/service-runner.ts";
+import { SlotBroker } from "./calls/slot-broker.ts";
+import { ConfigurationService } from "./configuration/configuration-service.ts";
+import { ConfigurationTable } from "./configuration/configuration-table.ts";
+import type { NodeContext } from "./node-context.ts";
+import type { NodePlatform } from "./node-platform.ts";
+import { ProgramService } from "./programs/program-service.ts";
+import { HoldSweeper } from "./runners/hold-sweeper.ts";
+import { RunnerDirectory } from "./runners/runner-directory.ts";
+import { RunnerHomes } from "./runners/runner-homes.ts";
+import { ShardCommitter } from "./shard-committer.ts";
+import { ShardHost } from "./shard-host.ts";
+import { ShardSteward } from "./shard-steward.ts";
+
+const DRAIN_POLL_MS = 50;
+
+/** See the module's comment. */
+export class NodeDaemon {
+  readonly context: NodeContext;
+  readonly shards: ShardHost;
+  readonly configuration: ConfigurationService;
+  readonly calls: CallService;
+  readonly homes: RunnerHomes;
+  readonly #rpc: RpcEndpoint;
+  readonly #directory: RunnerDirectory;
+  readonly #steward: ShardSteward;
+  readonly #programs: ProgramService;
+  readonly #broker: SlotBroker;
+  readonly #sweeper: HoldSweeper;
+  #stopTicking: () => void = () => undefined;
+  #drained: Promise<void> | undefined;
+  /** Called when an operator asks the node to leave. */
+  onDrainRequested: () => void = () => undefined;
+
+  constructor(context: NodeContext, platform: NodePlatform) {
+    this.context = context;
+    const { transport, clock, random } = context;
+    const rpc = new RpcEndpoint(transport, clock, random);
+    const shards = new ShardHost(context);
+    const directory = new RunnerDirectory(context, platform.machineList);
+    const router = new ShardRouter(rpc, clock, random, () => directory.nodes().map((node) => node.address));
+    const committer = new ShardCommitter(shards, router, rpc);
+    const configuration = new ConfigurationService(context, rpc, new ConfigurationTable(platform.table, clock));
+    const decisions = new DecisionBuilder(context, configuration);
+    const broker = new SlotBroker(context, directory);
+    const homes = new RunnerHomes(context, shards, directory, platform.engine, configuration);
+    const budgets = new BudgetService(context, shards, configuration, router, rpc);
+    const completions = new CompletionRunner(context, committer, directory, broker, platform.engine, decisions);
+    const services = new ServiceRunner(context, committer, directory, platform.service, decisions);
+    const parts = { context, shards, configuration, budgets, completions, services, decisions, committer, rpc };
+    this.#rpc = rpc;
+    this.shards = shards;
+    this.#directory = directory;
+    this.configuration = configuration;
+    this.#broker = broker;
+    this.homes = homes;
+    this.calls = new CallService(parts);
+    this.#programs = new ProgramService(context, shards, configuration, decisions, directory, rpc);
+    this.#steward = new ShardSteward(context, shards, directory, platform.table);
+    this.#sweeper = new HoldSweeper(context, homes, shards, router, platform.engine);
+    rpc.handle("readCluster", async () => this.#readCluster());
+    rpc.handle("drainNode", async () => this.#requestDrain());
+    rpc.handle("setLogLevel", async ({ level }) => {
+      context.log.level = level;
+      return {};
+    });
+    directory.onRead = () => homes.sync();
+    transport.onMessage((message, from, version) => this.#onMessage(message, from, version));
+  }
+
+  /** Whether the node can serve: it knows the newest configuration, and the shards exist. */
+  get ready(): boolean {
+    return this.configuration.ready && this.#steward.ready;
+  }
+
+  /** Starts all parts. */
+  start(): void {
+    const { clock, settings } = this.context;
+    this.#directory.start();
+    this.configuration.start();
+    this.#steward.start();
+    this.#programs.start();
+    this.calls.start();
+    this.homes.start();
+    this.#sweeper.start();
+    this.#stopTicking = repeat(clock, settings.timing.tickMs, () => this.shards.tick());
+  }
+
+  /** Stops at once, as if the process had been killed. */
+  halt(): void {
+    this.#stopTicking();
+    this.#directory.stop();
+    this.configuration.stop();
+    this.#steward.stop();
+    this.#programs.stop();
+    this.calls.stop();
+    this.homes.stop();
+    this.#sweeper.stop();
+  }
+
+  /** A planned stop: hands its work over, lets calls in flight end, and leaves. */
+  drain(): Promise<void> {
+    this.#drained ??= this.#drain();
+    return this.#drained;
+  }
+
+  async #drain(): Promise<void> {
+    const { clock, settings, log } = this.context;
+    log.info({ activeCalls: this.calls.activeCalls }, "drains");
+    const deadlineMs = clock.monotonicMs() + settings.timing.drainMs;
+    await this.#directory.announceLeaving();
+    this.calls.stopAdmitting();
+    this.#programs.stopAdmitting();
+    while (clock.monotonicMs() < deadlineMs && (this.#hasReplicas() || this.calls.activeCalls > 0)) {
+      this.#steward.handOverLeadership();
+      await delay(clock, DRAIN_POLL_MS);
+    }
+    log.info({ activeCalls: this.calls.activeCalls }, "drained");
+    this.halt();
+    await this.context.transport.close();
+  }
+
+  /** Whether another node still counts on this one for a shard. */
+  #hasReplicas(): boolean {
+    return [...this.shards.all()].some((replica) =>
+      replica.membership.voters.some((voter) => voter.instance === this.context.self.instance),
+    );
+  }
+
+  async #requestDrain() {
+    this.context.clock.schedule(0, () => this.onDrainRequested());
+    return {};
+  }
+
+  #onMessage(message: Message, from: Sender, configurationVersion: number): void {
+    this.configuration.noticeVersion(configurationVersion, from.address);
+    switch (message.type) {
+      case "shard":
+        return this.shards.onMessage(message);
+      case "submitCall":
+        return this.calls.onSubmit(message, from.address);
+      case "abandonCall":
+        return this.calls.onAbandon(message, from.address);
+      case "requestSlot":
+        return this.homes.onRequestSlot(message, from.address);
+      case "releaseSlot":
+        return this.homes.onReleaseSlot(message);
+      case "releaseProgram":
+        return this.homes.onReleaseProgram(message);
+      case "slotGranted":
+        return this.#broker.onGranted(message, from.address);
+      case "slotQueued":
+        return this.#broker.onQueued(message);
+      case "slotRefused":
+        return this.#broker.onRefused(message, from.address);
+      case "announceRunners":
+        return this.#directory.learn(from.address, message.load);
+      case "rpcRequest":
+        return void this.#rpc.onRequest(message, from);
+      case "rpcResponse":
+        return this.#rpc.onResponse(message);
+    }
+  }
+
+  #readCluster(): ClusterView {
+    const pools = new Map(this.#directory.runners().map((machine) => [machine.name, machine.pool]));
+    return {
+      shardCount: this.context.settings.cluster.shards,
+      configurationVersion: this.configuration.version,
+      nodes: this.#directory.nodes().map((machine) => ({
+        instance: machine.incarnation,
+        address: machine.address,
+        zone: machine.zone,
+        leaving: machine.state === "leaving",
+      })),
+      shards: [...this.shards.all()].map((replica) => ({
+        shard: replica.shard,
+        role: replica.role,
+        term: replica.term,
+        leader: replica.leader?.instance,
+        replicas: replica.membership.voters.map((voter) => voter.instance),
+        programs: replica.state.programs.size,
+      })),
+      runners: this.#directory.views().map((view) => ({
+        runner: view.runner,
+        pool: pools.get(view.runner) ?? "",
+        zone: view.zone,
+        home: view.home,
+        leaving: view.leaving,
+        slots: view.slots,
+        expectedWaitMs: view.expectedWaitMs,
+      })),
+    };
+  }
+}
--- /dev/null
+++ b/src/node/runners/hold-sweeper.ts
@@ -0,0 +1,81 @@
+import type { EngineClient } from "../../platform/engine/engine-client.ts";
+import { repeat } from "../../runtime/clock.ts";
+import type { ShardRouter } from "../../runtime/shard-router.ts";
+import type { NodeContext } from "../node-context.ts";
+import type { ShardHost } from "../shard-host.ts";
+import type { RunnerHome } from "./runner-home.ts";
+import type { RunnerHomes } from "./runner-homes.ts";
+
+const FIND_TIMEOUT_MS = 3_000;
+
+/**
+ * Finds engine memory that is held for programs that are gone, by asking the engines what they hold and the
+ * programs' shards whether they live. It needs no event to arrive, so it also finds what lost events,
+ * dead homes and dead leaders left behind.
+ */
+export class HoldSweeper {
+  readonly #context: NodeContext;
+  readonly #homes: RunnerHomes;
+  readonly #shards: ShardHost;
+  readonly #router: ShardRouter;
+  readonly #engine: EngineClient;
+  #stop: () => void = () => undefined;
+  #sweeping = false;
+  /** Holds that were released since the start. */
+  released = 0;
+
+  constructor(
+    context: NodeContext,
+    homes: RunnerHomes,
+    shards: ShardHost,
+    router: ShardRouter,
+    engine: EngineClient,
+  ) {
+    this.#context = context;
+    this.#homes = homes;
+    this.#shards = shards;
+    this.#router = router;
+    this.#engine = engine;
+  }
+
+  /** Starts sweeping. */
+  start(): void {
+    this.#stop = repeat(this.#context.clock, this.#context.settings.timing.sweepMs, () => void this.#sweep());
+  }
+
+  /** Stops sweeping. */
+  stop(): void {
+    this.#stop();
+  }
+
+  async #sweep(): Promise<void> {
+    if (this.#sweeping) return;
+    this.#sweeping = true;
+    try {
+      await Promise.all([...this.#homes.all()].map((home) => this.#sweepRunner(home)));
+    } finally {
+      this.#sweeping = false;
+    }
+  }
+
+  async #sweepRunner(home: RunnerHome): Promise<void> {
+    try {
+      const holds = await this.#engine.holds(home.machine.address);
+      const byShard = new Map<number, string[]>();
+      for (const { program } of holds) {
+        const shard = this.#shards.shardOfProgram(program);
+        byShard.set(shard, [...(byShard.get(shard) ?? []), program]);
+      }
+      for (const [shard, programs] of byShard) await this.#releaseGone(home, shard, programs);
+    } catch {
+      // The engine or a shard's leader does not answer: the next sweep tries again.
+    }
+  }
+
+  async #releaseGone(home: RunnerHome, shard: number, programs: readonly string[]): Promise<void> {
+    const { gone } = await this.#router.ask(shard, "findGone", { programs }, FIND_TIMEOUT_MS);
+    for (const program of gone) {
+      if (await this.#homes.releaseHold(home, program)) this.released += 1;
+    }
+  }
+}
--- /dev/null
+++ b/src/node/runners/runner-homes.ts
@@ -0,0 +1,177 @@
+import type { ReleaseProgram, ReleaseSlot, RequestSlot, RunnerLoad } from "../../messages/slot-messages.ts";
+import type { EngineClient } from "../../platform/engine/engine-client.ts";
+import { repeat } from "../../runtime/clock.ts";
+import type { ConfigurationService } from "../configuration/configuration-service.ts";
+import type { NodeContext } from "../node-context.ts";
+import type { ShardHost } from "../shard-host.ts";
+import type { ShardReplica } from "../shard-replica.ts";
+import type { RunnerDirectory } from "./runner-directory.ts";
+import { RunnerHome, type RunnerHomePort } from "./runner-home.ts";
+
+/** Nodes that are told of a change of load. In a small cluster that is all of them. */
+const ANNOUNCE_FANOUT = 8;
+
+/** The homes of all runners that fall to this node. */
+export class RunnerHomes implements RunnerHomePort {
+  readonly #context: NodeContext;
+  readonly #shards: ShardHost;
+  readonly #directory: RunnerDirectory;
+  readonly #engine: EngineClient;
+  readonly #configuration: ConfigurationService;
+  readonly #homes = new Map<string, RunnerHome>();
+  readonly #stops: (() => void)[] = [];
+  #announceWanted = false;
+
+  constructor(
+    context: NodeContext,
+    shards: ShardHost,
+    directory: RunnerDirectory,
+    engine: EngineClient,
+    configuration: ConfigurationService,
+  ) {
+    this.#context = context;
+    this.#shards = shards;
+    this.#directory = directory;
+    this.#engine = engine;
+    this.#configuration = configuration;
+    shards.observe({ onLeadershipChanged: (replica) => this.#onLeadershipChanged(replica) });
+  }
+
+  /** Starts the homes' timers. */
+  start(): void {
+    const { clock, settings } = this.#context;
+    const { tickMs, loadReportMs, announceMs, machineListMs } = settings.timing;
+    this.#stops.push(repeat(clock, tickMs, () => this.#tick()));
+    this.#stops.push(repeat(clock, loadReportMs, () => this.#reconcile()));
+    this.#stops.push(repeat(clock, announceMs, () => this.#announceIfWanted()));
+    this.#stops.push(repeat(clock, machineListMs * 2, () => this.onLoadChanged()));
+  }
+
+  /** Stops the homes' timers. */
+  stop(): void {
+    for (const stop of this.#stops) stop();
+  }
+
+  /** Every home on this node. */
+  all(): IterableIterator<RunnerHome> {
+    return this.#homes.values();
+  }
+
+  /** Brings the homes in line with the platform's list and the shards that this node leads. */
+  sync(): void {
+    const listed = this.#directory.runners();
+    for (const machine of listed) {
+      const replica = this.#shards.get(this.#shardOf(machine.name));
+      const home = this.#homes.get(machine.name);
+      if (!replica?.leads) this.#homes.delete(machine.name);
+      else if (home && home.machine.incarnation === machine.incarnation) home.updateMachine(machine);
+      else this.#homes.set(machine.name, this.#createHome(machine, replica));
+    }
+    for (const name of this.#homes.keys()) {
+      if (!listed.some((machine) => machine.name === name)) this.#homes.delete(name);
+    }
+  }
+
+  /** A leader asks for a slot. */
+  onRequestSlot(message: RequestSlot, from: string): void {
+    const home = this.#homes.get(message.runner);
+    if (home) return home.onRequest(message, from);
+    this.#context.transport.send(from, {
+      type: "slotRefused",
+      runner: message.runner,
+      call: message.request.call,
+      attempt: message.request.attempt,
+      reason: "not-home",
+      retryAfterMs: 0,
+      load: [],
+    });
+  }
+
+  /** A leader is done with a slot. */
+  onReleaseSlot({ runner, call, attempt }: ReleaseSlot): void {
+    this.#homes.get(runner)?.onRelease(call, attempt);
+  }
+
+  /** A program has ended: the engine is told to free what it holds for it. */
+  onReleaseProgram({ runner, program }: ReleaseProgram): void {
+    const home = this.#homes.get(runner);
+    if (home) void this.releaseHold(home, program);
+  }
+
+  /** Orders an engine to free what it holds for a program; the sweep finds what fails here. */
+  async releaseHold(home: RunnerHome, program: string): Promise<boolean> {
+    try {
+      return await this.#engine.order(home.machine.address, { type: "release", program }, home.fencingToken);
+    } catch {
+      return false;
+    }
+  }
+
+  listIsFresh(): boolean {
+    return this.#directory.ageMs() <= this.#context.settings.timing.machineListStaleMs;
+  }
+
+  isDrainedByOperator(runner: string): boolean {
+    return this.#configuration.isRunnerDrained(runner);
+  }
+
+  currentLoad(): readonly RunnerLoad[] {
+    return [...this.#homes.values()].map((home) => home.load);
+  }
+
+  onLoadChanged(): void {
+    this.#announceWanted = true;
+  }
+
+  #shardOf(runner: string): number {
+    return this.#shards.shardOfKey(`runner:${runner}`);
+  }
+
+  #onLeadershipChanged(replica: ShardReplica): void {
+    if (!replica.leads) {
+      for (const name of this.#homes.keys()) {
+        if (this.#shardOf(name) === replica.shard) this.#homes.delete(name);
+      }
+    }
+    this.sync();
+    this.onLoadChanged();
+    this.#announceIfWanted();
+  }
+
+  #createHome(machine: RunnerHome["machine"], replica: ShardReplica): RunnerHome {
+    const home = new RunnerHome(this.#context, this.#engine, this, machine, replica.term);
+    void home.reconcile();
+    return home;
+  }
+
+  #tick(): void {
+    for (const home of this.#homes.values()) home.tick();
+  }
+
+  #reconcile(): void {
+    for (const home of this.#homes.values()) void home.reconcile();
+  }
+
+  #announceIfWanted(): void {
+    if (!this.#announceWanted || this.#homes.size === 0) return;
+    this.#announceWanted = false;
+    const load = this.currentLoad();
+    this.#directory.learn(this.#context.self.address, load);
+    for (const address of this.#announceTargets()) {
+      this.#context.transport.send(address, { type: "announceRunners", load });
+    }
+  }
+
+  #announceTargets(): string[] {
+    const others = this.#directory
+      .nodes()
+      .map((node) => node.address)
+      .filter((address) => address !== this.#context.self.address);
+    const targets: string[] = [];
+    while (targets.length < ANNOUNCE_FANOUT && others.length > 0) {
+      targets.push(...others.splice(this.#context.random.below(others.length), 1));
+    }
+    return targets;
+  }
+
+}
--- /dev/null
+++ b/src/node/shard-committer.ts
@@ -0,0 +1,39 @@
+import { RedirectSignal, type RpcEndpoint } from "../runtime/rpc.ts";
+import type { ShardRouter } from "../runtime/shard-router.ts";
+import type { ApplyResult } from "../scheduling/program/program-table.ts";
+import type { ShardCommand } from "../scheduling/shard-state.ts";
+import type { ShardHost } from "./shard-host.ts";
+
+/** How long a node that lost leadership tries to have the end of a call committed, in ms. */
+const COMMIT_TIMEOUT_MS = 15_000;
+
+/**
+ * Commits commands on a shard, whoever leads it. Only for commands that check for themselves whether they still
+ * hold, since one whose answer is lost is sent again.
+ */
+export class ShardCommitter {
+  readonly #shards: ShardHost;
+  readonly #router: ShardRouter;
+
+  constructor(shards: ShardHost, router: ShardRouter, rpc: RpcEndpoint) {
+    this.#shards = shards;
+    this.#router = router;
+    rpc.handle("commit", async ({ shard, command }) => ({
+      result: await shards.propose(shards.led(shard), command),
+    }));
+  }
+
+  /** Commits a command; throws when no leader can be reached for a long time. */
+  async commit(shard: number, command: ShardCommand): Promise<ApplyResult> {
+    const replica = this.#shards.get(shard);
+    if (replica?.leads) {
+      try {
+        return await this.#shards.propose(replica, command);
+      } catch (error) {
+        if (!(error instanceof RedirectSignal)) throw error;
+      }
+    }
+    const response = await this.#router.ask(shard, "commit", { shard, command }, COMMIT_TIMEOUT_MS);
+    return response.result;
+  }
+}
--- /dev/null
+++ b/src/node/shard-host.ts
@@ -0,0 +1,134 @@
+import type { Member, ShardGroupMessage } from "../coordination/shard-group/index.ts";
+import type { ShardMessage } from "../messages/message.ts";
+import { RedirectSignal } from "../runtime/rpc.ts";
+import type { ApplyResult } from "../scheduling/program/program-table.ts";
+import { rootOfProgram } from "../scheduling/program/program-id.ts";
+import type { ShardCommand } from "../scheduling/shard-state.ts";
+import type { NodeContext } from "./node-context.ts";
+import { ShardReplica, type ShardReplicaHost } from "./shard-replica.ts";
+
+/** Called when something about a shard changes that another part of the node acts on. */
+export interface ShardObserver {
+  /** This node starts or stops leading the shard, or learns of another leader. */
+  onLeadershipChanged?(replica: ShardReplica): void;
+  /** A command was applied to the local replica. */
+  onApplied?(replica: ShardReplica, command: ShardCommand, result: ApplyResult): void;
+}
+
+const SEED_LIMIT = 2 ** 30;
+
+/** All shard replicas of one node. */
+export class ShardHost implements ShardReplicaHost {
+  readonly #context: NodeContext;
+  readonly #replicas = new Map<number, ShardReplica>();
+  readonly #observers: ShardObserver[] = [];
+  readonly #ledShards = new Set<number>();
+
+  constructor(context: NodeContext) {
+    this.#context = context;
+  }
+
+  /** Adds an observer. */
+  observe(observer: ShardObserver): void {
+    this.#observers.push(observer);
+  }
+
+  /** Every replica. */
+  all(): IterableIterator<ShardReplica> {
+    return this.#replicas.values();
+  }
+
+  /** The replica of a shard, if this node has one. */
+  get(shard: number): ShardReplica | undefined {
+    return this.#replicas.get(shard);
+  }
+
+  /** The shard of a program's family. */
+  shardOfProgram(program: string): number {
+    return this.shardOfKey(rootOfProgram(program));
+  }
+
+  /** The shard of any other key. */
+  shardOfKey(key: string): number {
+    return this.#context.hash.hash32(key) % this.#context.settings.cluster.shards;
+  }
+
+  /** The replica of a shard that this node leads; throws a redirect otherwise. */
+  led(shard: number): ShardReplica {
+    const replica = this.#replicas.get(shard);
+    if (!replica?.leads) throw new RedirectSignal(replica?.leader?.address);
+    return replica;
+  }
+
+  /** Starts the first replicas of a shard that never existed. */
+  bootstrap(shard: number, voters: readonly Member[]): void {
+    if (this.#replicas.has(shard)) return;
+    this.#create(shard).bootstrap(voters);
+  }
+
+  /** Stops hosting a shard. */
+  drop(shard: number): void {
+    this.#replicas.delete(shard);
+    this.#ledShards.delete(shard);
+  }
+
+  /** Proposes a command on a shard that this node leads. */
+  async propose(replica: ShardReplica, command: ShardCommand): Promise<ApplyResult> {
+    const outcome = await replica.propose(command, () => this.#context.clock.monotonicMs());
+    if (outcome.type === "applied") return outcome.result;
+    throw new RedirectSignal(replica.leader?.address);
+  }
+
+  /** Lets time pass for every replica. */
+  tick(): void {
+    const nowMs = this.#context.clock.monotonicMs();
+    for (const replica of this.#replicas.values()) {
+      replica.tick(nowMs);
+      this.#noticeLeadership(replica);
+    }
+  }
+
+  /** Takes in a message of another replica. A leader's message for an unknown shard starts an empty replica. */
+  onMessage({ shard, message }: ShardMessage): void {
+    const replica = this.#replicas.get(shard) ?? this.#createFor(shard, message);
+    replica?.receive(message, this.#context.clock.monotonicMs());
+    if (replica) this.#noticeLeadership(replica);
+  }
+
+  sendToReplica(shard: number, to: Member, message: ShardGroupMessage<ShardCommand>): void {
+    this.#context.transport.send(to.address, { type: "shard", shard, message });
+  }
+
+  onRoleChanged(replica: ShardReplica): void {
+    this.#noticeLeadership(replica);
+  }
+
+  onApplied(replica: ShardReplica, command: ShardCommand, result: ApplyResult): void {
+    for (const observer of this.#observers) observer.onApplied?.(replica, command, result);
+  }
+
+  #create(shard: number): ShardReplica {
+    const { self, settings, random, hash, clock } = this.#context;
+    const options = { self, seed: random.below(SEED_LIMIT), ...settings.timing.shardGroup };
+    const replica = new ShardReplica(shard, options, hash.hash64, this, clock.monotonicMs());
+    this.#replicas.set(shard, replica);
+    return replica;
+  }
+
+  #createFor(shard: number, message: ShardGroupMessage<ShardCommand>): ShardReplica | undefined {
+    const fromLeader = message.type === "appendRequest" || message.type === "snapshotRequest";
+    return fromLeader ? this.#create(shard) : undefined;
+  }
+
+  #noticeLeadership(replica: ShardReplica): void {
+    const leads = replica.leads;
+    if (leads === this.#ledShards.has(replica.shard)) return;
+    if (leads) this.#ledShards.add(replica.shard);
+    else this.#ledShards.delete(replica.shard);
+    this.#context.log.info(
+      { shard: replica.shard, term: replica.term, leads, leader: replica.leader?.instance },
+      leads ? "leads shard" : "no longer leads shard",
+    );
+    for (const observer of this.#observers) observer.onLeadershipChanged?.(replica);
+  }
+}
--- /dev/null
+++ b/src/node/shard-steward.ts
@@ -0,0 +1,225 @@
+/**
+ * Creates the shards of a new system, and moves replicas as nodes come and go.
+ *
+ * Who holds a shard is decided by its leader through the shard's own journal; the row in the platform's table is
+ * how a shard is created exactly once, and where others read of it. So repairs go on while the table is down.
+ */
+import { chooseReplicas, nextMembershipStep, type PlacementOptions } from "../coordination/placement/index.ts";
+import { allMembers, type Member, type Membership } from "../coordination/shard-group/index.ts";
+import type { Row, TableStore } from "../platform/table/table-store.ts";
+import { delay, repeat } from "../runtime/clock.ts";
+import type { NodeContext } from "./node-context.ts";
+import type { RunnerDirectory } from "./runners/runner-directory.ts";
+import type { ShardHost } from "./shard-host.ts";
+import type { ShardReplica } from "./shard-replica.ts";
+
+const ROW_PREFIX = "shards/";
+const SHARD_DIGITS = 5;
+const PAGE_SIZE = 1_000;
+const CREATE_BATCH = 64;
+const BOOTSTRAP_RETRY_MS = 200;
+/** A learner this close to the journal's end may vote, in entries. */
+const CAUGHT_UP_LAG = 64;
+
+/** What the table says of a shard. */
+interface ShardRow {
+  readonly shard: number;
+  readonly voters: readonly Member[];
+}
+
+/** See the module's comment. */
+export class ShardSteward {
+  readonly #context: NodeContext;
+  readonly #shards: ShardHost;
+  readonly #directory: RunnerDirectory;
+  readonly #table: TableStore;
+  readonly #placement: PlacementOptions;
+  readonly #published = new Map<number, string>();
+  readonly #outsideSinceMs = new Map<number, number>();
+  #stopRepair: () => void = () => undefined;
+  #stopped = false;
+  #ready = false;
+
+  constructor(context: NodeContext, shards: ShardHost, directory: RunnerDirectory, table: TableStore) {
+    this.#context = context;
+    this.#shards = shards;
+    this.#directory = directory;
+    this.#table = table;
+    const { replicas, shardsPerFamily } = context.settings.cluster;
+    this.#placement = { replicas, shardsPerFamily, hash32: context.hash.hash32 };
+  }
+
+  /** Whether every shard is known to exist. */
+  get ready(): boolean {
+    return this.#ready;
+  }
+
+  /** Starts creating and moving. */
+  start(): void {
+    void this.#bootstrap();
+    this.#stopRepair = repeat(this.#context.clock, this.#context.settings.timing.repairMs, () => this.#repairAll());
+  }
+
+  /** Stops creating and moving. */
+  stop(): void {
+    this.#stopped = true;
+    this.#stopRepair();
+  }
+
+  /** Asks another replica of every led shard to take over. */
+  handOverLeadership(): void {
+    for (const replica of this.#shards.all()) {
+      if (!replica.leads) continue;
+      replica.group.transferLeadership();
+      replica.runEffects();
+    }
+  }
+
+  // Creation
+
+  async #bootstrap(): Promise<void> {
+    while (!this.#stopped) {
+      try {
+        const rows = await this.#readRows();
+        this.#hostOwn(rows);
+        if (rows.length >= this.#context.settings.cluster.shards) {
+          this.#ready = true;
+          return;
+        }
+        await this.#createMissing(rows);
+      } catch {
+        // The table does not answer: try again.
+      }
+      await delay(this.#context.clock, BOOTSTRAP_RETRY_MS);
+    }
+  }
+
+  async #readRows(): Promise<ShardRow[]> {
+    const rows: ShardRow[] = [];
+    let after = "";
+    for (;;) {
+      const page = await this.#table.list(ROW_PREFIX, after, PAGE_SIZE);
+      rows.push(...page.map((row) => JSON.parse(row.value) as ShardRow));
+      if (page.length < PAGE_SIZE) return rows;
+      after = page[page.length - 1].key;
+    }
+  }
+
+  /** Only replicas named at a shard's creation start with a vote; all others are brought in by the leader. */
+  #hostOwn(rows: readonly ShardRow[]): void {
+    const { instance } = this.#context.self;
+    for (const { shard, voters } of rows) {
+      const mine = voters.some((voter) => voter.instance === instance);
+      if (mine && !this.#shards.get(shard)) this.#shards.bootstrap(shard, voters);
+    }
+  }
+
+  async #createMissing(rows: readonly ShardRow[]): Promise<void> {
+    const nodes = this.#listedNodes();
+    const { shards, firstNodes } = this.#context.settings.cluster;
+    if (nodes.length < firstNodes) return;
+    const existing = new Set(rows.map((row) => row.shard));
+    const missing = Array.from({ length: shards }, (_, shard) => shard).filter((shard) => !existing.has(shard));
+    const batch = missing.slice(0, CREATE_BATCH);
+    await this.#table.transact({
+      conditions: batch.map((shard) => ({ key: rowKey(shard), version: 0 })),
+      writes: batch.map((shard) => ({
+        key: rowKey(shard),
+        value: JSON.stringify({ shard, voters: chooseReplicas(shard, nodes, this.#placement) } satisfies ShardRow),
+      })),
+    });
+  }
+
+  // Repair
+
+  #repairAll(): void {
+    for (const replica of [...this.#shards.all()]) {
+      if (replica.leads) this.#repair(replica);
+      else this.#dropIfOutside(replica);
+    }
+  }
+
+  #repair(replica: ShardReplica): void {
+    const { clock, self } = this.#context;
+    const nowMs = clock.monotonicMs();
+    const wanted = chooseReplicas(replica.shard, this.#usableNodes(replica, nowMs), this.#placement);
+    if (wanted.length === 0) return;
+    const step = nextMembershipStep({
+      self: self.instance,
+      membership: replica.membership,
+      wanted,
+      caughtUp: (instance) => (replica.group.lagOf(instance) ?? Number.POSITIVE_INFINITY) <= CAUGHT_UP_LAG,
+    });
+    if (step.type === "change") this.#change(replica, step.membership, nowMs);
+    if (step.type === "transfer") replica.group.transferLeadership(step.to);
+    replica.runEffects();
+    if (step.type === "none") void this.#publish(replica);
+  }
+
+  #change(replica: ShardReplica, membership: Membership, nowMs: number): void {
+    if (!replica.group.proposeMembership(membership, nowMs)) return;
+    replica.group.flush(nowMs);
+    this.#context.log.info(
+      {
+        shard: replica.shard,
+        voters: membership.voters.map((member) => member.instance),
+        learners: membership.learners.map((member) => member.instance),
+      },
+      "changes replicas",
+    );
+  }
+
+  /** Listed nodes that are not leaving, and replicas that answer although the list lacks them. */
+  #usableNodes(replica: ShardReplica, nowMs: number): Member[] {
+    const { settings, self } = this.#context;
+    const silenceOf = (member: Member) =>
+      member.instance === self.instance ? 0 : replica.group.silenceOf(member.instance, nowMs);
+    const isDead = (member: Member) => (silenceOf(member) ?? 0) > settings.timing.deadAfterMs;
+    const listed = this.#listedNodes().filter((member) => !isDead(member));
+    const leaving = this.#directory.nodes().filter((machine) => machine.state === "leaving");
+    const unlisted = allMembers(replica.membership).filter((member) => {
+      if (listed.some((other) => other.instance === member.instance) || isDead(member)) return false;
+      return !leaving.some((machine) => machine.incarnation === member.instance);
+    });
+    return [...listed, ...unlisted];
+  }
+
+  #listedNodes(): Member[] {
+    return this.#directory
+      .nodes()
+      .filter((machine) => machine.state === "live")
+      .map(({ incarnation, address, zone }) => ({ instance: incarnation, address, zone }));
+  }
+
+  /** A replica that its group has left behind is dropped after a while. */
+  #dropIfOutside(replica: ShardReplica): void {
+    const inside = allMembers(replica.membership).some(({ instance }) => instance === this.#context.self.instance);
+    const nowMs = this.#context.clock.monotonicMs();
+    const sinceMs = this.#outsideSinceMs.get(replica.shard) ?? nowMs;
+    if (inside) this.#outsideSinceMs.delete(replica.shard);
+    else this.#outsideSinceMs.set(replica.shard, sinceMs);
+    if (inside || nowMs - sinceMs < this.#context.settings.timing.deadAfterMs) return;
+    this.#outsideSinceMs.delete(replica.shard);
+    this.#shards.drop(replica.shard);
+  }
+
+  /** Writes the settled replicas into the table, for those who look the shard up there. */
+  async #publish(replica: ShardReplica): Promise<void> {
+    const row: ShardRow = { shard: replica.shard, voters: replica.membership.voters };
+    const value = JSON.stringify(row);
+    if (this.#published.get(replica.shard) === value) return;
+    this.#published.set(replica.shard, value);
+    try {
+      const current: Row = await this.#table.get(rowKey(replica.shard));
+      if (current.value === value) return;
+      const conditions = [{ key: current.key, version: current.version }];
+      await this.#table.transact({ conditions, writes: [{ key: current.key, value }] });
+    } catch {
+      this.#published.delete(replica.shard);
+    }
+  }
+}
+
+function rowKey(shard: number): string {
+  return ROW_PREFIX + String(shard).padStart(SHARD_DIGITS, "0");
+}
--- /dev/null
+++ b/src/node/start-node.ts
@@ -0,0 +1,76 @@
+import { HttpJsonClient, HttpPools } from "../platform/http-json.ts";
+import { HttpEngineClient } from "../platform/engine/http-engine-client.ts";
+import { HttpMachineList } from "../platform/machine-list/http-machine-list.ts";
+import { HttpObjectStore } from "../platform/objects/http-object-store.ts";
+import { HttpServiceClient } from "../platform/service/http-service-client.ts";
+import { HttpTableStore } from "../platform/table/http-table-store.ts";
+import { SystemClock } from "../runtime/clock.ts";
+import { systemRandom } from "../runtime/system-random.ts";
+import { TcpTransport } from "../runtime/tcp-transport.ts";
+import { loadTextHash } from "../runtime/text-hash.ts";
+import type { NodeSettings } from "../settings/node-settings.ts";
+import { createLogger } from "../telemetry/create-logger.ts";
+import { MetricsServer } from "../telemetry/metrics-server.ts";
+import { NodeDaemon } from "./node-daemon.ts";
+import { nodeMetrics } from "./node-metrics.ts";
+
+const INSTANCE_TOKEN_LENGTH = 8;
+
+/** A node that is running in this process. */
+export interface RunningNode {
+  readonly daemon: NodeDaemon;
+  readonly address: string;
+  readonly metricsAddress: string;
+  /** A planned stop; resolves when the node has left. */
+  drain(): Promise<void>;
+  /** Ends at once, as if the process had been killed. */
+  kill(): Promise<void>;
+}
+
+/** Starts a node in this process, on the real clock and network. */
+export async function startNode(settings: NodeSettings): Promise<RunningNode> {
+  const random = systemRandom();
+  const instance = `${settings.name}#${random.token(INSTANCE_TOKEN_LENGTH)}`;
+  const transport = await TcpTransport.listen({ instance, address: settings.address });
+  const { address } = transport.self;
+  const log = createLogger(settings.name, settings.logging.level);
+  const pools = new HttpPools();
+  const json = new HttpJsonClient(pools);
+  const daemon = new NodeDaemon(
+    {
+      self: { instance, address, zone: settings.zone },
+      settings,
+      clock: new SystemClock(),
+      random,
+      hash: await loadTextHash(),
+      transport,
+      log,
+    },
+    {
+      table: new HttpTableStore(json, settings.platform.table),
+      objects: new HttpObjectStore(pools, settings.platform.objects),
+      machineList: new HttpMachineList(json, settings.platform.machineList),
+      engine: new HttpEngineClient(pools, json),
+      service: new HttpServiceClient(pools),
+    },
+  );
+  const metrics = new MetricsServer(nodeMetrics(daemon, transport), () => daemon.ready);
+  const metricsAddress = await metrics.listen(settings.metrics);
+  daemon.start();
+  log.info({ instance, address, metrics: metricsAddress }, "node started");
+  const close = async () => {
+    metrics.close();
+    await pools.close();
+  };
+  return {
+    daemon,
+    address,
+    metricsAddress,
+    drain: () => daemon.drain().then(close),
+    kill: async () => {
+      daemon.halt();
+      await transport.close();
+      await close();
+    },
+  };
+}
--- /dev/null
+++ b/src/platform/http-json.ts
@@ -0,0 +1,74 @@
+import { Pool } from "undici";
+import { platformError } from "../errors/tulipwheel-error.ts";
+
+const CONNECTIONS_PER_PEER = 256;
+const DEFAULT_TIMEOUT_MS = 3_000;
+
+/** Options of an {@link HttpJsonClient}. */
+export interface HttpJsonClientOptions {
+  /** Longest time for a whole exchange, in ms. Default 3,000. */
+  readonly timeoutMs?: number;
+}
+
+/** A JSON answer. */
+export interface JsonAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Connection pools to other machines, one per address. */
+export class HttpPools {
+  readonly #pools = new Map<string, Pool>();
+
+  /** The pool of an address. */
+  get(address: string): Pool {
+    const existing = this.#pools.get(address);
+    if (existing) return existing;
+    const pool = new Pool(`http://${address}`, { connections: CONNECTIONS_PER_PEER, connectTimeout: 1_000 });
+    this.#pools.set(address, pool);
+    return pool;
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    await Promise.all([...this.#pools.values()].map((pool) => pool.destroy()));
+    this.#pools.clear();
+  }
+}
+
+/** Exchanges JSON with the platform's services. Throws a `PlatformError` when no answer comes. */
+export class HttpJsonClient {
+  readonly #pools: HttpPools;
+  readonly #timeoutMs: number;
+
+  constructor(pools: HttpPools, options: HttpJsonClientOptions = {}) {
+    this.#pools = pools;
+    this.#timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  }
+
+  /** Sends a request and reads the whole answer. */
+  async exchange(address: string, method: string, path: string, body?: unknown): Promise<JsonAnswer> {
+    try {
+      const response = await this.#pools.get(address).request({
+        method: method as "GET" | "POST" | "PUT" | "DELETE",
+        path,
+        headers: body === undefined ? {} : { "content-type": "application/json" },
+        body: body === undefined ? null : JSON.stringify(body),
+        headersTimeout: this.#timeoutMs,
+        bodyTimeout: this.#timeoutMs,
+        signal: AbortSignal.timeout(this.#timeoutMs),
+      });
+      const text = await response.body.text();
+      return { status: response.statusCode, body: text ? JSON.parse(text) : undefined };
+    } catch (error) {
+      throw platformError(`${method} ${path} at ${address} got no answer.`, error);
+    }
+  }
+
+  /** Like {@link exchange}, for requests whose only good answer has status 200. */
+  async fetch(address: string, method: string, path: string, body?: unknown): Promise<unknown> {
+    const answer = await this.exchange(address, method, path, body);
+    if (answer.status !== 200) throw platformError(`${method} ${path} at ${address} answered ${answer.status}.`);
+    return answer.body;
+  }
+}
--- /dev/null
+++ b/src/platform/machine-list/machine-list.ts
@@ -0,0 +1,28 @@
+/** What a machine is for. */
+export type MachineKind = "node" | "runner" | "service";
+
+/** One entry of the platform's list of machines. The list lags behind what is true. */
+export interface Machine {
+  readonly name: string;
+  readonly kind: MachineKind;
+  /** Runner pool or service that the machine belongs to; empty for nodes. */
+  readonly pool: string;
+  readonly zone: string;
+  /** IP address and port. */
+  readonly address: string;
+  /** Changes whenever another machine takes the name or address. */
+  readonly incarnation: string;
+  readonly state: "live" | "leaving";
+  /** For runners: the models served, the batch size, and the tokens of key-value cache. */
+  readonly models: readonly string[];
+  readonly slots: number;
+  readonly kvTokens: number;
+}
+
+/** The platform's list of machines. Every method throws a `PlatformError` when the platform does not answer. */
+export interface MachineList {
+  /** All machines, as far as the platform knows. */
+  read(): Promise<readonly Machine[]>;
+  /** Tells the platform that a node is there or leaving; repeated as a sign of life. */
+  report(machine: Machine): Promise<void>;
+}
--- /dev/null
+++ b/src/platform/service/http-service-client.ts
@@ -0,0 +1,54 @@
+import type { ServiceRequest } from "../../scheduling/program/records.ts";
+import type { HttpPools } from "../http-json.ts";
+import type { ServiceClient, ServiceResult } from "./service-client.ts";
+
+/** Errors that are raised before a connection exists, so that no byte can have left. */
+const NOT_CONNECTED = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+
+/** Calls services over HTTP. Each request goes out once, over a connection that is not shared with another. */
+export class HttpServiceClient implements ServiceClient {
+  readonly #pools: HttpPools;
+
+  constructor(pools: HttpPools) {
+    this.#pools = pools;
+  }
+
+  async send(address: string, request: ServiceRequest, callId: string, timeoutMs: number): Promise<ServiceResult> {
+    try {
+      const response = await this.#pools.get(address).request({
+        method: request.method as "GET" | "POST",
+        path: request.path,
+        headers: headersOf(request, callId),
+        body: request.body === "" ? null : request.body,
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      const contentType = response.headers["content-type"];
+      return {
+        type: "answered",
+        answer: {
+          type: "service",
+          status: response.statusCode,
+          contentType: typeof contentType === "string" ? contentType : "application/octet-stream",
+          body: await response.body.text(),
+        },
+      };
+    } catch (error) {
+      return resultOfError(error);
+    }
+  }
+}
+
+function headersOf(request: ServiceRequest, callId: string): Record<string, string> {
+  const headers: Record<string, string> = { "tulipwheel-call-id": callId };
+  if (request.body !== "") headers["content-type"] = request.contentType;
+  if (request.idempotencyKey) headers["idempotency-key"] = request.idempotencyKey;
+  return headers;
+}
+
+function resultOfError(error: unknown): ServiceResult {
+  const { code, message } = error as { code?: string; message: string };
+  const detail = `no answer came (${code ?? message})`;
+  return code && NOT_CONNECTED.has(code) ? { type: "not-sent", detail } : { type: "unknown", detail };
+}
--- /dev/null
+++ b/src/runtime/random-source.ts
@@ -0,0 +1,38 @@
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+const TOKEN_ALPHABET = "abcdefghijkmnpqrstuvwxyz23456789";
+
+/** Random numbers for drivers: jitter, identifiers, samples. The simulation seeds it. */
+export interface RandomSource {
+  /** A number in [0, 1). */
+  unit(): number;
+  /** An integer in [0, limit). */
+  below(limit: number): number;
+  /** A random text of letters and digits that are hard to mix up. */
+  token(length: number): string;
+}
+
+/** A random source that gives the same numbers for the same seed. */
+export class SeededRandomSource implements RandomSource {
+  readonly #generator: ReturnType<typeof xoroshiro128plus>;
+
+  constructor(seed: number) {
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  unit(): number {
+    return uniformFloat64(this.#generator);
+  }
+
+  below(limit: number): number {
+    return uniformInt(this.#generator, 0, limit - 1);
+  }
+
+  token(length: number): string {
+    let text = "";
+    for (let position = 0; position < length; position++) text += TOKEN_ALPHABET[this.below(TOKEN_ALPHABET.length)];
+    return text;
+  }
+}
--- /dev/null
+++ b/src/runtime/tcp-transport.ts
@@ -0,0 +1,177 @@
+/**
+ * The internal protocol over TCP: one connection per pair of processes, carrying a stream of CBOR values
+ * (cbor-x finds their ends). The first value names the sender, so that answers use the same connection.
+ */
+import { createConnection, createServer, type Server, type Socket } from "node:net";
+import { DecoderStream, Encoder } from "cbor-x";
+import type { Message } from "../messages/message.ts";
+import type { MessageHandler, Sender, Transport } from "./transport.ts";
+
+/** Messages of one turn of the event loop to one address. */
+interface Batch {
+  readonly from: Sender;
+  readonly configurationVersion: number;
+  readonly messages: readonly Message[];
+}
+
+/** Counters of the traffic with one other process or all of them. */
+export interface TransportCounters {
+  batchesSent: number;
+  messagesSent: number;
+  bytesSent: number;
+  messagesReceived: number;
+  bytesReceived: number;
+  connectionErrors: number;
+}
+
+/** Bytes that may wait for a slow peer before its connection is given up. */
+const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
+
+/** See the module's comment. */
+export class TcpTransport implements Transport {
+  configurationVersion = 0;
+  readonly counters: TransportCounters = {
+    batchesSent: 0,
+    messagesSent: 0,
+    bytesSent: 0,
+    messagesReceived: 0,
+    bytesReceived: 0,
+    connectionErrors: 0,
+  };
+  readonly #self: Sender;
+  readonly #encoder = new Encoder({ useRecords: false });
+  readonly #server: Server;
+  readonly #connections = new Map<string, Socket>();
+  readonly #sockets = new Set<Socket>();
+  readonly #outbox = new Map<string, Message[]>();
+  #handler: MessageHandler = () => undefined;
+  #flushScheduled = false;
+  #closed = false;
+
+  private constructor(self: Sender, server: Server) {
+    this.#self = self;
+    this.#server = server;
+    server.on("connection", (socket) => this.#adopt(socket));
+  }
+
+  /** Listens at `self.address`; port 0 takes a free one. */
+  static async listen(self: Sender): Promise<TcpTransport> {
+    const { host, port } = parseAddress(self.address);
+    const server = createServer({ noDelay: true });
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(port, host, resolve);
+    });
+    const bound = server.address();
+    const boundPort = typeof bound === "object" && bound ? bound.port : port;
+    return new TcpTransport({ instance: self.instance, address: `${host}:${boundPort}` }, server);
+  }
+
+  get self(): Sender {
+    return this.#self;
+  }
+
+  onMessage(handler: MessageHandler): void {
+    this.#handler = handler;
+  }
+
+  send(address: string, message: Message): void {
+    if (this.#closed) return;
+    const queue = this.#outbox.get(address);
+    if (queue) queue.push(message);
+    else this.#outbox.set(address, [message]);
+    if (this.#flushScheduled) return;
+    this.#flushScheduled = true;
+    setImmediate(() => this.#flush());
+  }
+
+  async close(): Promise<void> {
+    this.#flush();
+    this.#closed = true;
+    for (const socket of this.#sockets) socket.destroySoon();
+    await new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+    });
+  }
+
+  #flush(): void {
+    this.#flushScheduled = false;
+    const outbox = [...this.#outbox];
+    this.#outbox.clear();
+    for (const [address, messages] of outbox) {
+      if (address === this.#self.address) this.#deliverLocally(messages);
+      else this.#write(address, messages);
+    }
+  }
+
+  #deliverLocally(messages: readonly Message[]): void {
+    for (const message of messages) this.#handler(message, this.#self, this.configurationVersion);
+  }
+
+  #write(address: string, messages: readonly Message[]): void {
+    const batch: Batch = { from: this.#self, configurationVersion: this.configurationVersion, messages };
+    const bytes = this.#encoder.encode(batch);
+    const socket = this.#connections.get(address) ?? this.#connect(address);
+    if (socket.writableLength > MAX_BUFFERED_BYTES) {
+      socket.destroy();
+      return;
+    }
+    socket.write(bytes);
+    this.counters.batchesSent += 1;
+    this.counters.messagesSent += messages.length;
+    this.counters.bytesSent += bytes.length;
+  }
+
+  #connect(address: string): Socket {
+    const { host, port } = parseAddress(address);
+    const socket = createConnection({ host, port, noDelay: true });
+    this.#connections.set(address, socket);
+    this.#adopt(socket);
+    socket.on("close", () => this.#forget(address, socket));
+    return socket;
+  }
+
+  #adopt(socket: Socket): void {
+    this.#sockets.add(socket);
+    const decoder = new DecoderStream({ useRecords: false });
+    decoder.on("data", (batch: Batch) => this.#onBatch(batch, socket));
+    decoder.on("error", () => socket.destroy());
+    socket.on("data", (bytes: Buffer) => {
+      this.counters.bytesReceived += bytes.length;
+    });
+    socket.on("error", () => {
+      this.counters.connectionErrors += 1;
+    });
+    socket.on("close", () => this.#sockets.delete(socket));
+    socket.pipe(decoder);
+  }
+
+  #onBatch(batch: Batch, socket: Socket): void {
+    if (this.#closed || !isBatch(batch)) return;
+    this.#rememberRoute(batch.from.address, socket);
+    this.counters.messagesReceived += batch.messages.length;
+    for (const message of batch.messages) this.#handler(message, batch.from, batch.configurationVersion);
+  }
+
+  /** Answers to a process go over the connection that it opened. */
+  #rememberRoute(address: string, socket: Socket): void {
+    if (this.#connections.has(address)) return;
+    this.#connections.set(address, socket);
+    socket.on("close", () => this.#forget(address, socket));
+  }
+
+  #forget(address: string, socket: Socket): void {
+    if (this.#connections.get(address) === socket) this.#connections.delete(address);
+  }
+}
+
+/** Splits `IP:port`. */
+export function parseAddress(address: string): { host: string; port: number } {
+  const separator = address.lastIndexOf(":");
+  return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
+}
+
+function isBatch(value: unknown): value is Batch {
+  const batch = value as Partial<Batch> | undefined;
+  return typeof batch?.from?.address === "string" && Array.isArray(batch.messages);
+}
--- /dev/null
+++ b/src/scheduling/admission/worst-case-tokens.ts
@@ -0,0 +1,33 @@
+import type { ChatMessage, CompletionRequest } from "../program/records.ts";
+
+/** Tokens that the chat format may add around each message. */
+const TOKENS_PER_MESSAGE = 8;
+
+/**
+ * An upper bound of a completion's cost. The history's tokens were counted by an engine; of new text, no token is
+ * shorter than a byte.
+ */
+export function worstCaseTokens(historyTokens: number, request: CompletionRequest): number {
+  return historyTokens + messageTokensBound(request.messages) + request.maxTokens;
+}
+
+/** An upper bound of the tokens in some messages. */
+export function messageTokensBound(messages: readonly ChatMessage[]): number {
+  let bound = 0;
+  for (const { role, content } of messages) {
+    bound += utf8Length(content) + utf8Length(role) + TOKENS_PER_MESSAGE;
+  }
+  return bound;
+}
+
+/** Bytes of a text in UTF-8, without building them. */
+export function utf8Length(text: string): number {
+  let bytes = 0;
+  for (let position = 0; position < text.length; position++) {
+    const unit = text.charCodeAt(position);
+    if (unit < 0x80) bytes += 1;
+    else if (unit < 0x800) bytes += 2;
+    else bytes += 3;
+  }
+  return bytes;
+}
--- /dev/null
+++ b/src/scheduling/program/program-table.ts
@@ -0,0 +1,304 @@
+/**
+ * The replicated state of all programs of one shard. Every replica applies the same commands in the same order,
+ * so each command checks for itself whether it still holds: a leader that was overtaken proposes in vain.
+ */
+import type { AllotmentBook } from "../../coordination/budget-escrow/index.ts";
+import { messageTokensBound } from "../admission/worst-case-tokens.ts";
+import type {
+  FinishCall,
+  IntendCall,
+  OpenProgram,
+  ProgramCommand,
+  RefuseCall,
+  RefuseProgram,
+  RetryCall,
+} from "./commands.ts";
+import { programOfCall } from "./program-id.ts";
+import type { CallRecord, ChatMessage, HistoryEntry, ProgramRecord, RefusedProgram } from "./records.ts";
+
+/** What became of a command. */
+export type ApplyResult = { readonly accepted: true } | { readonly accepted: false; readonly reason: RejectReason };
+
+/** {@link ProgramTable} as plain data. */
+export interface ProgramTableSnapshot {
+  readonly programs: readonly ProgramRecord[];
+  readonly refused: readonly RefusedProgram[];
+}
+
+/** Why a command was passed over. */
+export type RejectReason =
+  | "program-unknown"
+  | "program-ended"
+  | "program-exists"
+  | "program-refused"
+  | "parent-unknown"
+  | "call-exists"
+  | "call-refused"
+  | "call-unknown"
+  | "call-ended"
+  | "number-taken"
+  | "number-ahead"
+  | "attempt-outdated"
+  | "budget-short";
+
+const ACCEPTED: ApplyResult = { accepted: true };
+/** Refusals of one program that are kept whole, for `explain`. */
+const MAX_REFUSALS_KEPT = 64;
+/** Refusals after which a program is ended: their identifiers must all be kept, so that "not run" stays true. */
+const MAX_REFUSALS = 4_096;
+/** Refused programs that are kept, for `explain`. */
+const MAX_REFUSED_PROGRAMS = 1_000;
+
+/** See the module's comment. */
+export class ProgramTable {
+  readonly #programs = new Map<string, ProgramRecord>();
+  readonly #refusedPrograms = new Map<string, RefusedProgram>();
+  readonly #allotments: AllotmentBook;
+  readonly #hash: (text: string) => string;
+
+  /**
+   * @param allotments the shard's share of the budgets, changed along with the programs
+   * @param hash for the chain of history entries
+   */
+  constructor(allotments: AllotmentBook, hash: (text: string) => string) {
+    this.#allotments = allotments;
+    this.#hash = hash;
+  }
+
+  /** A program, if this shard knows it. */
+  get(program: string): ProgramRecord | undefined {
+    return this.#programs.get(program);
+  }
+
+  /** A call, if this shard knows it. */
+  call(call: string): CallRecord | undefined {
+    return this.get(programOfCall(call))?.calls.find((record) => record.id === call);
+  }
+
+  /** A program that was refused lately. */
+  refused(program: string): RefusedProgram | undefined {
+    return this.#refusedPrograms.get(program);
+  }
+
+  /** Every program. */
+  all(): IterableIterator<ProgramRecord> {
+    return this.#programs.values();
+  }
+
+  /** How many programs are known. */
+  get size(): number {
+    return this.#programs.size;
+  }
+
+  /** Carries out one committed command. */
+  apply(command: ProgramCommand): ApplyResult {
+    switch (command.type) {
+      case "openProgram":
+        return this.#open(command);
+      case "refuseProgram":
+        return this.#refuseProgram(command);
+      case "endProgram":
+        return this.#end(command.program, command.reason, command.atMs);
+      case "forgetPrograms":
+        for (const program of command.programs) this.#programs.delete(program);
+        return ACCEPTED;
+      case "intendCall":
+        return this.#intend(command);
+      case "retryCall":
+        return this.#retry(command);
+      case "finishCall":
+        return this.#finish(command);
+      case "refuseCall":
+        return this.#refuse(command);
+    }
+  }
+
+  /** The table as plain data. */
+  toSnapshot(): ProgramTableSnapshot {
+    const programs = [...this.#programs.values()].map((program) => ({
+      ...program,
+      history: [...program.history],
+      calls: [...program.calls],
+      refusals: [...program.refusals],
+      refusedCalls: [...program.refusedCalls],
+    }));
+    return { programs, refused: [...this.#refusedPrograms.values()] };
+  }
+
+  /** Replaces the table. */
+  restore({ programs, refused }: ProgramTableSnapshot): void {
+    this.#programs.clear();
+    this.#refusedPrograms.clear();
+    for (const program of programs) this.#programs.set(program.id, program);
+    for (const refusal of refused) this.#refusedPrograms.set(refusal.program, refusal);
+  }
+
+  #open(command: OpenProgram): ApplyResult {
+    if (this.#programs.has(command.program)) return rejected("program-exists");
+    if (this.#refusedPrograms.has(command.program)) return rejected("program-refused");
+    const parent = command.parent && this.#programs.get(command.parent.program);
+    if (command.parent && !parent) return rejected("parent-unknown");
+    if (parent?.endedAtMs !== undefined) return rejected("program-ended");
+    const history = parent ? historyUpTo(parent, command.parent?.afterCall ?? 0) : [];
+    this.#programs.set(command.program, {
+      id: command.program,
+      tenant: command.tenant,
+      template: command.template,
+      parent: command.parent,
+      depth: parent ? parent.depth + 1 : 0,
+      openedAtMs: command.atMs,
+      deadlineAtMs: command.deadlineAtMs,
+      decision: command.decision,
+      endedAtMs: undefined,
+      endReason: undefined,
+      lastActiveAtMs: command.atMs,
+      nextNumber: 1,
+      historyTokens: parent ? inheritedTokens(parent, history) : 0,
+      chargedTokens: 0,
+      attainedServiceMs: 0,
+      history,
+      calls: [],
+      refusals: [],
+      refusedCalls: [],
+    });
+    return ACCEPTED;
+  }
+
+  #refuseProgram({ program, tenant, problem, decision }: RefuseProgram): ApplyResult {
+    if (this.#programs.has(program)) return rejected("program-exists");
+    this.#refusedPrograms.set(program, { program, tenant, problem, decision });
+    const [oldest] = this.#refusedPrograms.keys();
+    if (this.#refusedPrograms.size > MAX_REFUSED_PROGRAMS) this.#refusedPrograms.delete(oldest);
+    return ACCEPTED;
+  }
+
+  #end(id: string, reason: ProgramRecord["endReason"], atMs: number): ApplyResult {
+    const program = this.#programs.get(id);
+    if (!program) return rejected("program-unknown");
+    if (program.endedAtMs !== undefined) return rejected("program-ended");
+    program.endedAtMs = atMs;
+    program.endReason = reason;
+    return ACCEPTED;
+  }
+
+  #intend(command: IntendCall): ApplyResult {
+    const program = this.#programs.get(command.program);
+    if (!program) return rejected("program-unknown");
+    if (program.endedAtMs !== undefined) return rejected("program-ended");
+    if (program.refusedCalls.includes(command.call)) return rejected("call-refused");
+    if (program.calls.some((call) => call.id === command.call)) return rejected("call-exists");
+    if (command.number < program.nextNumber) return rejected("number-taken");
+    if (command.number > program.nextNumber) return rejected("number-ahead");
+    if (!this.#allotments.reserve(command.reservation.budget, command.reservation.tokens)) {
+      return rejected("budget-short");
+    }
+    program.nextNumber += 1;
+    program.lastActiveAtMs = command.atMs;
+    program.calls.push({
+      id: command.call,
+      number: command.number,
+      requestHash: command.requestHash,
+      request: command.request,
+      repeatable: command.repeatable,
+      attempt: 1,
+      executor: command.executor,
+      reservation: command.reservation,
+      startedAtMs: command.atMs,
+      endedAtMs: undefined,
+      outcome: undefined,
+      decision: undefined,
+    });
+    return ACCEPTED;
+  }
+
+  /** The attempt before may have cost all that was reserved for it, so that is charged and reserved anew. */
+  #retry(command: RetryCall): ApplyResult {
+    const found = this.#openCall(command.call);
+    if (!found) return rejected("call-unknown");
+    const { program, call } = found;
+    if (command.attempt !== call.attempt + 1) return rejected("attempt-outdated");
+    const { budget, tokens } = call.reservation;
+    if (!this.#allotments.reserve(budget, tokens)) return rejected("budget-short");
+    this.#allotments.settle(budget, tokens, tokens);
+    program.chargedTokens += tokens;
+    replaceCall(program, { ...call, attempt: command.attempt, executor: command.executor });
+    return ACCEPTED;
+  }
+
+  #finish(command: FinishCall): ApplyResult {
+    const found = this.#openCall(command.call);
+    if (!found) return rejected(this.call(command.call) ? "call-ended" : "call-unknown");
+    const { program, call } = found;
+    if (command.attempt !== call.attempt) return rejected("attempt-outdated");
+    this.#allotments.settle(call.reservation.budget, call.reservation.tokens, command.chargedTokens);
+    program.chargedTokens += Math.min(command.chargedTokens, call.reservation.tokens);
+    program.attainedServiceMs += command.serviceMs;
+    program.lastActiveAtMs = command.atMs;
+    this.#extendHistory(program, call, command);
+    replaceCall(program, {
+      ...call,
+      request: undefined,
+      endedAtMs: command.atMs,
+      outcome: command.outcome,
+      decision: command.decision,
+    });
+    return ACCEPTED;
+  }
+
+  #refuse(command: RefuseCall): ApplyResult {
+    const program = this.#programs.get(command.program);
+    if (!program) return rejected("program-unknown");
+    if (program.calls.some((call) => call.id === command.call)) return rejected("call-exists");
+    if (program.refusedCalls.includes(command.call)) return rejected("call-refused");
+    program.refusedCalls.push(command.call);
+    program.refusals.push({ id: command.call, problem: command.problem, decision: command.decision });
+    if (program.refusals.length > MAX_REFUSALS_KEPT) program.refusals.shift();
+    if (program.refusedCalls.length >= MAX_REFUSALS) this.#end(program.id, "limit", command.atMs);
+    return ACCEPTED;
+  }
+
+  #openCall(id: string): { program: ProgramRecord; call: CallRecord } | undefined {
+    const program = this.#programs.get(programOfCall(id));
+    const call = program?.calls.find((record) => record.id === id);
+    if (!program || !call || call.outcome) return undefined;
+    return { program, call };
+  }
+
+  #extendHistory(program: ProgramRecord, call: CallRecord, command: FinishCall): void {
+    const { outcome } = command;
+    if (outcome.type !== "answered" || outcome.answer.type !== "completion") return;
+    if (call.request?.type !== "completion") return;
+    const { usage, text } = outcome.answer;
+    for (const message of [...call.request.messages, { role: "assistant", content: text }]) {
+      program.history.push(this.#link(program, call.id, message));
+    }
+    program.historyTokens = usage.promptTokens + usage.completionTokens;
+  }
+
+  #link(program: ProgramRecord, call: string, message: ChatMessage): HistoryEntry {
+    const index = program.history.length + 1;
+    const previous = program.history.at(-1)?.hash ?? "";
+    const hash = this.#hash(`${program.id}|${index}|${message.role}|${message.content}|${previous}`);
+    return { index, call, role: message.role, content: message.content, hash };
+  }
+}
+
+function rejected(reason: RejectReason): ApplyResult {
+  return { accepted: false, reason };
+}
+
+function replaceCall(program: ProgramRecord, changed: CallRecord): void {
+  const position = program.calls.findIndex((call) => call.id === changed.id);
+  program.calls[position] = changed;
+}
+
+/** An upper bound where the fork leaves out a part that an engine counted only together with the rest. */
+function inheritedTokens(parent: ProgramRecord, history: readonly HistoryEntry[]): number {
+  return history.length === parent.history.length ? parent.historyTokens : messageTokensBound(history);
+}
+
+function historyUpTo(parent: ProgramRecord, afterCall: number): HistoryEntry[] {
+  const included = new Set(parent.calls.filter((call) => call.number <= afterCall).map((call) => call.id));
+  const inherited = (entry: HistoryEntry) => programOfCall(entry.call) !== parent.id || included.has(entry.call);
+  return parent.history.filter(inherited);
+}
--- /dev/null
+++ b/src/scheduling/shard-state.ts
@@ -0,0 +1,73 @@
+import { AllotmentBook, BudgetLedger, type LedgerSnapshot } from "../coordination/budget-escrow/index.ts";
+import type { Allotment } from "../coordination/budget-escrow/index.ts";
+import type { BudgetCommand } from "./budget/commands.ts";
+import type { ProgramCommand } from "./program/commands.ts";
+import { type ApplyResult, ProgramTable, type ProgramTableSnapshot } from "./program/program-table.ts";
+
+/** Every command that a shard replicates. */
+export type ShardCommand = ProgramCommand | BudgetCommand;
+
+/** {@link ShardState} as plain data. */
+export interface ShardSnapshot {
+  readonly programs: ProgramTableSnapshot;
+  readonly allotments: readonly [string, Allotment][];
+  readonly ledger: LedgerSnapshot;
+}
+
+const ACCEPTED: ApplyResult = { accepted: true };
+
+/** All replicated state of one shard: its programs, its share of budgets, and the ledgers it keeps for tenants. */
+export class ShardState {
+  readonly allotments = new AllotmentBook();
+  readonly ledger = new BudgetLedger();
+  readonly programs: ProgramTable;
+
+  /** @param hash for the chains of history entries */
+  constructor(hash: (text: string) => string) {
+    this.programs = new ProgramTable(this.allotments, hash);
+  }
+
+  /** Carries out one committed command. */
+  apply(command: ShardCommand): ApplyResult {
+    switch (command.type) {
+      case "takeAllotment":
+        this.allotments.granted(command.budget, command.grantedTotal);
+        return ACCEPTED;
+      case "returnAllotment":
+        this.allotments.giveBack(command.budget, command.tokens);
+        return ACCEPTED;
+      case "lendAllotment":
+        this.ledger.lend(command.budget, command.limit, command.borrower, command.wantedTotal);
+        return ACCEPTED;
+      case "reportLoan":
+        this.ledger.report(command.budget, command.borrower, command.returnedTotal, command.spentTotal);
+        return ACCEPTED;
+      case "forgetBudgets":
+        for (const budget of command.budgets) this.#forgetBudget(budget);
+        return ACCEPTED;
+      default:
+        return this.programs.apply(command);
+    }
+  }
+
+  /** The state as plain data, for a snapshot. */
+  toSnapshot(): ShardSnapshot {
+    return {
+      programs: this.programs.toSnapshot(),
+      allotments: this.allotments.toSnapshot(),
+      ledger: this.ledger.toSnapshot(),
+    };
+  }
+
+  /** Replaces the state by a snapshot. */
+  restore(snapshot: ShardSnapshot): void {
+    this.programs.restore(snapshot.programs);
+    this.allotments.restore(snapshot.allotments);
+    this.ledger.restore(snapshot.ledger);
+  }
+
+  #forgetBudget(budget: string): void {
+    this.allotments.forget(budget);
+    this.ledger.forget(budget);
+  }
+}
--- /dev/null
+++ b/src/settings/load-settings.ts
@@ -0,0 +1,55 @@
+import { readFile } from "node:fs/promises";
+import { parse, stringify } from "yaml";
+import type { z } from "zod";
+import { configurationError } from "../errors/tulipwheel-error.ts";
+import { parseYaml } from "./parse-yaml.ts";
+
+/** A flag that overrides a setting: the path of keys, and the text given. */
+export interface SettingOverride {
+  readonly path: readonly string[];
+  readonly text: string;
+}
+
+/** Reads a settings file, lays the flags over it, and checks the whole. */
+export async function loadSettings<Schema extends z.ZodType>(
+  file: string | undefined,
+  overrides: readonly SettingOverride[],
+  schema: Schema,
+): Promise<z.infer<Schema>> {
+  const text = file === undefined ? "" : await readSettingsFile(file);
+  const merged = overrides.length === 0 ? text : applyOverrides(text, overrides);
+  return parseYaml(merged, file ?? "flags", schema, "invalid-settings")[0].value;
+}
+
+/** Parses `a.b.c=value`. */
+export function parseOverride(flag: string): SettingOverride {
+  const separator = flag.indexOf("=");
+  if (separator <= 0) throw configurationError("invalid-settings", `--set ${flag}: must be key=value.`);
+  return { path: flag.slice(0, separator).split("."), text: flag.slice(separator + 1) };
+}
+
+async function readSettingsFile(file: string): Promise<string> {
+  try {
+    return await readFile(file, "utf8");
+  } catch (error) {
+    throw configurationError("invalid-settings", `${file}: cannot be read (${(error as Error).message}).`);
+  }
+}
+
+function applyOverrides(text: string, overrides: readonly SettingOverride[]): string {
+  const settings = (parse(text) ?? {}) as Record<string, unknown>;
+  for (const { path, text: value } of overrides) setAt(settings, path, parse(value));
+  return stringify(settings);
+}
+
+function setAt(settings: Record<string, unknown>, path: readonly string[], value: unknown): void {
+  const [key, ...rest] = path;
+  if (rest.length === 0) {
+    settings[key] = value;
+    return;
+  }
+  const inner = settings[key];
+  const next = typeof inner === "object" && inner !== null ? (inner as Record<string, unknown>) : {};
+  settings[key] = next;
+  setAt(next, rest, value);
+}
--- /dev/null
+++ b/src/sidecar/calls/call-session.ts
@@ -0,0 +1,200 @@
+import type { Problem } from "../../errors/problem.ts";
+import { problemOf } from "../../errors/tulipwheel-error.ts";
+import type { CallChunk, CallEvent, CallFinished } from "../../messages/call-messages.ts";
+import type { Clock, TimerHandle } from "../../runtime/clock.ts";
+import type { ShardRouter } from "../../runtime/shard-router.ts";
+import type { Transport } from "../../runtime/transport.ts";
+import type { CallAnswer, CallRequest } from "../../scheduling/program/records.ts";
+import type { SidecarSettings } from "../../settings/sidecar-settings.ts";
+
+/** A call to be made. */
+export interface CallParameters {
+  readonly program: string;
+  readonly call: string;
+  readonly tenant: string;
+  readonly shard: number;
+  readonly number: number | undefined;
+  readonly request: CallRequest;
+  readonly patienceMs: number;
+}
+
+/** How a call ended for the caller. */
+export type CallResult =
+  | { readonly type: "answered"; readonly number: number; readonly answer: CallAnswer }
+  | { readonly type: "failed"; readonly problem: Problem };
+
+/** What a session needs. */
+export interface CallSessionPort {
+  readonly clock: Clock;
+  readonly transport: Transport;
+  readonly router: ShardRouter;
+  readonly settings: SidecarSettings;
+}
+
+const UNAVAILABLE_RETRY_AFTER_MS = 2_000;
+
+/**
+ * One call as the sidecar sees it: hands it to whoever leads the program's shard, hands it in again after silence,
+ * and puts the answer together from its pieces, each exactly once and in order, whoever sends them.
+ */
+export class CallSession {
+  readonly #port: CallSessionPort;
+  readonly #parameters: CallParameters;
+  readonly #onText: (text: string) => void;
+  readonly #resolve: (result: CallResult) => void;
+  readonly #startMs: number;
+  readonly result: Promise<CallResult>;
+  #received = "";
+  #settled = false;
+  #accepted = false;
+  #submittedTo: string | undefined;
+  #retryTimer: TimerHandle | undefined;
+  #deadlineTimer: TimerHandle | undefined;
+  #lastHeardMs: number;
+
+  /** @param onText called with each further piece of the answer's text */
+  constructor(port: CallSessionPort, parameters: CallParameters, onText: (text: string) => void) {
+    this.#port = port;
+    this.#parameters = parameters;
+    this.#onText = onText;
+    this.#startMs = port.clock.monotonicMs();
+    this.#lastHeardMs = this.#startMs;
+    let resolveResult: (result: CallResult) => void = () => undefined;
+    this.result = new Promise((resolve) => {
+      resolveResult = resolve;
+    });
+    this.#resolve = resolveResult;
+  }
+
+  /** The call's identifier. */
+  get call(): string {
+    return this.#parameters.call;
+  }
+
+  /** Hands the call in. */
+  start(): void {
+    const { clock } = this.#port;
+    this.#deadlineTimer = clock.schedule(this.#parameters.patienceMs, () => this.#giveUp());
+    this.#submit(undefined);
+  }
+
+  /** The caller hung up. */
+  abandon(): void {
+    if (this.#settled) return;
+    if (this.#submittedTo) {
+      this.#port.transport.send(this.#submittedTo, { type: "abandonCall", call: this.call });
+    }
+    this.#settle({ type: "failed", problem: problemOf("back-end-failed", "The caller hung up.") });
+  }
+
+  /** Takes in an event from a node. */
+  onEvent(event: CallEvent, from: string): void {
+    if (this.#settled) return;
+    this.#lastHeardMs = this.#port.clock.monotonicMs();
+    switch (event.type) {
+      case "callAccepted":
+        this.#accepted = true;
+        this.#submittedTo = from;
+        this.#port.router.learn(this.#parameters.shard, from);
+        return;
+      case "callRedirected":
+        return this.#onRedirected(event.leader, from);
+      case "callChunk":
+        return this.#onChunk(event, from);
+      case "callFinished":
+        return this.#onFinished(event);
+      case "callFailed":
+        return this.#settle({ type: "failed", problem: event.problem });
+    }
+  }
+
+  #submit(except: string | undefined, target?: string): void {
+    const { clock, router, transport } = this.#port;
+    const { program, call, tenant, number, request, patienceMs, shard } = this.#parameters;
+    const address = target ?? router.candidate(shard, except);
+    const elapsedMs = clock.monotonicMs() - this.#startMs;
+    if (address) {
+      this.#submittedTo = address;
+      transport.send(address, {
+        type: "submitCall",
+        program,
+        call,
+        tenant,
+        number,
+        request,
+        receivedText: this.#received,
+        patienceMs: Math.max(1, patienceMs - elapsedMs),
+      });
+    }
+    this.#watch();
+  }
+
+  /** Looks after a while whether the leader has given a sign of life. */
+  #watch(): void {
+    const { clock, settings } = this.#port;
+    if (this.#retryTimer) clock.cancel(this.#retryTimer);
+    const waitMs = this.#accepted ? settings.timing.leaderSilenceMs : settings.timing.submitRetryMs;
+    this.#retryTimer = clock.schedule(waitMs, () => this.#onQuiet(waitMs));
+  }
+
+  #onQuiet(waitMs: number): void {
+    const { clock, router, settings } = this.#port;
+    if (this.#settled) return;
+    const silenceMs = clock.monotonicMs() - this.#lastHeardMs;
+    if (this.#accepted && silenceMs < waitMs) return this.#watch();
+    if (silenceMs > settings.timing.unavailableAfterMs) return this.#giveUp();
+    router.learn(this.#parameters.shard, undefined);
+    this.#accepted = false;
+    this.#submit(this.#submittedTo);
+  }
+
+  #onRedirected(leader: string | undefined, from: string): void {
+    this.#port.router.learn(this.#parameters.shard, leader);
+    this.#accepted = false;
+    if (leader && leader !== from) return this.#submit(from, leader);
+    this.#watch();
+  }
+
+  /** Pieces that were seen before are cut off; after a gap the call is handed in again to get what is missing. */
+  #onChunk({ offset, text }: CallChunk, from: string): void {
+    const fresh = text.slice(this.#received.length - offset);
+    if (offset > this.#received.length) return this.#submit(undefined, from);
+    if (offset + text.length <= this.#received.length) return;
+    this.#received += fresh;
+    this.#onText(fresh);
+  }
+
+  #onFinished({ number, answer }: CallFinished): void {
+    if (answer.type === "completion") {
+      if (!answer.text.startsWith(this.#received)) return this.#settle(this.#interrupted());
+      const rest = answer.text.slice(this.#received.length);
+      this.#received = answer.text;
+      if (rest) this.#onText(rest);
+    }
+    this.#settle({ type: "answered", number, answer });
+  }
+
+  #interrupted(): CallResult {
+    const detail = `Another answer to ${this.call} was committed than the one that had begun.`;
+    return { type: "failed", problem: problemOf("answer-interrupted", detail) };
+  }
+
+  /** The final answer comes at once; whether the call ran is not known here. */
+  #giveUp(): void {
+    const { transport } = this.#port;
+    if (this.#submittedTo) transport.send(this.#submittedTo, { type: "abandonCall", call: this.call });
+    const waitedMs = Math.round(this.#port.clock.monotonicMs() - this.#startMs);
+    const detail = `No end of call ${this.call} was heard of within ${waitedMs} ms.`;
+    const details = { retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS, outcome: "unknown" } as const;
+    this.#settle({ type: "failed", problem: problemOf("outcome-unknown", detail, details) });
+  }
+
+  #settle(result: CallResult): void {
+    if (this.#settled) return;
+    this.#settled = true;
+    const { clock } = this.#port;
+    if (this.#retryTimer) clock.cancel(this.#retryTimer);
+    if (this.#deadlineTimer) clock.cancel(this.#deadlineTimer);
+    this.#resolve(result);
+  }
+}
--- /dev/null
+++ b/src/sidecar/http/http-exchange.ts
@@ -0,0 +1,116 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Problem } from "../../errors/problem.ts";
+import { problemOfError, requestError } from "../../errors/tulipwheel-error.ts";
+
+const MS_PER_SECOND = 1_000;
+/** Bytes that may wait for a caller who does not read. */
+const MAX_UNREAD_BYTES = 8 * 1024 * 1024;
+
+/** One request and its response, with what every route needs. */
+export class HttpExchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly url: URL;
+  readonly #bodyBytes: number;
+
+  /** @param bodyBytes the largest body that is read */
+  constructor(request: IncomingMessage, response: ServerResponse, bodyBytes: number) {
+    this.request = request;
+    this.response = response;
+    this.url = parseUrl(request.url);
+    this.#bodyBytes = bodyBytes;
+  }
+
+  /** Method of the request. */
+  get method(): string {
+    return this.request.method ?? "GET";
+  }
+
+  /** A header's only value. */
+  header(name: string): string | undefined {
+    const value = this.request.headers[name];
+    return Array.isArray(value) ? value[0] : value;
+  }
+
+  /** The whole body as text; throws `body-too-large`. */
+  async text(): Promise<string> {
+    const parts: Buffer[] = [];
+    let length = 0;
+    for await (const part of this.request) {
+      length += (part as Buffer).length;
+      if (length > this.#bodyBytes) throw bodyTooLarge(this.#bodyBytes);
+      parts.push(part as Buffer);
+    }
+    return Buffer.concat(parts).toString("utf8");
+  }
+
+  /** The whole body as JSON; throws `invalid-request`. */
+  async json(): Promise<unknown> {
+    const text = await this.text();
+    try {
+      return JSON.parse(text);
+    } catch (error) {
+      throw requestError("invalid-request", `The body is not JSON (${(error as Error).message}).`);
+    }
+  }
+
+  /** Answers with JSON. */
+  sendJson(status: number, body: unknown, headers: Record<string, string> = {}): void {
+    const content = Buffer.from(JSON.stringify(body));
+    this.response.writeHead(status, { "content-type": "application/json", ...headers, "content-length": content.length });
+    this.response.end(content);
+  }
+
+  /** Answers with a problem document (RFC 9457). */
+  sendProblem(problem: Problem): void {
+    if (this.response.headersSent) return void this.response.end();
+    const content = Buffer.from(JSON.stringify(problemDocument(problem)));
+    this.response.writeHead(problem.status, {
+      "content-type": "application/problem+json",
+      "content-length": content.length,
+      ...retryAfterHeader(problem),
+    });
+    this.response.end(content);
+    if (!this.request.complete) this.request.destroy();
+  }
+
+  /** Answers with whatever problem an error stands for. */
+  sendError(error: unknown): void {
+    this.sendProblem(problemOfError(error));
+  }
+
+  /** Starts a stream of server-sent events. */
+  startEvents(headers: Record<string, string>): void {
+    this.response.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-cache", ...headers });
+    this.response.flushHeaders();
+  }
+
+  /** Sends one event. A caller who does not read is cut off. */
+  sendEvent(data: string): void {
+    if (this.response.writableLength > MAX_UNREAD_BYTES) this.response.destroy();
+    else this.response.write(`data: ${data}\n\n`);
+  }
+}
+
+/** A problem in the form of RFC 9457, with our members beside. */
+export function problemDocument(problem: Problem): object {
+  const { kind, title, status, detail, outcome, remedy, retriable, retryAfterMs } = problem;
+  return { type: `urn:tulipwheel:problem:${kind}`, title, status, detail, kind, outcome, remedy, retriable, retryAfterMs };
+}
+
+function retryAfterHeader({ retryAfterMs }: Problem): Record<string, string> {
+  if (retryAfterMs === undefined) return {};
+  return { "retry-after": String(Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND))) };
+}
+
+function bodyTooLarge(limit: number) {
+  return requestError("body-too-large", `The body is larger than ${limit} bytes.`);
+}
+
+function parseUrl(path: string | undefined): URL {
+  try {
+    return new URL(path ?? "/", "http://sidecar");
+  } catch {
+    return new URL("http://sidecar/");
+  }
+}
--- /dev/null
+++ b/src/sidecar/sidecar-core.ts
@@ -0,0 +1,206 @@
+/**
+ * The sidecar without its HTTP side: opens programs, makes calls and asks questions for callers.
+ * The simulation drives this class directly.
+ */
+import type { CallEvent } from "../messages/call-messages.ts";
+import type { Message } from "../messages/message.ts";
+import type { DecisionView, RpcName, RpcSchema } from "../messages/rpc-messages.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { RandomSource } from "../runtime/random-source.ts";
+import { RpcEndpoint } from "../runtime/rpc.ts";
+import { ShardRouter } from "../runtime/shard-router.ts";
+import type { TextHash } from "../runtime/text-hash.ts";
+import type { Sender, Transport } from "../runtime/transport.ts";
+import { requestError } from "../errors/tulipwheel-error.ts";
+import {
+  callId,
+  childProgramId,
+  isCallId,
+  isProgramId,
+  programOfCall,
+  rootOfProgram,
+  rootProgramId,
+} from "../scheduling/program/program-id.ts";
+import type { CallRequest, ForkPoint, ProgramRecord } from "../scheduling/program/records.ts";
+import type { SidecarSettings } from "../settings/sidecar-settings.ts";
+import { CallSession } from "./calls/call-session.ts";
+
+/** What a sidecar is given. */
+export interface SidecarPorts {
+  readonly settings: SidecarSettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly hash: TextHash;
+  readonly transport: Transport;
+}
+
+/** A program to be opened. */
+export interface OpenParameters {
+  readonly tenant: string;
+  readonly template: string;
+  readonly parent: ForkPoint | undefined;
+  readonly deadlineMs: number | undefined;
+}
+
+/** A call to be made. */
+export interface MakeCallParameters {
+  readonly tenant: string;
+  readonly program: string;
+  readonly number: number | undefined;
+  /** Calls with the same key are the same call. */
+  readonly idempotencyKey: string | undefined;
+  readonly request: CallRequest;
+  readonly patienceMs: number | undefined;
+}
+
+const ROOT_TOKEN_LENGTH = 16;
+const CHILD_TOKEN_LENGTH = 6;
+const CALL_TOKEN_LENGTH = 12;
+const CLUSTER_TIMEOUT_MS = 1_000;
+
+/** See the module's comment. */
+export class SidecarCore {
+  readonly #ports: SidecarPorts;
+  readonly #rpc: RpcEndpoint;
+  readonly #router: ShardRouter;
+  readonly #sessions = new Map<string, Set<CallSession>>();
+  #nodes: readonly string[];
+  #shardCount: number | undefined;
+
+  constructor(ports: SidecarPorts) {
+    const { transport, clock, random, settings } = ports;
+    this.#ports = ports;
+    this.#nodes = settings.nodes;
+    this.#rpc = new RpcEndpoint(transport, clock, random);
+    this.#router = new ShardRouter(this.#rpc, clock, random, () => this.#nodes);
+    transport.onMessage((message, from) => this.#onMessage(message, from));
+  }
+
+  /** Whether the cluster was reached. */
+  get ready(): boolean {
+    return this.#shardCount !== undefined;
+  }
+
+  /** Calls in progress. */
+  get activeCalls(): number {
+    return this.#sessions.size;
+  }
+
+  /** Asks the nodes how the cluster looks, until one answers. */
+  async refreshCluster(): Promise<void> {
+    for (const address of [...this.#nodes, ...this.#ports.settings.nodes]) {
+      const reply = await this.#rpc.ask(address, "readCluster", {}, CLUSTER_TIMEOUT_MS);
+      if (reply.type !== "done") continue;
+      this.#shardCount = reply.body.shardCount;
+      const nodes = reply.body.nodes.filter((node) => !node.leaving).map((node) => node.address);
+      if (nodes.length > 0) this.#nodes = nodes;
+      return;
+    }
+  }
+
+  /** Opens a program. */
+  async openProgram({ tenant, template, parent, deadlineMs }: OpenParameters): Promise<ProgramRecord> {
+    if (parent) requireProgramId(parent.program);
+    const token = this.#ports.random.token(parent ? CHILD_TOKEN_LENGTH : ROOT_TOKEN_LENGTH);
+    const program = parent ? childProgramId(parent.program, token) : rootProgramId(token);
+    const body = { program, tenant, template, parent, deadlineMs };
+    return (await this.#askLeader(program, "openProgram", body)).program;
+  }
+
+  /** Ends a program. */
+  async endProgram(program: string, tenant: string): Promise<ProgramRecord> {
+    const body = { program, tenant, reason: "completed" } as const;
+    return (await this.#askLeader(program, "endProgram", body)).program;
+  }
+
+  /** Reads a program with its history. */
+  async readProgram(program: string, tenant: string): Promise<ProgramRecord> {
+    return (await this.#askLeader(program, "readProgram", { program, tenant })).program;
+  }
+
+  /** Reads why a call or a program was treated as it was. */
+  async readDecision(subject: string, tenant: string): Promise<DecisionView> {
+    if (!isCallId(subject) && !isProgramId(subject)) throw badIdentifier(subject);
+    return this.#askLeader(programOfCall(subject), "readDecision", { subject, tenant });
+  }
+
+  /** Makes a call. Its pieces go to `onText`; the end is in the session's `result`. */
+  async makeCall(parameters: MakeCallParameters, onText: (text: string) => void): Promise<CallSession> {
+    const { program, tenant, number, request, idempotencyKey } = parameters;
+    requireProgramId(program);
+    const shard = await this.#shardOf(program);
+    const call = callId(program, this.#callToken(idempotencyKey));
+    const patienceMs = parameters.patienceMs ?? this.#ports.settings.timing.callPatienceMs;
+    const { clock, transport, settings } = this.#ports;
+    const port = { clock, transport, settings, router: this.#router };
+    const session = new CallSession(
+      port,
+      { program, call, tenant, shard, number, request, patienceMs },
+      onText,
+    );
+    this.#track(session);
+    session.start();
+    return session;
+  }
+
+  #callToken(idempotencyKey: string | undefined): string {
+    const { random, hash } = this.#ports;
+    if (idempotencyKey === undefined) return random.token(CALL_TOKEN_LENGTH);
+    return `k${hash.hash64(idempotencyKey)}${hash.hash64(`${idempotencyKey}|`)}`;
+  }
+
+  #track(session: CallSession): void {
+    const sessions = this.#sessions.get(session.call) ?? new Set();
+    sessions.add(session);
+    this.#sessions.set(session.call, sessions);
+    void session.result.then(() => {
+      sessions.delete(session);
+      if (sessions.size === 0) this.#sessions.delete(session.call);
+    });
+  }
+
+  async #askLeader<Name extends RpcName>(
+    program: string,
+    name: Name,
+    body: RpcSchema[Name]["request"],
+  ): Promise<RpcSchema[Name]["response"]> {
+    requireProgramId(program);
+    const shard = await this.#shardOf(program);
+    return this.#router.ask(shard, name, body, this.#ports.settings.timing.unavailableAfterMs);
+  }
+
+  async #shardOf(program: string): Promise<number> {
+    if (this.#shardCount === undefined) await this.refreshCluster();
+    if (this.#shardCount === undefined) {
+      throw requestError("unavailable", "No node of the cluster answers.", { retryAfterMs: CLUSTER_TIMEOUT_MS });
+    }
+    return this.#ports.hash.hash32(rootOfProgram(program)) % this.#shardCount;
+  }
+
+  #onMessage(message: Message, from: Sender): void {
+    switch (message.type) {
+      case "rpcRequest":
+        return void this.#rpc.onRequest(message, from);
+      case "rpcResponse":
+        return this.#rpc.onResponse(message);
+      case "callAccepted":
+      case "callRedirected":
+      case "callChunk":
+      case "callFinished":
+      case "callFailed":
+        return this.#onCallEvent(message, from.address);
+    }
+  }
+
+  #onCallEvent(event: CallEvent, from: string): void {
+    for (const session of [...(this.#sessions.get(event.call) ?? [])]) session.onEvent(event, from);
+  }
+}
+
+function requireProgramId(program: string): void {
+  if (!isProgramId(program)) throw badIdentifier(program);
+}
+
+function badIdentifier(text: string) {
+  return requestError("invalid-request", `"${text.slice(0, 80)}" is not an identifier of a program or call.`);
+}
--- /dev/null
+++ b/standins/engine/engine-model.ts
@@ -0,0 +1,353 @@
+/**
+ * A model engine without a model: continuous batching over steps, chunked prefill, a prefix cache in limited memory,
+ * priorities, resumption, cancellation, fenced orders, and reports that lag. Pure: time comes in as a value, so the
+ * same engine serves HTTP, the simulation and the emulator.
+ */
+import type {
+  CacheEvent,
+  EngineHold,
+  EngineLoad,
+  EngineOrder,
+  GenerateRequest,
+  GenerateResult,
+} from "../../src/platform/engine/engine-client.ts";
+import { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import type { TextHash } from "../../src/runtime/text-hash.ts";
+import { answerTokens, GeneratedText } from "./generated-text.ts";
+import { type CacheChange, CHARACTERS_PER_TOKEN, countTokens, PrefixCache } from "./prefix-cache.ts";
+
+/** Options of an {@link EngineModel}. */
+export interface EngineModelOptions {
+  readonly name: string;
+  readonly models: readonly string[];
+  /** Sequences in a batch. Default 16. */
+  readonly slots?: number;
+  /** Tokens of key-value memory for the prefix cache. Default 200,000. */
+  readonly kvTokens?: number;
+  /** Time of a step with an empty batch, in ms. Default 10. */
+  readonly stepMs?: number;
+  /** Time that each further sequence adds to a step, in ms. Default 0.1. */
+  readonly stepMsPerSequence?: number;
+  /** Prompt tokens worked on in a step. Default 2,048. */
+  readonly prefillTokensPerStep?: number;
+  /** Time that each prompt token adds to a step, in ms. Default 0.01. */
+  readonly prefillMsPerToken?: number;
+  /** Age of the load that is reported, in ms. Default 500. */
+  readonly loadLagMs?: number;
+  /** Time until a cache event can be read, in ms. Default 1,000. */
+  readonly eventDelayMs?: number;
+  /** Part of the cache events that are lost. Default 0.05. */
+  readonly eventLoss?: number;
+  /** Requests that may wait inside the engine. Default 64. */
+  readonly maxWaiting?: number;
+  /** Whether two engines answer the same prompt alike. Default true. */
+  readonly sameTextEverywhere?: boolean;
+}
+
+/** Who is told of a generation's progress. */
+export interface GenerationSink {
+  onChunk(offset: number, text: string): void;
+  onEnd(result: Extract<GenerateResult, { type: "completed" }>): void;
+}
+
+interface Sequence {
+  readonly request: GenerateRequest;
+  readonly sink: GenerationSink;
+  readonly text: GeneratedText;
+  readonly targetTokens: number;
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+  readonly arrivedMs: number;
+  prefillLeft: number;
+  generated: string;
+  generatedTokens: number;
+}
+
+/** Totals since the engine's start. */
+export interface EngineTotals {
+  promptTokens: number;
+  cachedTokens: number;
+  prefilledTokens: number;
+  generatedTokens: number;
+  completed: number;
+  cancelled: number;
+  refused: number;
+}
+
+const DEFAULTS = {
+  slots: 16,
+  kvTokens: 200_000,
+  stepMs: 10,
+  stepMsPerSequence: 0.1,
+  prefillTokensPerStep: 2_048,
+  prefillMsPerToken: 0.01,
+  loadLagMs: 500,
+  eventDelayMs: 1_000,
+  eventLoss: 0.05,
+  maxWaiting: 64,
+  sameTextEverywhere: true,
+};
+
+const EVENTS_KEPT = 1_000;
+
+/** See the module's comment. */
+export class EngineModel {
+  readonly options: Required<EngineModelOptions>;
+  readonly totals: EngineTotals = {
+    promptTokens: 0,
+    cachedTokens: 0,
+    prefilledTokens: 0,
+    generatedTokens: 0,
+    completed: 0,
+    cancelled: 0,
+    refused: 0,
+  };
+  readonly #hash: TextHash;
+  readonly #random: SeededRandomSource;
+  readonly #cache: PrefixCache;
+  readonly #models: Set<string>;
+  #running: Sequence[] = [];
+  #waiting: Sequence[] = [];
+  #events: (CacheEvent & { readonly atMs: number })[] = [];
+  #nextEvent = 1;
+  #newestToken = 0;
+  #leaving = false;
+  #role: "mixed" | "prefill" | "decode" = "mixed";
+  #reported: EngineLoad = { running: [], waiting: 0, usedKvTokens: 0, leaving: false, ageMs: 0 };
+  #reportedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: EngineModelOptions, hash: TextHash) {
+    this.options = { ...DEFAULTS, ...options };
+    this.#hash = hash;
+    this.#random = new SeededRandomSource(hash.hash32(options.name));
+    this.#cache = new PrefixCache(this.options.kvTokens, hash.hash64);
+    this.#models = new Set(options.models);
+  }
+
+  /** Whether a step has anything to do. */
+  get busy(): boolean {
+    return this.#running.length > 0 || this.#waiting.length > 0;
+  }
+
+  /** Sequences in the batch. */
+  get runningCount(): number {
+    return this.#running.length;
+  }
+
+  /** What the engine is used for at present. */
+  get role(): "mixed" | "prefill" | "decode" {
+    return this.#role;
+  }
+
+  /** The models that can be asked for. */
+  get models(): readonly string[] {
+    return [...this.#models];
+  }
+
+  /** Whether the engine refuses new work. */
+  get leaving(): boolean {
+    return this.#leaving;
+  }
+
+  /** From now on new requests are refused, or taken again. */
+  setLeaving(leaving: boolean): void {
+    this.#leaving = leaving;
+  }
+
+  /** Takes a request. Returns why not, when it is not taken. */
+  submit(
+    request: GenerateRequest,
+    sink: GenerationSink,
+    nowMs: number,
+  ): Extract<GenerateResult, { type: "refused" }>["reason"] | undefined {
+    const refusal = this.#checkSubmit(request);
+    if (refusal) {
+      this.totals.refused += 1;
+      return refusal;
+    }
+    this.#newestToken = request.fencingToken;
+    this.#waiting.push(this.#sequenceOf(request, sink, nowMs));
+    return undefined;
+  }
+
+  /** Takes a request out, wherever it is. */
+  cancel(requestId: string): boolean {
+    const before = this.#running.length + this.#waiting.length;
+    this.#running = this.#running.filter((sequence) => sequence.request.requestId !== requestId);
+    this.#waiting = this.#waiting.filter((sequence) => sequence.request.requestId !== requestId);
+    const cancelled = this.#running.length + this.#waiting.length < before;
+    if (cancelled) this.totals.cancelled += 1;
+    return cancelled;
+  }
+
+  /** Begins a step and returns how long it takes, in ms; {@link finishStep} must follow after that time. */
+  beginStep(): number {
+    this.#fillBatch();
+    const { stepMs, stepMsPerSequence, prefillMsPerToken } = this.options;
+    const prefill = this.#planPrefill().reduce((sum, { tokens }) => sum + tokens, 0);
+    return stepMs + stepMsPerSequence * this.#running.length + prefillMsPerToken * prefill;
+  }
+
+  /** Ends a step: prompts get on, and every other sequence has one token more. */
+  finishStep(nowMs: number): void {
+    const planned = this.#planPrefill();
+    const prefilling = new Set(planned.map(({ sequence }) => sequence));
+    for (const { sequence, tokens } of planned) {
+      sequence.prefillLeft -= tokens;
+      this.totals.prefilledTokens += tokens;
+    }
+    for (const sequence of [...this.#running]) {
+      if (sequence.prefillLeft === 0 && !prefilling.has(sequence)) this.#decode(sequence, nowMs);
+    }
+  }
+
+  /** Load as it was a while ago. */
+  load(nowMs: number): EngineLoad {
+    if (nowMs - this.#reportedAtMs >= this.options.loadLagMs) {
+      this.#reportedAtMs = nowMs;
+      this.#reported = {
+        running: [...this.#running, ...this.#waiting].map((sequence) => sequence.request.requestId),
+        waiting: this.#waiting.length,
+        usedKvTokens: this.#cache.usedTokens,
+        leaving: this.#leaving,
+        ageMs: 0,
+      };
+    }
+    return { ...this.#reported, leaving: this.#leaving, ageMs: nowMs - this.#reportedAtMs };
+  }
+
+  /** What is held for programs. */
+  holds(): EngineHold[] {
+    return [...this.#cache.holds()].map(([program, tokens]) => ({ program, tokens }));
+  }
+
+  /** Cache events that can be read by now. */
+  cacheEvents(after: number, nowMs: number): CacheEvent[] {
+    const readable = this.#events.filter(
+      (event) => event.number > after && nowMs - event.atMs >= this.options.eventDelayMs,
+    );
+    return readable.map(({ number, type, program, tokens }) => ({ number, type, program, tokens }));
+  }
+
+  /** Carries an order out. Returns false when its token is older than the newest seen. */
+  order(order: EngineOrder, fencingToken: number, nowMs: number): boolean {
+    if (fencingToken < this.#newestToken) return false;
+    this.#newestToken = fencingToken;
+    switch (order.type) {
+      case "release":
+        this.#publish(this.#cache.release(order.program), nowMs);
+        break;
+      case "load":
+        this.#models.add(order.model);
+        break;
+      case "unload":
+        this.#models.delete(order.model);
+        break;
+      case "role":
+        this.#role = order.role;
+        break;
+    }
+    return true;
+  }
+
+  /** Puts another engine's cache of a program in. */
+  importCache(program: string, messages: GenerateRequest["messages"], fencingToken: number, nowMs: number): boolean {
+    if (fencingToken < this.#newestToken) return false;
+    this.#newestToken = fencingToken;
+    this.#publish(this.#cache.store(program, messages, nowMs), nowMs);
+    return true;
+  }
+
+  #checkSubmit(request: GenerateRequest): Extract<GenerateResult, { type: "refused" }>["reason"] | undefined {
+    if (request.fencingToken < this.#newestToken) return "stale-token";
+    if (this.#leaving) return "leaving";
+    if (!this.#models.has(request.model)) return "unknown-model";
+    const known = [...this.#running, ...this.#waiting].some(
+      (sequence) => sequence.request.requestId === request.requestId,
+    );
+    return known || this.#waiting.length >= this.options.maxWaiting ? "full" : undefined;
+  }
+
+  #sequenceOf(request: GenerateRequest, sink: GenerationSink, nowMs: number): Sequence {
+    const { messages, resumeText, maxTokens } = request;
+    const prompt = JSON.stringify(messages) + (this.options.sameTextEverywhere ? "" : this.options.name);
+    const seed = this.#hash.hash32(prompt);
+    const resumed = Math.floor(resumeText.length / CHARACTERS_PER_TOKEN);
+    const promptTokens = messages.reduce((sum, { content }) => sum + countTokens(content), 0);
+    const cachedTokens = this.#cache.match(messages, nowMs);
+    this.totals.promptTokens += promptTokens;
+    this.totals.cachedTokens += cachedTokens;
+    return {
+      request,
+      sink,
+      text: new GeneratedText(seed, resumed),
+      targetTokens: Math.max(answerTokens(messages, maxTokens, this.#hash.hash32(JSON.stringify(messages))), resumed),
+      promptTokens,
+      cachedTokens,
+      arrivedMs: nowMs,
+      prefillLeft: promptTokens - cachedTokens + resumed,
+      generated: resumeText,
+      generatedTokens: resumed,
+    };
+  }
+
+  #fillBatch(): void {
+    if (this.#running.length >= this.options.slots || this.#waiting.length === 0) return;
+    this.#waiting.sort(
+      (left, right) => left.request.priority - right.request.priority || left.arrivedMs - right.arrivedMs,
+    );
+    while (this.#running.length < this.options.slots) {
+      const next = this.#waiting.shift();
+      if (!next) return;
+      this.#running.push(next);
+    }
+  }
+
+  #planPrefill(): { sequence: Sequence; tokens: number }[] {
+    const planned: { sequence: Sequence; tokens: number }[] = [];
+    let budget = this.options.prefillTokensPerStep;
+    for (const sequence of this.#running) {
+      const tokens = Math.min(sequence.prefillLeft, budget);
+      if (tokens <= 0) continue;
+      planned.push({ sequence, tokens });
+      budget -= tokens;
+    }
+    return planned;
+  }
+
+  #decode(sequence: Sequence, nowMs: number): void {
+    if (sequence.generatedTokens < sequence.targetTokens) {
+      const text = sequence.text.next();
+      const offset = sequence.generated.length;
+      sequence.generated += text;
+      sequence.generatedTokens += 1;
+      this.totals.generatedTokens += 1;
+      sequence.sink.onChunk(offset, text);
+    }
+    if (sequence.generatedTokens >= sequence.targetTokens) this.#complete(sequence, nowMs);
+  }
+
+  #complete(sequence: Sequence, nowMs: number): void {
+    const { request, promptTokens, cachedTokens, generated, generatedTokens } = sequence;
+    this.#running = this.#running.filter((other) => other !== sequence);
+    this.totals.completed += 1;
+    const answer = { role: "assistant", content: generated };
+    this.#publish(this.#cache.store(request.program, [...request.messages, answer], nowMs), nowMs);
+    sequence.sink.onEnd({
+      type: "completed",
+      finishReason: generatedTokens >= request.maxTokens ? "length" : "stop",
+      usage: { promptTokens, completionTokens: generatedTokens, cachedTokens },
+      length: generated.length,
+    });
+  }
+
+  #publish(changes: readonly CacheChange[], nowMs: number): void {
+    for (const change of changes) {
+      const number = this.#nextEvent;
+      this.#nextEvent += 1;
+      if (this.#random.unit() < this.options.eventLoss) continue;
+      this.#events.push({ ...change, number, atMs: nowMs });
+    }
+    if (this.#events.length > EVENTS_KEPT) this.#events = this.#events.slice(-EVENTS_KEPT);
+  }
+}
--- /dev/null
+++ b/standins/engine/generated-text.ts
@@ -0,0 +1,30 @@
+import { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import type { ChatMessage } from "../../src/scheduling/program/records.ts";
+import { CHARACTERS_PER_TOKEN } from "./prefix-cache.ts";
+
+const SHORTEST_ANSWER = 8;
+const ANSWER_SPREAD = 56;
+const LENGTH_DIRECTIVE = /#tokens=(\d+)/;
+
+/** How many tokens the stand-in answers with: as the last message says by `#tokens=N`, else by its hash. */
+export function answerTokens(messages: readonly ChatMessage[], maxTokens: number, seed: number): number {
+  const directive = LENGTH_DIRECTIVE.exec(messages.at(-1)?.content ?? "");
+  const wanted = directive ? Number(directive[1]) : SHORTEST_ANSWER + (seed % ANSWER_SPREAD);
+  return Math.max(1, Math.min(wanted, maxTokens));
+}
+
+/** An endless text of one token after another, the same for the same seed. */
+export class GeneratedText {
+  readonly #random: SeededRandomSource;
+
+  /** @param skipTokens tokens that were already generated elsewhere */
+  constructor(seed: number, skipTokens: number) {
+    this.#random = new SeededRandomSource(seed);
+    for (let skipped = 0; skipped < skipTokens; skipped++) this.next();
+  }
+
+  /** The next token's text. */
+  next(): string {
+    return `${this.#random.token(CHARACTERS_PER_TOKEN - 1)} `;
+  }
+}
--- /dev/null
+++ b/standins/machine-list/machine-list-model.ts
@@ -0,0 +1,63 @@
+import type { Machine } from "../../src/platform/machine-list/machine-list.ts";
+
+/** Options of a {@link MachineListModel}. */
+export interface MachineListModelOptions {
+  /** How far the list lags behind the truth, in ms. Default 300. */
+  readonly lagMs?: number;
+  /** Time after which a node that does not report is taken off, in ms. Default 3,000. */
+  readonly expiryMs?: number;
+}
+
+interface ListedMachine {
+  readonly machine: Machine;
+  readonly reportedAtMs: number;
+  /** Runners and services stay until they are taken off. */
+  readonly permanent: boolean;
+}
+
+/** The platform's list of machines: it lags, and nodes that fall silent stay on it for a while. */
+export class MachineListModel {
+  readonly #lagMs: number;
+  readonly #expiryMs: number;
+  readonly #machines = new Map<string, ListedMachine>();
+  #published: { readonly atMs: number; readonly machines: readonly Machine[] }[] = [{ atMs: 0, machines: [] }];
+
+  constructor(options: MachineListModelOptions = {}) {
+    this.#lagMs = options.lagMs ?? 300;
+    this.#expiryMs = options.expiryMs ?? 3_000;
+  }
+
+  /** Puts a machine on the list for good, or changes it. */
+  put(machine: Machine, nowMs: number): void {
+    this.#machines.set(machine.name, { machine, reportedAtMs: nowMs, permanent: true });
+    this.#publish(nowMs);
+  }
+
+  /** A machine says that it is there. */
+  report(machine: Machine, nowMs: number): void {
+    this.#machines.set(machine.name, { machine, reportedAtMs: nowMs, permanent: false });
+    this.#publish(nowMs);
+  }
+
+  /** Takes a machine off. */
+  remove(name: string, nowMs: number): void {
+    this.#machines.delete(name);
+    this.#publish(nowMs);
+  }
+
+  /** The list as it was a while ago. */
+  read(nowMs: number): readonly Machine[] {
+    this.#publish(nowMs);
+    const visible = this.#published.findLast(({ atMs }) => atMs <= nowMs - this.#lagMs) ?? this.#published[0];
+    this.#published = this.#published.slice(this.#published.indexOf(visible));
+    return visible.machines;
+  }
+
+  #publish(nowMs: number): void {
+    const machines: Machine[] = [];
+    for (const { machine, reportedAtMs, permanent } of this.#machines.values()) {
+      if (permanent || nowMs - reportedAtMs <= this.#expiryMs) machines.push(machine);
+    }
+    this.#published.push({ atMs: nowMs, machines });
+  }
+}
--- /dev/null
+++ b/test/process/smoke.ts
@@ -0,0 +1,10 @@
+import { Cluster, pause } from "./support/cluster.ts";
+const t0=performance.now();
+const cluster = await Cluster.start({ nodes: 3, engines: [{ name: "r1", models: ["agent-llm"] },{ name: "r2", models: ["agent-llm"] }], services: 1 });
+console.log("up", performance.now()-t0);
+const sc = await cluster.startSidecar();
+console.log(sc.address);
+const r = await fetch(`http://${sc.address}/v1/programs`, {method:"POST", body: JSON.stringify({template:"pay-run"})});
+console.log(r.status, await r.text());
+console.log(cluster.nodes[0].process.log.slice(0,3000));
+await cluster.stop();
--- /dev/null
+++ b/test/process/support/child-process.ts
@@ -0,0 +1,40 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { createInterface } from "node:readline";
+
+/** A process of ours that a test started, and will end. */
+export class StartedProcess {
+  readonly #child: ChildProcess;
+  readonly #output: string[] = [];
+  readonly exited: Promise<number | null>;
+
+  constructor(script: string, args: readonly string[]) {
+    this.#child = spawn(process.execPath, ["--import", "tsx", script, ...args], {
+      stdio: ["ignore", "pipe", "pipe"],
+    });
+    this.exited = new Promise((resolve) => this.#child.once("exit", (code) => resolve(code)));
+    this.#child.stderr?.on("data", (part) => this.#output.push(String(part)));
+  }
+
+  /** Reads the line in which a process says where it is reached. */
+  async firstLine(): Promise<Record<string, string>> {
+    const lines = createInterface({ input: this.#child.stdout as NodeJS.ReadableStream });
+    for await (const line of lines) return JSON.parse(line) as Record<string, string>;
+    throw new Error(`The process ended before it said where it is reached: ${this.log}`);
+  }
+
+  /** What the process wrote to standard error. */
+  get log(): string {
+    return this.#output.join("");
+  }
+
+  /** Sends a signal to this process alone. */
+  signal(name: NodeJS.Signals): void {
+    this.#child.kill(name);
+  }
+
+  /** Ends the process at once, if it still runs. */
+  async kill(): Promise<void> {
+    if (this.#child.exitCode === null && this.#child.signalCode === null) this.#child.kill("SIGKILL");
+    await this.exited;
+  }
+}
--- /dev/null
+++ b/test/process/support/cluster.ts
@@ -0,0 +1,177 @@
+import type { EngineModelOptions } from "../../../standins/engine/engine-model.ts";
+import { StartedProcess } from "./child-process.ts";
+
+const CLI = "src/cli/main.ts";
+const STANDINS = "standins/main.ts";
+const READY_TIMEOUT_MS = 20_000;
+const POLL_MS = 50;
+
+/** A process and where it is reached. */
+export interface Reached {
+  /** Where metrics and health are served; only nodes have it. */
+  readonly metrics: string;
+  readonly process: StartedProcess;
+  readonly address: string;
+}
+
+/** What a cluster is made of. */
+export interface ClusterOptions {
+  readonly nodes: number;
+  readonly engines: readonly EngineModelOptions[];
+  readonly services?: number;
+  readonly shards?: number;
+}
+
+/** A whole system of separate processes on loopback, for one test. */
+export class Cluster {
+  readonly nodes: Reached[] = [];
+  readonly engines: Reached[] = [];
+  readonly services: Reached[] = [];
+  table!: Reached;
+  objects!: Reached;
+  machineList!: Reached;
+  readonly #options: ClusterOptions;
+  readonly #started: StartedProcess[] = [];
+
+  private constructor(options: ClusterOptions) {
+    this.#options = options;
+  }
+
+  /** Starts everything and waits until the nodes are ready. */
+  static async start(options: ClusterOptions): Promise<Cluster> {
+    const cluster = new Cluster(options);
+    try {
+      await cluster.#startPlatform();
+      await Promise.all(Array.from({ length: options.nodes }, (_, index) => cluster.startNode(index)));
+      await cluster.ready();
+    } catch (error) {
+      await cluster.stop();
+      throw error;
+    }
+    return cluster;
+  }
+
+  /** Starts a node; it joins the others. */
+  async startNode(index: number): Promise<Reached> {
+    const { shards = 4, nodes } = this.#options;
+    const settings = {
+      name: `node-${index}`,
+      region: "test",
+      zone: `zone-${index % 3}`,
+      address: "127.0.0.1:0",
+      metrics: "127.0.0.1:0",
+      "platform.table": this.table.address,
+      "platform.objects": this.objects.address,
+      "platform.machineList": this.machineList.address,
+      "cluster.shards": shards,
+      "cluster.firstNodes": nodes,
+      "cluster.replicas": Math.min(3, nodes),
+    };
+    const node = await this.#launch(CLI, ["node", ...setFlags(settings)]);
+    this.nodes.push(node);
+    return node;
+  }
+
+  /** Starts a sidecar. */
+  startSidecar(extra: Record<string, string | number> = {}): Promise<Reached> {
+    const settings = {
+      name: "sidecar",
+      region: "test",
+      zone: "zone-0",
+      listen: "127.0.0.1:0",
+      address: "127.0.0.1:0",
+      nodes: `[${this.nodes.map((node) => `"${node.address}"`).join(",")}]`,
+      defaultTenant: "magnolia",
+      ...extra,
+    };
+    return this.#launch(CLI, ["sidecar", ...setFlags(settings)]);
+  }
+
+  /** Runs an operator's command to its end. */
+  async operate(...args: readonly string[]): Promise<{ code: number | null; log: string }> {
+    const command = this.#spawn(CLI, [...args, "--node", this.nodes[0].address]);
+    const code = await command.exited;
+    return { code, log: command.log };
+  }
+
+  /** Waits until every node that runs is ready. */
+  async ready(): Promise<void> {
+    const deadline = performance.now() + READY_TIMEOUT_MS;
+    for (const node of this.nodes) {
+      while (!(await isReady(node.metrics))) {
+        if (performance.now() > deadline) throw new Error(`A node is not ready: ${node.process.log}`);
+        await pause(POLL_MS);
+      }
+    }
+  }
+
+  /** Ends every process that was started. */
+  async stop(): Promise<void> {
+    await Promise.all(this.#started.map((started) => started.kill()));
+  }
+
+  async #startPlatform(): Promise<void> {
+    [this.table, this.objects, this.machineList] = await Promise.all([
+      this.#launch(STANDINS, ["table"]),
+      this.#launch(STANDINS, ["objects"]),
+      this.#launch(STANDINS, ["machine-list"]),
+    ]);
+    await Promise.all(this.#options.engines.map((options) => this.startEngine(options)));
+    const services = Array.from({ length: this.#options.services ?? 0 }, (_, index) => this.#startService(index));
+    await Promise.all(services);
+  }
+
+  /** Starts an engine and puts it on the machine list. */
+  async startEngine(options: EngineModelOptions): Promise<Reached> {
+    const engine = await this.#launch(STANDINS, ["engine", "--options", JSON.stringify(options)]);
+    this.engines.push(engine);
+    const { name, models, slots = 16, kvTokens = 200_000 } = options;
+    await this.list({ name, kind: "runner", pool: models[0], address: engine.address, models, slots, kvTokens });
+    return engine;
+  }
+
+  /** Puts a machine on the list. */
+  async list(machine: Record<string, unknown>): Promise<void> {
+    const whole = { zone: "zone-0", incarnation: "1", state: "live", slots: 0, kvTokens: 0, models: [], ...machine };
+    const response = await fetch(`http://${this.machineList.address}/machines/${machine.name}`, {
+      method: "PUT",
+      body: JSON.stringify(whole),
+    });
+    if (!response.ok) throw new Error(`The machine list answered ${response.status}`);
+  }
+
+  async #startService(index: number): Promise<void> {
+    const service = await this.#launch(STANDINS, ["service"]);
+    this.services.push(service);
+    await this.list({ name: `pay-api-${index}`, kind: "service", pool: "pay-api", address: service.address });
+  }
+
+  async #launch(script: string, args: readonly string[]): Promise<Reached> {
+    const started = this.#spawn(script, args);
+    const { address, metrics } = await started.firstLine();
+    return { process: started, address, metrics };
+  }
+
+  #spawn(script: string, args: readonly string[]): StartedProcess {
+    const started = new StartedProcess(script, args);
+    this.#started.push(started);
+    return started;
+  }
+}
+
+/** Waits. */
+export function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+function setFlags(settings: Record<string, string | number>): string[] {
+  return Object.entries(settings).flatMap(([key, value]) => ["--set", `${key}=${value}`]);
+}
+
+async function isReady(metrics: string): Promise<boolean> {
+  const response = await fetch(`http://${metrics}/healthz`);
+  await response.arrayBuffer();
+  return response.ok;
+}
