--- /dev/null
+++ b/.dependency-cruiser.cjs
@@ -0,0 +1,57 @@
+/** Directions of dependencies: cli, then the daemons, then scheduling, then coordination; nothing points back. */
+module.exports = {
+  forbidden: [
+    {
+      name: "coordination-stands-alone",
+      comment: "Coordination parts are embedded by others: they know nothing of scheduling, daemons or I/O.",
+      severity: "error",
+      from: { path: "^src/coordination" },
+      to: { path: "^(src/(?!coordination)|standins|bench|node:)" },
+    },
+    {
+      name: "scheduling-is-pure",
+      comment: "Scheduling knows coordination and the kinds of errors, and no I/O.",
+      severity: "error",
+      from: { path: "^src/scheduling" },
+      to: { path: "^(src/(?!scheduling|coordination|errors)|standins|bench)" },
+    },
+    {
+      name: "no-node-modules-in-pure-code",
+      comment: "Pure code uses no module of Node.js.",
+      severity: "error",
+      from: { path: "^src/(coordination|scheduling)" },
+      to: { dependencyTypes: ["core"] },
+    },
+    {
+      name: "daemons-do-not-know-the-command-line",
+      severity: "error",
+      from: { path: "^src/(node|sidecar|runtime|platform|messages|settings|telemetry|errors)" },
+      to: { path: "^src/cli" },
+    },
+    {
+      name: "sidecar-and-node-are-apart",
+      severity: "error",
+      from: { path: "^src/(sidecar|node)/" },
+      to: { path: "^src/(sidecar|node)/", pathNot: "^src/$1/" },
+    },
+    {
+      name: "product-does-not-know-stand-ins",
+      comment: "Only the demo runs stand-ins.",
+      severity: "error",
+      from: { path: "^src", pathNot: "^src/cli/demo" },
+      to: { path: "^(standins|bench|test)" },
+    },
+    {
+      name: "no-circles",
+      severity: "error",
+      from: {},
+      to: { circular: true, viaOnly: { dependencyTypesNot: ["type-only"] } },
+    },
+  ],
+  options: {
+    doNotFollow: { path: "node_modules" },
+    tsPreCompilationDeps: true,
+    tsConfig: { fileName: "tsconfig.json" },
+    enhancedResolveOptions: { extensions: [".ts", ".js", ".json"] },
+  },
+};
--- /dev/null
+++ b/src/cli/commands/settings-commands.ts
@@ -0,0 +1,71 @@
+import { Command, Option } from "clipanion";
+import { stringify } from "yaml";
+import { z } from "zod";
+import { configurationError } from "../../errors/tulipwheel-error.ts";
+import { loadSettings, parseOverride } from "../../settings/load-settings.ts";
+import { nodeSettingsSchema } from "../../settings/node-settings.ts";
+import { sidecarSettingsSchema } from "../../settings/sidecar-settings.ts";
+import { EXIT_CODES } from "../exit-codes.ts";
+import { formatTable } from "../format-table.ts";
+import { TulipwheelCommand } from "../tulipwheel-command.ts";
+
+const CATEGORY = "Settings";
+const SCHEMAS: Record<string, z.ZodObject> = { node: nodeSettingsSchema, sidecar: sidecarSettingsSchema };
+
+function schemaOf(daemon: string): z.ZodObject {
+  const schema = SCHEMAS[daemon];
+  if (schema) return schema;
+  throw configurationError("invalid-settings", `"${daemon}" is neither node nor sidecar.`);
+}
+
+/** `tulipwheel settings check` */
+export class SettingsCheckCommand extends TulipwheelCommand {
+  static override paths = [["settings", "check"]];
+  static override usage = Command.Usage({
+    category: CATEGORY,
+    description: "Checks a settings file and prints the settings in full",
+  });
+  daemon = Option.String({ name: "DAEMON" });
+  file = Option.String({ name: "FILE" });
+  set = Option.Array("--set", [], { description: "Overrides one setting: a.b.c=value" });
+
+  protected override async run(): Promise<number> {
+    const settings = await loadSettings(this.file, this.set.map(parseOverride), schemaOf(this.daemon));
+    this.print(settings, stringify(settings));
+    return EXIT_CODES.done;
+  }
+}
+
+/** `tulipwheel settings show` */
+export class SettingsShowCommand extends TulipwheelCommand {
+  static override paths = [["settings", "show"]];
+  static override usage = Command.Usage({
+    category: CATEGORY,
+    description: "Lists every setting of a daemon with its default and unit",
+  });
+  daemon = Option.String({ name: "DAEMON" });
+
+  protected override async run(): Promise<number> {
+    const rows = describe(z.toJSONSchema(schemaOf(this.daemon), { io: "input" }) as SchemaNode, []);
+    this.print(
+      rows.map(([key, initial, description]) => ({ key, default: initial, description })),
+      formatTable(["KEY", "DEFAULT", "DESCRIPTION"], rows),
+    );
+    return EXIT_CODES.done;
+  }
+}
+
+interface SchemaNode {
+  readonly properties?: Record<string, SchemaNode>;
+  readonly default?: unknown;
+  readonly description?: string;
+}
+
+function describe(node: SchemaNode, path: readonly string[]): string[][] {
+  return Object.entries(node.properties ?? {}).flatMap(([key, child]) => {
+    const childPath = [...path, key];
+    if (child.properties) return describe(child, childPath);
+    const initial = child.default === undefined ? "(required)" : JSON.stringify(child.default);
+    return [[childPath.join("."), initial, child.description ?? ""]];
+  });
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,13 +1,54 @@
 #!/usr/bin/env node
 /** The command line: one class per command, exit codes as docs/OPERATIONS.md lists them. */
 import { Builtins, Cli } from "clipanion";
+import {
+  LogLevelCommand,
+  NodeDrainCommand,
+  RunnerDrainCommand,
+  RunnerListCommand,
+  StatusCommand,
+} from "./commands/cluster-commands.ts";
 import { NodeCommand, SidecarCommand } from "./commands/daemon-commands.ts";
+import {
+  BudgetShowCommand,
+  ExplainCommand,
+  ProgramEndCommand,
+  ProgramShowCommand,
+} from "./commands/program-commands.ts";
+import { SettingsCheckCommand, SettingsShowCommand } from "./commands/settings-commands.ts";
+import {
+  TemplateApplyCommand,
+  TemplateCheckCommand,
+  TemplateDiffCommand,
+  TemplateHistoryCommand,
+  TemplateListCommand,
+} from "./commands/template-commands.ts";
+
+const COMMANDS = [
+  NodeCommand,
+  SidecarCommand,
+  TemplateCheckCommand,
+  TemplateApplyCommand,
+  TemplateDiffCommand,
+  TemplateHistoryCommand,
+  TemplateListCommand,
+  ExplainCommand,
+  ProgramShowCommand,
+  ProgramEndCommand,
+  BudgetShowCommand,
+  StatusCommand,
+  NodeDrainCommand,
+  RunnerListCommand,
+  RunnerDrainCommand,
+  LogLevelCommand,
+  SettingsCheckCommand,
+  SettingsShowCommand,
+];
 
 const cli = new Cli({ binaryName: "tulipwheel", binaryLabel: "tulipwheel", binaryVersion: "0.1.0" });
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
-cli.register(NodeCommand);
-cli.register(SidecarCommand);
+for (const command of COMMANDS) cli.register(command);
 
 process.exitCode = await cli.run(process.argv.slice(2));
-if (process.exitCode !== 0 || !process.stdout.isTTY) process.exit();
+process.exit();
--- /dev/null
+++ b/src/cli/wait-until-in-force.ts
@@ -0,0 +1,33 @@
+import { requestError } from "../errors/tulipwheel-error.ts";
+import { delay, SystemClock } from "../runtime/clock.ts";
+import type { OperatorClient } from "./operator-client.ts";
+
+const TIMEOUT_MS = 12_000;
+const POLL_MS = 50;
+
+/** Waits until every node on the list has a configuration version. Returns how long that took, in ms. */
+export async function waitUntilInForce(client: OperatorClient, version: number): Promise<number> {
+  const clock = new SystemClock();
+  const startMs = clock.monotonicMs();
+  for (;;) {
+    const behind = await nodesBehind(client, version);
+    const waitedMs = Math.round(clock.monotonicMs() - startMs);
+    if (behind.length === 0) return waitedMs;
+    if (waitedMs > TIMEOUT_MS) {
+      const detail = `Version ${version} is accepted, but after ${waitedMs} ms not known to ${behind.join(", ")}.`;
+      throw requestError("unavailable", detail, { outcome: "unknown" });
+    }
+    await delay(clock, POLL_MS);
+  }
+}
+
+async function nodesBehind(client: OperatorClient, version: number): Promise<string[]> {
+  const { nodes } = await client.cluster();
+  const behind = await Promise.all(
+    nodes.map(async ({ instance, address }) => {
+      const view = await client.ask("readCluster", {}, address).catch(() => undefined);
+      return view && view.configurationVersion >= version ? [] : [instance];
+    }),
+  );
+  return behind.flat();
+}
--- a/src/coordination/placement/choose-replicas.ts
+++ b/src/coordination/placement/choose-replicas.ts
@@ -32,7 +32,9 @@
 
 function rankByHash(nodes: readonly Member[], key: string, options: PlacementOptions): Member[] {
   const scored = nodes.map((node) => ({ node, score: options.hash32(`${key}|${node.instance}`) }));
-  scored.sort((left, right) => right.score - left.score || compareText(left.node.instance, right.node.instance));
+  scored.sort(
+    (left, right) => right.score - left.score || compareText(left.node.instance, right.node.instance),
+  );
   return scored.map(({ node }) => node);
 }
 
--- a/src/coordination/shard-group/shard-group.ts
+++ b/src/coordination/shard-group/shard-group.ts
@@ -16,7 +16,7 @@
 import type { ShardGroupEffect, ShardRole } from "./effects.ts";
 import { FollowerProgress } from "./follower-progress.ts";
 import type { EntryPayload } from "./log-entry.ts";
-import { allMembers, isVoter, majoritySize, type Member, type Membership } from "./member.ts";
+import { allMembers, isVoter, type Member, type Membership, majoritySize } from "./member.ts";
 import { MembershipTracker } from "./membership-tracker.ts";
 import type {
   AppendRequest,
@@ -26,7 +26,11 @@
   VoteRequest,
   VoteResponse,
 } from "./messages.ts";
-import { type ResolvedShardGroupOptions, resolveShardGroupOptions, type ShardGroupOptions } from "./options.ts";
+import {
+  type ResolvedShardGroupOptions,
+  resolveShardGroupOptions,
+  type ShardGroupOptions,
+} from "./options.ts";
 import { ReplicatedLog } from "./replicated-log.ts";
 
 /** Term and index of the entry that every first member of a new group starts with. */
--- a/src/errors/error-kinds.ts
+++ b/src/errors/error-kinds.ts
@@ -107,7 +107,8 @@
     status: 429,
     outcome: "not-run",
     retriable: true,
-    remedy: "Come back when the budget's window turns, ask for fewer tokens, or have the operator raise `budget.tokens`.",
+    remedy:
+      "Come back when the budget's window turns, ask for fewer tokens, or have the operator raise `budget.tokens`.",
   },
   overloaded: {
     title: "There is no capacity in time",
@@ -121,7 +122,8 @@
     status: 503,
     outcome: "not-run",
     retriable: true,
-    remedy: "Come back after the time in `Retry-After`; operators see the runners in `tulipwheel runner list`.",
+    remedy:
+      "Come back after the time in `Retry-After`; operators see the runners in `tulipwheel runner list`.",
   },
   unavailable: {
     title: "The scheduler cannot take the request now",
@@ -170,7 +172,8 @@
     status: 422,
     outcome: "not-run",
     retriable: false,
-    remedy: "Correct the lines that the detail names; `tulipwheel settings show` prints every key with its default.",
+    remedy:
+      "Correct the lines that the detail names; `tulipwheel settings show` prints every key with its default.",
   },
   "platform-unavailable": {
     title: "The platform's service does not answer",
--- a/src/errors/tulipwheel-error.ts
+++ b/src/errors/tulipwheel-error.ts
@@ -38,7 +38,11 @@
 export const PlatformError = TulipwheelError.subclass("PlatformError");
 
 /** A request error from its parts. */
-export function requestError(kind: ErrorKindName, detail: string, details: ProblemDetails = {}): TulipwheelErrorInstance {
+export function requestError(
+  kind: ErrorKindName,
+  detail: string,
+  details: ProblemDetails = {},
+): TulipwheelErrorInstance {
   return errorOfProblem(problemOf(kind, detail, details));
 }
 
--- a/src/messages/rpc-messages.ts
+++ b/src/messages/rpc-messages.ts
@@ -112,6 +112,11 @@
   readonly template: string;
 }
 
+/** The name of a budget in its present window. */
+export interface NameBudgetResponse {
+  readonly budget: string;
+}
+
 /** A budget as its ledger has it; in tokens. */
 export interface BudgetView {
   readonly budget: string;
@@ -226,6 +231,7 @@
   readCluster: { request: Empty; response: ClusterView };
   borrow: { request: BorrowRequest; response: BorrowResponse };
   reportLoan: { request: ReportLoanRequest; response: Empty };
+  nameBudget: { request: ReadBudgetRequest; response: NameBudgetResponse };
   readBudget: { request: ReadBudgetRequest; response: BudgetView };
   fetchConfiguration: { request: FetchConfigurationRequest; response: FetchConfigurationResponse };
   applyConfiguration: { request: ApplyConfigurationRequest; response: ApplyConfigurationResponse };
--- a/src/node/budgets/budget-service.ts
+++ b/src/node/budgets/budget-service.ts
@@ -1,5 +1,10 @@
 import { availableOf } from "../../coordination/budget-escrow/index.ts";
-import type { BorrowRequest, BorrowResponse, BudgetView, ReadBudgetRequest } from "../../messages/rpc-messages.ts";
+import type {
+  BorrowRequest,
+  BorrowResponse,
+  BudgetView,
+  ReadBudgetRequest,
+} from "../../messages/rpc-messages.ts";
 import type { RpcEndpoint } from "../../runtime/rpc.ts";
 import type { ShardRouter } from "../../runtime/shard-router.ts";
 import { budgetKey } from "../../scheduling/budget/budget-key.ts";
@@ -34,6 +39,9 @@
     this.#configuration = configuration;
     this.#router = router;
     rpc.handle("borrow", (request) => this.#lend(request));
+    rpc.handle("nameBudget", async ({ tenant, template }) => ({
+      budget: this.budgetOf(this.#configuration.policyOf(tenant, template)),
+    }));
     rpc.handle("readBudget", (request) => this.#read(request));
     rpc.handle("reportLoan", async (request) => {
       const replica = this.#shards.led(this.#ledgerShard(request.budget));
--- a/src/node/calls/active-call.ts
+++ b/src/node/calls/active-call.ts
@@ -34,7 +34,8 @@
     this.#subscribers.add(address);
     this.#send(address, { type: "callAccepted", call: this.id });
     const missing = this.#text.slice(receivedText.length);
-    if (missing && this.#text.startsWith(receivedText)) this.#sendChunk(address, receivedText.length, missing);
+    if (missing && this.#text.startsWith(receivedText))
+      this.#sendChunk(address, receivedText.length, missing);
   }
 
   /** Takes a sidecar out. */
--- a/src/node/calls/call-events.ts
+++ b/src/node/calls/call-events.ts
@@ -1,5 +1,5 @@
-import type { CallEvent } from "../../messages/call-messages.ts";
 import { problemOf } from "../../errors/tulipwheel-error.ts";
+import type { CallEvent } from "../../messages/call-messages.ts";
 import type { CallOutcome, CallRecord, ProgramRecord } from "../../scheduling/program/records.ts";
 
 /** The event that tells how a finished call ended. */
--- a/src/node/calls/call-job.ts
+++ b/src/node/calls/call-job.ts
@@ -1,7 +1,12 @@
 import type { Problem } from "../../errors/problem.ts";
 import type { Decision } from "../../scheduling/decision/decision.ts";
 import type { EffectivePolicy } from "../../scheduling/policy/effective-policy.ts";
-import type { CallOutcome, CallRecord, CallRequest, ProgramRecord } from "../../scheduling/program/records.ts";
+import type {
+  CallOutcome,
+  CallRecord,
+  CallRequest,
+  ProgramRecord,
+} from "../../scheduling/program/records.ts";
 import type { ShardReplica } from "../shard-replica.ts";
 import type { ActiveCall } from "./active-call.ts";
 
--- a/src/node/calls/call-service.ts
+++ b/src/node/calls/call-service.ts
@@ -105,7 +105,8 @@
     if (active) return active.subscribe(from, submit.receivedText);
     const replica = this.#parts.shards.get(this.#parts.shards.shardOfProgram(submit.program));
     if (!replica?.leads) return this.#redirect(submit.call, from, replica);
-    if (!this.#parts.configuration.ready || !this.#admitting) return this.#redirect(submit.call, from, undefined);
+    if (!this.#parts.configuration.ready || !this.#admitting)
+      return this.#redirect(submit.call, from, undefined);
     const program = replica.state.programs.get(submit.program);
     if (!program || program.tenant !== submit.tenant) return this.#send(from, strangerEvent(submit, program));
     const settled = this.#conflictEvent(replica, submit) ?? this.#settledEvent(replica, program, submit);
@@ -177,8 +178,14 @@
     const program = replica?.state.programs.get(programId);
     if (!replica?.leads || !program) return;
     const detail = `${programId} waits for call number ${program.nextNumber}, not ${entry.submit.number}.`;
-    const refusal = { kind: "call-out-of-order", detail, rule: "calls run in the order of their numbers" } as const;
-    await this.#refuse(replica, program, entry, refusal).catch((error) => this.#onLost(entry, replica, error));
+    const refusal = {
+      kind: "call-out-of-order",
+      detail,
+      rule: "calls run in the order of their numbers",
+    } as const;
+    await this.#refuse(replica, program, entry, refusal).catch((error) =>
+      this.#onLost(entry, replica, error),
+    );
   }
 
   // Start, resume, finish
@@ -200,13 +207,19 @@
     const policy = this.#policyOf(program);
     if (program.endedAtMs !== undefined) {
       const detail = `Program ${program.id} has ended (${program.endReason}).`;
-      return this.#refuse(replica, program, entry, { kind: "program-ended", detail, rule: "the program has ended" });
+      return this.#refuse(replica, program, entry, {
+        kind: "program-ended",
+        detail,
+        rule: "the program has ended",
+      });
     }
     const refusal = checkCall(program, policy, submit.request, this.#parts.context.clock.wallMs());
     if (refusal) return this.#refuse(replica, program, entry, refusal);
-    const tokens = submit.request.type === "completion" ? worstCaseTokens(program.historyTokens, submit.request) : 0;
+    const tokens =
+      submit.request.type === "completion" ? worstCaseTokens(program.historyTokens, submit.request) : 0;
     const available = tokens > 0 ? await this.#parts.budgets.ensure(replica, policy, tokens) : 0;
-    if (available < tokens) return this.#refuse(replica, program, entry, budgetRefusal(policy, tokens, available));
+    if (available < tokens)
+      return this.#refuse(replica, program, entry, budgetRefusal(policy, tokens, available));
     await this.#intendAndRun(replica, program, entry, policy, tokens);
   }
 
@@ -251,7 +264,12 @@
   async #runsElsewhere(record: CallRecord): Promise<boolean> {
     if (record.executor === this.#parts.context.self.address) return false;
     const { id: call, attempt } = record;
-    const reply = await this.#parts.rpc.ask(record.executor, "queryCall", { call, attempt }, QUERY_TIMEOUT_MS);
+    const reply = await this.#parts.rpc.ask(
+      record.executor,
+      "queryCall",
+      { call, attempt },
+      QUERY_TIMEOUT_MS,
+    );
     return reply.type === "done" && reply.body.running;
   }
 
@@ -295,13 +313,24 @@
     committed: Promise<void>,
     takenOver = false,
   ): Promise<void> {
-    const active = new ActiveCall(record.id, entry?.submit.receivedText ?? "", (to, event) => this.#send(to, event));
+    const active = new ActiveCall(record.id, entry?.submit.receivedText ?? "", (to, event) =>
+      this.#send(to, event),
+    );
     this.#active.set(record.id, active);
     if (entry) active.subscribe(entry.from, entry.submit.receivedText);
     try {
       const patienceMs = entry?.submit.patienceMs ?? this.#parts.context.settings.timing.orphanPatienceMs;
       const deadlineMs = this.#nowMs() + patienceMs;
-      const job = { replica, program, record, policy, active, deadlineMs, committed, request: record.request };
+      const job = {
+        replica,
+        program,
+        record,
+        policy,
+        active,
+        deadlineMs,
+        committed,
+        request: record.request,
+      };
       const conclusion = await this.#executeOrFail(job as CallJob, takenOver);
       await this.#finish(replica, active, record.number, conclusion);
     } finally {
@@ -315,7 +344,10 @@
       return await this.#execute(job, takenOver);
     } catch (error) {
       if (error instanceof RedirectSignal) throw error;
-      this.#parts.context.log.error({ call: job.record.id, err: error }, "call failed by a fault of the scheduler");
+      this.#parts.context.log.error(
+        { call: job.record.id, err: error },
+        "call failed by a fault of the scheduler",
+      );
       return this.#concludeFailed(job, problemOfError(error));
     }
   }
@@ -330,13 +362,20 @@
       attempts: job.record.attempt,
     });
     const chargedTokens = job.record.reservation.tokens;
-    return { attempt: job.record.attempt, outcome: failedWith(problem), chargedTokens, serviceMs: 0, decision };
+    return {
+      attempt: job.record.attempt,
+      outcome: failedWith(problem),
+      chargedTokens,
+      serviceMs: 0,
+      decision,
+    };
   }
 
   async #execute(job: CallJob, takenOver: boolean): Promise<CallConclusion> {
     if (job.request.type === "completion") {
       const attempted = takenOver ? await this.#countAttempt(job) : job;
-      if (!attempted) return this.#concludeFailed(job, problemOf("budget-exhausted", TAKEOVER_DETAIL, FAILED));
+      if (!attempted)
+        return this.#concludeFailed(job, problemOf("budget-exhausted", TAKEOVER_DETAIL, FAILED));
       return this.#parts.completions.run(attempted as CallJob<CompletionRequest>);
     }
     const serviceJob = job as CallJob<ServiceRequest>;
@@ -364,10 +403,16 @@
     number: number,
     conclusion: CallConclusion,
   ): Promise<void> {
-    const command = { type: "finishCall", call: active.id, atMs: this.#parts.context.clock.wallMs() } as const;
+    const command = {
+      type: "finishCall",
+      call: active.id,
+      atMs: this.#parts.context.clock.wallMs(),
+    } as const;
     const result = await this.#parts.committer.commit(replica.shard, { ...command, ...conclusion });
     const record = replica.leads ? replica.state.programs.call(active.id) : undefined;
-    const final = result.accepted ? eventOfOutcome(active.id, number, conclusion.outcome) : record && finalEventOf(record);
+    const final = result.accepted
+      ? eventOfOutcome(active.id, number, conclusion.outcome)
+      : record && finalEventOf(record);
     if (!final) throw new RedirectSignal(replica.leader?.address);
     if (conclusion.outcome.type === "answered") this.counters.answered += 1;
     else this.counters.failed += 1;
@@ -383,7 +428,11 @@
   ): Promise<void> {
     const { context, decisions, shards } = this.#parts;
     const retryAfterMs = refusal.kind === "budget-exhausted" ? BUDGET_RETRY_AFTER_MS : undefined;
-    const problem = problemOf(refusal.kind, refusal.detail, retryAfterMs === undefined ? {} : { retryAfterMs });
+    const problem = problemOf(
+      refusal.kind,
+      refusal.detail,
+      retryAfterMs === undefined ? {} : { retryAfterMs },
+    );
     const decision = decisions.build({
       subject: submit.call,
       verdict: "refused",
@@ -446,7 +495,11 @@
     const problem = problemOfError(error);
     this.#parts.context.log.warn({ call: entry.submit.call, problem }, "call could not be carried out");
     const retryAfterMs = problem.retryAfterMs ?? UNAVAILABLE_RETRY_AFTER_MS;
-    this.#send(entry.from, { type: "callFailed", call: entry.submit.call, problem: { ...problem, retryAfterMs } });
+    this.#send(entry.from, {
+      type: "callFailed",
+      call: entry.submit.call,
+      problem: { ...problem, retryAfterMs },
+    });
   }
 
   // Small helpers
@@ -467,7 +520,8 @@
   #signalLife(): void {
     for (const active of this.#active.values()) active.publish({ type: "callAccepted", call: active.id });
     for (const lane of this.#lanes.values()) {
-      for (const { submit, from } of lane.entries()) this.#send(from, { type: "callAccepted", call: submit.call });
+      for (const { submit, from } of lane.entries())
+        this.#send(from, { type: "callAccepted", call: submit.call });
     }
   }
 
--- a/src/node/calls/completion-runner.ts
+++ b/src/node/calls/completion-runner.ts
@@ -90,11 +90,16 @@
   }
 
   /** Nothing may leave before the intent is committed; if it never will be, the slot goes back. */
-  async #awaitIntent(job: CompletionJob, progress: Progress, placement: Placement | undefined): Promise<void> {
+  async #awaitIntent(
+    job: CompletionJob,
+    progress: Progress,
+    placement: Placement | undefined,
+  ): Promise<void> {
     try {
       await job.committed;
     } catch (error) {
-      if (placement) this.#broker.release(placement.runner.runner, placement.home, job.record.id, progress.attempt);
+      if (placement)
+        this.#broker.release(placement.runner.runner, placement.home, job.record.id, progress.attempt);
       throw error;
     }
   }
@@ -138,7 +143,11 @@
   }
 
   /** One attempt on a runner; undefined when it is to be tried again. */
-  async #attempt(job: CompletionJob, progress: Progress, placement: Placement): Promise<CallConclusion | undefined> {
+  async #attempt(
+    job: CompletionJob,
+    progress: Progress,
+    placement: Placement,
+  ): Promise<CallConclusion | undefined> {
     const startMs = this.#context.clock.monotonicMs();
     const result = await this.#generate(job, progress.attempt, placement);
     progress.serviceMs += this.#context.clock.monotonicMs() - startMs;
@@ -149,7 +158,8 @@
       case "cancelled":
         return this.#concludeCancelled(job, progress);
       case "refused":
-        if (result.reason === "stale-token") this.#directory.forgetHome(placement.runner.runner, placement.home);
+        if (result.reason === "stale-token")
+          this.#directory.forgetHome(placement.runner.runner, placement.home);
         progress.excluded.add(placement.runner.runner);
         return undefined;
       case "broken":
@@ -178,7 +188,11 @@
   }
 
   /** Commits that the completion may be sent again. The broken attempt may have cost all that was reserved. */
-  async #nextAttempt(job: CompletionJob, progress: Progress, detail: string): Promise<CallConclusion | undefined> {
+  async #nextAttempt(
+    job: CompletionJob,
+    progress: Progress,
+    detail: string,
+  ): Promise<CallConclusion | undefined> {
     if (progress.attempt >= MAX_ATTEMPTS) return this.#concludeBroken(job, progress, detail);
     const attempt = progress.attempt + 1;
     const result = await this.#committer.commit(job.replica.shard, {
@@ -188,13 +202,18 @@
       executor: this.#context.self.address,
       atMs: this.#context.clock.wallMs(),
     });
-    if (!result.accepted && result.reason === "budget-short") return this.#concludeBroken(job, progress, detail);
+    if (!result.accepted && result.reason === "budget-short")
+      return this.#concludeBroken(job, progress, detail);
     if (!result.accepted) throw new RedirectSignal(job.replica.leader?.address);
     progress.attempt = attempt;
     return undefined;
   }
 
-  #alternatives(job: CompletionJob, progress: Progress, views: readonly RunnerView[]): readonly Alternative[] {
+  #alternatives(
+    job: CompletionJob,
+    progress: Progress,
+    views: readonly RunnerView[],
+  ): readonly Alternative[] {
     const { random, settings } = this.#context;
     return chooseRunner({
       model: job.request.model,
@@ -237,7 +256,11 @@
   ): CallConclusion | Promise<CallConclusion | undefined> {
     const { text } = job.active;
     if (text.length !== result.length) {
-      return this.#nextAttempt(job, progress, `The answer has ${text.length} of ${result.length} characters.`);
+      return this.#nextAttempt(
+        job,
+        progress,
+        `The answer has ${text.length} of ${result.length} characters.`,
+      );
     }
     const { usage, finishReason } = result;
     const runner = placement.runner.runner;
@@ -268,7 +291,12 @@
     return this.#conclude(job, progress, failedWith(problem), spent);
   }
 
-  #conclude(job: CompletionJob, progress: Progress, outcome: CallOutcome, chargedTokens: number): CallConclusion {
+  #conclude(
+    job: CompletionJob,
+    progress: Progress,
+    outcome: CallOutcome,
+    chargedTokens: number,
+  ): CallConclusion {
     const { attempt, serviceMs } = progress;
     return { attempt, outcome, chargedTokens, serviceMs, decision: this.#decide(job, progress, outcome) };
   }
@@ -306,7 +334,9 @@
 
 /** The runner of the program's last completed turn is believed to hold the history up to there. */
 function cachedPrefixes({ program }: CompletionJob): CachedPrefix[] {
-  const last = program.calls.findLast((call) => call.outcome?.type === "answered" && call.outcome.answer.type === "completion");
+  const last = program.calls.findLast(
+    (call) => call.outcome?.type === "answered" && call.outcome.answer.type === "completion",
+  );
   if (last?.outcome?.type !== "answered" || last.outcome.answer.type !== "completion") return [];
   return [{ runner: last.outcome.answer.runner, tokens: tokensOf(last.outcome.answer.usage) }];
 }
--- a/src/node/calls/program-lane.ts
+++ b/src/node/calls/program-lane.ts
@@ -32,7 +32,9 @@
 
   /** Takes out the call whose turn it is: one with a number that is due or past, else the first without one. */
   takeNext(nextNumber: number): LaneEntry | undefined {
-    const due = this.#waiting.findIndex(({ submit }) => submit.number !== undefined && submit.number <= nextNumber);
+    const due = this.#waiting.findIndex(
+      ({ submit }) => submit.number !== undefined && submit.number <= nextNumber,
+    );
     const position = due >= 0 ? due : this.#waiting.findIndex(({ submit }) => submit.number === undefined);
     return position < 0 ? undefined : this.#waiting.splice(position, 1)[0];
   }
--- a/src/node/configuration/configuration-service.ts
+++ b/src/node/configuration/configuration-service.ts
@@ -178,5 +178,8 @@
 function checkContent(key: string, content: string): void {
   const document = parseDocument(content);
   if (keyOfDocument(document) === key) return;
-  throw requestError("invalid-template", `The document belongs under ${keyOfDocument(document)}, not ${key}.`);
+  throw requestError(
+    "invalid-template",
+    `The document belongs under ${keyOfDocument(document)}, not ${key}.`,
+  );
 }
--- a/src/node/configuration/configuration-table.ts
+++ b/src/node/configuration/configuration-table.ts
@@ -58,7 +58,8 @@
       } catch (error) {
         if (attempt >= MAX_TRIES || isConflict(error)) throw error;
       }
-      if (attempt >= MAX_TRIES) throw requestError("unavailable", "Too many changes are being applied at once.");
+      if (attempt >= MAX_TRIES)
+        throw requestError("unavailable", "Too many changes are being applied at once.");
       await delay(this.#clock, RETRY_DELAY_MS * attempt);
     }
   }
--- a/src/node/node-daemon.ts
+++ b/src/node/node-daemon.ts
@@ -2,8 +2,9 @@
  * One node: leads or follows shards, is home of runners, and answers sidecars and operators. The daemon only puts
  * the parts together and hands each message to the part that it is for; the same code runs in the simulation.
  */
-import type { ClusterView } from "../messages/rpc-messages.ts";
+
 import type { Message } from "../messages/message.ts";
+import type { ClusterView } from "../messages/rpc-messages.ts";
 import { delay, repeat } from "../runtime/clock.ts";
 import { RpcEndpoint } from "../runtime/rpc.ts";
 import { ShardRouter } from "../runtime/shard-router.ts";
@@ -54,14 +55,35 @@
     const directory = new RunnerDirectory(context, platform.machineList);
     const router = new ShardRouter(rpc, clock, random, () => directory.nodes().map((node) => node.address));
     const committer = new ShardCommitter(shards, router, rpc);
-    const configuration = new ConfigurationService(context, rpc, new ConfigurationTable(platform.table, clock));
+    const configuration = new ConfigurationService(
+      context,
+      rpc,
+      new ConfigurationTable(platform.table, clock),
+    );
     const decisions = new DecisionBuilder(context, configuration);
     const broker = new SlotBroker(context, directory);
     const homes = new RunnerHomes(context, shards, directory, platform.engine, configuration);
     const budgets = new BudgetService(context, shards, configuration, router, rpc);
-    const completions = new CompletionRunner(context, committer, directory, broker, platform.engine, decisions);
+    const completions = new CompletionRunner(
+      context,
+      committer,
+      directory,
+      broker,
+      platform.engine,
+      decisions,
+    );
     const services = new ServiceRunner(context, committer, directory, platform.service, decisions);
-    const parts = { context, shards, configuration, budgets, completions, services, decisions, committer, rpc };
+    const parts = {
+      context,
+      shards,
+      configuration,
+      budgets,
+      completions,
+      services,
+      decisions,
+      committer,
+      rpc,
+    };
     this.#rpc = rpc;
     this.shards = shards;
     this.#directory = directory;
--- a/src/node/node-metrics.ts
+++ b/src/node/node-metrics.ts
@@ -8,7 +8,11 @@
   const homes = () => [...daemon.homes.all()];
   const definitions: MetricDefinition[] = [
     gauge("shards_held", "Shard replicas on this node", () => replicas().length),
-    gauge("shards_led", "Shards that this node leads", () => replicas().filter((replica) => replica.leads).length),
+    gauge(
+      "shards_led",
+      "Shards that this node leads",
+      () => replicas().filter((replica) => replica.leads).length,
+    ),
     gauge("journal_entries", "Journal entries in memory", () =>
       replicas().reduce((sum, replica) => sum + replica.heldEntries, 0),
     ),
@@ -21,10 +25,22 @@
     counter("calls_answered_total", "Calls that ended with an answer", () => daemon.calls.counters.answered),
     counter("calls_failed_total", "Calls that ended without an answer", () => daemon.calls.counters.failed),
     counter("calls_refused_total", "Calls that were refused", () => daemon.calls.counters.refused),
-    counter("calls_taken_over_total", "Calls taken over from another leader", () => daemon.calls.counters.takenOver),
+    counter(
+      "calls_taken_over_total",
+      "Calls taken over from another leader",
+      () => daemon.calls.counters.takenOver,
+    ),
     counter("internal_messages_sent_total", "Internal messages sent", () => transport.counters.messagesSent),
-    counter("internal_bytes_sent_total", "Bytes of internal messages sent", () => transport.counters.bytesSent),
-    counter("internal_bytes_received_total", "Bytes of internal messages received", () => transport.counters.bytesReceived),
+    counter(
+      "internal_bytes_sent_total",
+      "Bytes of internal messages sent",
+      () => transport.counters.bytesSent,
+    ),
+    counter(
+      "internal_bytes_received_total",
+      "Bytes of internal messages received",
+      () => transport.counters.bytesReceived,
+    ),
   ];
   return new ProcessMetrics(definitions);
 }
--- a/src/node/programs/program-service.ts
+++ b/src/node/programs/program-service.ts
@@ -1,4 +1,4 @@
-import { problemOf, problemOfError, requestError, errorOfProblem } from "../../errors/tulipwheel-error.ts";
+import { errorOfProblem, problemOf, problemOfError, requestError } from "../../errors/tulipwheel-error.ts";
 import type {
   DecisionView,
   EndProgramRequest,
@@ -51,7 +51,9 @@
     this.#directory = directory;
     rpc.handle("openProgram", (request) => this.#open(request));
     rpc.handle("endProgram", (request) => this.#end(request));
-    rpc.handle("readProgram", async ({ program, tenant }) => ({ program: this.#owned(program, tenant).program }));
+    rpc.handle("readProgram", async ({ program, tenant }) => ({
+      program: this.#owned(program, tenant).program,
+    }));
     rpc.handle("readDecision", async (request) => this.#readDecision(request));
     rpc.handle("findGone", async (request) => this.#findGone(request));
   }
@@ -101,11 +103,18 @@
     });
     const program = replica.state.programs.get(request.program);
     if (program) return { program };
-    throw requestError("program-ended", `The parent of ${request.program} has ended (${JSON.stringify(result)}).`);
+    throw requestError(
+      "program-ended",
+      `The parent of ${request.program} has ended (${JSON.stringify(result)}).`,
+    );
   }
 
   /** Refusals are kept, so that operators can ask about them. */
-  async #refuseIfNeeded(replica: ShardReplica, request: OpenProgramRequest, parent: ProgramRecord | undefined) {
+  async #refuseIfNeeded(
+    replica: ShardReplica,
+    request: OpenProgramRequest,
+    parent: ProgramRecord | undefined,
+  ) {
     const refused = replica.state.programs.refused(request.program);
     if (refused) return errorOfProblem(refused.problem);
     const problem = this.#checkOpen(replica, request, parent);
@@ -138,7 +147,8 @@
   #countOpen(replica: ShardReplica, { tenant, template }: OpenProgramRequest): number {
     let open = 0;
     for (const program of replica.state.programs.all()) {
-      if (program.endedAtMs === undefined && program.tenant === tenant && program.template === template) open += 1;
+      if (program.endedAtMs === undefined && program.tenant === tenant && program.template === template)
+        open += 1;
     }
     return open;
   }
@@ -149,7 +159,11 @@
     return { program };
   }
 
-  async #commitEnd(replica: ShardReplica, program: ProgramRecord, reason: EndProgramRequest["reason"]): Promise<void> {
+  async #commitEnd(
+    replica: ShardReplica,
+    program: ProgramRecord,
+    reason: EndProgramRequest["reason"],
+  ): Promise<void> {
     const atMs = this.#context.clock.wallMs();
     await this.#shards.propose(replica, { type: "endProgram", program: program.id, reason, atMs });
     for (const runner of runnersOf(program)) {
@@ -222,7 +236,9 @@
     const nowMs = this.#context.clock.wallMs();
     const { endedProgramsMs, idleProgramsMs } = this.#context.settings.retention;
     const programs = [...replica.state.programs.all()];
-    const forgotten = programs.filter(({ endedAtMs }) => endedAtMs !== undefined && nowMs - endedAtMs > endedProgramsMs);
+    const forgotten = programs.filter(
+      ({ endedAtMs }) => endedAtMs !== undefined && nowMs - endedAtMs > endedProgramsMs,
+    );
     if (forgotten.length > 0) {
       const ids = forgotten.map((program) => program.id);
       await this.#shards.propose(replica, { type: "forgetPrograms", programs: ids });
@@ -250,7 +266,8 @@
 function runnersOf(program: ProgramRecord): Set<string> {
   const runners = new Set<string>();
   for (const { outcome } of program.calls) {
-    if (outcome?.type === "answered" && outcome.answer.type === "completion") runners.add(outcome.answer.runner);
+    if (outcome?.type === "answered" && outcome.answer.type === "completion")
+      runners.add(outcome.answer.runner);
   }
   return runners;
 }
--- a/src/node/runners/runner-homes.ts
+++ b/src/node/runners/runner-homes.ts
@@ -173,5 +173,4 @@
     }
     return targets;
   }
-
 }
--- a/src/node/shard-host.ts
+++ b/src/node/shard-host.ts
@@ -1,8 +1,8 @@
 import type { Member, ShardGroupMessage } from "../coordination/shard-group/index.ts";
 import type { ShardMessage } from "../messages/message.ts";
 import { RedirectSignal } from "../runtime/rpc.ts";
-import type { ApplyResult } from "../scheduling/program/program-table.ts";
 import { rootOfProgram } from "../scheduling/program/program-id.ts";
+import type { ApplyResult } from "../scheduling/program/program-table.ts";
 import type { ShardCommand } from "../scheduling/shard-state.ts";
 import type { NodeContext } from "./node-context.ts";
 import { ShardReplica, type ShardReplicaHost } from "./shard-replica.ts";
--- a/src/node/shard-steward.ts
+++ b/src/node/shard-steward.ts
@@ -4,7 +4,11 @@
  * Who holds a shard is decided by its leader through the shard's own journal; the row in the platform's table is
  * how a shard is created exactly once, and where others read of it. So repairs go on while the table is down.
  */
-import { chooseReplicas, nextMembershipStep, type PlacementOptions } from "../coordination/placement/index.ts";
+import {
+  chooseReplicas,
+  nextMembershipStep,
+  type PlacementOptions,
+} from "../coordination/placement/index.ts";
 import { allMembers, type Member, type Membership } from "../coordination/shard-group/index.ts";
 import type { Row, TableStore } from "../platform/table/table-store.ts";
 import { delay, repeat } from "../runtime/clock.ts";
@@ -57,7 +61,9 @@
   /** Starts creating and moving. */
   start(): void {
     void this.#bootstrap();
-    this.#stopRepair = repeat(this.#context.clock, this.#context.settings.timing.repairMs, () => this.#repairAll());
+    this.#stopRepair = repeat(this.#context.clock, this.#context.settings.timing.repairMs, () =>
+      this.#repairAll(),
+    );
   }
 
   /** Stops creating and moving. */
@@ -119,13 +125,18 @@
     const { shards, firstNodes } = this.#context.settings.cluster;
     if (nodes.length < firstNodes) return;
     const existing = new Set(rows.map((row) => row.shard));
-    const missing = Array.from({ length: shards }, (_, shard) => shard).filter((shard) => !existing.has(shard));
+    const missing = Array.from({ length: shards }, (_, shard) => shard).filter(
+      (shard) => !existing.has(shard),
+    );
     const batch = missing.slice(0, CREATE_BATCH);
     await this.#table.transact({
       conditions: batch.map((shard) => ({ key: rowKey(shard), version: 0 })),
       writes: batch.map((shard) => ({
         key: rowKey(shard),
-        value: JSON.stringify({ shard, voters: chooseReplicas(shard, nodes, this.#placement) } satisfies ShardRow),
+        value: JSON.stringify({
+          shard,
+          voters: chooseReplicas(shard, nodes, this.#placement),
+        } satisfies ShardRow),
       })),
     });
   }
@@ -193,7 +204,9 @@
 
   /** A replica that its group has left behind is dropped after a while. */
   #dropIfOutside(replica: ShardReplica): void {
-    const inside = allMembers(replica.membership).some(({ instance }) => instance === this.#context.self.instance);
+    const inside = allMembers(replica.membership).some(
+      ({ instance }) => instance === this.#context.self.instance,
+    );
     const nowMs = this.#context.clock.monotonicMs();
     const sinceMs = this.#outsideSinceMs.get(replica.shard) ?? nowMs;
     if (inside) this.#outsideSinceMs.delete(replica.shard);
--- a/src/node/start-node.ts
+++ b/src/node/start-node.ts
@@ -1,5 +1,5 @@
-import { HttpJsonClient, HttpPools } from "../platform/http-json.ts";
 import { HttpEngineClient } from "../platform/engine/http-engine-client.ts";
+import { HttpJsonClient, HttpPools } from "../platform/http-json.ts";
 import { HttpMachineList } from "../platform/machine-list/http-machine-list.ts";
 import { HttpObjectStore } from "../platform/objects/http-object-store.ts";
 import { HttpServiceClient } from "../platform/service/http-service-client.ts";
--- a/src/platform/engine/http-engine-client.ts
+++ b/src/platform/engine/http-engine-client.ts
@@ -81,7 +81,8 @@
   async order(address: string, order: EngineOrder, fencingToken: number): Promise<boolean> {
     const answer = await this.#json.exchange(address, "POST", "/orders", { order, fencingToken });
     if (answer.status === CONFLICT) return false;
-    if (answer.status !== OK) throw platformError(`The engine at ${address} answered ${answer.status} to an order.`);
+    if (answer.status !== OK)
+      throw platformError(`The engine at ${address} answered ${answer.status} to an order.`);
     return true;
   }
 
--- a/src/platform/http-json.ts
+++ b/src/platform/http-json.ts
@@ -68,7 +68,8 @@
   /** Like {@link exchange}, for requests whose only good answer has status 200. */
   async fetch(address: string, method: string, path: string, body?: unknown): Promise<unknown> {
     const answer = await this.exchange(address, method, path, body);
-    if (answer.status !== 200) throw platformError(`${method} ${path} at ${address} answered ${answer.status}.`);
+    if (answer.status !== 200)
+      throw platformError(`${method} ${path} at ${address} answered ${answer.status}.`);
     return answer.body;
   }
 }
--- a/src/platform/service/http-service-client.ts
+++ b/src/platform/service/http-service-client.ts
@@ -13,7 +13,12 @@
     this.#pools = pools;
   }
 
-  async send(address: string, request: ServiceRequest, callId: string, timeoutMs: number): Promise<ServiceResult> {
+  async send(
+    address: string,
+    request: ServiceRequest,
+    callId: string,
+    timeoutMs: number,
+  ): Promise<ServiceResult> {
     try {
       const response = await this.#pools.get(address).request({
         method: request.method as "GET" | "POST",
--- a/src/runtime/random-source.ts
+++ b/src/runtime/random-source.ts
@@ -32,7 +32,8 @@
 
   token(length: number): string {
     let text = "";
-    for (let position = 0; position < length; position++) text += TOKEN_ALPHABET[this.below(TOKEN_ALPHABET.length)];
+    for (let position = 0; position < length; position++)
+      text += TOKEN_ALPHABET[this.below(TOKEN_ALPHABET.length)];
     return text;
   }
 }
--- a/src/runtime/rpc.ts
+++ b/src/runtime/rpc.ts
@@ -1,4 +1,9 @@
-import { errorOfProblem, problemOfError, requestError, type TulipwheelErrorInstance } from "../errors/tulipwheel-error.ts";
+import {
+  errorOfProblem,
+  problemOfError,
+  requestError,
+  type TulipwheelErrorInstance,
+} from "../errors/tulipwheel-error.ts";
 import type { RpcName, RpcRequest, RpcResponse, RpcResult, RpcSchema } from "../messages/rpc-messages.ts";
 import type { Clock, TimerHandle } from "./clock.ts";
 import type { RandomSource } from "./random-source.ts";
--- a/src/scheduling/program/program-table.ts
+++ b/src/scheduling/program/program-table.ts
@@ -17,7 +17,9 @@
 import type { CallRecord, ChatMessage, HistoryEntry, ProgramRecord, RefusedProgram } from "./records.ts";
 
 /** What became of a command. */
-export type ApplyResult = { readonly accepted: true } | { readonly accepted: false; readonly reason: RejectReason };
+export type ApplyResult =
+  | { readonly accepted: true }
+  | { readonly accepted: false; readonly reason: RejectReason };
 
 /** {@link ProgramTable} as plain data. */
 export interface ProgramTableSnapshot {
@@ -299,6 +301,7 @@
 
 function historyUpTo(parent: ProgramRecord, afterCall: number): HistoryEntry[] {
   const included = new Set(parent.calls.filter((call) => call.number <= afterCall).map((call) => call.id));
-  const inherited = (entry: HistoryEntry) => programOfCall(entry.call) !== parent.id || included.has(entry.call);
+  const inherited = (entry: HistoryEntry) =>
+    programOfCall(entry.call) !== parent.id || included.has(entry.call);
   return parent.history.filter(inherited);
 }
--- a/src/scheduling/shard-state.ts
+++ b/src/scheduling/shard-state.ts
@@ -1,5 +1,5 @@
-import { AllotmentBook, BudgetLedger, type LedgerSnapshot } from "../coordination/budget-escrow/index.ts";
 import type { Allotment } from "../coordination/budget-escrow/index.ts";
+import { AllotmentBook, BudgetLedger, type LedgerSnapshot } from "../coordination/budget-escrow/index.ts";
 import type { BudgetCommand } from "./budget/commands.ts";
 import type { ProgramCommand } from "./program/commands.ts";
 import { type ApplyResult, ProgramTable, type ProgramTableSnapshot } from "./program/program-table.ts";
--- a/src/settings/common-schemas.ts
+++ b/src/settings/common-schemas.ts
@@ -4,7 +4,9 @@
 const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/;
 
 /** `IP:port`, the IP as a number. */
-export const addressSchema = z.string().regex(ADDRESS_PATTERN, "must be an IP address and a port, like 127.0.0.1:7101");
+export const addressSchema = z
+  .string()
+  .regex(ADDRESS_PATTERN, "must be an IP address and a port, like 127.0.0.1:7101");
 
 /** A name of letters, digits and hyphens. */
 export const nameSchema = z.string().regex(NAME_PATTERN, "must be lower-case letters, digits and hyphens");
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -2,7 +2,9 @@
 import { addressSchema, durationSchema, loggingSchema, nameSchema } from "./common-schemas.ts";
 
 const shardGroupTimingSchema = z.strictObject({
-  electionTimeoutMs: durationSchema.default(800).describe("Silence of a leader after which an election starts, ms"),
+  electionTimeoutMs: durationSchema
+    .default(800)
+    .describe("Silence of a leader after which an election starts, ms"),
   heartbeatIntervalMs: durationSchema.default(150).describe("Time between a leader's heartbeats, ms"),
 });
 
@@ -26,20 +28,42 @@
     .default(60_000)
     .describe("How long a call taken over from another leader may take when nobody waits for it, ms"),
   callGapMs: durationSchema.default(3_000).describe("How long a call waits for the one before it, ms"),
-  noticeableWaitMs: durationSchema.default(20).describe("Wait from which a call counts as one that waited, ms"),
-  slotRetryMs: durationSchema.default(500).describe("Time after which an unanswered slot request is repeated, ms"),
+  noticeableWaitMs: durationSchema
+    .default(20)
+    .describe("Wait from which a call counts as one that waited, ms"),
+  slotRetryMs: durationSchema
+    .default(500)
+    .describe("Time after which an unanswered slot request is repeated, ms"),
   grantLapseMs: durationSchema
     .default(3_000)
     .describe("Time after which a granted slot that the engine does not know is freed, ms"),
-  sweepMs: durationSchema.default(2_000).describe("Time between sweeps for cache of programs that are gone, ms"),
-  drainMs: durationSchema.default(30_000).describe("Longest time that a planned stop waits for calls in flight, ms"),
+  sweepMs: durationSchema
+    .default(2_000)
+    .describe("Time between sweeps for cache of programs that are gone, ms"),
+  drainMs: durationSchema
+    .default(30_000)
+    .describe("Longest time that a planned stop waits for calls in flight, ms"),
 });
 
 const clusterSchema = z.strictObject({
-  shards: z.int().min(1).max(65_536).default(16).describe("Number of shards; fixed once the system has started"),
+  shards: z
+    .int()
+    .min(1)
+    .max(65_536)
+    .default(16)
+    .describe("Number of shards; fixed once the system has started"),
   replicas: z.int().min(1).max(7).default(3).describe("Replicas of each shard"),
-  shardsPerFamily: z.int().min(1).max(64).default(4).describe("Neighbouring shards that share their replicas"),
-  firstNodes: z.int().min(1).default(3).describe("Nodes that must be there before the first shards are created"),
+  shardsPerFamily: z
+    .int()
+    .min(1)
+    .max(64)
+    .default(4)
+    .describe("Neighbouring shards that share their replicas"),
+  firstNodes: z
+    .int()
+    .min(1)
+    .default(3)
+    .describe("Nodes that must be there before the first shards are created"),
 });
 
 const platformSchema = z.strictObject({
@@ -49,7 +73,9 @@
 });
 
 const retentionSchema = z.strictObject({
-  endedProgramsMs: durationSchema.default(600_000).describe("How long an ended program can still be asked about, ms"),
+  endedProgramsMs: durationSchema
+    .default(600_000)
+    .describe("How long an ended program can still be asked about, ms"),
   idleProgramsMs: durationSchema
     .default(3_600_000)
     .describe("Silence after which an open program counts as abandoned, ms"),
--- a/src/settings/parse-yaml.ts
+++ b/src/settings/parse-yaml.ts
@@ -21,7 +21,8 @@
 ): ParsedDocument<z.infer<Schema>>[] {
   const lineCounter = new LineCounter();
   const documents = parseAllDocuments(text, { lineCounter, prettyErrors: false });
-  if (!Array.isArray(documents) || documents.length === 0) throw configurationError(kind, `${file}: is empty.`);
+  if (!Array.isArray(documents) || documents.length === 0)
+    throw configurationError(kind, `${file}: is empty.`);
   const found: string[] = [];
   const parsed: ParsedDocument<z.infer<Schema>>[] = [];
   for (const document of documents) {
--- a/src/settings/sidecar-settings.ts
+++ b/src/settings/sidecar-settings.ts
@@ -2,10 +2,22 @@
 import { addressSchema, durationSchema, loggingSchema, nameSchema } from "./common-schemas.ts";
 
 const limitsSchema = z.strictObject({
-  bodyBytes: z.int().min(1_024).default(4 * 1024 * 1024).describe("Largest request body, bytes"),
-  headerBytes: z.int().min(1_024).default(16 * 1024).describe("Largest request head, bytes"),
+  bodyBytes: z
+    .int()
+    .min(1_024)
+    .default(4 * 1024 * 1024)
+    .describe("Largest request body, bytes"),
+  headerBytes: z
+    .int()
+    .min(1_024)
+    .default(16 * 1024)
+    .describe("Largest request head, bytes"),
   requestMs: durationSchema.default(10_000).describe("Longest time in which a request must arrive, ms"),
-  defaultMaxTokens: z.int().min(1).default(512).describe("Tokens of a completion whose caller names no number"),
+  defaultMaxTokens: z
+    .int()
+    .min(1)
+    .default(512)
+    .describe("Tokens of a completion whose caller names no number"),
   concurrentRequests: z.int().min(1).default(4_096).describe("Requests in progress at once"),
 });
 
--- a/src/sidecar/http/chat-completions.ts
+++ b/src/sidecar/http/chat-completions.ts
@@ -79,7 +79,9 @@
 
   #endFailed(result: Extract<CallResult, { type: "failed" }>): void {
     if (!this.#started) return this.#exchange.sendProblem(result.problem);
-    this.#exchange.sendEvent(JSON.stringify({ error: { message: result.problem.detail, ...problemDocument(result.problem) } }));
+    this.#exchange.sendEvent(
+      JSON.stringify({ error: { message: result.problem.detail, ...problemDocument(result.problem) } }),
+    );
     this.#exchange.response.end();
   }
 
@@ -87,7 +89,9 @@
     if (!this.#started) this.onText("");
     this.#sendChunk({}, answer.finishReason);
     if (this.#body.stream_options?.include_usage) {
-      this.#exchange.sendEvent(JSON.stringify({ ...this.#envelope("chat.completion.chunk"), choices: [], usage: usageOf(answer) }));
+      this.#exchange.sendEvent(
+        JSON.stringify({ ...this.#envelope("chat.completion.chunk"), choices: [], usage: usageOf(answer) }),
+      );
     }
     this.#exchange.sendEvent("[DONE]");
     this.#exchange.response.end();
@@ -122,5 +126,8 @@
 /** The header without which no call can be placed. */
 export function requireProgram(program: string | undefined): string {
   if (program) return program;
-  throw requestError("invalid-request", "The header Tulipwheel-Program must name the program that the call belongs to.");
+  throw requestError(
+    "invalid-request",
+    "The header Tulipwheel-Program must name the program that the call belongs to.",
+  );
 }
--- a/src/sidecar/http/http-exchange.ts
+++ b/src/sidecar/http/http-exchange.ts
@@ -33,15 +33,19 @@
   }
 
   /** The whole body as text; throws `body-too-large`. */
-  async text(): Promise<string> {
-    const parts: Buffer[] = [];
-    let length = 0;
-    for await (const part of this.request) {
-      length += (part as Buffer).length;
-      if (length > this.#bodyBytes) throw bodyTooLarge(this.#bodyBytes);
-      parts.push(part as Buffer);
-    }
-    return Buffer.concat(parts).toString("utf8");
+  text(): Promise<string> {
+    return new Promise((resolve, reject) => {
+      const parts: Buffer[] = [];
+      let length = 0;
+      this.request.on("data", (part: Buffer) => {
+        length += part.length;
+        // What is too much is read and dropped, so that the caller gets to see the answer.
+        if (length <= this.#bodyBytes) parts.push(part);
+        else reject(bodyTooLarge(this.#bodyBytes));
+      });
+      this.request.on("end", () => resolve(Buffer.concat(parts).toString("utf8")));
+      this.request.on("error", () => reject(requestError("request-timeout", "The request broke off.")));
+    });
   }
 
   /** The whole body as JSON; throws `invalid-request`. */
@@ -57,13 +61,18 @@
   /** Answers with JSON. */
   sendJson(status: number, body: unknown, headers: Record<string, string> = {}): void {
     const content = Buffer.from(JSON.stringify(body));
-    this.response.writeHead(status, { "content-type": "application/json", ...headers, "content-length": content.length });
+    this.response.writeHead(status, {
+      "content-type": "application/json",
+      ...headers,
+      "content-length": content.length,
+    });
     this.response.end(content);
   }
 
   /** Answers with a problem document (RFC 9457). */
   sendProblem(problem: Problem): void {
     if (this.response.headersSent) return void this.response.end();
+    if (!this.request.complete) this.response.setHeader("connection", "close");
     const content = Buffer.from(JSON.stringify(problemDocument(problem)));
     this.response.writeHead(problem.status, {
       "content-type": "application/problem+json",
@@ -71,7 +80,6 @@
       ...retryAfterHeader(problem),
     });
     this.response.end(content);
-    if (!this.request.complete) this.request.destroy();
   }
 
   /** Answers with whatever problem an error stands for. */
@@ -81,7 +89,11 @@
 
   /** Starts a stream of server-sent events. */
   startEvents(headers: Record<string, string>): void {
-    this.response.writeHead(200, { "content-type": "text/event-stream", "cache-control": "no-cache", ...headers });
+    this.response.writeHead(200, {
+      "content-type": "text/event-stream",
+      "cache-control": "no-cache",
+      ...headers,
+    });
     this.response.flushHeaders();
   }
 
@@ -95,7 +107,17 @@
 /** A problem in the form of RFC 9457, with our members beside. */
 export function problemDocument(problem: Problem): object {
   const { kind, title, status, detail, outcome, remedy, retriable, retryAfterMs } = problem;
-  return { type: `urn:tulipwheel:problem:${kind}`, title, status, detail, kind, outcome, remedy, retriable, retryAfterMs };
+  return {
+    type: `urn:tulipwheel:problem:${kind}`,
+    title,
+    status,
+    detail,
+    kind,
+    outcome,
+    remedy,
+    retriable,
+    retryAfterMs,
+  };
 }
 
 function retryAfterHeader({ retryAfterMs }: Problem): Record<string, string> {
--- a/src/sidecar/http/request-schemas.ts
+++ b/src/sidecar/http/request-schemas.ts
@@ -8,7 +8,10 @@
 
 const messageSchema = z.looseObject({
   role: z.enum(["system", "developer", "user", "assistant", "tool"]),
-  content: z.union([z.string(), z.array(textPartSchema).transform((parts) => parts.map(({ text }) => text).join(""))]),
+  content: z.union([
+    z.string(),
+    z.array(textPartSchema).transform((parts) => parts.map(({ text }) => text).join("")),
+  ]),
 });
 
 /** Body of `POST /v1/programs`. */
@@ -49,5 +52,8 @@
 export function checkPositiveInteger(name: string, value: string | undefined): number | undefined {
   if (value === undefined) return undefined;
   if (/^[1-9]\d{0,9}$/.test(value)) return Number(value);
-  throw requestError("invalid-request", `The header ${name} must be a positive integer, not "${value.slice(0, 40)}".`);
+  throw requestError(
+    "invalid-request",
+    `The header ${name} must be a positive integer, not "${value.slice(0, 40)}".`,
+  );
 }
--- a/src/sidecar/http/service-calls.ts
+++ b/src/sidecar/http/service-calls.ts
@@ -8,13 +8,19 @@
 const METHODS = new Set(["GET", "POST", "PUT", "PATCH", "DELETE"]);
 
 /** Answers `ANY /v1/services/{service}/{path}`: a call to a tool or application service. */
-export async function serviceCalls(core: SidecarCore, exchange: HttpExchange, headers: CallHeaders): Promise<void> {
+export async function serviceCalls(
+  core: SidecarCore,
+  exchange: HttpExchange,
+  headers: CallHeaders,
+): Promise<void> {
   const request = await serviceRequestOf(exchange, headers.idempotencyKey);
   const session = await core.makeCall({ ...headers, request }, () => undefined);
   const result = await session.result;
   if (result.type === "failed") return exchange.sendProblem(result.problem);
   if (result.answer.type !== "service") {
-    return exchange.sendProblem(problemOf("answer-interrupted", `Call ${session.call} is not a service call.`));
+    return exchange.sendProblem(
+      problemOf("answer-interrupted", `Call ${session.call} is not a service call.`),
+    );
   }
   const { status, contentType, body } = result.answer;
   const content = Buffer.from(body);
@@ -27,10 +33,14 @@
   exchange.response.end(content);
 }
 
-async function serviceRequestOf(exchange: HttpExchange, idempotencyKey: string | undefined): Promise<ServiceRequest> {
+async function serviceRequestOf(
+  exchange: HttpExchange,
+  idempotencyKey: string | undefined,
+): Promise<ServiceRequest> {
   const match = PATH_PATTERN.exec(exchange.url.pathname);
   if (!match) throw requestError("invalid-request", "The path must be /v1/services/{service}/{path}.");
-  if (!METHODS.has(exchange.method)) throw requestError("invalid-request", `${exchange.method} is not supported.`);
+  if (!METHODS.has(exchange.method))
+    throw requestError("invalid-request", `${exchange.method} is not supported.`);
   const [, service, path] = match;
   return {
     type: "service",
--- a/src/sidecar/http/sidecar-server.ts
+++ b/src/sidecar/http/sidecar-server.ts
@@ -200,7 +200,9 @@
 }
 
 function malformedProblem(code: string | undefined) {
-  if (code === "ERR_HTTP_REQUEST_TIMEOUT") return problemOf("request-timeout", "The request did not arrive in time.");
-  if (code === "HPE_HEADER_OVERFLOW") return problemOf("headers-too-large", "The request's head is too large.");
+  if (code === "ERR_HTTP_REQUEST_TIMEOUT")
+    return problemOf("request-timeout", "The request did not arrive in time.");
+  if (code === "HPE_HEADER_OVERFLOW")
+    return problemOf("headers-too-large", "The request's head is too large.");
   return problemOf("invalid-request", "The request is not HTTP.");
 }
--- a/src/sidecar/sidecar-core.ts
+++ b/src/sidecar/sidecar-core.ts
@@ -2,6 +2,8 @@
  * The sidecar without its HTTP side: opens programs, makes calls and asks questions for callers.
  * The simulation drives this class directly.
  */
+
+import { requestError } from "../errors/tulipwheel-error.ts";
 import type { CallEvent } from "../messages/call-messages.ts";
 import type { Message } from "../messages/message.ts";
 import type { DecisionView, RpcName, RpcSchema } from "../messages/rpc-messages.ts";
@@ -11,7 +13,6 @@
 import { ShardRouter } from "../runtime/shard-router.ts";
 import type { TextHash } from "../runtime/text-hash.ts";
 import type { Sender, Transport } from "../runtime/transport.ts";
-import { requestError } from "../errors/tulipwheel-error.ts";
 import {
   callId,
   childProgramId,
@@ -172,7 +173,9 @@
   async #shardOf(program: string): Promise<number> {
     if (this.#shardCount === undefined) await this.refreshCluster();
     if (this.#shardCount === undefined) {
-      throw requestError("unavailable", "No node of the cluster answers.", { retryAfterMs: CLUSTER_TIMEOUT_MS });
+      throw requestError("unavailable", "No node of the cluster answers.", {
+        retryAfterMs: CLUSTER_TIMEOUT_MS,
+      });
     }
     return this.#ports.hash.hash32(rootOfProgram(program)) % this.#shardCount;
   }
--- a/src/sidecar/start-sidecar.ts
+++ b/src/sidecar/start-sidecar.ts
@@ -1,4 +1,4 @@
-import { SystemClock, repeat } from "../runtime/clock.ts";
+import { repeat, SystemClock } from "../runtime/clock.ts";
 import { systemRandom } from "../runtime/system-random.ts";
 import { TcpTransport } from "../runtime/tcp-transport.ts";
 import { loadTextHash } from "../runtime/text-hash.ts";
@@ -29,7 +29,12 @@
   const core = new SidecarCore({ settings, clock, random, hash: await loadTextHash(), transport });
   const metrics: ProcessMetrics = new ProcessMetrics([
     { type: "gauge", name: "active_calls", help: "Calls in progress", read: () => core.activeCalls },
-    { type: "gauge", name: "active_requests", help: "HTTP requests in progress", read: () => server.activeRequests },
+    {
+      type: "gauge",
+      name: "active_requests",
+      help: "HTTP requests in progress",
+      read: () => server.activeRequests,
+    },
   ]);
   const server: SidecarServer = new SidecarServer(core, settings, metrics);
   const address = await server.listen();
--- a/standins/engine/engine-model.ts
+++ b/standins/engine/engine-model.ts
@@ -251,7 +251,12 @@
   }
 
   /** Puts another engine's cache of a program in. */
-  importCache(program: string, messages: GenerateRequest["messages"], fencingToken: number, nowMs: number): boolean {
+  importCache(
+    program: string,
+    messages: GenerateRequest["messages"],
+    fencingToken: number,
+    nowMs: number,
+  ): boolean {
     if (fencingToken < this.#newestToken) return false;
     this.#newestToken = fencingToken;
     this.#publish(this.#cache.store(program, messages, nowMs), nowMs);
@@ -281,7 +286,10 @@
       request,
       sink,
       text: new GeneratedText(seed, resumed),
-      targetTokens: Math.max(answerTokens(messages, maxTokens, this.#hash.hash32(JSON.stringify(messages))), resumed),
+      targetTokens: Math.max(
+        answerTokens(messages, maxTokens, this.#hash.hash32(JSON.stringify(messages))),
+        resumed,
+      ),
       promptTokens,
       cachedTokens,
       arrivedMs: nowMs,
--- a/standins/http/engine-standin.ts
+++ b/standins/http/engine-standin.ts
@@ -88,7 +88,8 @@
 
   #order(request: StandinRequest, nowMs: number): StandinAnswer {
     const { order, fencingToken } = jsonOf<{ order: EngineOrder; fencingToken: number }>(request);
-    if (!this.model.order(order, fencingToken, nowMs)) return { status: CONFLICT, body: { error: "stale-token" } };
+    if (!this.model.order(order, fencingToken, nowMs))
+      return { status: CONFLICT, body: { error: "stale-token" } };
     return { status: OK };
   }
 
@@ -105,7 +106,9 @@
   }
 
   #importCache(request: StandinRequest, nowMs: number): StandinAnswer {
-    const { program, cache, fencingToken } = jsonOf<{ program: string; cache: string; fencingToken: number }>(request);
+    const { program, cache, fencingToken } = jsonOf<{ program: string; cache: string; fencingToken: number }>(
+      request,
+    );
     const messages = JSON.parse(Buffer.from(cache, "base64").toString()) as GenerateRequest["messages"];
     const taken = this.model.importCache(program, messages, fencingToken, nowMs);
     return taken ? { status: OK } : { status: CONFLICT, body: { error: "stale-token" } };
--- a/standins/http/http-standin.ts
+++ b/standins/http/http-standin.ts
@@ -92,7 +92,8 @@
       if (read.path === "/faults") return this.#setFaults(read, response);
       await this.#misbehaveBefore();
       if (this.faults.outage) return void request.socket.destroy();
-      if (this.#overRate()) return answer(response, { status: TOO_MANY_REQUESTS, body: { error: "rate-limit" } });
+      if (this.#overRate())
+        return answer(response, { status: TOO_MANY_REQUESTS, body: { error: "rate-limit" } });
       this.requests += 1;
       const result = this.#handler(read, response);
       if (result === "streaming") return;
@@ -144,6 +145,9 @@
 
 function answer(response: ServerResponse, { status, body, bytes, contentType }: StandinAnswer): void {
   const content = bytes ?? Buffer.from(JSON.stringify(body ?? {}));
-  response.writeHead(status, { "content-type": contentType ?? "application/json", "content-length": content.length });
+  response.writeHead(status, {
+    "content-type": contentType ?? "application/json",
+    "content-length": content.length,
+  });
   response.end(content);
 }
--- a/standins/http/platform-standins.ts
+++ b/standins/http/platform-standins.ts
@@ -40,7 +40,8 @@
 /** The object store over HTTP. */
 export function objectStandin(model: ObjectModel = new ObjectModel()): HttpStandin {
   return new HttpStandin((request) => {
-    if (request.path === "/objects") return { status: OK, body: model.list(request.query.get("prefix") ?? "") };
+    if (request.path === "/objects")
+      return { status: OK, body: model.list(request.query.get("prefix") ?? "") };
     if (!request.path.startsWith("/objects/")) return undefined;
     return objectAnswer(model, request, restOf(request, "/objects/"));
   });
@@ -63,7 +64,9 @@
 
 /** The weight store over HTTP: `GET /weights`. */
 export function weightStandin(weights: readonly WeightSet[]): HttpStandin {
-  return new HttpStandin((request) => (request.path === "/weights" ? { status: OK, body: weights } : undefined));
+  return new HttpStandin((request) =>
+    request.path === "/weights" ? { status: OK, body: weights } : undefined,
+  );
 }
 
 function transact(model: TableModel, request: StandinRequest): StandinAnswer {
@@ -73,7 +76,11 @@
 }
 
 function listRows(model: TableModel, { query }: StandinRequest) {
-  return model.list(query.get("prefix") ?? "", query.get("after") ?? "", Number(query.get("limit") ?? "1000"));
+  return model.list(
+    query.get("prefix") ?? "",
+    query.get("after") ?? "",
+    Number(query.get("limit") ?? "1000"),
+  );
 }
 
 function objectAnswer(model: ObjectModel, request: StandinRequest, key: string): StandinAnswer | undefined {
--- a/standins/machine-list/machine-list-model.ts
+++ b/standins/machine-list/machine-list-model.ts
@@ -20,7 +20,9 @@
   readonly #lagMs: number;
   readonly #expiryMs: number;
   readonly #machines = new Map<string, ListedMachine>();
-  #published: { readonly atMs: number; readonly machines: readonly Machine[] }[] = [{ atMs: 0, machines: [] }];
+  #published: { readonly atMs: number; readonly machines: readonly Machine[] }[] = [
+    { atMs: 0, machines: [] },
+  ];
 
   constructor(options: MachineListModelOptions = {}) {
     this.#lagMs = options.lagMs ?? 300;
--- a/standins/main.ts
+++ b/standins/main.ts
@@ -8,7 +8,13 @@
 import { loadTextHash } from "../src/runtime/text-hash.ts";
 import type { EngineModelOptions } from "./engine/engine-model.ts";
 import { EngineStandin } from "./http/engine-standin.ts";
-import { machineListStandin, objectStandin, serviceStandin, tableStandin, weightStandin } from "./http/platform-standins.ts";
+import {
+  machineListStandin,
+  objectStandin,
+  serviceStandin,
+  tableStandin,
+  weightStandin,
+} from "./http/platform-standins.ts";
 
 const FOREVER = new Promise<number>(() => undefined);
 
@@ -37,7 +43,8 @@
 
 class MachineListCommand extends StandinCommand {
   static override paths = [["machine-list"]];
-  protected override start = (options: unknown) => machineListStandin(options as object).standin.listen(this.listen);
+  protected override start = (options: unknown) =>
+    machineListStandin(options as object).standin.listen(this.listen);
 }
 
 class ServiceCommand extends StandinCommand {
@@ -56,5 +63,12 @@
     new EngineStandin(options as EngineModelOptions, await loadTextHash()).listen(this.listen);
 }
 
-const commands = [TableCommand, ObjectsCommand, MachineListCommand, ServiceCommand, WeightsCommand, EngineCommand];
+const commands = [
+  TableCommand,
+  ObjectsCommand,
+  MachineListCommand,
+  ServiceCommand,
+  WeightsCommand,
+  EngineCommand,
+];
 process.exitCode = await Cli.from(commands).run(process.argv.slice(2));
--- a/test/process/support/cluster.ts
+++ b/test/process/support/cluster.ts
@@ -117,7 +117,9 @@
       this.#launch(STANDINS, ["machine-list"]),
     ]);
     await Promise.all(this.#options.engines.map((options) => this.startEngine(options)));
-    const services = Array.from({ length: this.#options.services ?? 0 }, (_, index) => this.#startService(index));
+    const services = Array.from({ length: this.#options.services ?? 0 }, (_, index) =>
+      this.#startService(index),
+    );
     await Promise.all(services);
   }
 
@@ -126,13 +128,29 @@
     const engine = await this.#launch(STANDINS, ["engine", "--options", JSON.stringify(options)]);
     this.engines.push(engine);
     const { name, models, slots = 16, kvTokens = 200_000 } = options;
-    await this.list({ name, kind: "runner", pool: models[0], address: engine.address, models, slots, kvTokens });
+    await this.list({
+      name,
+      kind: "runner",
+      pool: models[0],
+      address: engine.address,
+      models,
+      slots,
+      kvTokens,
+    });
     return engine;
   }
 
   /** Puts a machine on the list. */
   async list(machine: Record<string, unknown>): Promise<void> {
-    const whole = { zone: "zone-0", incarnation: "1", state: "live", slots: 0, kvTokens: 0, models: [], ...machine };
+    const whole = {
+      zone: "zone-0",
+      incarnation: "1",
+      state: "live",
+      slots: 0,
+      kvTokens: 0,
+      models: [],
+      ...machine,
+    };
     const response = await fetch(`http://${this.machineList.address}/machines/${machine.name}`, {
       method: "PUT",
       body: JSON.stringify(whole),
