Add the demo, operator commands and choice by inherited prefix

Cause: a tie between runners was broken by name, so every leader ran to the same one, and a forked child did not look for the runner that holds its parent's prefix.

Change: ties go to the first sampled; a child without a turn of its own is drawn to the runner of the turn it was forked after. The demo starts a whole system in one process, takes a node and an engine away, and compares what callers saw with the histories and the service's ledger.

--- /dev/null
+++ b/src/cli/demo/demo-command.ts
@@ -0,0 +1,149 @@
+import { Command, Option } from "clipanion";
+import { EXIT_CODES } from "../exit-codes.ts";
+import { formatTable } from "../format-table.ts";
+import { OperatorClient } from "../operator-client.ts";
+import { TulipwheelCommand } from "../tulipwheel-command.ts";
+import { DemoSystem } from "./demo-system.ts";
+import { DemoWorkload, type ProgramReport } from "./demo-workload.ts";
+
+const NODE_FAILS_AFTER_MS = 1_200;
+const ENGINE_FAILS_AFTER_MS = 2_400;
+const TIME_LIMIT_MS = 28_000;
+const FAILING_NODE = 1;
+const FAILING_ENGINE = "agent-llm-2";
+
+/** `tulipwheel demo` */
+export class DemoCommand extends TulipwheelCommand {
+  static override paths = [["demo"]];
+  static override usage = Command.Usage({
+    category: "Daemons",
+    description: "Runs a whole system in this process, with a pay run and checkouts, and takes machines away",
+    details: `
+      Starts the platform's stand-ins, three nodes in three zones and a sidecar on loopback. In the middle one node
+      and one engine are taken away. Ends by itself within 30 s, with code 0 only if every answer was whole.
+      With --keep the system stays up afterwards, for curl.
+    `,
+  });
+  keep = Option.Boolean("--keep", false, { description: "Leaves the system up until Ctrl-C" });
+  port = Option.String("--port", "0", { description: "Port of the sidecar; 0 takes a free one" });
+  logLevel = Option.String("--log-level", "silent", { description: "Log level of the daemons" });
+
+  protected override async run(): Promise<number> {
+    const startMs = performance.now();
+    const say = (line: string) => this.#say(startMs, line);
+    say("starting stand-ins, three nodes in three zones and a sidecar");
+    const system = await DemoSystem.start({ sidecar: Number(this.port), firstNode: 0 }, this.logLevel);
+    say(`callers reach the sidecar at http://${system.address}`);
+    const workload = new DemoWorkload(system.address, say);
+    const failures = this.#takeMachinesAway(system, say);
+    await withinTime(workload.run());
+    for (const timer of failures) clearTimeout(timer);
+    const report = await this.#report(system, workload.reports);
+    checkLedger(system, workload.reports);
+    this.print(
+      report.json,
+      `\n${report.text}\nEvery answer was whole, and every deposit and charge ran once.`,
+    );
+    if (this.keep) await this.#keepUp(system, say);
+    await system.stop();
+    return EXIT_CODES.done;
+  }
+
+  #say(startMs: number, line: string): void {
+    const seconds = ((performance.now() - startMs) / 1_000).toFixed(1);
+    this.context.stderr.write(`[${seconds.padStart(5)} s] ${line}\n`);
+  }
+
+  #takeMachinesAway(system: DemoSystem, say: (line: string) => void): NodeJS.Timeout[] {
+    const nodeFails = setTimeout(() => {
+      say("one node is taken away");
+      void system.killNode(FAILING_NODE);
+    }, NODE_FAILS_AFTER_MS);
+    const engineFails = setTimeout(() => {
+      say("one engine is taken away");
+      void system.killEngine(FAILING_ENGINE);
+    }, ENGINE_FAILS_AFTER_MS);
+    return [nodeFails, engineFails];
+  }
+
+  async #report(system: DemoSystem, reports: readonly ProgramReport[]) {
+    const rows = reports.map(({ name, program, latencyMs }) => {
+      const prompt = sum(program.turns.map((turn) => turn.promptTokens));
+      const again = sum(program.turns.map((turn) => turn.prefilledAgain));
+      return { name, latencyMs: Math.round(latencyMs), turns: program.turns.length, prompt, again };
+    });
+    const table = formatTable(
+      ["PROGRAM", "LATENCY MS", "TURNS", "PROMPT TOKENS", "PREFILLED AGAIN"],
+      rows.map((row) => [row.name, row.latencyMs, row.turns, row.prompt, row.again].map(String)),
+    );
+    const budgets = await readBudgets(system);
+    const explained = await explainOne(reports);
+    const budgetLines = budgets.map(
+      ({ budget, limit, lent }) => `budget ${budget}: ${lent} of ${limit} tokens lent`,
+    );
+    const text = [
+      table,
+      "",
+      ...budgetLines,
+      "",
+      "one decision, explained:",
+      JSON.stringify(explained, null, 2),
+    ];
+    return { json: { programs: rows, budgets, explained }, text: text.join("\n") };
+  }
+
+  async #keepUp(system: DemoSystem, say: (line: string) => void): Promise<void> {
+    say(
+      `left up: curl -H 'Tulipwheel-Tenant: magnolia' -d '{"template":"question"}' http://${system.address}/v1/programs`,
+    );
+    say(`operators: tulipwheel status --node ${system.nodes[0].address}; Ctrl-C ends`);
+    await new Promise<void>((resolve) => {
+      process.once("SIGINT", () => resolve());
+      process.once("SIGTERM", () => resolve());
+    });
+  }
+}
+
+async function withinTime(work: Promise<void>): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const limit = new Promise<never>((_, reject) => {
+    timer = setTimeout(
+      () => reject(new Error(`The demo took longer than ${TIME_LIMIT_MS} ms.`)),
+      TIME_LIMIT_MS,
+    );
+  });
+  await Promise.race([work, limit]);
+  clearTimeout(timer);
+}
+
+async function readBudgets(system: DemoSystem) {
+  const client = await OperatorClient.connect(system.nodes[0].address);
+  const budgets = [];
+  for (const [tenant, template] of [
+    ["magnolia", "pay-run"],
+    ["rateora", "checkout"],
+  ]) {
+    const { budget } = await client.ask("nameBudget", { tenant, template });
+    budgets.push(await client.askLeader(`budget:${budget}`, "readBudget", { tenant, template }));
+  }
+  await client.close();
+  return budgets;
+}
+
+/** The call that waited longest among those of the pay run's exceptions. */
+async function explainOne(reports: readonly ProgramReport[]): Promise<unknown> {
+  const report = reports.find(({ name }) => name.startsWith("exception"));
+  return report?.program.explain(report.program.calls[0]);
+}
+
+function checkLedger(system: DemoSystem, reports: readonly ProgramReport[]): void {
+  const posts = system.service.ledger.filter(({ method }) => method === "POST");
+  for (const { name, program } of reports) {
+    const ran = posts.filter(({ body }) => body.includes(`"${program.id}"`)).length;
+    if (ran !== 1) throw new Error(`The deposit or charge of ${name} ran ${ran} times.`);
+  }
+}
+
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, number) => total + number, 0);
+}
--- /dev/null
+++ b/src/cli/demo/demo-system.ts
@@ -0,0 +1,193 @@
+import { readFile } from "node:fs/promises";
+import { EngineStandin } from "../../../standins/http/engine-standin.ts";
+import type { HttpStandin } from "../../../standins/http/http-standin.ts";
+import {
+  machineListStandin,
+  objectStandin,
+  serviceStandin,
+  tableStandin,
+} from "../../../standins/http/platform-standins.ts";
+import { ServiceModel } from "../../../standins/service/service-model.ts";
+import { type RunningNode, startNode } from "../../node/start-node.ts";
+import type { Machine } from "../../platform/machine-list/machine-list.ts";
+import { loadTextHash } from "../../runtime/text-hash.ts";
+import { nodeSettingsSchema } from "../../settings/node-settings.ts";
+import { parseYaml } from "../../settings/parse-yaml.ts";
+import { sidecarSettingsSchema } from "../../settings/sidecar-settings.ts";
+import { configurationDocumentSchema, keyOfDocument } from "../../settings/templates/template-schema.ts";
+import { type RunningSidecar, startSidecar } from "../../sidecar/start-sidecar.ts";
+import { OperatorClient } from "../operator-client.ts";
+
+/** Ports of the demo; 0 takes free ones. */
+export interface DemoPorts {
+  readonly sidecar: number;
+  readonly firstNode: number;
+}
+
+const ZONES = ["hall-a", "hall-b", "hall-c"];
+const LOOPBACK = "127.0.0.1";
+const SLOTS = 8;
+const KV_TOKENS = 60_000;
+const READY_TIMEOUT_MS = 10_000;
+const POLL_MS = 20;
+const TEMPLATE_FILES = [
+  "../../../examples/magnolia/templates.yaml",
+  "../../../examples/rateora/templates.yaml",
+];
+
+/** A whole system in one process on loopback: stand-ins, three nodes in three zones, and a sidecar. */
+export class DemoSystem {
+  readonly service = new ServiceModel();
+  readonly engines = new Map<string, EngineStandin>();
+  readonly nodes: RunningNode[] = [];
+  readonly #standins: HttpStandin[] = [];
+  readonly #platform: { table: string; objects: string; machineList: string };
+  readonly #ports: DemoPorts;
+  readonly #logLevel: string;
+  #sidecar!: RunningSidecar;
+
+  private constructor(platform: DemoSystem["platform"], ports: DemoPorts, logLevel: string) {
+    this.#platform = platform;
+    this.#ports = ports;
+    this.#logLevel = logLevel;
+  }
+
+  /** Addresses of the platform's stand-ins. */
+  get platform(): { table: string; objects: string; machineList: string } {
+    return this.#platform;
+  }
+
+  /** Where callers reach the system. */
+  get address(): string {
+    return this.#sidecar.address;
+  }
+
+  /** Starts everything and applies the example templates. */
+  static async start(ports: DemoPorts, logLevel: string): Promise<DemoSystem> {
+    const table = tableStandin();
+    const objects = objectStandin();
+    const list = machineListStandin();
+    const platform = {
+      table: await table.listen(`${LOOPBACK}:0`),
+      objects: await objects.listen(`${LOOPBACK}:0`),
+      machineList: await list.standin.listen(`${LOOPBACK}:0`),
+    };
+    const system = new DemoSystem(platform, ports, logLevel);
+    system.#standins.push(table, objects, list.standin);
+    const put = (machine: Machine) => list.model.put(machine, performance.now());
+    await system.#startBackEnds(put);
+    system.nodes.push(...(await Promise.all(ZONES.map((zone, index) => system.#startNode(zone, index)))));
+    await system.#untilReady();
+    await system.#startSidecar();
+    await system.#applyTemplates();
+    return system;
+  }
+
+  /** Ends a node as if its machine had failed. */
+  async killNode(index: number): Promise<void> {
+    await this.nodes[index].kill();
+  }
+
+  /** Ends an engine as if its machine had failed; its streams break. */
+  async killEngine(name: string): Promise<void> {
+    await this.engines.get(name)?.close();
+  }
+
+  /** Ends everything. */
+  async stop(): Promise<void> {
+    await this.#sidecar.drain();
+    await Promise.all(this.nodes.map((node) => node.kill()));
+    for (const engine of this.engines.values()) await engine.close();
+    await Promise.all(this.#standins.map((standin) => standin.close()));
+  }
+
+  async #startBackEnds(put: (machine: Machine) => void): Promise<void> {
+    const hash = await loadTextHash();
+    for (const [index, pool] of ["agent-llm", "agent-llm", "agent-llm", "lm-pool", "lm-pool"].entries()) {
+      const name = `${pool}-${index + 1}`;
+      const engine = new EngineStandin(
+        { name, models: [pool], slots: SLOTS, kvTokens: KV_TOKENS, stepMs: 8 },
+        hash,
+      );
+      this.engines.set(name, engine);
+      const address = await engine.listen(`${LOOPBACK}:0`);
+      const zone = ZONES[index % ZONES.length];
+      put(
+        machine({
+          name,
+          kind: "runner",
+          pool,
+          zone,
+          address,
+          models: [pool],
+          slots: SLOTS,
+          kvTokens: KV_TOKENS,
+        }),
+      );
+    }
+    const service = serviceStandin(this.service);
+    this.#standins.push(service);
+    const address = await service.listen(`${LOOPBACK}:0`);
+    put(machine({ name: "pay-api-1", kind: "service", pool: "pay-api", zone: ZONES[0], address }));
+  }
+
+  #startNode(zone: string, index: number): Promise<RunningNode> {
+    const port = this.#ports.firstNode === 0 ? 0 : this.#ports.firstNode + index;
+    return startNode(
+      nodeSettingsSchema.parse({
+        name: `node-${zone}`,
+        region: "dixie-east",
+        zone,
+        address: `${LOOPBACK}:${port}`,
+        metrics: `${LOOPBACK}:0`,
+        platform: this.#platform,
+        logging: { level: this.#logLevel },
+      }),
+    );
+  }
+
+  async #untilReady(): Promise<void> {
+    const deadline = performance.now() + READY_TIMEOUT_MS;
+    while (!this.nodes.every((node) => node.daemon.ready)) {
+      if (performance.now() > deadline) throw new Error("The demo's nodes did not become ready.");
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  async #startSidecar(): Promise<void> {
+    this.#sidecar = await startSidecar(
+      sidecarSettingsSchema.parse({
+        name: "sidecar",
+        region: "dixie-east",
+        zone: ZONES[0],
+        listen: `${LOOPBACK}:${this.#ports.sidecar}`,
+        address: `${LOOPBACK}:0`,
+        nodes: this.nodes.map((node) => node.address),
+        logging: { level: this.#logLevel },
+      }),
+    );
+  }
+
+  async #applyTemplates(): Promise<void> {
+    const client = await OperatorClient.connect(this.nodes[0].address);
+    for (const file of TEMPLATE_FILES) {
+      const text = await readFile(new URL(file, import.meta.url), "utf8");
+      for (const document of parseYaml(text, file, configurationDocumentSchema, "invalid-template")) {
+        const key = keyOfDocument(document.value);
+        await client.ask("applyConfiguration", {
+          change: `demo/${key}`,
+          key,
+          content: document.text,
+          baseVersion: 0,
+        });
+      }
+    }
+    await client.close();
+  }
+}
+
+function machine(
+  known: Partial<Machine> & Pick<Machine, "name" | "kind" | "pool" | "zone" | "address">,
+): Machine {
+  return { incarnation: "1", state: "live", models: [], slots: 0, kvTokens: 0, ...known };
+}
--- /dev/null
+++ b/src/cli/demo/demo-workload.ts
@@ -0,0 +1,106 @@
+import { DemoProgram } from "./demo-caller.ts";
+
+/** How one program of the demo went. */
+export interface ProgramReport {
+  readonly name: string;
+  readonly program: DemoProgram;
+  readonly latencyMs: number;
+}
+
+/** Exceptions of the pay run, with the checks that each branches into. */
+const CHECKS_PER_EXCEPTION = [2, 0, 3, 1, 2, 3];
+const CHECKOUTS = 8;
+const CHECKOUT_TURNS = 3;
+const CHECKOUT_PAUSE_MS = 400;
+const TOOL_PAUSE_MS = 120;
+const RULES = "Payroll rules of the shop: ".padEnd(6_000, "overtime counts from the fortieth hour; ");
+
+/** Magnolia's pay run beside Rateora's checkouts. */
+export class DemoWorkload {
+  readonly reports: ProgramReport[] = [];
+  readonly #address: string;
+  readonly #progress: (line: string) => void;
+
+  constructor(address: string, progress: (line: string) => void) {
+    this.#address = address;
+    this.#progress = progress;
+  }
+
+  /** Runs everything; rejects when any answer is not whole. */
+  async run(): Promise<void> {
+    await Promise.all([this.#payRun(), this.#checkouts()]);
+  }
+
+  async #payRun(): Promise<void> {
+    await this.#measured("pay run", async () => {
+      const run = await DemoProgram.open(this.#address, "magnolia", "agent-llm", "pay-run");
+      await run.turn(`${RULES} Walk the pay run. #tokens=30`);
+      const exceptions = CHECKS_PER_EXCEPTION.map((checks, index) => this.#exception(run, index, checks));
+      await Promise.all(exceptions);
+      await run.turn("All exceptions are settled. Close the run. #tokens=30");
+      await run.service("POST", "/deposits", { run: run.id });
+      await run.end();
+      return run;
+    });
+  }
+
+  async #exception(run: DemoProgram, index: number, checks: number): Promise<void> {
+    await this.#measured(`exception ${index + 1} (${checks} checks)`, async () => {
+      const parent = { program: run, afterCall: 1 };
+      const program = await DemoProgram.open(this.#address, "magnolia", "agent-llm", "pay-run", parent);
+      await program.turn(`Exception ${index + 1}: a check came out short. #tokens=60`);
+      for (let check = 1; check <= checks; check++) {
+        await program.service("GET", `/employees/${index}/hours?check=${check}`);
+        await pause(TOOL_PAUSE_MS);
+        await program.turn(`Check ${check}: the hours are in. #tokens=90`);
+      }
+      await program.service("POST", "/deposits", { exception: program.id });
+      await program.end();
+      return program;
+    });
+  }
+
+  async #checkouts(): Promise<void> {
+    const running: Promise<void>[] = [];
+    for (let index = 1; index <= CHECKOUTS; index++) {
+      running.push(this.#checkout(index));
+      await pause(CHECKOUT_PAUSE_MS);
+    }
+    await Promise.all(running);
+  }
+
+  async #checkout(index: number): Promise<void> {
+    await this.#measured(`checkout ${index}`, async () => {
+      const program = await DemoProgram.open(this.#address, "rateora", "lm-pool", "checkout");
+      for (let turn = 1; turn <= CHECKOUT_TURNS; turn++) {
+        await program.turn(`Checkout ${index}, turn ${turn}: three instalments? #tokens=20`);
+      }
+      await program.service("POST", "/charges", { checkout: program.id });
+      await program.end();
+      return program;
+    });
+  }
+
+  async #measured(name: string, work: () => Promise<DemoProgram>): Promise<void> {
+    const startMs = performance.now();
+    const program = await work();
+    const latencyMs = performance.now() - startMs;
+    await checkWhole(name, program);
+    this.reports.push({ name, program, latencyMs });
+    this.#progress(`${name}: done in ${Math.round(latencyMs)} ms, ${program.turns.length} turns`);
+  }
+}
+
+/** What the caller saw must be what is in the history: whole, in order, and nobody else's. */
+async function checkWhole(name: string, program: DemoProgram): Promise<void> {
+  const committed = (await program.committedAnswers()).slice(-program.answers.length);
+  const same =
+    committed.length === program.answers.length && committed.every((text, i) => text === program.answers[i]);
+  if (!same) throw new Error(`The history of ${name} (${program.id}) differs from what its caller saw.`);
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -23,8 +23,10 @@
   TemplateHistoryCommand,
   TemplateListCommand,
 } from "./commands/template-commands.ts";
+import { DemoCommand } from "./demo/demo-command.ts";
 
 const COMMANDS = [
+  DemoCommand,
   NodeCommand,
   SidecarCommand,
   TemplateCheckCommand,
--- a/src/node/calls/completion-runner.ts
+++ b/src/node/calls/completion-runner.ts
@@ -5,7 +5,12 @@
 import { messageTokensBound, utf8Length } from "../../scheduling/admission/worst-case-tokens.ts";
 import type { Alternative, Decision } from "../../scheduling/decision/decision.ts";
 import { PRIORITY_CLASSES } from "../../scheduling/policy/effective-policy.ts";
-import type { CallOutcome, CompletionRequest, Usage } from "../../scheduling/program/records.ts";
+import type {
+  CallOutcome,
+  CallRecord,
+  CompletionAnswer,
+  CompletionRequest,
+} from "../../scheduling/program/records.ts";
 import { type SlotRequest, slotKey } from "../../scheduling/queue/slot-request.ts";
 import { chooseRunner } from "../../scheduling/runner-selection/choose-runner.ts";
 import type { CachedPrefix, RunnerView } from "../../scheduling/runner-selection/runner-view.ts";
@@ -332,15 +337,26 @@
   return program.historyTokens + messageTokensBound(request.messages);
 }
 
-/** The runner of the program's last completed turn is believed to hold the history up to there. */
-function cachedPrefixes({ program }: CompletionJob): CachedPrefix[] {
-  const last = program.calls.findLast(
-    (call) => call.outcome?.type === "answered" && call.outcome.answer.type === "completion",
-  );
-  if (last?.outcome?.type !== "answered" || last.outcome.answer.type !== "completion") return [];
-  return [{ runner: last.outcome.answer.runner, tokens: tokensOf(last.outcome.answer.usage) }];
+/**
+ * The runner of the program's last completed turn is believed to hold the history up to there; for a child without
+ * one, the runner of the parent's turn that it was forked after.
+ */
+function cachedPrefixes({ program, replica }: CompletionJob): CachedPrefix[] {
+  const own = lastCompletion(program.calls);
+  if (own) return [prefixOf(own)];
+  const parent = program.parent && replica.state.programs.get(program.parent.program);
+  const afterCall = program.parent?.afterCall ?? 0;
+  const inherited = lastCompletion(parent?.calls.filter((call) => call.number <= afterCall) ?? []);
+  return inherited ? [prefixOf(inherited)] : [];
 }
 
-function tokensOf(usage: Usage): number {
-  return usage.promptTokens + usage.completionTokens;
+function lastCompletion(calls: readonly CallRecord[]): CompletionAnswer | undefined {
+  for (const { outcome } of calls.toReversed()) {
+    if (outcome?.type === "answered" && outcome.answer.type === "completion") return outcome.answer;
+  }
+  return undefined;
+}
+
+function prefixOf({ runner, usage }: CompletionAnswer): CachedPrefix {
+  return { runner, tokens: usage.promptTokens + usage.completionTokens };
 }
--- a/src/scheduling/runner-selection/choose-runner.ts
+++ b/src/scheduling/runner-selection/choose-runner.ts
@@ -38,7 +38,8 @@
   const eligible = input.runners.filter((runner) => isEligible(runner, input));
   const candidates = pickCandidates(eligible, input);
   const priced = candidates.map((runner) => priceOf(runner, input, costs));
-  priced.sort((left, right) => left.totalMs - right.totalMs || left.runner.localeCompare(right.runner));
+  // The sort is stable: among equals the first sampled wins, so that leaders do not all run to the same one.
+  priced.sort((left, right) => left.totalMs - right.totalMs);
   return priced.map((alternative, rank) => ({ ...alternative, chosen: rank === 0 }));
 }
 
