Add the simulation: the product's own code on virtual time under faults

Cause: promises must be proved under failure, with runs that can be repeated.

Change: nodes and sidecars run unchanged over a simulated network, platform and back ends, all random choices from one seed. Checkers read what callers, operators and back ends saw. Configuration documents are parsed once per change, not at each look (the profile showed the YAML parser in every tick).

--- /dev/null
+++ b/bench/simulation/checkers.ts
@@ -0,0 +1,139 @@
+/**
+ * What must always hold, checked from what callers, operators and back ends saw. Each checker returns what is
+ * broken, in words; an empty list is a pass.
+ */
+import type { Observations, ObservedTurn } from "./observations.ts";
+import type { World } from "./world.ts";
+
+/** Seconds after which a leaving engine may get no more work. */
+export const LEAVING_BOUND_MS = 5_000;
+/** Time after which an accepted configuration must be in force everywhere. */
+export const IN_FORCE_BOUND_MS = 12_000;
+
+/** What the checkers are given. */
+export interface CheckInput {
+  readonly world: World;
+  readonly observations: Observations;
+  readonly budgetTokens: number;
+  readonly withdrawnMs: number;
+}
+
+/** The promises, and what checks each. */
+export const CHECKERS: Readonly<Record<string, (input: CheckInput) => string[]>> = {
+  "history and order": checkHistories,
+  "whole answers": checkAnswers,
+  "at most once": checkCharges,
+  "true refusals": checkRefusals,
+  budget: checkBudget,
+  "engine memory": checkEngineMemory,
+  "leaving back ends": checkLeaving,
+  configuration: checkConfiguration,
+  liveness: checkLiveness,
+};
+
+/** A program's history is what its caller saw, in the order in which it was asked; unknown turns may be there or not. */
+function checkHistories({ observations }: CheckInput): string[] {
+  return observations.histories.flatMap(({ program, messages }) => {
+    const turns = observations.turns.filter((turn) => turn.program === program);
+    const left = [...messages];
+    const broken: string[] = [];
+    for (const turn of turns) {
+      const present = left[0]?.content === turn.question;
+      if (present) broken.push(...takeTurn(program, turn, left));
+      else if (turn.outcome === "answered") broken.push(`${program} lost the turn "${turn.question}"`);
+    }
+    if (left.length > 0) broken.push(`${program} holds foreign or misplaced messages: "${left[0].content}"`);
+    return broken;
+  });
+}
+
+function takeTurn(program: string, turn: ObservedTurn, left: { role: string; content: string }[]): string[] {
+  left.shift();
+  const answer = left.shift();
+  if (turn.outcome === "failed" || turn.outcome === "not-run") {
+    return [`${program} holds the turn "${turn.question}" that was answered ${turn.outcome}`];
+  }
+  const differs = turn.outcome === "answered" && answer?.content !== turn.answer;
+  return differs ? [`${program} holds another answer to "${turn.question}" than its caller saw`] : [];
+}
+
+function checkAnswers({ observations }: CheckInput): string[] {
+  return observations.turns.flatMap((turn) => {
+    if (turn.outcome !== "answered") return [];
+    if (turn.streamed !== turn.answer)
+      return [`"${turn.question}" was streamed otherwise than it was answered`];
+    if (turn.answer.length === turn.expectedLength) return [];
+    return [`"${turn.question}" has ${turn.answer.length} of ${turn.expectedLength} characters`];
+  });
+}
+
+function checkCharges({ observations, world }: CheckInput): string[] {
+  return observations.charges.flatMap(({ body, outcome }) => {
+    const ran = world.ledger.ledger.filter((call) => call.body === body).length;
+    if (ran > 1) return [`"${body}" ran ${ran} times`];
+    return outcome === "answered" && ran === 0 ? [`"${body}" was answered and never ran`] : [];
+  });
+}
+
+function checkRefusals({ observations, world }: CheckInput): string[] {
+  return observations.charges.flatMap(({ body, outcome }) => {
+    const ran = world.ledger.ledger.some((call) => call.body === body);
+    return outcome === "not-run" && ran ? [`"${body}" was refused as not run, and ran`] : [];
+  });
+}
+
+function checkBudget({ world, budgetTokens }: CheckInput): string[] {
+  let spent = 0;
+  for (const engine of world.engines) {
+    for (const tokens of engine.tokensByProgram.values()) spent += tokens;
+  }
+  return spent > budgetTokens ? [`${spent} tokens were spent of a budget of ${budgetTokens}`] : [];
+}
+
+function checkEngineMemory({ world }: CheckInput): string[] {
+  return world.engines.flatMap((engine) =>
+    engine.model
+      .holds()
+      .map(({ program, tokens }) => `${engine.options.name} holds ${tokens} tokens for ${program}`),
+  );
+}
+
+function checkLeaving({ world }: CheckInput): string[] {
+  return world.engines
+    .filter((engine) => engine.latestAfterLeavingMs > LEAVING_BOUND_MS)
+    .map(
+      (engine) => `${engine.options.name} took work ${engine.latestAfterLeavingMs} ms after it was leaving`,
+    );
+}
+
+function checkConfiguration({ observations, withdrawnMs, world }: CheckInput): string[] {
+  const late = observations.probes
+    .filter(({ served, startedMs }) => served && startedMs > withdrawnMs + IN_FORCE_BOUND_MS)
+    .map(
+      ({ startedMs }) =>
+        `a model was served ${Math.round(startedMs - withdrawnMs)} ms after it was withdrawn`,
+    );
+  const versions = new Set(
+    world.nodes.filter((node) => node.process.alive).map((node) => node.daemon.configuration.version),
+  );
+  const differing = versions.size > 1 ? [`nodes ended with versions ${[...versions].join(", ")}`] : [];
+  const accepted = observations.changes
+    .filter(({ outcome }) => outcome === "accepted")
+    .map(({ version }) => version);
+  const doubled = accepted.filter((version, index) => accepted.indexOf(version) !== index);
+  return [
+    ...late,
+    ...differing,
+    ...doubled.map((version) => `two changes were accepted as version ${version}`),
+  ];
+}
+
+function checkLiveness({ observations, world }: CheckInput): string[] {
+  const stuck = observations.unfinished > 0 ? [`${observations.unfinished} callers never finished`] : [];
+  const leaderless: string[] = [];
+  for (let shard = 0; shard < world.options.shards; shard++) {
+    const led = world.nodes.some((node) => node.process.alive && node.daemon.shards.get(shard)?.leads);
+    if (!led) leaderless.push(`shard ${shard} ended without a leader`);
+  }
+  return [...stuck, ...leaderless];
+}
--- /dev/null
+++ b/bench/simulation/faults.ts
@@ -0,0 +1,178 @@
+import type { RandomSource } from "../../src/runtime/random-source.ts";
+import type { World } from "./world.ts";
+
+/** The kinds of faults that can be brought about. */
+export const FAULT_KINDS = [
+  "kill-node",
+  "freeze-node",
+  "cut-node-out",
+  "cut-node-in",
+  "isolate-node",
+  "drain-node",
+  "kill-engine",
+  "freeze-engine",
+  "engine-leaves",
+  "kill-sidecar",
+  "table-outage",
+  "table-slow",
+  "table-loses-answers",
+  "list-outage",
+  "platform-outage",
+  "network-loss",
+  "network-duplicates",
+  "network-reorders",
+  "service-hangs",
+] as const;
+
+/** The kind of a fault. */
+export type FaultKind = (typeof FAULT_KINDS)[number];
+
+/** One fault of a plan. */
+export interface Fault {
+  readonly kind: FaultKind;
+  readonly atMs: number;
+  readonly durationMs: number;
+  /** Which machine, by its number modulo the machines of that kind. */
+  readonly target: number;
+}
+
+const MIN_DURATION_MS = 500;
+const MAX_DURATION_MS = 9_000;
+/** Quiet time after a pair of faults, in which lost replicas are made up for. */
+const RECOVERY_MS = 14_000;
+const PAIR_SPREAD_MS = 1_500;
+
+/** Draws a plan: pairs of faults close together, with time to recover in between. */
+export function drawFaultPlan(
+  random: RandomSource,
+  startMs: number,
+  endMs: number,
+  kinds: readonly FaultKind[],
+): Fault[] {
+  const plan: Fault[] = [];
+  let atMs = startMs;
+  while (atMs < endMs - RECOVERY_MS) {
+    const first = drawFault(random, atMs, kinds);
+    const second = drawFault(random, atMs + random.below(PAIR_SPREAD_MS), kinds);
+    plan.push(first, second);
+    atMs += MAX_DURATION_MS + RECOVERY_MS;
+  }
+  return plan;
+}
+
+function drawFault(random: RandomSource, atMs: number, kinds: readonly FaultKind[]): Fault {
+  return {
+    kind: kinds[random.below(kinds.length)],
+    atMs,
+    durationMs: MIN_DURATION_MS + random.below(MAX_DURATION_MS - MIN_DURATION_MS),
+    target: random.below(1_000),
+  };
+}
+
+/** Brings the faults of a plan about, each at its time, and undoes them. */
+export function scheduleFaults(world: World, plan: readonly Fault[]): void {
+  for (const fault of plan) {
+    world.time.after(fault.atMs - world.time.nowMs, () => {
+      const undo = bringAbout(world, fault);
+      world.note(`fault ${fault.kind} of ${fault.target} for ${fault.durationMs} ms`);
+      world.time.after(fault.durationMs, () => {
+        undo();
+        world.note(`fault ${fault.kind} of ${fault.target} ends`);
+      });
+    });
+  }
+}
+
+function bringAbout(world: World, { kind, target }: Fault): () => void {
+  const node = world.nodes[target % world.nodes.length];
+  const engine = world.engines[target % world.engines.length];
+  const sidecar = world.sidecars[target % world.sidecars.length];
+  const service = world.services[target % world.services.length];
+  const { table, machineList, objects } = world.platform;
+  const { network } = world;
+  switch (kind) {
+    case "kill-node":
+      world.killNode(node);
+      return () => world.restartNode(node);
+    case "freeze-node":
+      node.process.freeze();
+      return () => node.process.wake();
+    case "cut-node-out":
+      network.cut(node.name, "*");
+      return () => network.heal(node.name, "*");
+    case "cut-node-in":
+      network.cut("*", node.name);
+      return () => network.heal("*", node.name);
+    case "isolate-node":
+      network.cut(node.name, "*");
+      network.cut("*", node.name);
+      return () => {
+        network.heal(node.name, "*");
+        network.heal("*", node.name);
+      };
+    case "drain-node": {
+      const leaving = node.process;
+      void node.daemon.drain().then(() => leaving.kill());
+      return () => {
+        if (node.process !== leaving) return;
+        leaving.kill();
+        world.restartNode(node);
+      };
+    }
+    case "kill-engine":
+      engine.process.kill();
+      return () => engine.restart();
+    case "freeze-engine": {
+      const frozen = engine.process;
+      frozen.freeze();
+      return () => frozen.wake();
+    }
+    case "engine-leaves":
+      world.listEngine(engine, "leaving");
+      engine.leavingSinceMs = world.time.nowMs;
+      return () => {
+        engine.leavingSinceMs = undefined;
+        world.listEngine(engine, "live");
+      };
+    case "kill-sidecar":
+      sidecar.process.kill();
+      return () => world.restartSidecar(sidecar);
+    case "table-outage":
+      return setFor(table.conditions, "outage", true);
+    case "table-slow":
+      return setFor(table.conditions, "slowMs", 400);
+    case "table-loses-answers":
+      return setFor(table.conditions, "lostAnswers", 0.5);
+    case "list-outage":
+      return setFor(machineList.conditions, "outage", true);
+    case "platform-outage": {
+      const undo = [table, machineList, objects].map((service) => setFor(service.conditions, "outage", true));
+      return () => {
+        for (const one of undo) one();
+      };
+    }
+    case "network-loss":
+      return setFor(network.conditions, "loss", 0.1);
+    case "network-duplicates":
+      return setFor(network.conditions, "duplication", 0.3);
+    case "network-reorders":
+      return setFor(network.conditions, "reordering", 0.3);
+    case "service-hangs":
+      service.hanging = true;
+      return () => {
+        service.hanging = false;
+      };
+  }
+}
+
+function setFor<Conditions, Key extends keyof Conditions>(
+  conditions: Conditions,
+  key: Key,
+  value: Conditions[Key],
+): () => void {
+  const before = conditions[key];
+  conditions[key] = value;
+  return () => {
+    conditions[key] = before;
+  };
+}
--- /dev/null
+++ b/bench/simulation/workload.ts
@@ -0,0 +1,252 @@
+import type { Problem } from "../../src/errors/problem.ts";
+import { problemOfError } from "../../src/errors/tulipwheel-error.ts";
+import type { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import type { CallRequest } from "../../src/scheduling/program/records.ts";
+import type { CallResult } from "../../src/sidecar/calls/call-session.ts";
+import type { Observations } from "./observations.ts";
+import type { SidecarSlot, World } from "./world.ts";
+
+export const TENANT = "magnolia";
+export const TEMPLATE = "pay-run";
+const PATIENCE_MS = 25_000;
+const WATCH_SIDECAR_MS = 25;
+const CHARACTERS_PER_TOKEN = 4;
+const MAX_TRIES = 6;
+const RETRY_PAUSE_MS = 700;
+
+/** A call's end as an HTTP client would see it: the result, or a broken connection. */
+type Seen = CallResult | { readonly type: "cut" };
+
+interface Turn {
+  readonly question: string;
+  readonly tokens: number;
+}
+
+/** One caller with one program: turns, charges, and a sub-agent now and then. */
+export class Caller {
+  readonly #world: World;
+  readonly #observations: Observations;
+  readonly #random: SeededRandomSource;
+  readonly #name: string;
+  #step = 0;
+
+  constructor(world: World, observations: Observations, random: SeededRandomSource, name: string) {
+    this.#world = world;
+    this.#observations = observations;
+    this.#random = random;
+    this.#name = name;
+  }
+
+  /** Opens programs and works with them until `endMs`. */
+  async run(endMs: number): Promise<void> {
+    while (this.#world.time.nowMs < endMs) {
+      const program = await this.#open(undefined);
+      if (program) await this.#work(program, endMs, true);
+      await this.#pause(300);
+    }
+  }
+
+  async #work(program: string, endMs: number, mayBranch: boolean): Promise<void> {
+    const steps = 3 + this.#random.below(6);
+    for (let step = 0; step < steps && this.#world.time.nowMs < endMs; step++) {
+      const dice = this.#random.unit();
+      if (dice < 0.55) await this.#turn(program);
+      else if (dice < 0.85) await this.#charge(program);
+      else if (mayBranch) await this.#branch(program, endMs);
+      await this.#pause(900);
+    }
+    await this.#close(program);
+  }
+
+  /** A sub-agent with a history of its own, while the parent waits. */
+  async #branch(parent: string, endMs: number): Promise<void> {
+    const child = await this.#open({ program: parent, afterCall: 0 });
+    if (child) await this.#work(child, endMs, false);
+  }
+
+  async #open(parent: { program: string; afterCall: number } | undefined): Promise<string | undefined> {
+    for (let attempt = 0; attempt < MAX_TRIES; attempt++) {
+      const parameters = { tenant: TENANT, template: TEMPLATE, parent, deadlineMs: undefined };
+      const opened = await this.#through((slot) => slot.core.openProgram(parameters));
+      if (opened.type === "value") return opened.value.id;
+      await this.#pause(RETRY_PAUSE_MS);
+    }
+    return undefined;
+  }
+
+  async #close(program: string): Promise<void> {
+    for (let attempt = 0; attempt < MAX_TRIES * 3; attempt++) {
+      const read = await this.#through((slot) => slot.core.readProgram(program, TENANT));
+      if (read.type === "value") {
+        const messages = read.value.history.map(({ role, content }) => ({ role, content }));
+        this.#observations.histories.push({ program, messages });
+        break;
+      }
+      await this.#pause(RETRY_PAUSE_MS);
+    }
+    for (let attempt = 0; attempt < MAX_TRIES * 3; attempt++) {
+      const ended = await this.#through((slot) => slot.core.endProgram(program, TENANT));
+      if (ended.type === "value") return;
+      await this.#pause(RETRY_PAUSE_MS);
+    }
+  }
+
+  async #turn(program: string): Promise<void> {
+    const tokens = 3 + this.#random.below(60);
+    for (let attempt = 0; attempt < MAX_TRIES; attempt++) {
+      const question = `${this.#name} step ${this.#nextStep()} #tokens=${tokens}`;
+      const outcome = await this.#askOnce(program, { question, tokens });
+      if (outcome === "answered" || outcome === "unknown") return;
+      await this.#pause(RETRY_PAUSE_MS);
+    }
+  }
+
+  async #askOnce(program: string, { question, tokens }: Turn): Promise<string> {
+    let streamed = "";
+    const request: CallRequest = {
+      type: "completion",
+      model: "agent-llm",
+      messages: [{ role: "user", content: question }],
+      maxTokens: 100,
+    };
+    const restart = () => {
+      streamed = "";
+    };
+    const seen = await this.#call(
+      program,
+      question,
+      request,
+      (text) => {
+        streamed += text;
+      },
+      restart,
+    );
+    const outcome = outcomeOf(seen);
+    const answer =
+      seen.type === "answered" && seen.answer.type === "completion" ? seen.answer.text : undefined;
+    const expectedLength = tokens * CHARACTERS_PER_TOKEN;
+    this.#observations.turns.push({ program, question, expectedLength, streamed, outcome, answer });
+    this.#note(program, "turn", question, outcome);
+    return outcome;
+  }
+
+  async #charge(program: string): Promise<void> {
+    for (let attempt = 0; attempt < MAX_TRIES; attempt++) {
+      const body = `${this.#name} charge ${this.#nextStep()}`;
+      const request: CallRequest = {
+        type: "service",
+        service: "pay-api",
+        method: "POST",
+        path: "/charges",
+        contentType: "text/plain",
+        body,
+        idempotencyKey: body,
+        neverRepeat: false,
+      };
+      const seen = await this.#call(
+        program,
+        body,
+        request,
+        () => undefined,
+        () => undefined,
+      );
+      const outcome = outcomeOf(seen);
+      this.#observations.charges.push({ program, body, outcome });
+      this.#note(program, "charge", body, outcome);
+      if (outcome === "answered" || outcome === "unknown") return;
+      await this.#pause(RETRY_PAUSE_MS);
+    }
+  }
+
+  /** Makes a call; when the sidecar dies under it, makes the same call again through another one. */
+  async #call(
+    program: string,
+    key: string,
+    request: CallRequest,
+    onText: (text: string) => void,
+    restart: () => void,
+  ): Promise<Seen> {
+    const untilMs = this.#world.time.nowMs + PATIENCE_MS * 2;
+    for (;;) {
+      const seen = await this.#callOnce(program, key, request, onText);
+      if (seen.type !== "cut" || this.#world.time.nowMs > untilMs) return seen;
+      restart();
+      await this.#pause(RETRY_PAUSE_MS);
+    }
+  }
+
+  async #callOnce(
+    program: string,
+    key: string,
+    request: CallRequest,
+    onText: (text: string) => void,
+  ): Promise<Seen> {
+    const parameters = {
+      tenant: TENANT,
+      program,
+      number: undefined,
+      idempotencyKey: key,
+      request,
+      patienceMs: PATIENCE_MS,
+    };
+    const made = await this.#through(async (slot) => {
+      const session = await slot.core.makeCall(parameters, onText);
+      return session.result;
+    });
+    if (made.type === "value") return made.value;
+    if (made.type === "cut") return { type: "cut" };
+    return { type: "failed", problem: made.problem };
+  }
+
+  /** Does something through a living sidecar, and notices when that sidecar dies meanwhile. */
+  #through<Value>(work: (slot: SidecarSlot) => Promise<Value>): Promise<Through<Value>> {
+    const living = this.#world.sidecars.filter((slot) => slot.process.alive);
+    if (living.length === 0) return Promise.resolve({ type: "cut" });
+    const slot = living[this.#random.below(living.length)];
+    const { process } = slot;
+    return new Promise((resolve) => {
+      const watch = () => {
+        if (!process.alive) resolve({ type: "cut" });
+        else if (!settled) this.#world.time.after(WATCH_SIDECAR_MS, watch);
+      };
+      let settled = false;
+      this.#world.time.after(WATCH_SIDECAR_MS, watch);
+      work(slot).then(
+        (value) => {
+          settled = true;
+          resolve({ type: "value", value });
+        },
+        (error) => {
+          settled = true;
+          resolve({ type: "problem", problem: problemOfError(error) });
+        },
+      );
+    });
+  }
+
+  #note(program: string, kind: string, text: string, outcome: string): void {
+    this.#world.note(`${kind} "${text}" of ${program}: ${outcome}`);
+    if (outcome !== "answered") this.#observations.failures += 1;
+  }
+
+  #nextStep(): number {
+    this.#step += 1;
+    return this.#step;
+  }
+
+  #pause(maxMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#world.time.after(20 + this.#random.below(maxMs), resolve);
+    });
+  }
+}
+
+type Through<Value> =
+  | { readonly type: "value"; readonly value: Value }
+  | { readonly type: "problem"; readonly problem: Problem }
+  | { readonly type: "cut" };
+
+function outcomeOf(seen: Seen) {
+  if (seen.type === "answered") return "answered" as const;
+  return seen.type === "cut" ? ("unknown" as const) : seen.problem.outcome;
+}
--- /dev/null
+++ b/bench/simulation/world.ts
@@ -0,0 +1,251 @@
+/**
+ * A whole system on virtual time: the product's own node and sidecar code over a simulated network, platform and
+ * back ends. Everything random comes from one seed, so the same seed gives the same run, event for event.
+ */
+import { pino } from "pino";
+import { NodeDaemon } from "../../src/node/node-daemon.ts";
+import type { Machine } from "../../src/platform/machine-list/machine-list.ts";
+import { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import type { TextHash } from "../../src/runtime/text-hash.ts";
+import { type NodeSettings, nodeSettingsSchema } from "../../src/settings/node-settings.ts";
+import { sidecarSettingsSchema } from "../../src/settings/sidecar-settings.ts";
+import { SidecarCore } from "../../src/sidecar/sidecar-core.ts";
+import { ServiceModel } from "../../standins/service/service-model.ts";
+import { SimulatedBackEnds, SimulatedEngine, SimulatedServiceMachine } from "./simulated-back-ends.ts";
+import { SimulatedNetwork } from "./simulated-network.ts";
+import { SimulatedPlatform } from "./simulated-platform.ts";
+import { SimulatedProcess, VirtualTime } from "./virtual-time.ts";
+
+/** What a simulated system is made of. */
+export interface WorldOptions {
+  readonly seed: number;
+  readonly nodes: number;
+  readonly zones: number;
+  readonly engines: number;
+  readonly services: number;
+  readonly shards: number;
+  readonly replicas: number;
+  readonly sidecars: number;
+}
+
+/** Sizes that are small enough to run fast, and large enough to lose two machines. */
+export const DEFAULT_WORLD: Omit<WorldOptions, "seed"> = {
+  nodes: 6,
+  zones: 3,
+  engines: 3,
+  services: 2,
+  shards: 6,
+  replicas: 5,
+  sidecars: 2,
+};
+
+/** Models that the simulated engines serve. */
+export const MODELS = ["agent-llm", "side-llm"];
+const ENGINE_SLOTS = 6;
+const ENGINE_KV_TOKENS = 30_000;
+const MAX_DRIFT = 0.002;
+const TOKEN_LENGTH = 8;
+
+/** A node's place; several processes may hold it one after another. */
+export interface NodeSlot {
+  readonly name: string;
+  readonly zone: string;
+  readonly address: string;
+  process: SimulatedProcess;
+  daemon: NodeDaemon;
+}
+
+/** A sidecar's place. */
+export interface SidecarSlot {
+  readonly name: string;
+  readonly zone: string;
+  readonly address: string;
+  process: SimulatedProcess;
+  core: SidecarCore;
+}
+
+/** See the module's comment. */
+export class World {
+  readonly time = new VirtualTime();
+  readonly random: SeededRandomSource;
+  readonly hash: TextHash;
+  readonly network: SimulatedNetwork;
+  readonly platform: SimulatedPlatform;
+  readonly backEnds: SimulatedBackEnds;
+  readonly ledger = new ServiceModel();
+  readonly nodes: NodeSlot[] = [];
+  readonly sidecars: SidecarSlot[] = [];
+  readonly engines: SimulatedEngine[] = [];
+  readonly services: SimulatedServiceMachine[] = [];
+  readonly options: WorldOptions;
+  readonly trace: string[] = [];
+
+  constructor(options: WorldOptions, hash: TextHash) {
+    this.options = options;
+    this.hash = hash;
+    this.random = new SeededRandomSource(options.seed);
+    this.network = new SimulatedNetwork(this.time, this.random);
+    this.platform = new SimulatedPlatform(this.time, this.random);
+    this.backEnds = new SimulatedBackEnds(this.time, this.network);
+    for (let index = 0; index < options.engines; index++) this.#addEngine(index);
+    for (let index = 0; index < options.services; index++) this.#addService(index);
+    for (let index = 0; index < options.nodes; index++) this.nodes.push(this.#newNode(index));
+    for (let index = 0; index < options.sidecars; index++) this.sidecars.push(this.#newSidecar(index));
+  }
+
+  /** Writes an event down. The trace of a run is the same for the same seed. */
+  note(event: string): void {
+    this.trace.push(`${String(Math.round(this.time.nowMs)).padStart(7)} ${event}`);
+  }
+
+  /** Whether every living node is ready. */
+  get ready(): boolean {
+    return this.nodes.every((node) => !node.process.alive || node.daemon.ready);
+  }
+
+  /** Ends a node as if its machine had failed. */
+  killNode(slot: NodeSlot): void {
+    slot.process.kill();
+  }
+
+  /** Starts a node anew, empty, in the place of one that was killed. */
+  restartNode(slot: NodeSlot): void {
+    const fresh = this.#newNode(this.nodes.indexOf(slot));
+    slot.process = fresh.process;
+    slot.daemon = fresh.daemon;
+  }
+
+  /** Starts a sidecar anew in the place of one that was killed. */
+  restartSidecar(slot: SidecarSlot): void {
+    const fresh = this.#newSidecar(this.sidecars.indexOf(slot));
+    slot.process = fresh.process;
+    slot.core = fresh.core;
+  }
+
+  /** Puts a machine on the platform's list, or changes it there. */
+  list(machine: Partial<Machine> & Pick<Machine, "name" | "kind" | "pool" | "zone" | "address">): void {
+    const whole: Machine = { incarnation: "1", state: "live", models: [], slots: 0, kvTokens: 0, ...machine };
+    this.platform.listModel.put(whole, this.time.nowMs);
+  }
+
+  /** Puts an engine on the list as it is now. */
+  listEngine(engine: SimulatedEngine, state: Machine["state"]): void {
+    const { name, models } = engine.options;
+    this.list({
+      name,
+      kind: "runner",
+      pool: models[0],
+      zone: engine.process.zone,
+      address: engine.address,
+      models,
+      slots: ENGINE_SLOTS,
+      kvTokens: ENGINE_KV_TOKENS,
+      state,
+    });
+  }
+
+  #zone(index: number): string {
+    return `zone-${index % this.options.zones}`;
+  }
+
+  #drift(): number {
+    return 1 + (this.random.unit() * 2 - 1) * MAX_DRIFT;
+  }
+
+  #addEngine(index: number): void {
+    const options = {
+      name: `engine-${index}`,
+      models: MODELS,
+      slots: ENGINE_SLOTS,
+      kvTokens: ENGINE_KV_TOKENS,
+      sameTextEverywhere: false,
+    };
+    const engine = new SimulatedEngine(
+      options,
+      this.#zone(index),
+      `10.0.1.${index}:8000`,
+      this.time,
+      this.hash,
+    );
+    this.engines.push(engine);
+    this.backEnds.engines.set(engine.address, engine);
+    this.listEngine(engine, "live");
+  }
+
+  #addService(index: number): void {
+    const name = `pay-api-${index}`;
+    const address = `10.0.2.${index}:8000`;
+    const machine = new SimulatedServiceMachine(name, this.#zone(index), address, this.time, this.ledger);
+    this.services.push(machine);
+    this.backEnds.services.set(address, machine);
+    this.list({ name, kind: "service", pool: "pay-api", zone: this.#zone(index), address });
+  }
+
+  #newNode(index: number): NodeSlot {
+    const name = `node-${index}`;
+    const zone = this.#zone(index);
+    const address = `10.0.0.${index}:7000`;
+    const process = new SimulatedProcess(name, zone, this.time, this.#drift());
+    const instance = `${name}#${this.random.token(TOKEN_LENGTH)}`;
+    const transport = this.network.attach(process, { instance, address });
+    const settings = this.#nodeSettings(name, zone, address);
+    const random = new SeededRandomSource(this.random.below(2 ** 30));
+    const log = pino({ level: "silent" });
+    const context = {
+      self: { instance, address, zone },
+      settings,
+      clock: process,
+      random,
+      hash: this.hash,
+      transport,
+      log,
+    };
+    const daemon = new NodeDaemon(context, {
+      table: this.platform.tableFor(process),
+      objects: this.platform.objectsFor(process),
+      machineList: this.platform.machineListFor(process),
+      engine: this.backEnds.engineClientFor(process),
+      service: this.backEnds.serviceClientFor(process),
+    });
+    daemon.start();
+    return { name, zone, address, process, daemon };
+  }
+
+  #nodeSettings(name: string, zone: string, address: string): NodeSettings {
+    const { shards, replicas, nodes } = this.options;
+    const unused = "10.0.9.9:1";
+    return nodeSettingsSchema.parse({
+      name,
+      region: "simulated",
+      zone,
+      address,
+      metrics: unused,
+      platform: { table: unused, objects: unused, machineList: unused },
+      cluster: { shards, replicas, firstNodes: nodes, shardsPerFamily: 1 },
+    });
+  }
+
+  #newSidecar(index: number): SidecarSlot {
+    const name = `sidecar-${index}`;
+    const zone = this.#zone(index);
+    const address = `10.0.3.${index}:7000`;
+    const process = new SimulatedProcess(name, zone, this.time, this.#drift());
+    const instance = `${name}#${this.random.token(TOKEN_LENGTH)}`;
+    const settings = sidecarSettingsSchema.parse({
+      name,
+      region: "simulated",
+      zone,
+      listen: address,
+      address,
+      nodes: this.nodes.map((node) => node.address),
+    });
+    const core = new SidecarCore({
+      settings,
+      clock: process,
+      random: new SeededRandomSource(this.random.below(2 ** 30)),
+      hash: this.hash,
+      transport: this.network.attach(process, { instance, address }),
+    });
+    return { name, zone, address, process, core };
+  }
+}
--- a/src/node/configuration/configuration-service.ts
+++ b/src/node/configuration/configuration-service.ts
@@ -39,6 +39,8 @@
   readonly #rpc: RpcEndpoint;
   readonly #table: ConfigurationTable;
   readonly #chain = new ConfigurationChain<ConfigurationEntry>();
+  /** The newest content of each key, parsed once. */
+  readonly #documents = new Map<string, ConfigurationDocument>();
   readonly #policies = new Map<string, EffectivePolicy>();
   #fetching = false;
   #knowsNewest = false;
@@ -95,21 +97,18 @@
     const cacheKey = `${tenant}/${template}`;
     const cached = this.#policies.get(cacheKey);
     if (cached) return cached;
-    const templateEntry = this.#chain.get(templateKey(template));
-    const tenantEntry = this.#chain.get(tenantKey(template, tenant));
-    if (!templateEntry?.content || !tenantEntry?.content) return undefined;
-    const policy = resolvePolicy(
-      parseDocument(templateEntry.content) as TemplateDocument,
-      parseDocument(tenantEntry.content) as TenantDocument,
-    );
+    const templateDocument = this.#documents.get(templateKey(template)) as TemplateDocument | undefined;
+    const tenantDocument = this.#documents.get(tenantKey(template, tenant)) as TenantDocument | undefined;
+    if (!templateDocument || !tenantDocument) return undefined;
+    const policy = resolvePolicy(templateDocument, tenantDocument);
     this.#policies.set(cacheKey, policy);
     return policy;
   }
 
   /** Whether an operator wants a runner to take no more work. */
   isRunnerDrained(runner: string): boolean {
-    const entry = this.#chain.get(runnerKey(runner));
-    return entry?.content !== undefined && (parseDocument(entry.content) as RunnerDocument).draining;
+    const document = this.#documents.get(runnerKey(runner)) as RunnerDocument | undefined;
+    return document?.draining ?? false;
   }
 
   async #poll(): Promise<void> {
@@ -144,6 +143,10 @@
   #extend(entries: readonly ConfigurationEntry[]): number {
     const added = this.#chain.extend(entries);
     if (added.length === 0) return 0;
+    for (const { key, content } of added) {
+      if (content === undefined) this.#documents.delete(key);
+      else this.#documents.set(key, parseDocument(content));
+    }
     this.#policies.clear();
     this.#context.transport.configurationVersion = this.#chain.version;
     this.#context.log.info(
