--- a/bench/simulation/operators.ts
+++ b/bench/simulation/operators.ts
@@ -89,7 +89,10 @@
       maxTokens: 10,
     } as const;
     const call = { tenant: TENANT, program: id, number: undefined, idempotencyKey: undefined, request };
-    const session = await core.makeCall({ ...call, patienceMs: PROBE_PATIENCE_MS }, () => undefined);
+    const session = await core.makeCall(
+      { ...call, patienceMs: PROBE_PATIENCE_MS, streamed: false },
+      () => undefined,
+    );
     const result = await session.result;
     void core.endProgram(id, TENANT).catch(() => undefined);
     return result.type === "answered";
--- a/bench/simulation/workload.ts
+++ b/bench/simulation/workload.ts
@@ -126,7 +126,7 @@
       seen.type === "answered" && seen.answer.type === "completion" ? seen.answer.text : undefined;
     const expectedLength = tokens * CHARACTERS_PER_TOKEN;
     this.#observations.turns.push({ program, question, expectedLength, streamed, outcome, answer });
-    this.#note(program, "turn", question, outcome);
+    this.#note(program, "turn", question, seen);
     return outcome;
   }
 
@@ -152,7 +152,7 @@
       );
       const outcome = outcomeOf(seen);
       this.#observations.charges.push({ program, body, outcome });
-      this.#note(program, "charge", body, outcome);
+      this.#note(program, "charge", body, seen);
       if (outcome === "answered" || outcome === "unknown") return;
       await this.#pause(RETRY_PAUSE_MS);
     }
@@ -188,6 +188,7 @@
       idempotencyKey: key,
       request,
       patienceMs: PATIENCE_MS,
+      streamed: true,
     };
     const made = await this.#through(async (slot) => {
       const session = await slot.core.makeCall(parameters, onText);
@@ -224,9 +225,10 @@
     });
   }
 
-  #note(program: string, kind: string, text: string, outcome: string): void {
-    this.#world.note(`${kind} "${text}" of ${program}: ${outcome}`);
-    if (outcome !== "answered") this.#observations.failures += 1;
+  #note(program: string, kind: string, text: string, seen: Seen): void {
+    const why = seen.type === "failed" ? ` ${seen.problem.kind}: ${seen.problem.detail}` : "";
+    this.#world.note(`${kind} "${text}" of ${program}: ${outcomeOf(seen)}${why}`);
+    if (seen.type !== "answered") this.#observations.failures += 1;
   }
 
   #nextStep(): number {
--- a/src/coordination/shard-group/shard-group.ts
+++ b/src/coordination/shard-group/shard-group.ts
@@ -129,6 +129,14 @@
     return this.isReadyLeader && this.#membership.currentIndex <= this.#commitIndex;
   }
 
+  /**
+   * Whether this replica leads and a majority answered it lately. Ask again after a pause, before acting:
+   * a process that was frozen wakes up sure that it still leads.
+   */
+  hasMajority(nowMs: number): boolean {
+    return this.#leadsWithMajority(nowMs);
+  }
+
   /** How far behind the journal's end a replica is, in entries; undefined when not leading or not a replica. */
   lagOf(instance: string): number | undefined {
     const progress = this.#followers.get(instance);
@@ -334,8 +342,8 @@
   #becomeLeader(nowMs: number): void {
     this.#followers.clear();
     this.#setRole("leader", this.#options.self);
-    this.#termStartIndex = this.#appendAsLeader({ type: "leaderStart" }).index;
     this.#syncFollowers(nowMs);
+    this.#termStartIndex = this.#appendAsLeader({ type: "leaderStart" }).index;
     this.#nextHeartbeatMs = nowMs + this.#options.heartbeatIntervalMs;
     this.flush(nowMs);
   }
--- a/src/errors/error-kinds.ts
+++ b/src/errors/error-kinds.ts
@@ -142,9 +142,10 @@
   "answer-interrupted": {
     title: "The answer could not be continued",
     status: 502,
-    outcome: "failed",
-    retriable: true,
-    remedy: "Discard the partial answer and read the program's history for the committed one.",
+    outcome: "unknown",
+    retriable: false,
+    remedy:
+      "Discard the partial answer. Send the request again with its idempotency key, or read the program's history, for the committed one.",
   },
   "outcome-unknown": {
     title: "Whether the request ran is not known",
--- a/src/messages/message.ts
+++ b/src/messages/message.ts
@@ -8,6 +8,8 @@
 export interface ShardMessage {
   readonly type: "shard";
   readonly shard: number;
+  /** The replica that is meant; another instance under the same address must not answer for it. */
+  readonly to: string;
   readonly message: ShardGroupMessage<ShardCommand>;
 }
 
--- /dev/null
+++ b/src/node/calls/call-service-parts.ts
@@ -0,0 +1,30 @@
+import type { RpcEndpoint } from "../../runtime/rpc.ts";
+import type { BudgetService } from "../budgets/budget-service.ts";
+import type { ConfigurationService } from "../configuration/configuration-service.ts";
+import type { NodeContext } from "../node-context.ts";
+import type { ShardCommitter } from "../shard-committer.ts";
+import type { ShardHost } from "../shard-host.ts";
+import type { CompletionRunner } from "./completion-runner.ts";
+import type { DecisionBuilder } from "./decision-builder.ts";
+import type { ServiceRunner } from "./service-runner.ts";
+
+/** What the handling of calls is made of. */
+export interface CallServiceParts {
+  readonly context: NodeContext;
+  readonly shards: ShardHost;
+  readonly configuration: ConfigurationService;
+  readonly budgets: BudgetService;
+  readonly completions: CompletionRunner;
+  readonly services: ServiceRunner;
+  readonly decisions: DecisionBuilder;
+  readonly committer: ShardCommitter;
+  readonly rpc: RpcEndpoint;
+}
+
+/** Counters of calls since the start of the process. */
+export interface CallCounters {
+  answered: number;
+  failed: number;
+  refused: number;
+  takenOver: number;
+}
--- a/src/node/calls/service-runner.ts
+++ b/src/node/calls/service-runner.ts
@@ -44,8 +44,9 @@
 
   /** Carries out a call of this leader's own, or a repeatable one of an earlier leader. */
   async run(job: ServiceJob): Promise<CallConclusion> {
-    await job.committed;
     const startMs = this.#context.clock.monotonicMs();
+    await job.committed;
+    this.#checkAfterPause(job, startMs);
     let attempt = job.record.attempt;
     for (;;) {
       const result = await this.#send(job);
@@ -62,6 +63,14 @@
     }
   }
 
+  /** After a pause in which another leader may have been elected, nothing may be sent: that one has said how it ended. */
+  #checkAfterPause(job: ServiceJob, startMs: number): void {
+    const nowMs = this.#context.clock.monotonicMs();
+    const { electionTimeoutMs } = this.#context.settings.timing.shardGroup;
+    if (nowMs - startMs < electionTimeoutMs || job.replica.group.hasMajority(nowMs)) return;
+    throw new RedirectSignal(job.replica.leader?.address);
+  }
+
   /** A call of an earlier leader that may not be repeated: whether it ran cannot be known here. */
   concludeUnknown(job: ServiceJob): CallConclusion {
     const detail = `The leader that sent ${describe(job.request)} is gone, and no answer is recorded.`;
--- a/src/node/runners/runner-directory.ts
+++ b/src/node/runners/runner-directory.ts
@@ -104,6 +104,7 @@
 
   async #poll(): Promise<void> {
     const { self, clock, settings } = this.#context;
+    const startMs = clock.monotonicMs();
     try {
       await this.#machineList.report({
         name: settings.name,
@@ -118,7 +119,7 @@
         kvTokens: 0,
       });
       this.#machines = await this.#machineList.read();
-      this.#readAtMs = clock.monotonicMs();
+      this.#readAtMs = startMs;
       this.onRead();
     } catch {
       // The platform does not answer: the last list stands, and its age is watched by those who depend on it.
--- a/src/node/runners/runner-home.ts
+++ b/src/node/runners/runner-home.ts
@@ -34,7 +34,6 @@
   readonly #requesters = new Map<string, string>();
   #machine: Machine;
   #engineLeaving = false;
-  #reportReadAtMs = Number.NEGATIVE_INFINITY;
   #announcedBucket = -1;
   #reading = false;
 
@@ -116,9 +115,7 @@
     if (this.#reading) return;
     this.#reading = true;
     try {
-      const report = await this.#engine.load(this.#machine.address);
-      this.#reportReadAtMs = this.#context.clock.monotonicMs();
-      this.#applyReport(report);
+      this.#applyReport(await this.#engine.load(this.#machine.address));
     } catch {
       // The engine does not answer: grants go on while the platform lists it, and broken streams tell the rest.
     } finally {
@@ -141,11 +138,9 @@
     this.#announceIfMoved();
   }
 
-  /** Without a fresh word from the platform or the engine itself, a home must not give out work. */
+  /** A home that cannot see the platform's list must not give out work: the runner may be leaving unseen. */
   #refreshDraining(): void {
-    const { machineListStaleMs } = this.#context.settings.timing;
-    const reportAgeMs = this.#context.clock.monotonicMs() - this.#reportReadAtMs;
-    const blind = !this.#port.listIsFresh() && reportAgeMs > machineListStaleMs;
+    const blind = !this.#port.listIsFresh();
     const leaving = this.#machine.state === "leaving" || this.#engineLeaving;
     const drained = this.#port.isDrainedByOperator(this.#machine.name);
     this.#queue.setDraining(leaving || drained || blind);
--- a/src/node/shard-host.ts
+++ b/src/node/shard-host.ts
@@ -89,14 +89,15 @@
   }
 
   /** Takes in a message of another replica. A leader's message for an unknown shard starts an empty replica. */
-  onMessage({ shard, message }: ShardMessage): void {
+  onMessage({ shard, to, message }: ShardMessage): void {
+    if (to !== this.#context.self.instance) return;
     const replica = this.#replicas.get(shard) ?? this.#createFor(shard, message);
     replica?.receive(message, this.#context.clock.monotonicMs());
     if (replica) this.#noticeLeadership(replica);
   }
 
   sendToReplica(shard: number, to: Member, message: ShardGroupMessage<ShardCommand>): void {
-    this.#context.transport.send(to.address, { type: "shard", shard, message });
+    this.#context.transport.send(to.address, { type: "shard", shard, to: to.instance, message });
   }
 
   onRoleChanged(replica: ShardReplica): void {
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -13,7 +13,7 @@
   shardGroup: shardGroupTimingSchema.prefault({}),
   machineListMs: durationSchema.default(1_000).describe("Time between reads of the machine list, ms"),
   machineListStaleMs: durationSchema
-    .default(4_000)
+    .default(3_000)
     .describe("Age of the machine list at which homes stop granting work, ms"),
   repairMs: durationSchema.default(500).describe("Time between steps that move replicas of one shard, ms"),
   deadAfterMs: durationSchema.default(4_000).describe("Silence after which a replica is replaced, ms"),
--- a/src/sidecar/calls/call-session.ts
+++ b/src/sidecar/calls/call-session.ts
@@ -16,6 +16,8 @@
   readonly number: number | undefined;
   readonly request: CallRequest;
   readonly patienceMs: number;
+  /** Whether the caller sees the answer's text as it comes; otherwise only the whole, committed answer counts. */
+  readonly streamed: boolean;
 }
 
 /** How a call ended for the caller. */
@@ -161,11 +163,11 @@
     if (offset > this.#received.length) return this.#submit(undefined, from);
     if (offset + text.length <= this.#received.length) return;
     this.#received += fresh;
-    this.#onText(fresh);
+    if (this.#parameters.streamed) this.#onText(fresh);
   }
 
   #onFinished({ number, answer }: CallFinished): void {
-    if (answer.type === "completion") {
+    if (answer.type === "completion" && this.#parameters.streamed) {
       if (!answer.text.startsWith(this.#received)) return this.#settle(this.#interrupted());
       const rest = answer.text.slice(this.#received.length);
       this.#received = answer.text;
--- a/src/sidecar/http/chat-completions.ts
+++ b/src/sidecar/http/chat-completions.ts
@@ -11,7 +11,7 @@
 export const CALL_ID_HEADER = "tulipwheel-call-id";
 
 /** What the headers say of a call. */
-export type CallHeaders = Omit<MakeCallParameters, "request">;
+export type CallHeaders = Omit<MakeCallParameters, "request" | "streamed">;
 
 /** Answers `POST /v1/chat/completions`, streamed or whole, as OpenAI clients expect. */
 export async function chatCompletions(
@@ -23,7 +23,9 @@
   const body = checkBody(chatCompletionSchema, await exchange.json());
   const request = completionRequestOf(body, defaultMaxTokens);
   const writer = new CompletionWriter(exchange, body);
-  const session = await core.makeCall({ ...headers, request }, (text) => writer.onText(text));
+  const session = await core.makeCall({ ...headers, request, streamed: body.stream ?? false }, (text) =>
+    writer.onText(text),
+  );
   writer.start(session);
   exchange.response.on("close", () => session.abandon());
   writer.end(session, await session.result);
--- a/src/sidecar/http/service-calls.ts
+++ b/src/sidecar/http/service-calls.ts
@@ -14,7 +14,7 @@
   headers: CallHeaders,
 ): Promise<void> {
   const request = await serviceRequestOf(exchange, headers.idempotencyKey);
-  const session = await core.makeCall({ ...headers, request }, () => undefined);
+  const session = await core.makeCall({ ...headers, request, streamed: false }, () => undefined);
   const result = await session.result;
   if (result.type === "failed") return exchange.sendProblem(result.problem);
   if (result.answer.type !== "service") {
--- a/src/sidecar/sidecar-core.ts
+++ b/src/sidecar/sidecar-core.ts
@@ -52,6 +52,8 @@
   readonly idempotencyKey: string | undefined;
   readonly request: CallRequest;
   readonly patienceMs: number | undefined;
+  /** Whether `onText` is to be given the answer as it comes. */
+  readonly streamed: boolean;
 }
 
 const ROOT_TOKEN_LENGTH = 16;
@@ -127,7 +129,7 @@
 
   /** Makes a call. Its pieces go to `onText`; the end is in the session's `result`. */
   async makeCall(parameters: MakeCallParameters, onText: (text: string) => void): Promise<CallSession> {
-    const { program, tenant, number, request, idempotencyKey } = parameters;
+    const { program, tenant, number, request, idempotencyKey, streamed } = parameters;
     requireProgramId(program);
     const shard = await this.#shardOf(program);
     const call = callId(program, this.#callToken(idempotencyKey));
@@ -136,7 +138,7 @@
     const port = { clock, transport, settings, router: this.#router };
     const session = new CallSession(
       port,
-      { program, call, tenant, shard, number, request, patienceMs },
+      { program, call, tenant, shard, number, request, patienceMs, streamed },
       onText,
     );
     this.#track(session);
