--- a/bench/simulation/faults.ts
+++ b/bench/simulation/faults.ts
@@ -165,14 +165,18 @@
   }
 }
 
-function setFor<Conditions, Key extends keyof Conditions>(
+function setFor<Conditions extends object, Key extends keyof Conditions>(
   conditions: Conditions,
   key: Key,
   value: Conditions[Key],
 ): () => void {
-  const before = conditions[key];
+  const calm = CALM.get(conditions) ?? { ...conditions };
+  CALM.set(conditions, calm);
   conditions[key] = value;
   return () => {
-    conditions[key] = before;
+    conditions[key] = (calm as Conditions)[key];
   };
 }
+
+/** Conditions as they were before any fault: two faults of one kind may overlap. */
+const CALM = new WeakMap<object, object>();
--- a/bench/simulation/world.ts
+++ b/bench/simulation/world.ts
@@ -110,6 +110,7 @@
 
   /** Starts a node anew, empty, in the place of one that was killed. */
   restartNode(slot: NodeSlot): void {
+    slot.process.kill();
     const fresh = this.#newNode(this.nodes.indexOf(slot));
     slot.process = fresh.process;
     slot.daemon = fresh.daemon;
@@ -117,6 +118,7 @@
 
   /** Starts a sidecar anew in the place of one that was killed. */
   restartSidecar(slot: SidecarSlot): void {
+    slot.process.kill();
     const fresh = this.#newSidecar(this.sidecars.indexOf(slot));
     slot.process = fresh.process;
     slot.core = fresh.core;
