--- /dev/null
+++ b/test/contract/budget-escrow.test.ts
@@ -0,0 +1,80 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import { AllotmentBook, availableOf, BudgetLedger } from "../../src/coordination/budget-escrow/index.ts";
+
+const BUDGET = "magnolia/pay-run@total";
+
+describe("budget ledger", () => {
+  const CASES: [string, { limit: number; wanted: number[] }, number[]][] = [
+    ["lends what is wanted", { limit: 100, wanted: [40] }, [40]],
+    ["lends no more for the same total", { limit: 100, wanted: [40, 40, 40] }, [40, 40, 40]],
+    ["lends up to the limit", { limit: 100, wanted: [40, 500] }, [40, 100]],
+    ["lends nothing of nothing", { limit: 0, wanted: [10] }, [0]],
+    ["takes nothing back when less is wanted", { limit: 100, wanted: [40, 10] }, [40, 40]],
+  ];
+  for (const [name, { limit, wanted }, expected] of CASES) {
+    it(name, () => {
+      const ledger = new BudgetLedger();
+      expect(wanted.map((total) => ledger.lend(BUDGET, limit, "shard-1", total))).toEqual(expected);
+    });
+  }
+
+  it("lends nothing more after the budget was lowered below what is out", () => {
+    const ledger = new BudgetLedger();
+    ledger.lend(BUDGET, 100, "shard-1", 80);
+    expect(ledger.lend(BUDGET, 50, "shard-2", 10)).toEqual(0);
+    ledger.report(BUDGET, "shard-1", 60, 0);
+    expect(ledger.lend(BUDGET, 50, "shard-2", 10)).toEqual(10);
+  });
+
+  it("counts an allotment of a silent borrower as spent", () => {
+    const ledger = new BudgetLedger();
+    ledger.lend(BUDGET, 100, "gone", 100);
+    expect(ledger.lend(BUDGET, 100, "shard-2", 1)).toEqual(0);
+  });
+});
+
+describe("escrow as a whole", () => {
+  it("never lets borrowers spend more than the limit, whatever is lost, repeated or overtaken", () => {
+    const step = fc.record({
+      borrower: fc.nat(2),
+      action: fc.constantFrom("ask", "deliver-old", "reserve", "settle", "return", "report"),
+      amount: fc.nat(60),
+    });
+    fc.assert(
+      fc.property(fc.nat(200), fc.array(step, { maxLength: 120 }), (limit, steps) => {
+        const ledger = new BudgetLedger();
+        const books = [new AllotmentBook(), new AllotmentBook(), new AllotmentBook()];
+        const reservations: number[][] = [[], [], []];
+        const oldGrants: [number, number][] = [];
+        for (const { borrower, action, amount } of steps) {
+          const book = books[borrower];
+          const name = `shard-${borrower}`;
+          if (action === "ask") {
+            const total = ledger.lend(BUDGET, limit, name, book.get(BUDGET).grantedTotal + amount);
+            oldGrants.push([borrower, total]);
+            if (amount % 3 > 0) book.granted(BUDGET, total);
+          } else if (action === "deliver-old" && oldGrants.length > 0) {
+            const [to, total] = oldGrants[amount % oldGrants.length];
+            books[to].granted(BUDGET, total);
+          } else if (action === "reserve") {
+            if (book.reserve(BUDGET, amount)) reservations[borrower].push(amount);
+          } else if (action === "settle") {
+            const reserved = reservations[borrower].pop();
+            if (reserved !== undefined) book.settle(BUDGET, reserved, amount);
+          } else if (action === "return") book.giveBack(BUDGET, amount);
+          else if (action === "report") {
+            const { returnedTotal, spentTotal } = book.get(BUDGET);
+            ledger.report(BUDGET, name, returnedTotal, spentTotal);
+          }
+          const held = books.map((one) => one.get(BUDGET));
+          const spent = held.reduce((sum, one) => sum + one.spentTotal + one.reserved, 0);
+          expect(spent <= limit).toEqual(true);
+          for (const one of held) expect(availableOf(one) >= 0).toEqual(true);
+        }
+      }),
+      { seed: 11, numRuns: 400 },
+    );
+  });
+});
--- /dev/null
+++ b/test/contract/placement.test.ts
@@ -0,0 +1,139 @@
+import { before, describe, it } from "node:test";
+import { expect } from "earl";
+import { chooseReplicas, nextMembershipStep } from "../../src/coordination/placement/index.ts";
+import type { Member } from "../../src/coordination/shard-group/index.ts";
+import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
+
+function nodes(count: number, zones: number): Member[] {
+  return Array.from({ length: count }, (_, index) => ({
+    instance: `node-${index}`,
+    address: `10.0.0.${index}:1`,
+    zone: `zone-${index % zones}`,
+  }));
+}
+
+describe("placement of replicas", () => {
+  let hash: TextHash;
+  before(async () => {
+    hash = await loadTextHash();
+  });
+
+  const options = () => ({ replicas: 3, shardsPerFamily: 4, hash32: hash.hash32 });
+
+  it("uses different zones as long as there are enough", () => {
+    for (let shard = 0; shard < 64; shard++) {
+      const zones = new Set(chooseReplicas(shard, nodes(30, 5), options()).map((member) => member.zone));
+      expect(zones.size).toEqual(3);
+    }
+  });
+
+  it("moves only what a lost node held", () => {
+    const all = nodes(30, 5);
+    const without = all.filter((node) => node.instance !== "node-7");
+    for (let shard = 0; shard < 200; shard++) {
+      const before = chooseReplicas(shard, all, options()).map((member) => member.instance);
+      const after = chooseReplicas(shard, without, options()).map((member) => member.instance);
+      if (!before.includes("node-7")) expect(after).toEqual(before);
+    }
+  });
+
+  it("gives shards of one family the same replicas and different leaders", () => {
+    const family = [0, 1, 2].map((shard) =>
+      chooseReplicas(shard, nodes(30, 5), options()).map((one) => one.instance),
+    );
+    expect(new Set(family.map((members) => [...members].sort().join())).size).toEqual(1);
+    expect(new Set(family.map((members) => members[0])).size).toEqual(3);
+  });
+
+  it("spreads shards evenly enough", () => {
+    const held = new Map<string, number>();
+    for (let shard = 0; shard < 4_000; shard++) {
+      for (const { instance } of chooseReplicas(shard, nodes(20, 4), options())) {
+        held.set(instance, (held.get(instance) ?? 0) + 1);
+      }
+    }
+    const counts = [...held.values()];
+    expect(Math.max(...counts) < 1.5 * ((4_000 * 3) / 20)).toEqual(true);
+  });
+});
+
+describe("the next step of a membership", () => {
+  const [a, b, c, d] = nodes(4, 4);
+  const CASES: [string, Parameters<typeof nextMembershipStep>[0], object][] = [
+    [
+      "does nothing when all is as wanted",
+      {
+        self: a.instance,
+        membership: { voters: [a, b, c], learners: [] },
+        wanted: [a, b, c],
+        caughtUp: () => true,
+      },
+      { type: "none" },
+    ],
+    [
+      "first adds a learner",
+      {
+        self: a.instance,
+        membership: { voters: [a, b, c], learners: [] },
+        wanted: [a, b, d],
+        caughtUp: () => true,
+      },
+      { type: "change", membership: { voters: [a, b, c], learners: [d] } },
+    ],
+    [
+      "waits until the learner has caught up",
+      {
+        self: a.instance,
+        membership: { voters: [a, b, c], learners: [d] },
+        wanted: [a, b, d],
+        caughtUp: () => false,
+      },
+      { type: "none" },
+    ],
+    [
+      "then lets it vote",
+      {
+        self: a.instance,
+        membership: { voters: [a, b, c], learners: [d] },
+        wanted: [a, b, d],
+        caughtUp: () => true,
+      },
+      { type: "change", membership: { voters: [a, b, c, d], learners: [] } },
+    ],
+    [
+      "then drops who is not wanted",
+      {
+        self: a.instance,
+        membership: { voters: [a, b, c, d], learners: [] },
+        wanted: [a, b, d],
+        caughtUp: () => true,
+      },
+      { type: "change", membership: { voters: [a, b, d], learners: [] } },
+    ],
+    [
+      "drops a learner that died",
+      {
+        self: a.instance,
+        membership: { voters: [a, b, c], learners: [d] },
+        wanted: [a, b, c],
+        caughtUp: () => false,
+      },
+      { type: "change", membership: { voters: [a, b, c], learners: [] } },
+    ],
+    [
+      "hands over before it leaves itself",
+      {
+        self: c.instance,
+        membership: { voters: [a, b, c], learners: [] },
+        wanted: [a, b],
+        caughtUp: () => true,
+      },
+      { type: "transfer", to: a.instance },
+    ],
+  ];
+  for (const [name, input, expected] of CASES) {
+    it(name, () => {
+      expect(nextMembershipStep(input)).toLooseEqual(expected);
+    });
+  }
+});
--- /dev/null
+++ b/test/contract/support/group-network.ts
@@ -0,0 +1,157 @@
+import type { Member } from "../../../src/coordination/shard-group/index.ts";
+import { ShardGroup } from "../../../src/coordination/shard-group/index.ts";
+
+/** A command that says what it is. */
+export type TestCommand = string;
+
+interface InFlight {
+  readonly from: string;
+  readonly to: string;
+  readonly message: Parameters<ShardGroup<TestCommand>["receive"]>[0];
+}
+
+const TICK_MS = 50;
+const ELECTION_TIMEOUT_MS = 400;
+const HEARTBEAT_MS = 100;
+
+/** One replica with the state it has applied. */
+export class TestReplica {
+  readonly member: Member;
+  readonly group: ShardGroup<TestCommand>;
+  applied: TestCommand[] = [];
+  appliedIndex = 0;
+  alive = true;
+
+  constructor(name: string, seed: number, nowMs: number) {
+    this.member = { instance: name, address: name, zone: name };
+    const options = {
+      self: this.member,
+      seed,
+      electionTimeoutMs: ELECTION_TIMEOUT_MS,
+      heartbeatIntervalMs: HEARTBEAT_MS,
+    };
+    this.group = new ShardGroup<TestCommand>(options, nowMs);
+  }
+}
+
+/** Replicas of one shard on a clock and network that a test moves by hand. */
+export class GroupNetwork {
+  readonly replicas = new Map<string, TestReplica>();
+  readonly cuts = new Set<string>();
+  nowMs = 0;
+  /** Terms with the leader that was seen in each. */
+  readonly leadersByTerm = new Map<number, Set<string>>();
+  #inFlight: InFlight[] = [];
+  #seed = 1;
+
+  /** Starts a new group. */
+  static start(names: readonly string[]): GroupNetwork {
+    const network = new GroupNetwork();
+    for (const name of names) network.add(name);
+    const voters = [...network.replicas.values()].map((replica) => replica.member);
+    for (const replica of network.replicas.values()) {
+      replica.group.bootstrap(voters);
+      network.run(replica);
+    }
+    return network;
+  }
+
+  /** Adds an empty replica that is in no membership yet. */
+  add(name: string): TestReplica {
+    this.#seed += 1;
+    const replica = new TestReplica(name, this.#seed, this.nowMs);
+    this.replicas.set(name, replica);
+    return replica;
+  }
+
+  /** A replica by name. */
+  get(name: string): TestReplica {
+    const replica = this.replicas.get(name);
+    if (!replica) throw new Error(`There is no replica ${name}.`);
+    return replica;
+  }
+
+  /** Lets time pass, and every message arrive. */
+  advance(ms: number): void {
+    const endMs = this.nowMs + ms;
+    while (this.nowMs < endMs) {
+      this.nowMs += TICK_MS;
+      for (const replica of this.#living()) {
+        replica.group.tick(this.nowMs);
+        this.run(replica);
+      }
+      this.deliverAll();
+    }
+  }
+
+  /** Delivers every message, and those that they cause. */
+  deliverAll(): void {
+    for (let round = 0; round < 200 && this.#inFlight.length > 0; round++) {
+      const batch = this.#inFlight;
+      this.#inFlight = [];
+      for (const message of batch) this.#deliver(message);
+    }
+  }
+
+  /** Delivers, drops or doubles one message in flight; `pick` chooses which. */
+  disturb(pick: number, action: "deliver" | "drop" | "double"): void {
+    if (this.#inFlight.length === 0) return;
+    const position = pick % this.#inFlight.length;
+    const [message] = this.#inFlight.splice(position, 1);
+    if (action === "drop") return;
+    if (action === "double") this.#inFlight.push(message);
+    this.#deliver(message);
+  }
+
+  /** The only living leader that is ready. */
+  leader(): TestReplica | undefined {
+    return this.#living().find((replica) => replica.group.isReadyLeader);
+  }
+
+  /** Proposes at the leader; returns whether a leader took it. */
+  propose(command: TestCommand): boolean {
+    const leader = this.leader();
+    if (!leader?.group.propose(command, this.nowMs)) return false;
+    leader.group.flush(this.nowMs);
+    this.run(leader);
+    return true;
+  }
+
+  /** Carries out what a replica's group asked for. */
+  run(replica: TestReplica): void {
+    for (const effect of replica.group.takeEffects()) {
+      if (effect.type === "send") {
+        this.#inFlight.push({
+          from: replica.member.instance,
+          to: effect.to.instance,
+          message: effect.message,
+        });
+      } else if (effect.type === "apply") {
+        for (const entry of effect.entries) {
+          if (entry.payload.type === "command") replica.applied.push(entry.payload.command);
+          replica.appliedIndex = entry.index;
+        }
+      } else if (effect.type === "restore") {
+        replica.applied = [...(effect.state as string[])];
+        replica.appliedIndex = effect.lastIndex;
+      } else if (effect.type === "snapshotNeeded") {
+        replica.group.provideSnapshot(effect.to, replica.appliedIndex, [...replica.applied]);
+        this.run(replica);
+      } else if (effect.role === "leader") {
+        const leaders = this.leadersByTerm.get(effect.term) ?? new Set();
+        this.leadersByTerm.set(effect.term, leaders.add(replica.member.instance));
+      }
+    }
+  }
+
+  #living(): TestReplica[] {
+    return [...this.replicas.values()].filter((replica) => replica.alive);
+  }
+
+  #deliver({ from, to, message }: InFlight): void {
+    const target = this.replicas.get(to);
+    if (!target?.alive || this.cuts.has(`${from}>${to}`)) return;
+    target.group.receive(structuredClone(message), this.nowMs);
+    this.run(target);
+  }
+}
