--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -52,7 +52,7 @@
     .max(65_536)
     .default(16)
     .describe("Number of shards; fixed once the system has started"),
-  replicas: z.int().min(1).max(7).default(3).describe("Replicas of each shard"),
+  replicas: z.int().min(1).max(7).default(5).describe("Replicas of each shard"),
   shardsPerFamily: z
     .int()
     .min(1)
--- /dev/null
+++ b/test/contract/settings.test.ts
@@ -0,0 +1,121 @@
+import { readFile } from "node:fs/promises";
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { ERROR_KINDS } from "../../src/errors/error-kinds.ts";
+import { problemOf } from "../../src/errors/tulipwheel-error.ts";
+import { loadSettings, parseOverride } from "../../src/settings/load-settings.ts";
+import { nodeSettingsSchema } from "../../src/settings/node-settings.ts";
+import { parseYaml } from "../../src/settings/parse-yaml.ts";
+import { sidecarSettingsSchema } from "../../src/settings/sidecar-settings.ts";
+import { resolvePolicy } from "../../src/settings/templates/resolve-policy.ts";
+import {
+  configurationDocumentSchema,
+  type TemplateDocument,
+  type TenantDocument,
+} from "../../src/settings/templates/template-schema.ts";
+
+function parse(text: string) {
+  return parseYaml(text, "t.yaml", configurationDocumentSchema, "invalid-template").map(({ value }) => value);
+}
+
+describe("templates", () => {
+  const WRONG: [string, string, RegExp][] = [
+    ["an unknown key", "kind: template\nname: a\nbuget: 1\n", /t\.yaml:1: document: .*buget/],
+    ["a wrong class", "kind: template\nname: a\npriorityClass: urgent\n", /t\.yaml:3: priorityClass: /],
+    ["a name with capitals", "kind: template\nname: PayRun\n", /t\.yaml:2: name: must be lower-case/],
+    ["a negative budget", "kind: template\nname: a\nbudget:\n  tokens: -1\n", /t\.yaml:4: budget\.tokens: /],
+    [
+      "a pattern that is none",
+      "kind: template\nname: a\nservices:\n  x:\n    repeatable: [get]\n",
+      /t\.yaml:5: services\.x\.repeatable\.0/,
+    ],
+    ["broken YAML", "kind: [\n", /t\.yaml:\d+: /],
+    ["an unknown kind", "kind: tulip\n", /t\.yaml:1: kind: /],
+    ["nothing at all", "", /t\.yaml: is empty/],
+    [
+      "a mistake in the second document",
+      "kind: template\nname: a\n---\nkind: template\nname: B\n",
+      /t\.yaml:5: name: /,
+    ],
+  ];
+  for (const [name, text, message] of WRONG) {
+    it(`refuses ${name}, with the line and the remedy`, () => {
+      expect(() => parse(text)).toThrow(message);
+      expect(() => parse(text)).toThrow(/Correct the lines/);
+    });
+  }
+
+  it("lays a tenant's parameters over the template's defaults", () => {
+    const [template, tenant] = parse(
+      "kind: template\nname: a\nmodels: [m]\nlimits: { turns: 5, depth: 2 }\n---\n" +
+        "kind: tenant\ntemplate: a\ntenant: t\nlimits: { turns: 9 }\nbudget: { tokens: 7 }\n",
+    );
+    const policy = resolvePolicy(template as TemplateDocument, tenant as TenantDocument);
+    expect(policy.models).toEqual(["m"]);
+    expect([policy.limits.turns, policy.limits.depth, policy.limits.historyTokens]).toEqual([9, 2, 440_000]);
+    expect(policy.budget).toEqual({ tokens: 7, window: "day" });
+  });
+
+  for (const file of ["examples/magnolia/templates.yaml", "examples/rateora/templates.yaml"]) {
+    it(`accepts ${file}`, async () => {
+      expect(parse(await readFile(file, "utf8")).length).toEqual(4);
+    });
+  }
+});
+
+describe("settings", () => {
+  const NODE = ["name=a", "region=r", "zone=z", "address=127.0.0.1:1", "metrics=127.0.0.1:2"];
+  const PLATFORM = ["table", "objects", "machineList"].map((name) => `platform.${name}=127.0.0.1:3`);
+
+  it("take flags over the file, and fill in defaults", async () => {
+    const flags = [...NODE, ...PLATFORM, "cluster.shards=4"].map(parseOverride);
+    const settings = await loadSettings(undefined, flags, nodeSettingsSchema);
+    expect([settings.cluster.shards, settings.cluster.replicas]).toEqual([4, 5]);
+  });
+
+  const WRONG: [string, string[], RegExp][] = [
+    ["an unknown key", [...NODE, ...PLATFORM, "colour=1"], /colour/],
+    [
+      "a host name in place of a number",
+      [...NODE, ...PLATFORM, "address=localhost:1"],
+      /must be an IP address/,
+    ],
+    ["a missing setting", NODE, /platform/],
+  ];
+  for (const [name, flags, message] of WRONG) {
+    it(`are refused with ${name}`, async () => {
+      await expect(loadSettings(undefined, flags.map(parseOverride), nodeSettingsSchema)).toBeRejectedWith(
+        message,
+      );
+    });
+  }
+
+  it("say which file cannot be read", async () => {
+    await expect(loadSettings("none.yaml", [], sidecarSettingsSchema)).toBeRejectedWith(
+      /none\.yaml: cannot be read/,
+    );
+  });
+
+  for (const deployment of ["magnolia", "rateora"]) {
+    it(`of ${deployment} are accepted`, async () => {
+      await loadSettings(`examples/${deployment}/node.yaml`, [], nodeSettingsSchema);
+      await loadSettings(`examples/${deployment}/sidecar.yaml`, [], sidecarSettingsSchema);
+    });
+  }
+});
+
+describe("errors", () => {
+  it("each name a remedy, and the page lists each with its status and outcome", async () => {
+    const page = await readFile("docs/ERRORS.md", "utf8");
+    const lines = Object.entries(ERROR_KINDS).map(
+      ([kind, { title, status, outcome, remedy }]) =>
+        `| \`${kind}\` | ${status} | ${outcome} | ${title} | ${remedy} |`,
+    );
+    expect(lines.filter((line) => !page.includes(line))).toEqual([]);
+  });
+
+  it("carry their kind's outcome unless told otherwise", () => {
+    expect(problemOf("overloaded", "x").outcome).toEqual("not-run");
+    expect(problemOf("overloaded", "x", { outcome: "failed" }).outcome).toEqual("failed");
+  });
+});
