--- /dev/null
+++ b/bench/capacity/hollow-cluster.ts
@@ -0,0 +1,194 @@
+import { pino } from "pino";
+import { NodeDaemon } from "../../src/node/node-daemon.ts";
+import type { EngineClient } from "../../src/platform/engine/engine-client.ts";
+import type { Machine } from "../../src/platform/machine-list/machine-list.ts";
+import { SystemClock } from "../../src/runtime/clock.ts";
+import { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import { loadTextHash } from "../../src/runtime/text-hash.ts";
+import { nodeSettingsSchema } from "../../src/settings/node-settings.ts";
+import { MachineListModel } from "../../standins/machine-list/machine-list-model.ts";
+import { ObjectModel } from "../../standins/objects/object-model.ts";
+import { TableModel } from "../../standins/table/table-model.ts";
+import { HollowNetwork } from "./hollow-network.ts";
+
+/** Shards per node, as at the target: 8,400 shards on 2,100 nodes. */
+export const SHARDS_PER_NODE = 4;
+const SHARDS_PER_FAMILY = 4;
+const ZONES = 9;
+/** Runners per node, as at the target: 10,000 runners for 2,100 nodes. */
+const RUNNERS_PER_NODE = 5;
+const REPLICAS = 5;
+const READY_TIMEOUT_MS = 60_000;
+
+/** Requests that the platform got. */
+export interface PlatformCounts {
+  table: number;
+  machineList: number;
+}
+
+/** Many hollow nodes in this process: the real daemons, without calls, over a counting network. */
+export class HollowCluster {
+  readonly network = new HollowNetwork();
+  readonly platform: PlatformCounts = { table: 0, machineList: 0 };
+  readonly nodes: NodeDaemon[] = [];
+  readonly table = new TableModel();
+  readonly #list = new MachineListModel({ lagMs: 0, expiryMs: 30_000 });
+
+  /** Starts `size` nodes and waits until every shard has a leader. */
+  static async start(size: number): Promise<HollowCluster> {
+    const cluster = new HollowCluster();
+    const hash = await loadTextHash();
+    for (let runner = 0; runner < size * RUNNERS_PER_NODE; runner++) cluster.#listRunner(runner);
+    for (let index = 0; index < size; index++) cluster.#addNode(index, size, hash);
+    await cluster.#untilLed(size * SHARDS_PER_NODE);
+    return cluster;
+  }
+
+  /** Ends all nodes. */
+  stop(): void {
+    for (const node of this.nodes) node.halt();
+  }
+
+  /** Shards that have a ready leader. */
+  get ledShards(): number {
+    let led = 0;
+    for (const node of this.nodes) for (const replica of node.shards.all()) if (replica.leads) led += 1;
+    return led;
+  }
+
+  #listRunner(index: number): void {
+    this.#list.put(
+      {
+        name: `runner-${index}`,
+        kind: "runner",
+        pool: `model-${index % 11}`,
+        zone: `zone-${index % ZONES}`,
+        address: `10.1.${index >> 8}.${index & 255}:8000`,
+        incarnation: "1",
+        state: "live",
+        models: [`model-${index % 11}`],
+        slots: 64,
+        kvTokens: 2_000_000,
+      },
+      0,
+    );
+  }
+
+  #addNode(index: number, size: number, hash: Awaited<ReturnType<typeof loadTextHash>>): void {
+    const name = `node-${index}`;
+    const zone = `zone-${index % ZONES}`;
+    const address = `10.0.${index >> 8}.${index & 255}:7000`;
+    const random = new SeededRandomSource(index + 1);
+    const instance = `${name}#${random.token(8)}`;
+    const unused = "10.9.9.9:1";
+    const settings = nodeSettingsSchema.parse({
+      name,
+      region: "hollow",
+      zone,
+      address,
+      metrics: unused,
+      platform: { table: unused, objects: unused, machineList: unused },
+      cluster: {
+        shards: size * SHARDS_PER_NODE,
+        replicas: REPLICAS,
+        shardsPerFamily: SHARDS_PER_FAMILY,
+        firstNodes: size,
+      },
+      timing: TARGET_TIMING,
+    });
+    const daemon = new NodeDaemon(
+      {
+        self: { instance, address, zone },
+        settings,
+        clock: new SystemClock(),
+        random,
+        hash,
+        transport: this.network.attach({ instance, address }),
+        log: pino({ level: "silent" }),
+      },
+      {
+        table: this.#tableClient(),
+        objects: objectClient(),
+        machineList: this.#listClient(),
+        engine: IDLE_ENGINE,
+        service: { send: async () => ({ type: "not-sent", detail: "hollow" }) },
+      },
+    );
+    this.nodes.push(daemon);
+    daemon.start();
+  }
+
+  #tableClient() {
+    const { table, platform } = this;
+    return {
+      get: async (key: string) => {
+        platform.table += 1;
+        return table.get(key);
+      },
+      list: async (prefix: string, after: string, limit: number) => {
+        platform.table += 1;
+        return table.list(prefix, after, limit);
+      },
+      transact: async (transaction: Parameters<TableModel["transact"]>[0]) => {
+        platform.table += 1;
+        return table.transact(transaction);
+      },
+    };
+  }
+
+  #listClient() {
+    return {
+      read: async () => {
+        this.platform.machineList += 1;
+        return this.#list.read(performance.now());
+      },
+      report: async (machine: Machine) => {
+        this.platform.machineList += 1;
+        this.#list.report(machine, performance.now());
+      },
+    };
+  }
+
+  async #untilLed(shards: number): Promise<void> {
+    const deadline = performance.now() + READY_TIMEOUT_MS;
+    while (this.ledShards < shards || !this.nodes.every((node) => node.ready)) {
+      if (performance.now() > deadline)
+        throw new Error(`Only ${this.ledShards} of ${shards} shards have a leader.`);
+      await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+  }
+}
+
+/** The timing that the target's budget is reckoned with; docs/CAPACITY.md says what it costs in failover. */
+export const TARGET_TIMING = {
+  tickMs: 250,
+  shardGroup: { electionTimeoutMs: 4_000, heartbeatIntervalMs: 1_000 },
+  machineListMs: 5_000,
+  machineListStaleMs: 12_000,
+  configurationMs: 5_000,
+  repairMs: 2_000,
+  deadAfterMs: 12_000,
+  loadReportMs: 2_000,
+  announceMs: 2_000,
+  sweepMs: 30_000,
+};
+
+const IDLE_ENGINE: EngineClient = {
+  generate: async () => ({ type: "refused", reason: "full" }),
+  load: async () => ({ running: [], waiting: 0, usedKvTokens: 0, leaving: false, ageMs: 0 }),
+  holds: async () => [],
+  cacheEvents: async () => [],
+  order: async () => true,
+  exportCache: async () => undefined,
+  importCache: async () => false,
+};
+
+function objectClient() {
+  const model = new ObjectModel();
+  return {
+    put: async (key: string, bytes: Uint8Array) => void model.put(key, bytes),
+    get: async (key: string) => model.get(key),
+    remove: async (key: string) => model.remove(key),
+    list: async (prefix: string) => model.list(prefix),
+  };
+}
--- a/bench/simulation/simulated-back-ends.ts
+++ b/bench/simulation/simulated-back-ends.ts
@@ -176,7 +176,7 @@
         this.#time.cancel(silence);
         silence = this.#time.after(STREAM_SILENCE_MS, () => end({ type: "broken", detail: "silence" }));
       };
-      if (!engine || !engineProcess?.alive) return end({ type: "broken", detail: "connection refused" });
+      if (!engine || !engineProcess?.alive) return end({ type: "refused", reason: "unreachable" });
       watchEnd(this.#time, engineProcess, () => end({ type: "broken", detail: "connection reset" }));
       watchEnd(this.#time, process, () => engine.model.cancel(request.requestId));
       const back = (deliver: () => void) => {
--- a/src/node/budgets/budget-service.ts
+++ b/src/node/budgets/budget-service.ts
@@ -11,6 +11,7 @@
 import type { EffectivePolicy } from "../../scheduling/policy/effective-policy.ts";
 import type { ConfigurationService } from "../configuration/configuration-service.ts";
 import type { NodeContext } from "../node-context.ts";
+import type { ShardCommitter } from "../shard-committer.ts";
 import type { ShardHost } from "../shard-host.ts";
 import type { ShardReplica } from "../shard-replica.ts";
 
@@ -26,18 +27,21 @@
   readonly #shards: ShardHost;
   readonly #configuration: ConfigurationService;
   readonly #router: ShardRouter;
+  readonly #committer: ShardCommitter;
 
   constructor(
     context: NodeContext,
     shards: ShardHost,
     configuration: ConfigurationService,
     router: ShardRouter,
+    committer: ShardCommitter,
     rpc: RpcEndpoint,
   ) {
     this.#context = context;
     this.#shards = shards;
     this.#configuration = configuration;
     this.#router = router;
+    this.#committer = committer;
     rpc.handle("borrow", (request) => this.#lend(request));
     rpc.handle("nameBudget", async ({ tenant, template }) => ({
       budget: this.budgetOf(this.#configuration.policyOf(tenant, template)),
@@ -66,7 +70,7 @@
     const wantedTotal = held.grantedTotal + (tokens - available) + extra;
     const grantedTotal = await this.#borrow(replica, policy, budget, wantedTotal);
     if (grantedTotal > held.grantedTotal) {
-      await this.#shards.propose(replica, { type: "takeAllotment", budget, grantedTotal });
+      await this.#committer.commit(replica.shard, { type: "takeAllotment", budget, grantedTotal });
     }
     return availableOf(replica.state.allotments.get(budget));
   }
--- a/src/node/calls/completion-runner.ts
+++ b/src/node/calls/completion-runner.ts
@@ -14,6 +14,7 @@
 import { type SlotRequest, slotKey } from "../../scheduling/queue/slot-request.ts";
 import { chooseRunner } from "../../scheduling/runner-selection/choose-runner.ts";
 import type { CachedPrefix, RunnerView } from "../../scheduling/runner-selection/runner-view.ts";
+import type { BudgetService } from "../budgets/budget-service.ts";
 import type { NodeContext } from "../node-context.ts";
 import type { RunnerDirectory } from "../runners/runner-directory.ts";
 import type { ShardCommitter } from "../shard-committer.ts";
@@ -57,6 +58,7 @@
   readonly #broker: SlotBroker;
   readonly #engine: EngineClient;
   readonly #decisions: DecisionBuilder;
+  readonly #budgets: BudgetService;
 
   constructor(
     context: NodeContext,
@@ -65,6 +67,7 @@
     broker: SlotBroker,
     engine: EngineClient,
     decisions: DecisionBuilder,
+    budgets: BudgetService,
   ) {
     this.#context = context;
     this.#committer = committer;
@@ -72,6 +75,7 @@
     this.#broker = broker;
     this.#engine = engine;
     this.#decisions = decisions;
+    this.#budgets = budgets;
   }
 
   /** Carries out a completion. Throws a redirect when this node stops leading the shard. */
@@ -200,6 +204,7 @@
   ): Promise<CallConclusion | undefined> {
     if (progress.attempt >= MAX_ATTEMPTS) return this.#concludeBroken(job, progress, detail);
     const attempt = progress.attempt + 1;
+    await this.#budgets.ensure(job.replica, job.policy, job.record.reservation.tokens);
     const result = await this.#committer.commit(job.replica.shard, {
       type: "retryCall",
       call: job.record.id,
--- a/src/node/node-daemon.ts
+++ b/src/node/node-daemon.ts
@@ -63,7 +63,7 @@
     const decisions = new DecisionBuilder(context, configuration);
     const broker = new SlotBroker(context, directory);
     const homes = new RunnerHomes(context, shards, directory, platform.engine, configuration);
-    const budgets = new BudgetService(context, shards, configuration, router, rpc);
+    const budgets = new BudgetService(context, shards, configuration, router, committer, rpc);
     const completions = new CompletionRunner(
       context,
       committer,
@@ -71,6 +71,7 @@
       broker,
       platform.engine,
       decisions,
+      budgets,
     );
     const services = new ServiceRunner(context, committer, directory, platform.service, decisions);
     const parts = {
--- a/src/node/runners/runner-home.ts
+++ b/src/node/runners/runner-home.ts
@@ -8,6 +8,9 @@
 /** Load is announced anew when the expected wait has moved to another of these steps, in ms. */
 const WAIT_BUCKETS_MS = [0, 50, 200, 500, 1_000, 2_000, 5_000, 10_000];
 
+/** Reports that an engine may fail to give before it gets no more work; the platform may list it long after it died. */
+const SILENT_AFTER_REPORTS = 2;
+
 /** What a home needs from its node. */
 export interface RunnerHomePort {
   /** Whether the platform's list is fresh enough to trust. */
@@ -34,6 +37,8 @@
   readonly #requesters = new Map<string, string>();
   #machine: Machine;
   #engineLeaving = false;
+  /** Reports in a row that the engine did not give. */
+  #failedReports = 0;
   #announcedBucket = -1;
   #reading = false;
 
@@ -116,8 +121,9 @@
     this.#reading = true;
     try {
       this.#applyReport(await this.#engine.load(this.#machine.address));
+      this.#failedReports = 0;
     } catch {
-      // The engine does not answer: grants go on while the platform lists it, and broken streams tell the rest.
+      this.#failedReports += 1;
     } finally {
       this.#reading = false;
     }
@@ -142,8 +148,9 @@
   #refreshDraining(): void {
     const blind = !this.#port.listIsFresh();
     const leaving = this.#machine.state === "leaving" || this.#engineLeaving;
+    const silent = this.#failedReports >= SILENT_AFTER_REPORTS;
     const drained = this.#port.isDrainedByOperator(this.#machine.name);
-    this.#queue.setDraining(leaving || drained || blind);
+    this.#queue.setDraining(leaving || drained || blind || silent);
   }
 
   #grantNext(): void {
--- a/src/platform/engine/engine-client.ts
+++ b/src/platform/engine/engine-client.ts
@@ -23,6 +23,9 @@
   readonly text: string;
 }
 
+/** Why an engine did not take a request; `unreachable` when no connection came about. */
+export type EngineRefusal = "stale-token" | "leaving" | "unknown-model" | "full" | "unreachable";
+
 /** How a generation ended. */
 export type GenerateResult =
   | {
@@ -32,8 +35,8 @@
       /** Length of the whole text, in UTF-16 units. */
       readonly length: number;
     }
-  /** The engine did not take the request. */
-  | { readonly type: "refused"; readonly reason: "stale-token" | "leaving" | "unknown-model" | "full" }
+  /** The engine did not take the request; nothing of it ran. */
+  | { readonly type: "refused"; readonly reason: EngineRefusal }
   /** The engine could not be reached, or the stream broke. */
   | { readonly type: "broken"; readonly detail: string }
   | { readonly type: "cancelled" };
--- a/src/platform/engine/http-engine-client.ts
+++ b/src/platform/engine/http-engine-client.ts
@@ -1,6 +1,6 @@
 import { createParser } from "eventsource-parser";
 import { platformError } from "../../errors/tulipwheel-error.ts";
-import type { HttpJsonClient, HttpPools } from "../http-json.ts";
+import { type HttpJsonClient, type HttpPools, neverConnected } from "../http-json.ts";
 import type {
   CacheEvent,
   Cancellation,
@@ -8,6 +8,7 @@
   EngineHold,
   EngineLoad,
   EngineOrder,
+  EngineRefusal,
   GeneratedChunk,
   GenerateRequest,
   GenerateResult,
@@ -62,6 +63,7 @@
       return await readStream(response.body, onChunk);
     } catch (error) {
       if (cancellation.cancelled) return { type: "cancelled" };
+      if (neverConnected(error)) return { type: "refused", reason: "unreachable" };
       return { type: "broken", detail: `The engine at ${address} broke off (${(error as Error).message}).` };
     }
   }
@@ -110,7 +112,7 @@
   return { type: "broken", detail: `The engine answered ${status}.` };
 }
 
-function reasonIn(text: string): Extract<GenerateResult, { type: "refused" }>["reason"] | undefined {
+function reasonIn(text: string): EngineRefusal | undefined {
   try {
     const { error } = JSON.parse(text) as { error: string };
     return REFUSAL_REASONS.has(error) ? (error as "full") : undefined;
--- a/src/platform/http-json.ts
+++ b/src/platform/http-json.ts
@@ -16,6 +16,14 @@
   readonly body: unknown;
 }
 
+/** Codes of errors that are raised before a connection exists, so that no byte can have left. */
+const NOT_CONNECTED = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+
+/** Whether a request failed before any connection came about. */
+export function neverConnected(error: unknown): boolean {
+  return NOT_CONNECTED.has((error as { code?: string }).code ?? "");
+}
+
 /** Connection pools to other machines, one per address. */
 export class HttpPools {
   readonly #pools = new Map<string, Pool>();
--- a/src/platform/service/http-service-client.ts
+++ b/src/platform/service/http-service-client.ts
@@ -1,10 +1,7 @@
 import type { ServiceRequest } from "../../scheduling/program/records.ts";
-import type { HttpPools } from "../http-json.ts";
+import { type HttpPools, neverConnected } from "../http-json.ts";
 import type { ServiceClient, ServiceResult } from "./service-client.ts";
 
-/** Errors that are raised before a connection exists, so that no byte can have left. */
-const NOT_CONNECTED = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
-
 /** Calls services over HTTP. Each request goes out once, over a connection that is not shared with another. */
 export class HttpServiceClient implements ServiceClient {
   readonly #pools: HttpPools;
@@ -55,5 +52,5 @@
 function resultOfError(error: unknown): ServiceResult {
   const { code, message } = error as { code?: string; message: string };
   const detail = `no answer came (${code ?? message})`;
-  return code && NOT_CONNECTED.has(code) ? { type: "not-sent", detail } : { type: "unknown", detail };
+  return neverConnected(error) ? { type: "not-sent", detail } : { type: "unknown", detail };
 }
--- a/standins/engine/engine-model.ts
+++ b/standins/engine/engine-model.ts
@@ -8,6 +8,7 @@
   EngineHold,
   EngineLoad,
   EngineOrder,
+  EngineRefusal,
   GenerateRequest,
   GenerateResult,
 } from "../../src/platform/engine/engine-client.ts";
@@ -155,11 +156,7 @@
   }
 
   /** Takes a request. Returns why not, when it is not taken. */
-  submit(
-    request: GenerateRequest,
-    sink: GenerationSink,
-    nowMs: number,
-  ): Extract<GenerateResult, { type: "refused" }>["reason"] | undefined {
+  submit(request: GenerateRequest, sink: GenerationSink, nowMs: number): EngineRefusal | undefined {
     const refusal = this.#checkSubmit(request);
     if (refusal) {
       this.totals.refused += 1;
@@ -263,7 +260,7 @@
     return true;
   }
 
-  #checkSubmit(request: GenerateRequest): Extract<GenerateResult, { type: "refused" }>["reason"] | undefined {
+  #checkSubmit(request: GenerateRequest): EngineRefusal | undefined {
     if (request.fencingToken < this.#newestToken) return "stale-token";
     if (this.#leaving) return "leaving";
     if (!this.#models.has(request.model)) return "unknown-model";
--- /dev/null
+++ b/test/process/failures.test.ts
@@ -0,0 +1,246 @@
+/** Real processes killed, frozen and stopped under load. */
+
+import { connect } from "node:net";
+import { after, before, describe, it } from "node:test";
+import { expect } from "earl";
+import { answerOf, Caller, problemOfReply, streamedAnswerOf } from "./support/caller.ts";
+import { Cluster, pause, type Reached } from "./support/cluster.ts";
+
+const ENGINES = ["runner-1", "runner-2", "runner-3"].map((name) => ({
+  name,
+  models: ["agent-llm"],
+  stepMs: 15,
+}));
+const TEMPLATES = "examples/magnolia/templates.yaml";
+
+describe("processes that fail", () => {
+  let cluster: Cluster;
+  let sidecar: Reached;
+  let caller: Caller;
+
+  before(async () => {
+    cluster = await Cluster.start({ nodes: 5, engines: ENGINES, services: 1, shards: 6 });
+    sidecar = await cluster.startSidecar();
+    caller = new Caller(sidecar.address);
+    expect((await cluster.operate("template", "apply", TEMPLATES)).code).toEqual(0);
+  });
+
+  after(() => cluster.stop());
+
+  it("streams an answer whole although the node that runs it is killed", async () => {
+    const program = await caller.open("pay-run");
+    const running = caller.chat(program, "kill my leader #tokens=120", { stream: true, max_tokens: 200 });
+    await pause(500);
+    const victim = await nodeRunning(cluster);
+    await victim.process.kill();
+    cluster.nodes.splice(cluster.nodes.indexOf(victim), 1);
+    const answer = streamedAnswerOf(await running);
+    expect(answer.length).toEqual(120 * 4);
+    expect(await caller.history(program)).toEqual(["kill my leader #tokens=120", answer]);
+    await cluster.startNode(5);
+    await cluster.ready();
+  });
+
+  it("goes on while the node that runs a call is frozen, and takes no harm when it wakes", async () => {
+    const program = await caller.open("pay-run");
+    const running = caller.chat(program, "freeze my leader #tokens=100", { stream: true, max_tokens: 200 });
+    await pause(400);
+    const victim = await nodeRunning(cluster);
+    victim.process.signal("SIGSTOP");
+    const answer = streamedAnswerOf(await running);
+    victim.process.signal("SIGCONT");
+    const second = answerOf(await caller.chat(program, "after it woke #tokens=5"));
+    const expected = ["freeze my leader #tokens=100", answer, "after it woke #tokens=5", second];
+    expect(await caller.history(program)).toEqual(expected);
+  });
+
+  it("goes on with another engine when one is killed in the middle of a stream", async () => {
+    const program = await caller.open("pay-run");
+    const running = caller.chat(program, "kill my engine #tokens=100", { stream: true, max_tokens: 200 });
+    await pause(500);
+    const victim = await engineRunning(cluster);
+    await victim.process.kill();
+    const answer = streamedAnswerOf(await running);
+    expect(answer.length).toEqual(100 * 4);
+    cluster.engines.splice(cluster.engines.indexOf(victim), 1);
+  });
+
+  it("charges once, and says unknown, when the leader is killed while the charge runs", async () => {
+    const program = await caller.open("pay-run");
+    await setServiceDelay(cluster, 2_000);
+    const running = caller.service(program, "POST", "/charges", "charge-of-the-dead-leader");
+    await pause(500);
+    const victim = await nodeRunning(cluster);
+    await victim.process.kill();
+    cluster.nodes.splice(cluster.nodes.indexOf(victim), 1);
+    const reply = await running;
+    expect([reply.status, problemOfReply(reply).outcome]).toEqual([504, "unknown"]);
+    await setServiceDelay(cluster, 0);
+    await pause(2_000);
+    expect(await timesRun(cluster, "charge-of-the-dead-leader")).toEqual(1);
+    await cluster.startNode(6);
+    await cluster.ready();
+  });
+
+  it("cuts no request when nodes are stopped one after another under load", async () => {
+    const load = new Load(caller);
+    load.start(6);
+    for (const victim of cluster.nodes.slice(0, 2)) {
+      await pause(500);
+      victim.process.signal("SIGTERM");
+      expect(await victim.process.exited).toEqual(0);
+      cluster.nodes.splice(cluster.nodes.indexOf(victim), 1);
+      await cluster.startNode(10 + cluster.nodes.length);
+      await cluster.ready();
+    }
+    const statuses = await load.stop();
+    expect(new Set(statuses)).toEqual(new Set([200]));
+    expect(statuses.length > 20).toEqual(true);
+  });
+
+  it("lets requests in progress end when a sidecar is stopped", async () => {
+    const other = await cluster.startSidecar();
+    const second = new Caller(other.address);
+    const program = await second.open("pay-run");
+    const running = second.chat(program, "stop my sidecar #tokens=80", { stream: true, max_tokens: 200 });
+    await pause(300);
+    other.process.signal("SIGTERM");
+    expect(streamedAnswerOf(await running).length).toEqual(80 * 4);
+    expect(await other.process.exited).toEqual(0);
+  });
+
+  it("lets a caller go on through another sidecar when its own is killed", async () => {
+    const other = await cluster.startSidecar();
+    const program = await caller.open("pay-run");
+    const headers = { "idempotency-key": "turn-1" };
+    const content = "kill my sidecar #tokens=60";
+    const cut = new Caller(other.address)
+      .chat(program, content, { stream: true }, headers)
+      .catch(() => undefined);
+    await pause(400);
+    await other.process.kill();
+    expect(await cut).toEqual(undefined);
+    const answer = streamedAnswerOf(await caller.chat(program, content, { stream: true }, headers));
+    expect(await caller.history(program)).toEqual([content, answer]);
+  });
+
+  it("frees the engine when a caller hangs up in the middle of a stream", async () => {
+    const program = await caller.open("pay-run");
+    const abort = new AbortController();
+    const response = await fetch(`http://${sidecar.address}/v1/chat/completions`, {
+      method: "POST",
+      headers: { "tulipwheel-program": program },
+      body: JSON.stringify({
+        model: "agent-llm",
+        messages: [{ role: "user", content: "#tokens=400" }],
+        max_tokens: 500,
+        stream: true,
+      }),
+      signal: abort.signal,
+    });
+    expect(response.status).toEqual(200);
+    abort.abort();
+    await pause(1_500);
+    expect(
+      (await Promise.all(cluster.engines.map(runningCalls))).reduce((sum, count) => sum + count, 0),
+    ).toEqual(0);
+    expect(answerOf(await caller.chat(program, "next #tokens=3")).length).toEqual(3 * 4);
+  });
+
+  it("gives up on a caller that sends a byte a second", async () => {
+    const slow = await cluster.startSidecar({ "limits.requestMs": 1_500 });
+    const [host, port] = slow.address.split(":");
+    const socket = connect(Number(port), host);
+    socket.write("POST /v1/programs HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n");
+    const drip = setInterval(() => socket.write("x"), 500);
+    const startMs = performance.now();
+    const text = await new Promise<string>((resolve) => socket.once("data", (data) => resolve(String(data))));
+    clearInterval(drip);
+    socket.destroy();
+    expect(text.startsWith("HTTP/1.1 408")).toEqual(true);
+    expect(text.includes('"kind":"request-timeout"')).toEqual(true);
+    expect(performance.now() - startMs < 5_000).toEqual(true);
+  });
+
+  it("goes on, and keeps its configuration, while the table is out", async () => {
+    await setFaults(cluster.table.address, { outage: true });
+    const program = await caller.open("pay-run");
+    expect((await caller.chat(program, "no table #tokens=5")).status).toEqual(200);
+    const refused = await cluster.operate("template", "apply", TEMPLATES);
+    expect(refused.code).toEqual(5);
+    await setFaults(cluster.table.address, { outage: false });
+  });
+});
+
+/** Programs that ask one turn after another. */
+class Load {
+  readonly #caller: Caller;
+  readonly #statuses: number[] = [];
+  #running: Promise<void>[] = [];
+  #stopped = false;
+
+  constructor(caller: Caller) {
+    this.#caller = caller;
+  }
+
+  start(programs: number): void {
+    this.#running = Array.from({ length: programs }, () => this.#work());
+  }
+
+  async stop(): Promise<number[]> {
+    this.#stopped = true;
+    await Promise.all(this.#running);
+    return this.#statuses;
+  }
+
+  async #work(): Promise<void> {
+    while (!this.#stopped) {
+      const opened = await this.#caller.send("POST", "/v1/programs", { template: "pay-run" });
+      if (opened.status !== 201) {
+        this.#statuses.push(opened.status);
+        continue;
+      }
+      const { id } = JSON.parse(opened.text) as { id: string };
+      for (let turn = 0; turn < 3; turn++) {
+        const reply = await this.#caller.chat(id, `turn ${turn} #tokens=20`);
+        this.#statuses.push(reply.status);
+      }
+    }
+  }
+}
+
+/** The node that carries a call out at present. */
+async function nodeRunning(cluster: Cluster): Promise<Reached> {
+  for (const node of cluster.nodes) {
+    const metrics = await (await fetch(`http://${node.metrics}/metrics`)).text();
+    if (Number(/^tulipwheel_active_calls (\d+)/m.exec(metrics)?.[1]) > 0) return node;
+  }
+  throw new Error("No node carries a call out.");
+}
+
+async function engineRunning(cluster: Cluster): Promise<Reached> {
+  for (const engine of cluster.engines) {
+    if ((await runningCalls(engine)) > 0) return engine;
+  }
+  throw new Error("No engine has a call.");
+}
+
+async function runningCalls(engine: Reached): Promise<number> {
+  const load = (await (await fetch(`http://${engine.address}/load`)).json()) as { running: string[] };
+  return load.running.length;
+}
+
+async function setFaults(address: string, faults: object): Promise<void> {
+  await fetch(`http://${address}/faults`, { method: "POST", body: JSON.stringify(faults) });
+}
+
+function setServiceDelay(cluster: Cluster, delayMs: number): Promise<void> {
+  return setFaults(cluster.services[0].address, { delayMs });
+}
+
+async function timesRun(cluster: Cluster, body: string): Promise<number> {
+  const ledger = (await (await fetch(`http://${cluster.services[0].address}/ledger`)).json()) as {
+    body: string;
+  }[];
+  return ledger.filter((call) => call.body === JSON.stringify(body) || call.body === body).length;
+}
--- a/test/process/support/cluster.ts
+++ b/test/process/support/cluster.ts
@@ -65,7 +65,7 @@
       "platform.machineList": this.machineList.address,
       "cluster.shards": shards,
       "cluster.firstNodes": nodes,
-      "cluster.replicas": Math.min(3, nodes),
+      "cluster.replicas": Math.min(5, nodes),
     };
     const node = await this.#launch(CLI, ["node", ...setFlags(settings)]);
     this.nodes.push(node);
