Let few read the platform's list, return idle allotments, keep cache as templates say

Weighed for the list: readers by lease (a duty to hand over), deltas by the platform (not ours to ask for), gossip of content (bytes). Chosen: three readers by hash, news with digest and age to three nodes each, differences on asking. The age is reckoned from the question, not from the news: a node that was frozen would otherwise take old news for fresh and give work to an engine that leaves.

--- a/bench/capacity/hollow-network.ts
+++ b/bench/capacity/hollow-network.ts
@@ -15,6 +15,7 @@
   shardAcknowledgements: "shard groups",
   announceRunners: "load of runners",
   configurationNews: "configuration",
+  machineListNews: "list of machines",
   rpcRequest: "requests",
   rpcResponse: "requests",
 };
--- a/bench/simulate.ts
+++ b/bench/simulate.ts
@@ -13,6 +13,7 @@
   runs = Option.String("--runs", "1", { description: "How many seeds to run, one after the other" });
   minutes = Option.String("--minutes", "1", { description: "Virtual minutes under faults, per run" });
   faults = Option.String("--faults", { description: "Kinds of faults to draw from, with commas; or none" });
+  budget = Option.String("--budget", "400000", { description: "The tenant's budget, tokens" });
   trace = Option.Boolean("--trace", false, { description: "Prints the whole trace" });
 
   override async execute(): Promise<number> {
@@ -22,8 +23,9 @@
     let failed = 0;
     for (let seed = first; seed < first + Number(this.runs); seed++) {
       const durationMs = Number(this.minutes) * MS_PER_MINUTE;
+      const plan = kinds.length === 0 ? [] : undefined;
       const result = await runSimulation(
-        { seed, durationMs, kinds, plan: kinds.length === 0 ? [] : undefined },
+        { seed, durationMs, kinds, plan, budgetTokens: Number(this.budget) },
         hash,
       );
       if (result.broken.length > 0) failed += 1;
--- a/bench/simulation/checkers.ts
+++ b/bench/simulation/checkers.ts
@@ -2,6 +2,8 @@
  * What must always hold, checked from what callers, operators and back ends saw. Each checker returns what is
  * broken, in words; an empty list is a pass.
  */
+
+import type { Fault } from "./faults.ts";
 import type { Observations, ObservedTurn } from "./observations.ts";
 import type { World } from "./world.ts";
 
@@ -16,6 +18,7 @@
   readonly observations: Observations;
   readonly budgetTokens: number;
   readonly withdrawnMs: number;
+  readonly plan: readonly Fault[];
 }
 
 /** The promises, and what checks each. */
@@ -28,6 +31,7 @@
   "engine memory": checkEngineMemory,
   "leaving back ends": checkLeaving,
   configuration: checkConfiguration,
+  "planned stops": checkPlannedStops,
   liveness: checkLiveness,
 };
 
@@ -128,6 +132,12 @@
   ];
 }
 
+/** Where nothing fails and nodes only stop as planned, no caller may notice. */
+function checkPlannedStops({ observations, plan }: CheckInput): string[] {
+  if (plan.length === 0 || plan.some((fault) => fault.kind !== "drain-node")) return [];
+  return observations.failures > 0 ? [`${observations.failures} calls had no answer`] : [];
+}
+
 function checkLiveness({ observations, world }: CheckInput): string[] {
   const stuck = observations.unfinished > 0 ? [`${observations.unfinished} callers never finished`] : [];
   const leaderless: string[] = [];
--- a/bench/simulation/run-simulation.ts
+++ b/bench/simulation/run-simulation.ts
@@ -76,7 +76,7 @@
   await world.time.runUntil(endMs);
   await world.time.runUntil(endMs + FINISH_LIMIT_MS, () => observations.unfinished === 0);
   await world.time.runUntil(world.time.nowMs + MEMORY_LIMIT_MS);
-  const input = { world, observations, budgetTokens, withdrawnMs: operators.withdrawnMs };
+  const input = { world, observations, budgetTokens, withdrawnMs: operators.withdrawnMs, plan };
   const broken = Object.entries(CHECKERS).flatMap(([name, check]) =>
     check(input).map((what) => `${name}: ${what}`),
   );
--- a/bench/simulation/workload.ts
+++ b/bench/simulation/workload.ts
@@ -3,7 +3,7 @@
 import type { SeededRandomSource } from "../../src/runtime/random-source.ts";
 import type { CallRequest } from "../../src/scheduling/program/records.ts";
 import type { CallResult } from "../../src/sidecar/calls/call-session.ts";
-import type { Observations } from "./observations.ts";
+import type { Observations, ObservedTurn } from "./observations.ts";
 import type { SidecarSlot, World } from "./world.ts";
 
 export const TENANT = "magnolia";
@@ -13,6 +13,8 @@
 const CHARACTERS_PER_TOKEN = 4;
 const MAX_TRIES = 6;
 const RETRY_PAUSE_MS = 700;
+/** Part of the programs that begin with two turns at once. */
+const PAIR_PART = 0.5;
 
 /** A call's end as an HTTP client would see it: the result, or a broken connection. */
 type Seen = CallResult | { readonly type: "cut" };
@@ -20,6 +22,7 @@
 interface Turn {
   readonly question: string;
   readonly tokens: number;
+  readonly number?: number;
 }
 
 /** One caller with one program: turns, charges, and a sub-agent now and then. */
@@ -47,6 +50,7 @@
   }
 
   async #work(program: string, endMs: number, mayBranch: boolean): Promise<void> {
+    if (this.#random.unit() < PAIR_PART) await this.#pair(program);
     const steps = 3 + this.#random.below(6);
     for (let step = 0; step < steps && this.#world.time.nowMs < endMs; step++) {
       const dice = this.#random.unit();
@@ -101,7 +105,34 @@
     }
   }
 
-  async #askOnce(program: string, { question, tokens }: Turn): Promise<string> {
+  /** Two turns at once, the later one sent first: they must run in the order of their numbers. */
+  async #pair(program: string): Promise<void> {
+    const turns = [1, 2].map((number) => ({
+      number,
+      question: `${this.#name} step ${this.#nextStep()} #tokens=${5 * number}`,
+      tokens: 5 * number,
+    }));
+    const late = this.#see(program, turns[1]);
+    await this.#pause(30);
+    const observed = [await this.#see(program, turns[0]), await late];
+    for (const turn of observed) this.#observe(program, turn.observed, turn.seen);
+  }
+
+  async #askOnce(program: string, turn: Turn): Promise<string> {
+    const { observed, seen } = await this.#see(program, turn);
+    this.#observe(program, observed, seen);
+    return observed.outcome;
+  }
+
+  #observe(program: string, observed: ObservedTurn, seen: Seen): void {
+    this.#observations.turns.push(observed);
+    this.#note(program, "turn", observed.question, seen);
+  }
+
+  async #see(
+    program: string,
+    { question, tokens, number }: Turn,
+  ): Promise<{ observed: ObservedTurn; seen: Seen }> {
     let streamed = "";
     const request: CallRequest = {
       type: "completion",
@@ -120,14 +151,13 @@
         streamed += text;
       },
       restart,
+      number,
     );
     const outcome = outcomeOf(seen);
     const answer =
       seen.type === "answered" && seen.answer.type === "completion" ? seen.answer.text : undefined;
     const expectedLength = tokens * CHARACTERS_PER_TOKEN;
-    this.#observations.turns.push({ program, question, expectedLength, streamed, outcome, answer });
-    this.#note(program, "turn", question, seen);
-    return outcome;
+    return { observed: { program, question, expectedLength, streamed, outcome, answer }, seen };
   }
 
   async #charge(program: string): Promise<void> {
@@ -165,10 +195,11 @@
     request: CallRequest,
     onText: (text: string) => void,
     restart: () => void,
+    number?: number,
   ): Promise<Seen> {
     const untilMs = this.#world.time.nowMs + PATIENCE_MS * 2;
     for (;;) {
-      const seen = await this.#callOnce(program, key, request, onText);
+      const seen = await this.#callOnce(program, key, request, onText, number);
       if (seen.type !== "cut" || this.#world.time.nowMs > untilMs) return seen;
       restart();
       await this.#pause(RETRY_PAUSE_MS);
@@ -180,11 +211,12 @@
     key: string,
     request: CallRequest,
     onText: (text: string) => void,
+    number: number | undefined,
   ): Promise<Seen> {
     const parameters = {
       tenant: TENANT,
       program,
-      number: undefined,
+      number,
       idempotencyKey: key,
       request,
       patienceMs: PATIENCE_MS,
--- /dev/null
+++ b/bin/tulipwheel.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/src/cli/main.js";
--- /dev/null
+++ b/src/coordination/snapshot-relay/index.ts
@@ -0,0 +1,1 @@
+export { type SnapshotNews, SnapshotRelay } from "./snapshot-relay.ts";
--- a/src/messages/message.ts
+++ b/src/messages/message.ts
@@ -1,10 +1,25 @@
+import type { SnapshotNews } from "../coordination/snapshot-relay/index.ts";
 import type { AbandonCall, CallEvent, SubmitCall } from "./call-messages.ts";
 import type { RpcRequest, RpcResponse } from "./rpc-messages.ts";
 import type { ShardAcknowledgements, ShardHeartbeats, ShardMessage } from "./shard-messages.ts";
 import type { SlotMessage } from "./slot-messages.ts";
 
+/** There is a newer configuration; whoever hears of it fetches it from the sender. */
+export interface ConfigurationNews {
+  readonly type: "configurationNews";
+  readonly version: number;
+}
+
+/** Somebody has read the platform's list of machines. */
+export interface MachineListNews {
+  readonly type: "machineListNews";
+  readonly news: SnapshotNews;
+}
+
 /** Every message between processes of the system. */
 export type Message =
+  | ConfigurationNews
+  | MachineListNews
   | ShardMessage
   | ShardHeartbeats
   | ShardAcknowledgements
--- a/src/messages/rpc-messages.ts
+++ b/src/messages/rpc-messages.ts
@@ -1,4 +1,5 @@
 import type { Problem } from "../errors/problem.ts";
+import type { Machine } from "../platform/machine-list/machine-list.ts";
 import type { Decision } from "../scheduling/decision/decision.ts";
 import type { ApplyResult } from "../scheduling/program/program-table.ts";
 import type { EndReason, ForkPoint, ProgramRecord } from "../scheduling/program/records.ts";
@@ -184,12 +185,33 @@
   readonly level: string;
 }
 
-/** Asks which programs need no cache any more. */
+/** Asks a node for the list of machines; `digest` says which content the asker has. */
+export interface FetchMachinesRequest {
+  readonly digest: string;
+}
+
+/** What turns one list of machines into another. */
+export interface MachineChanges {
+  /** Whether the changes start from an empty list. */
+  readonly whole: boolean;
+  readonly put: readonly Machine[];
+  readonly removed: readonly string[];
+}
+
+/** The list of machines, as a difference where the asker's content is known. */
+export interface FetchMachinesResponse {
+  readonly digest: string;
+  /** Time since somebody read the platform's list for this content, in ms. */
+  readonly ageMs: number;
+  readonly changes: MachineChanges;
+}
+
+/** Asks which programs need no cache any more: they ended, or pause for longer than their template keeps it. */
 export interface FindGoneRequest {
   readonly programs: readonly string[];
 }
 
-/** The programs that have ended or are unknown. */
+/** The programs whose cache may go. */
 export interface FindGoneResponse {
   readonly gone: readonly string[];
 }
@@ -227,6 +249,7 @@
   readDecision: { request: ReadDecisionRequest; response: DecisionView };
   commit: { request: CommitRequest; response: CommitResponse };
   queryCall: { request: QueryCallRequest; response: QueryCallResponse };
+  fetchMachines: { request: FetchMachinesRequest; response: FetchMachinesResponse };
   findGone: { request: FindGoneRequest; response: FindGoneResponse };
   readCluster: { request: Empty; response: ClusterView };
   borrow: { request: BorrowRequest; response: BorrowResponse };
--- a/src/node/budgets/budget-service.ts
+++ b/src/node/budgets/budget-service.ts
@@ -1,10 +1,11 @@
-import { availableOf } from "../../coordination/budget-escrow/index.ts";
+import { type Allotment, availableOf } from "../../coordination/budget-escrow/index.ts";
 import type {
   BorrowRequest,
   BorrowResponse,
   BudgetView,
   ReadBudgetRequest,
 } from "../../messages/rpc-messages.ts";
+import { repeat } from "../../runtime/clock.ts";
 import type { RpcEndpoint } from "../../runtime/rpc.ts";
 import type { ShardRouter } from "../../runtime/shard-router.ts";
 import { budgetKey } from "../../scheduling/budget/budget-key.ts";
@@ -14,12 +15,16 @@
 import type { ShardCommitter } from "../shard-committer.ts";
 import type { ShardHost } from "../shard-host.ts";
 import type { ShardReplica } from "../shard-replica.ts";
+import { isLongPast } from "./is-long-past.ts";
 
 /** A loan is this many times what the call at hand needs, so that not every call asks the ledger. */
 const LOAN_FACTOR = 8;
 /** A single shard may hold at most this part of a budget beyond what the call at hand needs. */
 const MAX_SHARE = 1 / 16;
 const BORROW_TIMEOUT_MS = 3_000;
+const SETTLE_INTERVAL_MS = 2_000;
+/** Time without use after which an allotment goes back, in ms. */
+const IDLE_RETURN_MS = 8_000;
 
 /** Both sides of budgets on one node: borrowing for the shards it leads, and the ledgers of the shards it leads. */
 export class BudgetService {
@@ -28,6 +33,9 @@
   readonly #configuration: ConfigurationService;
   readonly #router: ShardRouter;
   readonly #committer: ShardCommitter;
+  readonly #uses = new Map<string, { readonly use: number; readonly sinceMs: number }>();
+  readonly #reported = new Map<string, string>();
+  #stop: () => void = () => undefined;
 
   constructor(
     context: NodeContext,
@@ -54,6 +62,17 @@
     });
   }
 
+  /** Starts returning what lies idle, and reporting what was spent. */
+  start(): void {
+    const { clock } = this.#context;
+    this.#stop = repeat(clock, SETTLE_INTERVAL_MS, () => void this.#settleAll().catch(() => undefined));
+  }
+
+  /** Stops returning and reporting. */
+  stop(): void {
+    this.#stop();
+  }
+
   /** The budget that a call under this policy is charged to now. */
   budgetOf(policy: EffectivePolicy): string {
     const isoTime = new Date(this.#context.clock.wallMs()).toISOString();
@@ -75,6 +94,49 @@
     return availableOf(replica.state.allotments.get(budget));
   }
 
+  async #settleAll(): Promise<void> {
+    for (const replica of this.#shards.all()) {
+      if (!replica.leads) continue;
+      for (const [budget, held] of [...replica.state.allotments.entries()])
+        await this.#settle(replica, budget, held);
+      await this.#forgetPast(replica);
+    }
+  }
+
+  /** What a shard has not touched for a while goes back, so that others can use it; the ledger learns what was spent. */
+  async #settle(replica: ShardReplica, budget: string, held: Allotment): Promise<void> {
+    const nowMs = this.#context.clock.monotonicMs();
+    const key = `${replica.shard} ${budget}`;
+    const use = held.spentTotal + held.reserved;
+    const known = this.#uses.get(key);
+    if (known?.use !== use) this.#uses.set(key, { use, sinceMs: nowMs });
+    const idle = known?.use === use && nowMs - known.sinceMs > IDLE_RETURN_MS;
+    const unused = availableOf(held);
+    if (idle && unused > 0) {
+      await this.#shards.propose(replica, { type: "returnAllotment", budget, tokens: unused });
+    }
+    await this.#report(replica, budget, key);
+  }
+
+  async #report(replica: ShardReplica, budget: string, key: string): Promise<void> {
+    const { returnedTotal, spentTotal } = replica.state.allotments.get(budget);
+    const signature = `${returnedTotal} ${spentTotal}`;
+    if (this.#reported.get(key) === signature) return;
+    const report = { budget, borrower: borrowerName(replica.shard), returnedTotal, spentTotal };
+    await this.#router.ask(this.#ledgerShard(budget), "reportLoan", report, BORROW_TIMEOUT_MS);
+    this.#reported.set(key, signature);
+  }
+
+  async #forgetPast(replica: ShardReplica): Promise<void> {
+    const nowMs = this.#context.clock.wallMs();
+    const known = new Set([
+      ...replica.state.allotments.toSnapshot().map(([budget]) => budget),
+      ...replica.state.ledger.budgets(),
+    ]);
+    const past = [...known].filter((budget) => isLongPast(budget, nowMs));
+    if (past.length > 0) await this.#shards.propose(replica, { type: "forgetBudgets", budgets: past });
+  }
+
   async #borrow(
     replica: ShardReplica,
     policy: EffectivePolicy,
--- a/src/node/calls/call-admission.ts
+++ b/src/node/calls/call-admission.ts
@@ -19,7 +19,8 @@
   readonly committed: Promise<void>;
 }
 
-const BUDGET_RETRY_AFTER_MS = 60_000;
+/** Idle allotments of other shards are back by then. */
+const BUDGET_RETRY_AFTER_MS = 12_000;
 
 /** Admits calls, or refuses them. A refusal is committed before it is said, so "not run" stays true for good. */
 export class CallAdmission {
--- a/src/node/configuration/configuration-service.ts
+++ b/src/node/configuration/configuration-service.ts
@@ -11,7 +11,6 @@
   FetchConfigurationResponse,
   ReadConfigurationResponse,
 } from "../../messages/rpc-messages.ts";
-import { repeat } from "../../runtime/clock.ts";
 import type { RpcEndpoint } from "../../runtime/rpc.ts";
 import type { EffectivePolicy } from "../../scheduling/policy/effective-policy.ts";
 import { parseYaml } from "../../settings/parse-yaml.ts";
@@ -31,6 +30,8 @@
 import type { ConfigurationTable } from "./configuration-table.ts";
 
 const FETCH_LIMIT = 200;
+/** Mean time between two looks at the table, by whichever node, in ms. */
+const TABLE_LOOK_MS = 50;
 const FETCH_TIMEOUT_MS = 1_000;
 
 /** See the module's comment. */
@@ -44,9 +45,11 @@
   readonly #policies = new Map<string, EffectivePolicy>();
   #fetching = false;
   #knowsNewest = false;
-  #stopPolling: () => void = () => undefined;
+  #stopped = false;
   /** Called with a new version, to spread the news. */
   onAdvanced: (version: number) => void = () => undefined;
+  /** How many nodes share the looks at the table. */
+  nodeCount: () => number = () => 1;
 
   constructor(context: NodeContext, rpc: RpcEndpoint, table: ConfigurationTable) {
     this.#context = context;
@@ -69,15 +72,12 @@
 
   /** Starts to follow the chain. */
   start(): void {
-    void this.#poll();
-    this.#stopPolling = repeat(this.#context.clock, this.#context.settings.timing.configurationMs, () => {
-      void this.#poll();
-    });
+    void this.#poll().finally(() => this.#pollLater());
   }
 
   /** Stops following the chain. */
   stop(): void {
-    this.#stopPolling();
+    this.#stopped = true;
   }
 
   /** A message said that its sender has this version. */
@@ -111,6 +111,20 @@
     return document?.draining ?? false;
   }
 
+  /**
+   * The more nodes there are, the more rarely each looks at the table, so that the table sees about as many looks
+   * however large the system is: whoever sees a change first spreads the news.
+   */
+  #pollLater(): void {
+    const { clock, random, settings } = this.#context;
+    const { configurationMs } = settings.timing;
+    const meanMs = Math.max(configurationMs, this.nodeCount() * TABLE_LOOK_MS);
+    const delayMs = this.#knowsNewest ? meanMs * (0.5 + random.unit()) : configurationMs;
+    clock.schedule(delayMs, () => {
+      if (!this.#stopped) void this.#poll().finally(() => this.#pollLater());
+    });
+  }
+
   async #poll(): Promise<void> {
     if (this.#fetching) return;
     this.#fetching = true;
--- a/src/node/node-daemon.ts
+++ b/src/node/node-daemon.ts
@@ -21,6 +21,7 @@
 import type { NodePlatform } from "./node-platform.ts";
 import { ProgramService } from "./programs/program-service.ts";
 import { HoldSweeper } from "./runners/hold-sweeper.ts";
+import { MachineDirectory } from "./runners/machine-directory.ts";
 import { RunnerDirectory } from "./runners/runner-directory.ts";
 import { RunnerHomes } from "./runners/runner-homes.ts";
 import { ShardCommitter } from "./shard-committer.ts";
@@ -28,6 +29,8 @@
 import { ShardSteward } from "./shard-steward.ts";
 
 const DRAIN_POLL_MS = 50;
+/** Nodes that are told of a new configuration at once. */
+const NEWS_FANOUT = 4;
 
 /** See the module's comment. */
 export class NodeDaemon {
@@ -37,6 +40,8 @@
   readonly calls: CallService;
   readonly homes: RunnerHomes;
   readonly #rpc: RpcEndpoint;
+  readonly #machines: MachineDirectory;
+  readonly #budgets: BudgetService;
   readonly #directory: RunnerDirectory;
   readonly #steward: ShardSteward;
   readonly #programs: ProgramService;
@@ -52,8 +57,9 @@
     const { transport, clock, random } = context;
     const rpc = new RpcEndpoint(transport, clock, random);
     const shards = new ShardHost(context);
-    const directory = new RunnerDirectory(context, platform.machineList);
-    const router = new ShardRouter(rpc, clock, random, () => directory.nodes().map((node) => node.address));
+    const machines = new MachineDirectory(context, platform.machineList, rpc);
+    const directory = new RunnerDirectory(machines);
+    const router = new ShardRouter(rpc, clock, random, () => machines.nodes().map((node) => node.address));
     const committer = new ShardCommitter(shards, router, rpc);
     const configuration = new ConfigurationService(
       context,
@@ -62,7 +68,7 @@
     );
     const decisions = new DecisionBuilder(context, configuration);
     const broker = new SlotBroker(context, directory);
-    const homes = new RunnerHomes(context, shards, directory, platform.engine, configuration);
+    const homes = new RunnerHomes(context, shards, machines, directory, platform.engine, configuration);
     const budgets = new BudgetService(context, shards, configuration, router, committer, rpc);
     const completions = new CompletionRunner(
       context,
@@ -87,13 +93,15 @@
     };
     this.#rpc = rpc;
     this.shards = shards;
+    this.#machines = machines;
+    this.#budgets = budgets;
     this.#directory = directory;
     this.configuration = configuration;
     this.#broker = broker;
     this.homes = homes;
     this.calls = new CallService(parts);
     this.#programs = new ProgramService(context, shards, configuration, decisions, directory, rpc);
-    this.#steward = new ShardSteward(context, shards, directory, platform.table);
+    this.#steward = new ShardSteward(context, shards, machines, platform.table);
     this.#sweeper = new HoldSweeper(context, homes, shards, router, platform.engine);
     rpc.handle("readCluster", async () => this.#readCluster());
     rpc.handle("drainNode", async () => this.#requestDrain());
@@ -101,7 +109,9 @@
       context.log.level = level;
       return {};
     });
-    directory.onRead = () => homes.sync();
+    machines.onRead = () => homes.sync();
+    configuration.nodeCount = () => machines.nodes().length;
+    configuration.onAdvanced = (version) => this.#spreadNews(version);
     transport.onMessage((message, from, version) => this.#onMessage(message, from, version));
   }
 
@@ -113,10 +123,11 @@
   /** Starts all parts. */
   start(): void {
     const { clock, settings } = this.context;
-    this.#directory.start();
+    this.#machines.start();
     this.configuration.start();
     this.#steward.start();
     this.#programs.start();
+    this.#budgets.start();
     this.calls.start();
     this.homes.start();
     this.#sweeper.start();
@@ -126,10 +137,11 @@
   /** Stops at once, as if the process had been killed. */
   halt(): void {
     this.#stopTicking();
-    this.#directory.stop();
+    this.#machines.stop();
     this.configuration.stop();
     this.#steward.stop();
     this.#programs.stop();
+    this.#budgets.stop();
     this.calls.stop();
     this.homes.stop();
     this.#sweeper.stop();
@@ -145,7 +157,7 @@
     const { clock, settings, log } = this.context;
     log.info({ activeCalls: this.calls.activeCalls }, "drains");
     const deadlineMs = clock.monotonicMs() + settings.timing.drainMs;
-    await this.#directory.announceLeaving();
+    await this.#machines.announceLeaving();
     this.calls.stopAdmitting();
     this.#programs.stopAdmitting();
     while (clock.monotonicMs() < deadlineMs && (this.#hasReplicas() || this.calls.activeCalls > 0)) {
@@ -164,6 +176,16 @@
     );
   }
 
+  /** Tells a few others of a new configuration; they tell others, so all know within a few hops. */
+  #spreadNews(version: number): void {
+    const { random, transport, self } = this.context;
+    const others = this.#machines.nodes().filter((node) => node.address !== self.address);
+    for (let count = 0; count < NEWS_FANOUT && others.length > 0; count++) {
+      const [target] = others.splice(random.below(others.length), 1);
+      transport.send(target.address, { type: "configurationNews", version });
+    }
+  }
+
   async #requestDrain() {
     this.context.clock.schedule(0, () => this.onDrainRequested());
     return {};
@@ -194,6 +216,8 @@
         return this.#broker.onQueued(message);
       case "slotRefused":
         return this.#broker.onRefused(message, from.address);
+      case "machineListNews":
+        return this.#machines.onNews(message.news, from.address);
       case "announceRunners":
         return this.#directory.learn(from.address, message.load);
       case "rpcRequest":
@@ -208,7 +232,7 @@
     return {
       shardCount: this.context.settings.cluster.shards,
       configurationVersion: this.configuration.version,
-      nodes: this.#directory.nodes().map((machine) => ({
+      nodes: this.#machines.nodes().map((machine) => ({
         instance: machine.incarnation,
         address: machine.address,
         zone: machine.zone,
--- a/src/node/programs/program-service.ts
+++ b/src/node/programs/program-service.ts
@@ -221,11 +221,19 @@
     const gone = programs.filter((id) => {
       const replica = this.#shards.led(this.#shards.shardOfProgram(id));
       const program = replica.state.programs.get(id);
-      return !program || program.endedAtMs !== undefined;
+      return !program || program.endedAtMs !== undefined || this.#pausesTooLong(program);
     });
     return { gone };
   }
 
+  /** Whether a program's pause has become longer than its template keeps cache for. */
+  #pausesTooLong(program: ProgramRecord): boolean {
+    const policy = this.#configuration.findPolicy(program);
+    const running = program.calls.at(-1)?.outcome === undefined && program.calls.length > 0;
+    if (!policy || running) return false;
+    return this.#context.clock.wallMs() - program.lastActiveAtMs > policy.cacheKeepMs;
+  }
+
   async #sweep(): Promise<void> {
     for (const replica of this.#shards.all()) {
       if (replica.leads) await this.#sweepShard(replica);
--- /dev/null
+++ b/src/node/runners/machine-directory.ts
@@ -0,0 +1,226 @@
+/**
+ * The platform's list of machines as this node knows it. A few nodes read it; the others are told by them, so that
+ * what the platform has to answer does not grow with the number of nodes. A node that has not been told for a while
+ * reads for itself.
+ */
+import { type SnapshotNews, SnapshotRelay } from "../../coordination/snapshot-relay/index.ts";
+import type { FetchMachinesResponse, MachineChanges } from "../../messages/rpc-messages.ts";
+import type { Machine, MachineList } from "../../platform/machine-list/machine-list.ts";
+import { repeat } from "../../runtime/clock.ts";
+import type { RpcEndpoint } from "../../runtime/rpc.ts";
+import type { NodeContext } from "../node-context.ts";
+
+/** Nodes that read the platform's list. */
+const READERS = 3;
+/** Nodes that each node tells of a fresher reading. */
+const NEWS_FANOUT = 3;
+/** Earlier contents that are kept, to answer with differences. */
+const KEPT_CONTENTS = 8;
+const FETCH_TIMEOUT_MS = 1_000;
+/** Mean time between two reports of nodes to the platform, by whichever node, in ms. */
+const REPORT_MS = 10;
+
+type Content = ReadonlyMap<string, Machine>;
+
+/** See the module's comment. */
+export class MachineDirectory {
+  readonly #context: NodeContext;
+  readonly #list: MachineList;
+  readonly #rpc: RpcEndpoint;
+  readonly #relay: SnapshotRelay;
+  readonly #contents = new Map<string, Content>();
+  #machines: readonly Machine[] = [];
+  #nodes: readonly Machine[] = [];
+  #nodesVersion = 0;
+  #leaving = false;
+  #fetching = false;
+  #nextReportMs = 0;
+  #stop: () => void = () => undefined;
+  /** Called after each fresher reading. */
+  onRead: () => void = () => undefined;
+
+  constructor(context: NodeContext, list: MachineList, rpc: RpcEndpoint) {
+    this.#context = context;
+    this.#list = list;
+    this.#rpc = rpc;
+    this.#relay = new SnapshotRelay(context.settings.timing.machineListMs / 2);
+    rpc.handle("fetchMachines", async ({ digest }) => this.#answerFetch(digest));
+  }
+
+  /** Starts to follow the list. */
+  start(): void {
+    void this.#step();
+    this.#stop = repeat(
+      this.#context.clock,
+      this.#context.settings.timing.machineListMs,
+      () => void this.#step(),
+    );
+  }
+
+  /** Stops following the list. */
+  stop(): void {
+    this.#stop();
+  }
+
+  /** Tells the platform that this node is leaving. */
+  async announceLeaving(): Promise<void> {
+    this.#leaving = true;
+    this.#nextReportMs = 0;
+    await this.#step();
+  }
+
+  /** Time since somebody read the list for what is known here, in ms. */
+  ageMs(): number {
+    return this.#relay.ageMs(this.#nowMs());
+  }
+
+  /** Every machine on the list. */
+  machines(): readonly Machine[] {
+    return this.#machines;
+  }
+
+  /** Nodes on the list. */
+  nodes(): readonly Machine[] {
+    return this.#nodes;
+  }
+
+  /** Changes whenever {@link nodes} does, so that what is worked out from them need not be worked out again. */
+  get nodesVersion(): number {
+    return this.#nodesVersion;
+  }
+
+  /** Another node told of a reading. */
+  onNews(news: SnapshotNews, from: string): void {
+    if (this.#relay.worthAsking(news, this.#nowMs())) void this.#fetch(from);
+  }
+
+  async #step(): Promise<void> {
+    await this.#reportIfDue();
+    if (this.#isReader() || this.ageMs() > this.#context.settings.timing.machineListMs * 2)
+      await this.#read();
+  }
+
+  /** The readers are the nodes that come first by hash; whoever knows too few nodes reads as well. */
+  #isReader(): boolean {
+    const { self, hash } = this.#context;
+    const own = hash.hash32(`reader|${self.instance}`);
+    const before = this.#nodes.filter((node) => hash.hash32(`reader|${node.incarnation}`) < own);
+    return before.length < READERS;
+  }
+
+  /** The more nodes there are, the more rarely each reports itself. */
+  async #reportIfDue(): Promise<void> {
+    const { self, settings, random } = this.#context;
+    const nowMs = this.#nowMs();
+    if (nowMs < this.#nextReportMs) return;
+    this.#nextReportMs = nowMs + this.#nodes.length * REPORT_MS * (0.5 + random.unit());
+    await this.#list
+      .report({
+        name: settings.name,
+        kind: "node",
+        pool: "",
+        zone: settings.zone,
+        address: self.address,
+        incarnation: self.instance,
+        state: this.#leaving ? "leaving" : "live",
+        models: [],
+        slots: 0,
+        kvTokens: 0,
+      })
+      .catch(() => {
+        this.#nextReportMs = 0;
+      });
+  }
+
+  async #read(): Promise<void> {
+    const startMs = this.#nowMs();
+    try {
+      const machines = await this.#list.read();
+      const content = new Map(machines.map((machine) => [machine.name, machine]));
+      const digest = this.#digestOf(content);
+      this.#take(digest, content);
+      this.#tellOthers(this.#relay.read(digest, startMs, this.#nowMs()));
+      this.onRead();
+    } catch {
+      // The platform does not answer: what is known stands, and its age is watched by those who depend on it.
+    }
+  }
+
+  async #fetch(from: string): Promise<void> {
+    if (this.#fetching) return;
+    this.#fetching = true;
+    const askedAtMs = this.#nowMs();
+    const held = this.#relay.digest;
+    try {
+      const reply = await this.#rpc.ask(from, "fetchMachines", { digest: held }, FETCH_TIMEOUT_MS);
+      if (reply.type !== "done") return;
+      const { changes, ageMs } = reply.body;
+      const content = applyChanges(this.#contents.get(held), changes);
+      const digest = this.#digestOf(content);
+      if (digest !== reply.body.digest) return;
+      this.#take(digest, content);
+      this.#tellOthers(this.#relay.adopt({ digest, ageMs }, askedAtMs, this.#nowMs()));
+      this.onRead();
+    } finally {
+      this.#fetching = false;
+    }
+  }
+
+  #answerFetch(digest: string): FetchMachinesResponse {
+    const current = this.#contents.get(this.#relay.digest) ?? new Map<string, Machine>();
+    const changes = changesBetween(this.#contents.get(digest), current);
+    return { digest: this.#relay.digest, ageMs: this.ageMs(), changes };
+  }
+
+  #take(digest: string, content: Content): void {
+    this.#contents.delete(digest);
+    this.#contents.set(digest, content);
+    const [oldest] = this.#contents.keys();
+    if (this.#contents.size > KEPT_CONTENTS) this.#contents.delete(oldest);
+    if (digest === this.#relay.digest) return;
+    this.#machines = [...content.values()];
+    const nodes = this.#machines.filter((machine) => machine.kind === "node");
+    if (signatureOf(nodes) === signatureOf(this.#nodes)) return;
+    this.#nodes = nodes;
+    this.#nodesVersion += 1;
+  }
+
+  #tellOthers(news: SnapshotNews): void {
+    const { random, transport, self } = this.#context;
+    const others = this.#nodes.filter((node) => node.address !== self.address);
+    for (let count = 0; count < NEWS_FANOUT && others.length > 0; count++) {
+      const [target] = others.splice(random.below(others.length), 1);
+      transport.send(target.address, { type: "machineListNews", news });
+    }
+  }
+
+  #digestOf(content: Content): string {
+    const names = [...content.keys()].sort();
+    return this.#context.hash.hash64(names.map((name) => JSON.stringify(content.get(name))).join("\n"));
+  }
+
+  #nowMs(): number {
+    return this.#context.clock.monotonicMs();
+  }
+}
+
+function signatureOf(nodes: readonly Machine[]): string {
+  return nodes.map(({ incarnation, address, state }) => `${incarnation}|${address}|${state}`).join(" ");
+}
+
+/** What turns one content into another; everything when the first is not known. */
+function changesBetween(before: Content | undefined, after: Content): MachineChanges {
+  if (!before) return { whole: true, put: [...after.values()], removed: [] };
+  const put = [...after.values()].filter(
+    (machine) => JSON.stringify(before.get(machine.name)) !== JSON.stringify(machine),
+  );
+  const removed = [...before.keys()].filter((name) => !after.has(name));
+  return { whole: false, put, removed };
+}
+
+function applyChanges(before: Content | undefined, { whole, put, removed }: MachineChanges): Content {
+  const content = new Map(whole ? [] : before);
+  for (const name of removed) content.delete(name);
+  for (const machine of put) content.set(machine.name, machine);
+  return content;
+}
--- a/src/node/runners/runner-directory.ts
+++ b/src/node/runners/runner-directory.ts
@@ -1,8 +1,7 @@
 import type { RunnerLoad } from "../../messages/slot-messages.ts";
-import type { Machine, MachineList } from "../../platform/machine-list/machine-list.ts";
-import { repeat } from "../../runtime/clock.ts";
+import type { Machine } from "../../platform/machine-list/machine-list.ts";
 import type { RunnerView } from "../../scheduling/runner-selection/runner-view.ts";
-import type { NodeContext } from "../node-context.ts";
+import type { MachineDirectory } from "./machine-directory.ts";
 
 /** What a node knows of a runner's home and load. */
 interface KnownLoad {
@@ -10,69 +9,27 @@
   readonly load: RunnerLoad;
 }
 
-/** The machines that the platform lists, and what homes say of their runners. */
+/** The runners and services that the platform lists, and what homes say of their runners. */
 export class RunnerDirectory {
-  readonly #context: NodeContext;
-  readonly #machineList: MachineList;
+  readonly #machines: MachineDirectory;
   readonly #loads = new Map<string, KnownLoad>();
-  #machines: readonly Machine[] = [];
-  #nodes: readonly Machine[] = [];
-  #nodesVersion = 0;
-  #readAtMs = Number.NEGATIVE_INFINITY;
-  #leaving = false;
-  #stopPolling: () => void = () => undefined;
-  /** Called after each successful read of the list. */
-  onRead: () => void = () => undefined;
 
-  constructor(context: NodeContext, machineList: MachineList) {
-    this.#context = context;
-    this.#machineList = machineList;
-  }
-
-  /** Starts to follow the list. */
-  start(): void {
-    void this.#poll();
-    this.#stopPolling = repeat(this.#context.clock, this.#context.settings.timing.machineListMs, () => {
-      void this.#poll();
-    });
-  }
-
-  /** Stops following the list. */
-  stop(): void {
-    this.#stopPolling();
-  }
-
-  /** Tells the platform that this node is leaving. */
-  async announceLeaving(): Promise<void> {
-    this.#leaving = true;
-    await this.#poll();
-  }
-
-  /** Age of the list in ms. */
-  ageMs(): number {
-    return this.#context.clock.monotonicMs() - this.#readAtMs;
-  }
-
-  /** Nodes on the list. */
-  nodes(): readonly Machine[] {
-    return this.#nodes;
-  }
-
-  /** Changes whenever {@link nodes} does, so that what is worked out from them need not be worked out again. */
-  get nodesVersion(): number {
-    return this.#nodesVersion;
+  constructor(machines: MachineDirectory) {
+    this.#machines = machines;
   }
 
   /** Runners on the list. */
   runners(): readonly Machine[] {
-    return this.#machines.filter((machine) => machine.kind === "runner");
+    return this.#machines.machines().filter((machine) => machine.kind === "runner");
   }
 
   /** Machines of a service that take work. */
   serviceMachines(service: string): readonly Machine[] {
-    return this.#machines.filter(
-      (machine) => machine.kind === "service" && machine.pool === service && machine.state === "live",
-    );
+    return this.#machines
+      .machines()
+      .filter(
+        (machine) => machine.kind === "service" && machine.pool === service && machine.state === "live",
+      );
   }
 
   /** Takes in what a home says; news of an older home than the known one is passed over. */
@@ -108,40 +65,4 @@
       expectedWaitMs: known?.load.expectedWaitMs ?? 0,
     };
   }
-
-  #take(machines: readonly Machine[]): void {
-    this.#machines = machines;
-    const nodes = machines.filter((machine) => machine.kind === "node");
-    if (signatureOf(nodes) === signatureOf(this.#nodes)) return;
-    this.#nodes = nodes;
-    this.#nodesVersion += 1;
-  }
-
-  async #poll(): Promise<void> {
-    const { self, clock, settings } = this.#context;
-    const startMs = clock.monotonicMs();
-    try {
-      await this.#machineList.report({
-        name: settings.name,
-        kind: "node",
-        pool: "",
-        zone: settings.zone,
-        address: self.address,
-        incarnation: self.instance,
-        state: this.#leaving ? "leaving" : "live",
-        models: [],
-        slots: 0,
-        kvTokens: 0,
-      });
-      this.#take(await this.#machineList.read());
-      this.#readAtMs = startMs;
-      this.onRead();
-    } catch {
-      // The platform does not answer: the last list stands, and its age is watched by those who depend on it.
-    }
-  }
-}
-
-function signatureOf(nodes: readonly Machine[]): string {
-  return nodes.map(({ incarnation, address, state }) => `${incarnation}|${address}|${state}`).join(" ");
 }
--- a/src/node/runners/runner-homes.ts
+++ b/src/node/runners/runner-homes.ts
@@ -5,6 +5,7 @@
 import type { NodeContext } from "../node-context.ts";
 import type { ShardHost } from "../shard-host.ts";
 import type { ShardReplica } from "../shard-replica.ts";
+import type { MachineDirectory } from "./machine-directory.ts";
 import type { RunnerDirectory } from "./runner-directory.ts";
 import { RunnerHome, type RunnerHomePort } from "./runner-home.ts";
 
@@ -15,6 +16,7 @@
 export class RunnerHomes implements RunnerHomePort {
   readonly #context: NodeContext;
   readonly #shards: ShardHost;
+  readonly #machines: MachineDirectory;
   readonly #directory: RunnerDirectory;
   readonly #engine: EngineClient;
   readonly #configuration: ConfigurationService;
@@ -25,12 +27,14 @@
   constructor(
     context: NodeContext,
     shards: ShardHost,
+    machines: MachineDirectory,
     directory: RunnerDirectory,
     engine: EngineClient,
     configuration: ConfigurationService,
   ) {
     this.#context = context;
     this.#shards = shards;
+    this.#machines = machines;
     this.#directory = directory;
     this.#engine = engine;
     this.#configuration = configuration;
@@ -108,7 +112,7 @@
   }
 
   listIsFresh(): boolean {
-    return this.#directory.ageMs() <= this.#context.settings.timing.machineListStaleMs;
+    return this.#machines.ageMs() <= this.#context.settings.timing.machineListStaleMs;
   }
 
   isDrainedByOperator(runner: string): boolean {
@@ -163,7 +167,7 @@
   }
 
   #announceTargets(): string[] {
-    const others = this.#directory
+    const others = this.#machines
       .nodes()
       .map((node) => node.address)
       .filter((address) => address !== this.#context.self.address);
--- a/src/node/shard-steward.ts
+++ b/src/node/shard-steward.ts
@@ -13,7 +13,7 @@
 import type { Row, TableStore } from "../platform/table/table-store.ts";
 import { delay, repeat } from "../runtime/clock.ts";
 import type { NodeContext } from "./node-context.ts";
-import type { RunnerDirectory } from "./runners/runner-directory.ts";
+import type { MachineDirectory } from "./runners/machine-directory.ts";
 import type { ShardHost } from "./shard-host.ts";
 import type { ShardReplica } from "./shard-replica.ts";
 
@@ -35,7 +35,7 @@
 export class ShardSteward {
   readonly #context: NodeContext;
   readonly #shards: ShardHost;
-  readonly #directory: RunnerDirectory;
+  readonly #machines: MachineDirectory;
   readonly #table: TableStore;
   readonly #placement: PlacementOptions;
   readonly #published = new Map<number, string>();
@@ -45,10 +45,10 @@
   #stopped = false;
   #ready = false;
 
-  constructor(context: NodeContext, shards: ShardHost, directory: RunnerDirectory, table: TableStore) {
+  constructor(context: NodeContext, shards: ShardHost, machines: MachineDirectory, table: TableStore) {
     this.#context = context;
     this.#shards = shards;
-    this.#directory = directory;
+    this.#machines = machines;
     this.#table = table;
     const { replicas, shardsPerFamily } = context.settings.cluster;
     this.#placement = { replicas, shardsPerFamily, hash32: context.hash.hash32 };
@@ -174,7 +174,7 @@
     const health = members
       .map((member) => `${member.instance}:${this.#isDead(replica, member, nowMs)}`)
       .join(" ");
-    const basis = `${this.#directory.nodesVersion} ${health}`;
+    const basis = `${this.#machines.nodesVersion} ${health}`;
     const known = this.#wanted.get(replica.shard);
     if (known?.basis === basis) return known.members;
     const chosen = chooseReplicas(replica.shard, this.#usableNodes(replica, nowMs), this.#placement);
@@ -205,7 +205,7 @@
   #usableNodes(replica: ShardReplica, nowMs: number): Member[] {
     const isDead = (member: Member) => this.#isDead(replica, member, nowMs);
     const listed = this.#listedNodes().filter((member) => !isDead(member));
-    const leaving = this.#directory.nodes().filter((machine) => machine.state === "leaving");
+    const leaving = this.#machines.nodes().filter((machine) => machine.state === "leaving");
     const unlisted = allMembers(replica.membership).filter((member) => {
       if (listed.some((other) => other.instance === member.instance) || isDead(member)) return false;
       return !leaving.some((machine) => machine.incarnation === member.instance);
@@ -214,7 +214,7 @@
   }
 
   #listedNodes(): Member[] {
-    return this.#directory
+    return this.#machines
       .nodes()
       .filter((machine) => machine.state === "live")
       .map(({ incarnation, address, zone }) => ({ instance: incarnation, address, zone }));
--- /dev/null
+++ b/test/contract/snapshot-relay.test.ts
@@ -0,0 +1,43 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import { SnapshotRelay } from "../../src/coordination/snapshot-relay/index.ts";
+
+describe("snapshot relay", () => {
+  const CASES: [string, { digest: string; ageMs: number }, boolean][] = [
+    ["asks for another content that is fresher", { digest: "b", ageMs: 50 }, true],
+    ["does not ask for another content that is older", { digest: "b", ageMs: 150 }, false],
+    ["asks for the same content read much later", { digest: "a", ageMs: 10 }, true],
+    ["does not ask for the same content read a little later", { digest: "a", ageMs: 80 }, false],
+  ];
+  for (const [name, news, expected] of CASES) {
+    it(name, () => {
+      const relay = new SnapshotRelay(50);
+      relay.read("a", 0, 0);
+      expect(relay.worthAsking(news, 100)).toEqual(expected);
+    });
+  }
+
+  it("never takes a content for younger than its reading, however long messages and pauses last", () => {
+    const delays = fc.array(fc.nat(5_000), { minLength: 3, maxLength: 3 });
+    fc.assert(
+      fc.property(fc.array(delays, { minLength: 1, maxLength: 6 }), (hops) => {
+        let holder = new SnapshotRelay(10);
+        holder.read("a", 1_000, 1_000);
+        let nowMs = 1_000;
+        for (const [newsMs, questionMs, answerMs] of hops) {
+          const next = new SnapshotRelay(10);
+          nowMs += newsMs;
+          const askedAtMs = nowMs;
+          nowMs += questionMs;
+          const answer = { digest: holder.digest, ageMs: holder.ageMs(nowMs) };
+          nowMs += answerMs;
+          next.adopt(answer, askedAtMs, nowMs);
+          expect(next.ageMs(nowMs) >= nowMs - 1_000).toEqual(true);
+          holder = next;
+        }
+      }),
+      { seed: 5, numRuns: 300 },
+    );
+  });
+});
--- a/test/process/support/child-process.ts
+++ b/test/process/support/child-process.ts
@@ -7,9 +7,10 @@
   readonly #output: string[] = [];
   readonly exited: Promise<number | null>;
 
-  constructor(script: string, args: readonly string[]) {
+  constructor(script: string, args: readonly string[], environment: Record<string, string> = {}) {
     this.#child = spawn(process.execPath, ["--import", "tsx", script, ...args], {
       stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ...environment },
     });
     this.exited = new Promise((resolve) => this.#child.once("exit", (code) => resolve(code)));
     this.#child.stderr?.on("data", (part) => this.#output.push(String(part)));
@@ -22,6 +23,13 @@
     throw new Error(`The process ended before it said where it is reached: ${this.log}`);
   }
 
+  /** Everything that the process writes to standard output, once it has ended. */
+  async output(): Promise<string> {
+    let text = "";
+    for await (const part of this.#child.stdout as NodeJS.ReadableStream) text += part;
+    return text;
+  }
+
   /** What the process wrote to standard error. */
   get log(): string {
     return this.#output.join("");
--- a/test/process/support/cluster.ts
+++ b/test/process/support/cluster.ts
@@ -14,6 +14,15 @@
   readonly address: string;
 }
 
+/** How an operator's command ended. */
+export interface CommandResult {
+  readonly code: number | null;
+  /** Standard output. */
+  readonly output: string;
+  /** Standard error. */
+  readonly log: string;
+}
+
 /** What a cluster is made of. */
 export interface ClusterOptions {
   readonly nodes: number;
@@ -88,10 +97,15 @@
   }
 
   /** Runs an operator's command to its end. */
-  async operate(...args: readonly string[]): Promise<{ code: number | null; log: string }> {
-    const command = this.#spawn(CLI, [...args, "--node", this.nodes[0].address]);
-    const code = await command.exited;
-    return { code, log: command.log };
+  operate(...args: readonly string[]): Promise<CommandResult> {
+    return this.operateAt(this.nodes[0].address, ...args);
+  }
+
+  /** Runs an operator's command by way of a given node. */
+  async operateAt(node: string, ...args: readonly string[]): Promise<CommandResult> {
+    const command = this.#spawn(CLI, args, { TULIPWHEEL_NODE: node });
+    const output = await command.output();
+    return { code: await command.exited, output, log: command.log };
   }
 
   /** Waits until every node that runs is ready. */
@@ -170,8 +184,8 @@
     return { process: started, address, metrics };
   }
 
-  #spawn(script: string, args: readonly string[]): StartedProcess {
-    const started = new StartedProcess(script, args);
+  #spawn(script: string, args: readonly string[], environment: Record<string, string> = {}): StartedProcess {
+    const started = new StartedProcess(script, args, environment);
     this.#started.push(started);
     return started;
   }
