--- a/bench/load.ts
+++ b/bench/load.ts
@@ -45,8 +45,10 @@
     try {
       await cluster.operate("template", "apply", "examples/magnolia/templates.yaml");
       const sidecar = await cluster.startSidecar();
+      // An engine of its own: requests past the scheduler would carry tokens that the scheduler's engine must refuse.
+      const bare = await cluster.startBareEngine(engine);
       for (const callers of this.concurrency.split(",").map(Number)) {
-        await this.#compare(callers, cluster.engines[0].address, sidecar.address);
+        await this.#compare(callers, bare.address, sidecar.address);
       }
       await this.#memory(cluster, sidecar.address);
     } finally {
@@ -128,7 +130,7 @@
       messages: [{ role: "user", content: `bare ${nextRequest} #tokens=${TOKENS}` }],
       maxTokens: TOKENS,
       priority: 1,
-      fencingToken: 1_000_000,
+      fencingToken: 1,
       resumeText: "",
     };
     return stream(`http://${address}/v1/completions`, {}, body, '"type":"chunk"');
--- a/test/process/support/cluster.ts
+++ b/test/process/support/cluster.ts
@@ -137,9 +137,14 @@
     await Promise.all(services);
   }
 
+  /** Starts an engine that no list knows of. */
+  startBareEngine(options: EngineModelOptions): Promise<Reached> {
+    return this.#launch(STANDINS, ["engine", "--options", JSON.stringify(options)]);
+  }
+
   /** Starts an engine and puts it on the machine list. */
   async startEngine(options: EngineModelOptions): Promise<Reached> {
-    const engine = await this.#launch(STANDINS, ["engine", "--options", JSON.stringify(options)]);
+    const engine = await this.startBareEngine(options);
     this.engines.push(engine);
     const { name, models, slots = 16, kvTokens = 200_000 } = options;
     await this.list({
