--- a/src/runtime/tcp-transport.ts
+++ b/src/runtime/tcp-transport.ts
@@ -89,7 +89,7 @@
     else this.#outbox.set(address, [message]);
     if (this.#flushScheduled) return;
     this.#flushScheduled = true;
-    queueMicrotask(() => this.#flush());
+    setImmediate(() => this.#flush());
   }
 
   async close(): Promise<void> {
