Archive shards in the object store, and recover those that lost all replicas

Cause: a restart of all nodes at once lost every program: nothing lasted outside memory.

Weighed: a manifest row per shard in the table, fenced by term (840 writes/s of the table at the target); objects that describe themselves (chosen: committed entries have one content per index for good, so nothing needs fencing); automatic recovery (a cut-off majority would be started twice).

Change: leaders write a whole state and then segments of commands; shard recover starts a shard anew under a new generation, and is refused while a replica answers. The list of machines is not hashed again when it has not changed.

Contract of the weight store added; capacity also measures real processes.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -4,6 +4,7 @@
 import { Cli, Command, Option } from "clipanion";
 import { fitLine, type Line } from "./capacity/fit-line.ts";
 import { HollowCluster } from "./capacity/hollow-cluster.ts";
+import { measureReal, type RealMeasurement } from "./capacity/measure-real.ts";
 import { plotSvg } from "./capacity/plot-svg.ts";
 
 /** What one size showed; per node and second unless the name says otherwise. */
@@ -27,6 +28,7 @@
 class CapacityCommand extends Command {
   static override paths = [Command.Default];
   sizes = Option.String("--sizes", "25,50,100,200,400", { description: "Numbers of hollow nodes" });
+  real = Option.String("--real", "6", { description: "Number of real node processes measured beside" });
   write = Option.Boolean("--write", false, {
     description: "Keeps the results in bench/results and the plot in docs",
   });
@@ -44,7 +46,12 @@
       heapMegabytes: fit(measurements, ({ heapMegabytesPerNode }) => heapMegabytesPerNode),
     };
     this.#printTarget(fits);
-    if (this.write) await keep(measurements, fits);
+    const real = await measureReal(Number(this.real));
+    this.context.stdout.write(
+      `${real.nodes} real processes, per node and second: ${real.bytes.toFixed(0)} B in ${real.messages.toFixed(1)} ` +
+        `messages, ${real.cpuPercent.toFixed(2)}% of a core, ${real.residentMegabytes.toFixed(0)} MB resident\n`,
+    );
+    if (this.write) await keep(measurements, fits, real);
     return 0;
   }
 
@@ -113,7 +120,11 @@
   return fitLine(measurements.map((measurement) => [measurement.nodes, read(measurement)]));
 }
 
-async function keep(measurements: readonly Measurement[], fits: Record<string, Line>): Promise<void> {
+async function keep(
+  measurements: readonly Measurement[],
+  fits: Record<string, Line>,
+  real: RealMeasurement,
+): Promise<void> {
   const commit = execFileSync("git", ["rev-parse", "--short", "HEAD"], { encoding: "utf8" }).trim();
   const date = new Date().toISOString();
   const lines = Object.fromEntries(
@@ -123,7 +134,7 @@
     ]),
   );
   await mkdir("bench/results", { recursive: true });
-  const content = JSON.stringify({ commit, date, measurements, fits: lines }, null, 2);
+  const content = JSON.stringify({ commit, date, measurements, fits: lines, real }, null, 2);
   await writeFile("bench/results/capacity.json", `${content}\n`);
   const points = measurements.map(({ nodes, bytes }) => [nodes, bytes] as const);
   const plot = plotSvg({
--- a/src/cli/commands/cluster-commands.ts
+++ b/src/cli/commands/cluster-commands.ts
@@ -1,5 +1,5 @@
 import { Command, Option } from "clipanion";
-import { configurationError, requestError } from "../../errors/tulipwheel-error.ts";
+import { configurationError, problemOfError, requestError } from "../../errors/tulipwheel-error.ts";
 import type { ClusterView, ShardView } from "../../messages/rpc-messages.ts";
 import { systemRandom } from "../../runtime/system-random.ts";
 import { LOG_LEVELS } from "../../settings/common-schemas.ts";
@@ -60,6 +60,39 @@
   }
 }
 
+/** `tulipwheel shard recover` */
+export class ShardRecoverCommand extends OperatorCommand {
+  static override paths = [["shard", "recover"]];
+  static override usage = Command.Usage({
+    category: CATEGORY,
+    description: "Starts shards anew from the object store, after all their replicas were lost",
+    details: `
+      What was committed after the last write to the object store is lost. Refused while a replica answers. Make sure
+      that the replicas are gone and not only out of reach: two copies of a shard would part its programs' histories.
+    `,
+  });
+  shards = Option.Rest({ name: "SHARD" });
+  all = Option.Boolean("--all", false, { description: "Tries every shard, and passes over those that live" });
+
+  protected override async operate(client: OperatorClient): Promise<number> {
+    const { shardCount } = await client.cluster();
+    const shards = this.all
+      ? Array.from({ length: shardCount }, (_, shard) => shard)
+      : this.shards.map(Number);
+    const recovered: { shard: number; generation: number; programs: number; lastIndex: number }[] = [];
+    for (const shard of shards) {
+      try {
+        recovered.push({ shard, ...(await client.ask("recoverShard", { shard })) });
+      } catch (error) {
+        if (!this.all || problemOfError(error).kind !== "shard-alive") throw error;
+      }
+    }
+    const rows = recovered.map((one) => [one.shard, one.generation, one.programs, one.lastIndex].map(String));
+    this.print(recovered, formatTable(["SHARD", "GENERATION", "PROGRAMS", "LAST INDEX"], rows));
+    return EXIT_CODES.done;
+  }
+}
+
 /** `tulipwheel runner list` */
 export class RunnerListCommand extends OperatorCommand {
   static override paths = [["runner", "list"]];
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,6 +6,7 @@
   NodeDrainCommand,
   RunnerDrainCommand,
   RunnerListCommand,
+  ShardRecoverCommand,
   StatusCommand,
 } from "./commands/cluster-commands.ts";
 import { NodeCommand, SidecarCommand } from "./commands/daemon-commands.ts";
@@ -42,6 +43,7 @@
   NodeDrainCommand,
   RunnerListCommand,
   RunnerDrainCommand,
+  ShardRecoverCommand,
   LogLevelCommand,
   SettingsCheckCommand,
   SettingsShowCommand,
--- a/src/coordination/shard-group/shard-group.ts
+++ b/src/coordination/shard-group/shard-group.ts
@@ -81,6 +81,17 @@
     this.#commitTo(entry.index);
   }
 
+  /**
+   * Starts a group anew from a state that was kept elsewhere, after every replica was lost. All first members must be
+   * given the same; `term` must be above any that the lost group can have reached.
+   */
+  bootstrapFrom(voters: readonly Member[], lastIndex: number, term: number): void {
+    this.#term = term;
+    this.#log.reset(lastIndex, term);
+    this.#membership.reset({ voters, learners: [] });
+    this.#commitIndex = lastIndex;
+  }
+
   /** What this replica is. */
   get role(): ShardRole {
     return this.#role;
--- a/src/errors/error-kinds.ts
+++ b/src/errors/error-kinds.ts
@@ -161,6 +161,13 @@
     retriable: true,
     remedy: "Read the newest version, merge, and apply again with its number as the base.",
   },
+  "shard-alive": {
+    title: "The shard has replicas that answer",
+    status: 409,
+    outcome: "not-run",
+    retriable: false,
+    remedy: "Let the replicas elect a leader; recover only what is lost for good.",
+  },
   "invalid-template": {
     title: "The template is not valid",
     status: 422,
--- a/src/messages/rpc-messages.ts
+++ b/src/messages/rpc-messages.ts
@@ -206,6 +206,32 @@
   readonly changes: MachineChanges;
 }
 
+/** Asks a node to recover a shard whose replicas are lost, from the object store. */
+export interface RecoverShardRequest {
+  readonly shard: number;
+}
+
+/** The shard starts anew. */
+export interface RecoverShardResponse {
+  readonly generation: number;
+  /** Programs that were recovered. */
+  readonly programs: number;
+  readonly lastIndex: number;
+}
+
+/** Asks whether a node holds a replica of a shard, or tells it to look at the table for a recovered one. */
+export interface ShardPresenceRequest {
+  readonly shard: number;
+  readonly adopt: boolean;
+}
+
+/** Whether the node holds a replica that votes, and of which generation. */
+export interface ShardPresenceResponse {
+  readonly instance: string;
+  readonly holds: boolean;
+  readonly generation: number;
+}
+
 /** Asks which programs need no cache any more: they ended, or pause for longer than their template keeps it. */
 export interface FindGoneRequest {
   readonly programs: readonly string[];
@@ -250,6 +276,8 @@
   commit: { request: CommitRequest; response: CommitResponse };
   queryCall: { request: QueryCallRequest; response: QueryCallResponse };
   fetchMachines: { request: FetchMachinesRequest; response: FetchMachinesResponse };
+  recoverShard: { request: RecoverShardRequest; response: RecoverShardResponse };
+  shardPresence: { request: ShardPresenceRequest; response: ShardPresenceResponse };
   findGone: { request: FindGoneRequest; response: FindGoneResponse };
   readCluster: { request: Empty; response: ClusterView };
   borrow: { request: BorrowRequest; response: BorrowResponse };
--- /dev/null
+++ b/src/node/archive/archive-keys.ts
@@ -0,0 +1,58 @@
+/** Names of a shard's objects in the object store. They sort by the last index that they hold. */
+
+/** One object of an archive. */
+export interface ArchiveObject {
+  readonly key: string;
+  readonly lastIndex: number;
+  /** The index after which a segment's commands begin; undefined for a base, which needs nothing before it. */
+  readonly afterIndex: number | undefined;
+}
+
+const SHARD_DIGITS = 5;
+const GENERATION_DIGITS = 4;
+const INDEX_DIGITS = 12;
+const BASE = "base";
+
+/** The prefix of all objects of a shard's generation. */
+export function archivePrefix(shard: number, generation: number): string {
+  return `archive/${pad(shard, SHARD_DIGITS)}/${pad(generation, GENERATION_DIGITS)}/`;
+}
+
+/** The name of a whole state. */
+export function baseKey(shard: number, generation: number, lastIndex: number): string {
+  return `${archivePrefix(shard, generation)}${pad(lastIndex, INDEX_DIGITS)}-${BASE}`;
+}
+
+/** The name of the commands after one index, up to another. */
+export function segmentKey(shard: number, generation: number, afterIndex: number, lastIndex: number): string {
+  return `${archivePrefix(shard, generation)}${pad(lastIndex, INDEX_DIGITS)}-${pad(afterIndex, INDEX_DIGITS)}`;
+}
+
+/** Reads a name. */
+export function parseArchiveKey(key: string): ArchiveObject {
+  const [last, after] = key.slice(key.lastIndexOf("/") + 1).split("-");
+  return { key, lastIndex: Number(last), afterIndex: after === BASE ? undefined : Number(after) };
+}
+
+/**
+ * The objects that lead from the newest base to the newest state without a gap, in order.
+ * Only committed commands are archived, so objects of different writers that overlap agree.
+ */
+export function chainOf(objects: readonly ArchiveObject[]): readonly ArchiveObject[] {
+  const base = objects.filter((object) => object.afterIndex === undefined).at(-1);
+  if (!base) return [];
+  const chain = [base];
+  for (;;) {
+    const { lastIndex } = chain[chain.length - 1];
+    const following = objects.filter(
+      (object) => object.afterIndex === lastIndex && object.lastIndex > lastIndex,
+    );
+    const next = following.at(-1);
+    if (!next) return chain;
+    chain.push(next);
+  }
+}
+
+function pad(value: number, digits: number): string {
+  return String(value).padStart(digits, "0");
+}
--- a/src/node/calls/call-admission.ts
+++ b/src/node/calls/call-admission.ts
@@ -6,6 +6,7 @@
 import { worstCaseTokens } from "../../scheduling/admission/worst-case-tokens.ts";
 import type { DecisionInputs } from "../../scheduling/decision/decision.ts";
 import { type EffectivePolicy, isRepeatable } from "../../scheduling/policy/effective-policy.ts";
+import { callRecordOf } from "../../scheduling/program/call-record-of.ts";
 import type { IntendCall } from "../../scheduling/program/commands.ts";
 import type { CallRecord, CallRequest, ProgramRecord } from "../../scheduling/program/records.ts";
 import type { ShardReplica } from "../shard-replica.ts";
@@ -47,7 +48,7 @@
     const command = this.#intentOf(program, submit, checked.policy, checked.tokens);
     const committed = this.#commitIntent(replica, command, checked.policy);
     committed.catch(() => undefined);
-    return { record: recordOf(command), policy: checked.policy, committed };
+    return { record: callRecordOf(command), policy: checked.policy, committed };
   }
 
   /** Calls that are admitted at the same time may want the same tokens; who finds them gone borrows once more. */
@@ -157,21 +158,3 @@
     inputs: { reservedTokens: tokens, budgetAvailableTokens: available },
   };
 }
-
-/** The record that the committed intent will leave. */
-function recordOf(command: IntendCall): CallRecord {
-  return {
-    id: command.call,
-    number: command.number,
-    requestHash: command.requestHash,
-    request: command.request,
-    repeatable: command.repeatable,
-    attempt: 1,
-    executor: command.executor,
-    reservation: command.reservation,
-    startedAtMs: command.atMs,
-    endedAtMs: undefined,
-    outcome: undefined,
-    decision: undefined,
-  };
-}
--- a/src/node/node-daemon.ts
+++ b/src/node/node-daemon.ts
@@ -9,6 +9,9 @@
 import { RpcEndpoint } from "../runtime/rpc.ts";
 import { ShardRouter } from "../runtime/shard-router.ts";
 import type { Sender } from "../runtime/transport.ts";
+import { ShardArchive } from "./archive/shard-archive.ts";
+import { ShardArchiver } from "./archive/shard-archiver.ts";
+import { ShardRecovery } from "./archive/shard-recovery.ts";
 import { BudgetService } from "./budgets/budget-service.ts";
 import { CallService } from "./calls/call-service.ts";
 import { CompletionRunner } from "./calls/completion-runner.ts";
@@ -47,6 +50,7 @@
   readonly #programs: ProgramService;
   readonly #broker: SlotBroker;
   readonly #sweeper: HoldSweeper;
+  readonly #archiver: ShardArchiver;
   #stopTicking: () => void = () => undefined;
   #drained: Promise<void> | undefined;
   /** Called when an operator asks the node to leave. */
@@ -102,6 +106,10 @@
     this.calls = new CallService(parts);
     this.#programs = new ProgramService(context, shards, configuration, decisions, directory, rpc);
     this.#steward = new ShardSteward(context, shards, machines, platform.table);
+    const archive = new ShardArchive(platform.objects, context.hash.hash64);
+    const { placement } = this.#steward;
+    this.#archiver = new ShardArchiver(context, shards, archive);
+    new ShardRecovery({ context, shards, machines, table: platform.table, archive, placement, rpc });
     this.#sweeper = new HoldSweeper(context, homes, shards, router, platform.engine);
     rpc.handle("readCluster", async () => this.#readCluster());
     rpc.handle("drainNode", async () => this.#requestDrain());
@@ -131,6 +139,7 @@
     this.calls.start();
     this.homes.start();
     this.#sweeper.start();
+    this.#archiver.start();
     this.#stopTicking = repeat(clock, settings.timing.tickMs, () => this.shards.tick());
   }
 
@@ -145,6 +154,7 @@
     this.calls.stop();
     this.homes.stop();
     this.#sweeper.stop();
+    this.#archiver.stop();
   }
 
   /** A planned stop: hands its work over, lets calls in flight end, and leaves. */
--- a/src/node/programs/program-service.ts
+++ b/src/node/programs/program-service.ts
@@ -91,7 +91,7 @@
       rule: "the template's limits leave room for the program",
       inputs,
     });
-    const result = await this.#shards.propose(replica, {
+    await this.#shards.propose(replica, {
       type: "openProgram",
       program: request.program,
       tenant: request.tenant,
@@ -103,10 +103,7 @@
     });
     const program = replica.state.programs.get(request.program);
     if (program) return { program };
-    throw requestError(
-      "program-ended",
-      `The parent of ${request.program} has ended (${JSON.stringify(result)}).`,
-    );
+    throw requestError("program-ended", `The parent of ${request.program} has ended.`);
   }
 
   /** Refusals are kept, so that operators can ask about them. */
--- a/src/node/runners/machine-directory.ts
+++ b/src/node/runners/machine-directory.ts
@@ -155,6 +155,7 @@
       const reply = await this.#rpc.ask(from, "fetchMachines", { digest: held }, FETCH_TIMEOUT_MS);
       if (reply.type !== "done") return;
       const { changes, ageMs } = reply.body;
+      if (reply.body.digest === held) return this.#confirm(held, ageMs, askedAtMs);
       const content = applyChanges(this.#contents.get(held), changes);
       const digest = this.#digestOf(content);
       if (digest !== reply.body.digest) return;
@@ -166,6 +167,13 @@
     }
   }
 
+  /** The content is what is held already, and read later than was known. */
+  #confirm(digest: string, ageMs: number, askedAtMs: number): void {
+    if (digest !== this.#relay.digest) return;
+    this.#tellOthers(this.#relay.adopt({ digest, ageMs }, askedAtMs, this.#nowMs()));
+    this.onRead();
+  }
+
   #answerFetch(digest: string): FetchMachinesResponse {
     const current = this.#contents.get(this.#relay.digest) ?? new Map<string, Machine>();
     const changes = changesBetween(this.#contents.get(digest), current);
--- a/src/node/shard-host.ts
+++ b/src/node/shard-host.ts
@@ -4,6 +4,7 @@
 import { rootOfProgram } from "../scheduling/program/program-id.ts";
 import type { ApplyResult } from "../scheduling/program/program-table.ts";
 import type { ShardCommand } from "../scheduling/shard-state.ts";
+import type { ArchivedState } from "./archive/shard-archive.ts";
 import type { NodeContext } from "./node-context.ts";
 import { ShardOutbox } from "./shard-outbox.ts";
 import { ShardReplica, type ShardReplicaHost } from "./shard-replica.ts";
@@ -69,6 +70,13 @@
     this.#create(shard).bootstrap(voters);
   }
 
+  /** Starts a recovered shard here; an older replica of it is dropped. */
+  bootstrapFrom(shard: number, voters: readonly Member[], generation: number, archived: ArchivedState): void {
+    if ((this.#replicas.get(shard)?.generation ?? -1) >= generation) return;
+    this.drop(shard);
+    this.#create(shard).bootstrapFrom(voters, generation, archived.lastIndex, archived.state);
+  }
+
   /** Stops hosting a shard. */
   drop(shard: number): void {
     this.#replicas.delete(shard);
--- a/src/node/shard-replica.ts
+++ b/src/node/shard-replica.ts
@@ -34,6 +34,9 @@
   readonly resolve: (result: ProposalResult) => void;
 }
 
+/** More elections than a lost group can have had. */
+const TERMS_PER_GENERATION = 1_000_000;
+
 /** Applied entries that stay in memory for followers that are a little behind. */
 const ENTRIES_KEPT = 256;
 /** Entries after which the journal is cut. */
@@ -70,6 +73,11 @@
     return this.#group.term;
   }
 
+  /** How often the shard has been recovered from the archive; each generation begins with a term of its own. */
+  get generation(): number {
+    return Math.floor(this.#group.term / TERMS_PER_GENERATION);
+  }
+
   get leader(): Member | undefined {
     return this.#group.leader;
   }
@@ -103,6 +111,18 @@
     this.runEffects();
   }
 
+  /** Starts a group that lost all its replicas from an archived state. */
+  bootstrapFrom(
+    voters: readonly Member[],
+    generation: number,
+    lastIndex: number,
+    state: ShardSnapshot,
+  ): void {
+    this.state.restore(state);
+    this.#appliedIndex = lastIndex;
+    this.#group.bootstrapFrom(voters, lastIndex, generation * TERMS_PER_GENERATION);
+  }
+
   /** Lets time pass. */
   tick(nowMs: number): void {
     this.#group.tick(nowMs);
--- a/src/node/shard-steward.ts
+++ b/src/node/shard-steward.ts
@@ -16,21 +16,14 @@
 import type { MachineDirectory } from "./runners/machine-directory.ts";
 import type { ShardHost } from "./shard-host.ts";
 import type { ShardReplica } from "./shard-replica.ts";
+import { parseShardRow, SHARD_ROW_PREFIX, type ShardRow, shardRowKey } from "./shard-row.ts";
 
-const ROW_PREFIX = "shards/";
-const SHARD_DIGITS = 5;
 const PAGE_SIZE = 1_000;
 const CREATE_BATCH = 64;
 const BOOTSTRAP_RETRY_MS = 200;
 /** A learner this close to the journal's end may vote, in entries. */
 const CAUGHT_UP_LAG = 64;
 
-/** What the table says of a shard. */
-interface ShardRow {
-  readonly shard: number;
-  readonly voters: readonly Member[];
-}
-
 /** See the module's comment. */
 export class ShardSteward {
   readonly #context: NodeContext;
@@ -54,6 +47,11 @@
     this.#placement = { replicas, shardsPerFamily, hash32: context.hash.hash32 };
   }
 
+  /** How replicas are placed. */
+  get placement(): PlacementOptions {
+    return this.#placement;
+  }
+
   /** Whether every shard is known to exist. */
   get ready(): boolean {
     return this.#ready;
@@ -105,7 +103,7 @@
     const rows: ShardRow[] = [];
     let after = "";
     for (;;) {
-      const page = await this.#table.list(ROW_PREFIX, after, PAGE_SIZE);
+      const page = await this.#table.list(SHARD_ROW_PREFIX, after, PAGE_SIZE);
       rows.push(...page.map((row) => JSON.parse(row.value) as ShardRow));
       if (page.length < PAGE_SIZE) return rows;
       after = page[page.length - 1].key;
@@ -115,9 +113,9 @@
   /** Only replicas named at a shard's creation start with a vote; all others are brought in by the leader. */
   #hostOwn(rows: readonly ShardRow[]): void {
     const { instance } = this.#context.self;
-    for (const { shard, voters } of rows) {
+    for (const { shard, voters, generation } of rows) {
       const mine = voters.some((voter) => voter.instance === instance);
-      if (mine && !this.#shards.get(shard)) this.#shards.bootstrap(shard, voters);
+      if (mine && generation === 0 && !this.#shards.get(shard)) this.#shards.bootstrap(shard, voters);
     }
   }
 
@@ -131,12 +129,14 @@
     );
     const batch = missing.slice(0, CREATE_BATCH);
     await this.#table.transact({
-      conditions: batch.map((shard) => ({ key: rowKey(shard), version: 0 })),
+      conditions: batch.map((shard) => ({ key: shardRowKey(shard), version: 0 })),
       writes: batch.map((shard) => ({
-        key: rowKey(shard),
+        key: shardRowKey(shard),
         value: JSON.stringify({
           shard,
           voters: chooseReplicas(shard, nodes, this.#placement),
+          generation: 0,
+          lastIndex: 0,
         } satisfies ShardRow),
       })),
     });
@@ -236,21 +236,26 @@
 
   /** Writes the settled replicas into the table, for those who look the shard up there. */
   async #publish(replica: ShardReplica): Promise<void> {
-    const row: ShardRow = { shard: replica.shard, voters: replica.membership.voters };
-    const value = JSON.stringify(row);
-    if (this.#published.get(replica.shard) === value) return;
-    this.#published.set(replica.shard, value);
+    const { shard, generation } = replica;
+    const { voters } = replica.membership;
+    const signature = voters.map((voter) => voter.instance).join(" ");
+    if (this.#published.get(shard) === signature) return;
+    this.#published.set(shard, signature);
     try {
-      const current: Row = await this.#table.get(rowKey(replica.shard));
+      const current: Row = await this.#table.get(shardRowKey(shard));
+      const before = parseShardRow(current);
+      if (before && before.generation > generation) return this.#shards.drop(shard);
+      const value = JSON.stringify({
+        shard,
+        voters,
+        generation,
+        lastIndex: before?.lastIndex ?? 0,
+      } satisfies ShardRow);
       if (current.value === value) return;
       const conditions = [{ key: current.key, version: current.version }];
       await this.#table.transact({ conditions, writes: [{ key: current.key, value }] });
     } catch {
-      this.#published.delete(replica.shard);
+      this.#published.delete(shard);
     }
   }
 }
-
-function rowKey(shard: number): string {
-  return ROW_PREFIX + String(shard).padStart(SHARD_DIGITS, "0");
-}
--- /dev/null
+++ b/src/scheduling/program/call-record-of.ts
@@ -0,0 +1,20 @@
+import type { IntendCall } from "./commands.ts";
+import type { CallRecord } from "./records.ts";
+
+/** The record that a committed intent leaves. */
+export function callRecordOf(command: IntendCall): CallRecord {
+  return {
+    id: command.call,
+    number: command.number,
+    requestHash: command.requestHash,
+    request: command.request,
+    repeatable: command.repeatable,
+    attempt: 1,
+    executor: command.executor,
+    reservation: command.reservation,
+    startedAtMs: command.atMs,
+    endedAtMs: undefined,
+    outcome: undefined,
+    decision: undefined,
+  };
+}
--- a/src/scheduling/program/program-table.ts
+++ b/src/scheduling/program/program-table.ts
@@ -4,6 +4,7 @@
  */
 import type { AllotmentBook } from "../../coordination/budget-escrow/index.ts";
 import { messageTokensBound } from "../admission/worst-case-tokens.ts";
+import { callRecordOf } from "./call-record-of.ts";
 import type {
   FinishCall,
   IntendCall,
@@ -196,20 +197,7 @@
     }
     program.nextNumber += 1;
     program.lastActiveAtMs = command.atMs;
-    program.calls.push({
-      id: command.call,
-      number: command.number,
-      requestHash: command.requestHash,
-      request: command.request,
-      repeatable: command.repeatable,
-      attempt: 1,
-      executor: command.executor,
-      reservation: command.reservation,
-      startedAtMs: command.atMs,
-      endedAtMs: undefined,
-      outcome: undefined,
-      decision: undefined,
-    });
+    program.calls.push(callRecordOf(command));
     return ACCEPTED;
   }
 
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -37,6 +37,9 @@
   grantLapseMs: durationSchema
     .default(3_000)
     .describe("Time after which a granted slot that the engine does not know is freed, ms"),
+  archiveMs: durationSchema
+    .default(1_000)
+    .describe("Time between writes of a shard's commands to the object store, ms"),
   sweepMs: durationSchema
     .default(2_000)
     .describe("Time between sweeps for cache of programs that are gone, ms"),
--- a/test/contract/standins.test.ts
+++ b/test/contract/standins.test.ts
@@ -12,6 +12,7 @@
 import { HttpObjectStore } from "../../src/platform/objects/http-object-store.ts";
 import { HttpServiceClient } from "../../src/platform/service/http-service-client.ts";
 import { HttpTableStore } from "../../src/platform/table/http-table-store.ts";
+import { HttpWeightStore } from "../../src/platform/weights/http-weight-store.ts";
 import { CancellationSource } from "../../src/runtime/cancellation.ts";
 import { loadTextHash } from "../../src/runtime/text-hash.ts";
 import { EngineStandin } from "../../standins/http/engine-standin.ts";
@@ -20,6 +21,7 @@
   objectStandin,
   serviceStandin,
   tableStandin,
+  weightStandin,
 } from "../../standins/http/platform-standins.ts";
 import { ServiceModel } from "../../standins/service/service-model.ts";
 
@@ -155,6 +157,27 @@
   });
 });
 
+describe("weight store", () => {
+  const weights = [{ model: "agent-llm", version: "3", bytes: 140_000_000_000 }];
+  const standin = weightStandin(weights);
+  const pools = new HttpPools();
+  let store: HttpWeightStore;
+  before(async () => {
+    store = new HttpWeightStore(new HttpJsonClient(pools), await standin.listen(ANY_PORT));
+  });
+  after(async () => {
+    await pools.close();
+    await standin.close();
+  });
+
+  it("lists the weights that can be loaded, and says when it is asked too often", async () => {
+    expect(await store.list()).toEqual(weights);
+    standin.faults.requestsPerSecond = 0.5;
+    await expect(store.list()).toBeRejectedWith("429");
+    standin.faults.requestsPerSecond = 0;
+  });
+});
+
 describe("service", () => {
   const model = new ServiceModel();
   const standin = serviceStandin(model);
--- a/test/process/commands.test.ts
+++ b/test/process/commands.test.ts
@@ -114,6 +114,12 @@
     expect((await cluster.operate("runner", "drain", "nobody")).code).toEqual(3);
   });
 
+  it("refuse to recover a shard whose replicas answer", async () => {
+    const refused = await cluster.operate("shard", "recover", "0");
+    expect([refused.code, /replicas of shard 0 answer/.test(refused.log)]).toEqual([3, true]);
+    expect((await json("shard", "recover", "--all")).value).toEqual([]);
+  });
+
   it("check and show settings, and change the log level", async () => {
     const checked = await json("settings", "check", "node", "examples/magnolia/node.yaml");
     expect([checked.code, checked.value.cluster.replicas]).toEqual([0, 5]);
--- a/test/process/support/cluster.ts
+++ b/test/process/support/cluster.ts
@@ -29,6 +29,8 @@
   readonly engines: readonly EngineModelOptions[];
   readonly services?: number;
   readonly shards?: number;
+  /** Further settings of the nodes. */
+  readonly settings?: Readonly<Record<string, string | number>>;
 }
 
 /** A whole system of separate processes on loopback, for one test. */
@@ -75,6 +77,7 @@
       "cluster.shards": shards,
       "cluster.firstNodes": nodes,
       "cluster.replicas": Math.min(5, nodes),
+      ...this.#options.settings,
     };
     const node = await this.#launch(CLI, ["node", ...setFlags(settings)]);
     this.nodes.push(node);
