Take no content of the machine list that was overtaken

Cause, found by reading: a slow read that ended after a fresher one was adopted put its older content beside the newer digest.

Change: a reading that is not newer than what is held is passed over; a case in the relay's contract tests.

Measured: types, linter and the relay's tests; the simulation runs next.

--- a/src/coordination/snapshot-relay/snapshot-relay.ts
+++ b/src/coordination/snapshot-relay/snapshot-relay.ts
@@ -35,6 +35,11 @@
     return nowMs - this.#readAtMs;
   }
 
+  /** Whether a reading is newer than what is held; content of an older one must not be taken. */
+  isNewer(readAtMs: number): boolean {
+    return readAtMs > this.#readAtMs;
+  }
+
   /** This member has read the source itself. Returns what to tell others. */
   read(digest: string, readAtMs: number, nowMs: number): SnapshotNews {
     this.#hold(digest, readAtMs);
--- a/src/node/runners/machine-directory.ts
+++ b/src/node/runners/machine-directory.ts
@@ -136,6 +136,7 @@
     const startMs = this.#nowMs();
     try {
       const machines = await this.#list.read();
+      if (!this.#relay.isNewer(startMs)) return;
       const content = new Map(machines.map((machine) => [machine.name, machine]));
       const digest = this.#digestOf(content);
       this.#take(digest, content);
@@ -155,6 +156,7 @@
       const reply = await this.#rpc.ask(from, "fetchMachines", { digest: held }, FETCH_TIMEOUT_MS);
       if (reply.type !== "done") return;
       const { changes, ageMs } = reply.body;
+      if (!this.#relay.isNewer(askedAtMs - ageMs)) return;
       if (reply.body.digest === held) return this.#confirm(held, ageMs, askedAtMs);
       const content = applyChanges(this.#contents.get(held), changes);
       const digest = this.#digestOf(content);
--- a/test/contract/snapshot-relay.test.ts
+++ b/test/contract/snapshot-relay.test.ts
@@ -18,6 +18,14 @@
     });
   }
 
+  it("knows a reading that was overtaken", () => {
+    const relay = new SnapshotRelay(50);
+    relay.read("a", 100, 120);
+    expect([relay.isNewer(90), relay.isNewer(101)]).toEqual([false, true]);
+    relay.adopt({ digest: "old", ageMs: 500 }, 200, 210);
+    expect(relay.digest).toEqual("a");
+  });
+
   it("never takes a content for younger than its reading, however long messages and pauses last", () => {
     const delays = fc.array(fc.nat(5_000), { minLength: 3, maxLength: 3 });
     fc.assert(
