--- /dev/null
+++ b/bench/experiment/emulated-runner.ts
@@ -0,0 +1,108 @@
+import type { GenerateResult } from "../../src/platform/engine/engine-client.ts";
+import type { TextHash } from "../../src/runtime/text-hash.ts";
+import type { ChatMessage } from "../../src/scheduling/program/records.ts";
+import { RunnerQueue } from "../../src/scheduling/queue/runner-queue.ts";
+import type { SlotRequest } from "../../src/scheduling/queue/slot-request.ts";
+import type { RunnerView } from "../../src/scheduling/runner-selection/runner-view.ts";
+import { EngineModel } from "../../standins/engine/engine-model.ts";
+import type { EventQueue } from "./event-queue.ts";
+
+/** A call that wants to run. */
+export interface EmulatedCall {
+  readonly request: SlotRequest;
+  readonly messages: readonly ChatMessage[];
+  readonly onDone: (result: Extract<GenerateResult, { type: "completed" }>, serviceMs: number) => void;
+}
+
+/** Sizes of an emulated engine: 10,000 prompt tokens a second, 12 ms for a step of a full batch. */
+export const ENGINE = {
+  slots: 16,
+  kvTokens: 60_000,
+  stepMs: 10,
+  stepMsPerSequence: 0.125,
+  prefillTokensPerStep: 512,
+  prefillMsPerToken: 0.1,
+};
+/** Slots are the limit here; memory is the engine's own, with eviction. */
+const QUEUE_KV_TOKENS = 10_000_000;
+
+/** An engine and its home, on virtual time: the product's queue before the stand-in's engine. */
+export class EmulatedRunner {
+  readonly name: string;
+  readonly engine: EngineModel;
+  readonly #time: EventQueue;
+  readonly #queue = new RunnerQueue({ slots: ENGINE.slots, kvTokens: QUEUE_KV_TOKENS, maxQueued: 1_000_000 });
+  readonly #calls = new Map<string, EmulatedCall>();
+  #stepping = false;
+
+  constructor(name: string, time: EventQueue, hash: TextHash) {
+    this.name = name;
+    this.#time = time;
+    this.engine = new EngineModel({ name, models: ["m"], maxWaiting: 1_000, ...ENGINE }, hash);
+  }
+
+  /** Calls that wait or run. */
+  get outstanding(): number {
+    return this.#queue.active + this.#queue.queued;
+  }
+
+  /** What a leader would know of the runner. */
+  view(): RunnerView {
+    return {
+      runner: this.name,
+      models: ["m"],
+      zone: "z",
+      address: "",
+      home: "home",
+      fencingToken: 1,
+      leaving: false,
+      slots: ENGINE.slots,
+      expectedWaitMs: this.#queue.expectedWaitMs(),
+    };
+  }
+
+  /** Takes a call in. */
+  submit(call: EmulatedCall): void {
+    this.#calls.set(call.request.call, call);
+    this.#queue.offer(call.request, this.#time.nowMs);
+    this.#grant();
+  }
+
+  #grant(): void {
+    for (const { request } of this.#queue.grantNext(this.#time.nowMs)) this.#start(request);
+  }
+
+  #start(request: SlotRequest): void {
+    const call = this.#calls.get(request.call);
+    if (!call) return;
+    this.#calls.delete(request.call);
+    const startMs = this.#time.nowMs;
+    const generate = {
+      requestId: request.call,
+      program: request.program,
+      model: "m",
+      messages: call.messages,
+      maxTokens: request.maxTokens,
+      priority: 1,
+      fencingToken: 1,
+      resumeText: "",
+    };
+    const onEnd = (result: Extract<GenerateResult, { type: "completed" }>) => {
+      this.#queue.release(request.call, request.attempt, this.#time.nowMs);
+      this.#grant();
+      call.onDone(result, this.#time.nowMs - startMs);
+    };
+    this.engine.submit(generate, { onChunk: () => undefined, onEnd }, startMs);
+    this.#step();
+  }
+
+  #step(): void {
+    if (this.#stepping || !this.engine.busy) return;
+    this.#stepping = true;
+    this.#time.after(this.engine.beginStep(), () => {
+      this.#stepping = false;
+      this.engine.finishStep(this.#time.nowMs);
+      this.#step();
+    });
+  }
+}
--- /dev/null
+++ b/bench/experiment/run-experiment.ts
@@ -0,0 +1,234 @@
+import { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import type { TextHash } from "../../src/runtime/text-hash.ts";
+import type { ChatMessage } from "../../src/scheduling/program/records.ts";
+import type { CachedPrefix } from "../../src/scheduling/runner-selection/runner-view.ts";
+import { CHARACTERS_PER_TOKEN } from "../../standins/engine/prefix-cache.ts";
+import { EmulatedRunner, ENGINE } from "./emulated-runner.ts";
+import { EventQueue } from "./event-queue.ts";
+import type { Policy } from "./policies.ts";
+import type { ProgramPlan, Scenario, TurnPlan } from "./scenarios.ts";
+
+/** One program's outcome. */
+export interface ProgramOutcome {
+  readonly kind: string;
+  readonly latencyMs: number;
+  /** Latency with an empty system: the critical path. */
+  readonly boundMs: number;
+  readonly missedDeadline: boolean;
+}
+
+/** What one run showed. */
+export interface ExperimentResult {
+  readonly programs: readonly ProgramOutcome[];
+  readonly promptTokens: number;
+  /** Prompt tokens prefilled again although this program, or the shared beginning, had had them prefilled. */
+  readonly wastedTokens: number;
+  /** Programs that had not ended when the run did. */
+  readonly unfinished: number;
+}
+
+/** Options of a run. */
+export interface ExperimentOptions {
+  readonly scenario: Scenario;
+  readonly policy: Policy;
+  readonly seed: number;
+  /** Part of the engines' capacity that the programs ask for. */
+  readonly load: number;
+  /** Virtual time in which programs arrive, in ms. */
+  readonly durationMs: number;
+}
+
+/** A program under way. */
+interface Running {
+  readonly id: string;
+  readonly plan: ProgramPlan;
+  readonly messages: ChatMessage[];
+  readonly startMs: number;
+  /** Tokens of the prompt that were prefilled for the program or its beginning before. */
+  knownTokens: number;
+  attainedMs: number;
+  cached: CachedPrefix[];
+}
+
+const WARM_UP_PART = 0.15;
+const DRAIN_MS = 600_000;
+const PLANS_FOR_DEMAND = 400;
+
+/** Runs one scenario under one policy on virtual time. */
+export function runExperiment(options: ExperimentOptions, hash: TextHash): ExperimentResult {
+  return new Experiment(options, hash).run();
+}
+
+class Experiment {
+  readonly #options: ExperimentOptions;
+  readonly #time = new EventQueue();
+  readonly #random: SeededRandomSource;
+  readonly #placement: SeededRandomSource;
+  readonly #runners: EmulatedRunner[];
+  readonly #outcomes: ProgramOutcome[] = [];
+  #nextProgram = 0;
+  #nextCall = 0;
+  #started = 0;
+  #promptTokens = 0;
+  #wastedTokens = 0;
+
+  constructor(options: ExperimentOptions, hash: TextHash) {
+    this.#options = options;
+    this.#random = new SeededRandomSource(options.seed);
+    this.#placement = new SeededRandomSource(options.seed + 1_000_003);
+    const names = Array.from({ length: options.scenario.runners }, (_, index) => `runner-${index}`);
+    this.#runners = names.map((name) => new EmulatedRunner(name, this.#time, hash));
+  }
+
+  run(): ExperimentResult {
+    const { scenario, load, durationMs, seed } = this.#options;
+    const meanGapMs = meanDemandMs(scenario, seed) / scenario.runners / load;
+    this.#arrive(meanGapMs);
+    this.#time.run(durationMs + DRAIN_MS);
+    return {
+      programs: this.#outcomes,
+      promptTokens: this.#promptTokens,
+      wastedTokens: this.#wastedTokens,
+      unfinished: this.#started - this.#outcomes.length,
+    };
+  }
+
+  /** Programs arrive at random, whatever becomes of those before. */
+  #arrive(meanGapMs: number): void {
+    const gapMs = -Math.log(1 - this.#random.unit()) * meanGapMs;
+    this.#time.after(gapMs, () => {
+      if (this.#time.nowMs > this.#options.durationMs) return;
+      const plan = this.#options.scenario.draw(this.#random);
+      const counted = this.#time.nowMs > this.#options.durationMs * WARM_UP_PART;
+      if (counted) this.#started += 1;
+      this.#start(plan, undefined, (latencyMs) => {
+        if (counted) this.#record(plan, latencyMs);
+      });
+      this.#arrive(meanGapMs);
+    });
+  }
+
+  #record(plan: ProgramPlan, latencyMs: number): void {
+    const missedDeadline = plan.deadlineMs !== undefined && latencyMs > plan.deadlineMs;
+    this.#outcomes.push({ kind: plan.kind, latencyMs, boundMs: criticalPathMs(plan), missedDeadline });
+  }
+
+  #start(plan: ProgramPlan, parent: Running | undefined, onEnd: (latencyMs: number) => void): void {
+    this.#nextProgram += 1;
+    const shared = { role: "system", content: textOf(`${plan.kind} rules`, plan.sharedTokens) };
+    const program: Running = {
+      id: `program-${this.#nextProgram}`,
+      plan,
+      messages: parent ? [...parent.messages] : [shared],
+      startMs: this.#time.nowMs,
+      knownTokens: parent ? parent.knownTokens : plan.sharedTokens,
+      attainedMs: 0,
+      cached: parent ? parent.cached : [],
+    };
+    this.#turn(program, 0, () => onEnd(this.#time.nowMs - program.startMs));
+  }
+
+  #turn(program: Running, index: number, onEnd: () => void): void {
+    const plan = program.plan.turns[index];
+    if (!plan) return onEnd();
+    this.#nextCall += 1;
+    const call = `call-${this.#nextCall}`;
+    const directive = `${call} #tokens=${plan.outputTokens}`;
+    program.messages.push({ role: "user", content: textOf(directive, plan.newTokens) });
+    const promptTokens = tokensOf(program.messages);
+    const runner = this.#options.policy.place({
+      promptTokens,
+      cached: program.cached,
+      runners: this.#runners,
+      random: this.#placement,
+      callIndex: this.#nextCall,
+    });
+    const request = this.#options.policy.describe({
+      call,
+      attempt: 1,
+      program: program.id,
+      tenant: program.plan.tenant,
+      priorityClass: program.plan.priorityClass,
+      weight: program.plan.weight,
+      slackMs: this.#slackMs(program),
+      attainedServiceMs: program.attainedMs,
+      promptTokens,
+      maxTokens: plan.outputTokens,
+      patienceMs: Number.MAX_SAFE_INTEGER,
+    });
+    runner.submit({
+      request,
+      messages: [...program.messages],
+      onDone: ({ usage, length }, serviceMs) => {
+        this.#promptTokens += usage.promptTokens;
+        this.#wastedTokens += Math.max(
+          0,
+          Math.min(program.knownTokens, usage.promptTokens) - usage.cachedTokens,
+        );
+        program.attainedMs += serviceMs;
+        program.messages.push({ role: "assistant", content: `answer of ${call} `.padEnd(length, ".") });
+        program.knownTokens = usage.promptTokens + usage.completionTokens;
+        program.cached = [{ runner: runner.name, tokens: usage.promptTokens }];
+        this.#afterTurn(program, plan, index, onEnd);
+      },
+    });
+  }
+
+  #afterTurn(program: Running, plan: TurnPlan, index: number, onEnd: () => void): void {
+    const next = () => {
+      const last = index === program.plan.turns.length - 1;
+      if (last) onEnd();
+      else this.#time.after(plan.pauseMs, () => this.#turn(program, index + 1, onEnd));
+    };
+    let left = plan.children.length;
+    if (left === 0) return next();
+    for (const child of plan.children) {
+      this.#start(child, program, () => {
+        left -= 1;
+        if (left === 0) next();
+      });
+    }
+  }
+
+  #slackMs({ plan, startMs }: Running): number | undefined {
+    return plan.deadlineMs === undefined ? undefined : plan.deadlineMs - (this.#time.nowMs - startMs);
+  }
+}
+
+/** A text of about that many tokens that begins with `head`. */
+function textOf(head: string, tokens: number): string {
+  return `${"x".repeat(Math.max(0, tokens * CHARACTERS_PER_TOKEN - head.length))}${head}`;
+}
+
+function tokensOf(messages: readonly ChatMessage[]): number {
+  return messages.reduce((sum, { content }) => sum + Math.ceil(content.length / CHARACTERS_PER_TOKEN), 0);
+}
+
+/** Engine time that a program needs when nothing that can be cached is prefilled again. */
+function demandMs(plan: ProgramPlan): number {
+  const stepMs = ENGINE.stepMs + ENGINE.stepMsPerSequence * ENGINE.slots;
+  let sum = 0;
+  for (const { newTokens, outputTokens, children } of plan.turns) {
+    sum += (outputTokens * stepMs) / ENGINE.slots + newTokens * ENGINE.prefillMsPerToken;
+    for (const child of children) sum += demandMs(child);
+  }
+  return sum;
+}
+
+function meanDemandMs(scenario: Scenario, seed: number): number {
+  const random = new SeededRandomSource(seed + 77);
+  const plans = Array.from({ length: PLANS_FOR_DEMAND }, () => scenario.draw(random));
+  return plans.reduce((sum, plan) => sum + demandMs(plan), 0) / plans.length;
+}
+
+/** Time of a program that has all engines to itself. */
+function criticalPathMs({ turns }: ProgramPlan): number {
+  const stepMs = ENGINE.stepMs + ENGINE.stepMsPerSequence;
+  let sum = 0;
+  for (const [index, { newTokens, outputTokens, pauseMs, children }] of turns.entries()) {
+    const last = index === turns.length - 1;
+    sum += newTokens * ENGINE.prefillMsPerToken + outputTokens * stepMs + (last ? 0 : pauseMs);
+    sum += children.length === 0 ? 0 : Math.max(...children.map(criticalPathMs));
+  }
+  return sum;
+}
--- /dev/null
+++ b/bench/experiment/scenarios.ts
@@ -0,0 +1,141 @@
+/** The users' workloads: programs as chains of turns with pauses for tools, and sub-agents that fork the history. */
+import type { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import type { PriorityClass } from "../../src/scheduling/policy/effective-policy.ts";
+
+/** One turn of a program. */
+export interface TurnPlan {
+  /** Tokens of the new messages. */
+  readonly newTokens: number;
+  readonly outputTokens: number;
+  /** Pause for a tool after the turn, in ms. */
+  readonly pauseMs: number;
+  /** Sub-agents that run after the turn, each on a fork of the history; the program goes on when all have ended. */
+  readonly children: readonly ProgramPlan[];
+}
+
+/** A program, as only the emulation knows it ahead of time. */
+export interface ProgramPlan {
+  readonly kind: string;
+  readonly tenant: string;
+  readonly priorityClass: PriorityClass;
+  readonly weight: number;
+  /** Tokens of a beginning that all programs of the kind share. */
+  readonly sharedTokens: number;
+  /** Time until the deadline from the start, in ms. */
+  readonly deadlineMs: number | undefined;
+  readonly turns: readonly TurnPlan[];
+}
+
+/** A workload. */
+export interface Scenario {
+  readonly name: string;
+  readonly runners: number;
+  /** Draws the next program. */
+  draw(random: SeededRandomSource): ProgramPlan;
+}
+
+const TOOL_MEDIAN_MS = 1_200;
+const TOOL_SPREAD = 1.2;
+const LONGEST_TOOL_MS = 30_000;
+
+/** Magnolia: pay runs with branching exceptions before a cutoff, beside bookkeepers' questions. */
+export const MAGNOLIA: Scenario = {
+  name: "magnolia",
+  runners: 8,
+  draw: (random) => (random.unit() < 0.25 ? payRun(random) : question(random)),
+};
+
+/** Rateora: checkouts with a shopper waiting, beside chats about rescheduling. */
+export const RATEORA: Scenario = {
+  name: "rateora",
+  runners: 10,
+  draw: (random) => (random.unit() < 0.7 ? checkout(random) : reschedule(random)),
+};
+
+function payRun(random: SeededRandomSource): ProgramPlan {
+  const exceptions = Array.from({ length: 2 + random.below(4) }, () => exceptionCheck(random));
+  return {
+    kind: "pay-run",
+    tenant: "magnolia",
+    priorityClass: "deadline",
+    weight: 3,
+    sharedTokens: 4_000,
+    deadlineMs: 120_000,
+    turns: [turn(random, 1_500, 120, exceptions), turn(random, 300, 100), turn(random, 200, 80)],
+  };
+}
+
+function exceptionCheck(random: SeededRandomSource): ProgramPlan {
+  const checks = random.below(4);
+  const turns = Array.from({ length: 1 + checks }, () => turn(random, 250, 90));
+  return { ...payRunBase, turns };
+}
+
+const payRunBase = {
+  kind: "exception",
+  tenant: "magnolia",
+  priorityClass: "deadline",
+  weight: 3,
+  sharedTokens: 4_000,
+  deadlineMs: undefined,
+} as const;
+
+function question(random: SeededRandomSource): ProgramPlan {
+  return {
+    kind: "question",
+    tenant: "magnolia",
+    priorityClass: "interactive",
+    weight: 1,
+    sharedTokens: 1_200,
+    deadlineMs: 30_000,
+    turns: Array.from({ length: 2 + random.below(3) }, () => turn(random, 200, 80)),
+  };
+}
+
+function checkout(random: SeededRandomSource): ProgramPlan {
+  return {
+    kind: "checkout",
+    tenant: "rateora",
+    priorityClass: "interactive",
+    weight: 4,
+    sharedTokens: 1_800,
+    deadlineMs: 8_000,
+    turns: Array.from({ length: 2 + random.below(2) }, () => ({
+      ...turn(random, 150, 25),
+      pauseMs: 50 + random.below(150),
+    })),
+  };
+}
+
+function reschedule(random: SeededRandomSource): ProgramPlan {
+  return {
+    kind: "reschedule",
+    tenant: "rateora",
+    priorityClass: "standard",
+    weight: 1,
+    sharedTokens: 1_200,
+    deadlineMs: undefined,
+    turns: Array.from({ length: 4 + random.below(6) }, () => turn(random, 250, 120)),
+  };
+}
+
+function turn(
+  random: SeededRandomSource,
+  newTokens: number,
+  outputTokens: number,
+  children: readonly ProgramPlan[] = [],
+): TurnPlan {
+  const around = (mean: number) => Math.max(4, Math.round(mean * (0.5 + random.unit())));
+  return {
+    newTokens: around(newTokens),
+    outputTokens: around(outputTokens),
+    pauseMs: toolPauseMs(random),
+    children,
+  };
+}
+
+/** Log-normal, by Box and Muller. */
+function toolPauseMs(random: SeededRandomSource): number {
+  const normal = Math.sqrt(-2 * Math.log(1 - random.unit())) * Math.cos(2 * Math.PI * random.unit());
+  return Math.min(LONGEST_TOOL_MS, TOOL_MEDIAN_MS * Math.exp(TOOL_SPREAD * normal));
+}
