--- a/bench/load.ts
+++ b/bench/load.ts
@@ -10,7 +10,6 @@
 import { Cluster, pause } from "../test/process/support/cluster.ts";
 
 const SLOTS = 256;
-const STEP_MS = 10;
 const TOKENS = 40;
 /** Longest pause between two calls of one caller, in ms; without it all callers fall into step with the engine. */
 const MAX_PAUSE_MS = 60;
@@ -33,6 +32,9 @@
 class LoadCommand extends Command {
   static override paths = [Command.Default];
   seconds = Option.String("--seconds", "6", { description: "Length of each measurement" });
+  step = Option.String("--step", "10", {
+    description: "Time of an engine's step, ms; latency is seen in such steps",
+  });
   concurrency = Option.String("--concurrency", "1,32,128", { description: "Numbers of callers" });
 
   override async execute(): Promise<number> {
@@ -40,7 +42,7 @@
       name: "runner-1",
       models: [MODEL],
       slots: SLOTS,
-      stepMs: STEP_MS,
+      stepMs: Number(this.step),
       stepMsPerSequence: 0,
       kvTokens: 5_000_000,
     };
