Hash a machine of the list when it changes, not all of them

Ruled out: the archive (its objects are per node here; its interval is now the target's, 10 s), elections (terms stay low once started).

Change: the digest is the exclusive or of the machines' hashes, kept along with the content; a change costs the machines that changed.

--- a/bench/capacity/hollow-cluster.ts
+++ b/bench/capacity/hollow-cluster.ts
@@ -171,6 +171,7 @@
   loadReportMs: 2_000,
   announceMs: 2_000,
   sweepMs: 30_000,
+  archiveMs: 10_000,
 };
 
 const IDLE_ENGINE: EngineClient = {
--- a/src/node/runners/machine-directory.ts
+++ b/src/node/runners/machine-directory.ts
@@ -4,11 +4,12 @@
  * reads for itself.
  */
 import { type SnapshotNews, SnapshotRelay } from "../../coordination/snapshot-relay/index.ts";
-import type { FetchMachinesResponse, MachineChanges } from "../../messages/rpc-messages.ts";
+import type { FetchMachinesResponse } from "../../messages/rpc-messages.ts";
 import type { Machine, MachineList } from "../../platform/machine-list/machine-list.ts";
 import { repeat } from "../../runtime/clock.ts";
 import type { RpcEndpoint } from "../../runtime/rpc.ts";
 import type { NodeContext } from "../node-context.ts";
+import { MachineContent } from "./machine-content.ts";
 
 /** Nodes that read the platform's list. */
 const READERS = 3;
@@ -20,15 +21,13 @@
 /** Mean time between two reports of nodes to the platform, by whichever node, in ms. */
 const REPORT_MS = 10;
 
-type Content = ReadonlyMap<string, Machine>;
-
 /** See the module's comment. */
 export class MachineDirectory {
   readonly #context: NodeContext;
   readonly #list: MachineList;
   readonly #rpc: RpcEndpoint;
   readonly #relay: SnapshotRelay;
-  readonly #contents = new Map<string, Content>();
+  readonly #contents = new Map<string, MachineContent>();
   #machines: readonly Machine[] = [];
   #nodes: readonly Machine[] = [];
   #nodesVersion = 0;
@@ -137,10 +136,10 @@
     try {
       const machines = await this.#list.read();
       if (!this.#relay.isNewer(startMs)) return;
-      const content = new Map(machines.map((machine) => [machine.name, machine]));
-      const digest = this.#digestOf(content);
-      this.#take(digest, content);
-      this.#tellOthers(this.#relay.read(digest, startMs, this.#nowMs()));
+      const whole = { whole: true, put: machines, removed: [] };
+      const content = MachineContent.EMPTY.after(whole, this.#context.hash);
+      this.#take(content);
+      this.#tellOthers(this.#relay.read(content.digest, startMs, this.#nowMs()));
       this.onRead();
     } catch {
       // The platform does not answer: what is known stands, and its age is watched by those who depend on it.
@@ -158,10 +157,11 @@
       const { changes, ageMs } = reply.body;
       if (!this.#relay.isNewer(askedAtMs - ageMs)) return;
       if (reply.body.digest === held) return this.#confirm(held, ageMs, askedAtMs);
-      const content = applyChanges(this.#contents.get(held), changes);
-      const digest = this.#digestOf(content);
+      const before = this.#contents.get(held) ?? MachineContent.EMPTY;
+      const content = before.after(changes, this.#context.hash);
+      const { digest } = content;
       if (digest !== reply.body.digest) return;
-      this.#take(digest, content);
+      this.#take(content);
       this.#tellOthers(this.#relay.adopt({ digest, ageMs }, askedAtMs, this.#nowMs()));
       this.onRead();
     } finally {
@@ -177,18 +177,26 @@
   }
 
   #answerFetch(digest: string): FetchMachinesResponse {
-    const current = this.#contents.get(this.#relay.digest) ?? new Map<string, Machine>();
-    const changes = changesBetween(this.#contents.get(digest), current);
+    const current = this.#current();
+    const known = this.#contents.get(digest);
+    const changes = known
+      ? current.changesFrom(known)
+      : { whole: true, put: [...current.machines.values()], removed: [] };
     return { digest: this.#relay.digest, ageMs: this.ageMs(), changes };
   }
 
-  #take(digest: string, content: Content): void {
+  #current(): MachineContent {
+    return this.#contents.get(this.#relay.digest) ?? MachineContent.EMPTY;
+  }
+
+  #take(content: MachineContent): void {
+    const { digest } = content;
     this.#contents.delete(digest);
     this.#contents.set(digest, content);
     const [oldest] = this.#contents.keys();
     if (this.#contents.size > KEPT_CONTENTS) this.#contents.delete(oldest);
     if (digest === this.#relay.digest) return;
-    this.#machines = [...content.values()];
+    this.#machines = [...content.machines.values()];
     const nodes = this.#machines.filter((machine) => machine.kind === "node");
     if (signatureOf(nodes) === signatureOf(this.#nodes)) return;
     this.#nodes = nodes;
@@ -204,11 +212,6 @@
     }
   }
 
-  #digestOf(content: Content): string {
-    const names = [...content.keys()].sort();
-    return this.#context.hash.hash64(names.map((name) => JSON.stringify(content.get(name))).join("\n"));
-  }
-
   #nowMs(): number {
     return this.#context.clock.monotonicMs();
   }
@@ -217,20 +220,3 @@
 function signatureOf(nodes: readonly Machine[]): string {
   return nodes.map(({ incarnation, address, state }) => `${incarnation}|${address}|${state}`).join(" ");
 }
-
-/** What turns one content into another; everything when the first is not known. */
-function changesBetween(before: Content | undefined, after: Content): MachineChanges {
-  if (!before) return { whole: true, put: [...after.values()], removed: [] };
-  const put = [...after.values()].filter(
-    (machine) => JSON.stringify(before.get(machine.name)) !== JSON.stringify(machine),
-  );
-  const removed = [...before.keys()].filter((name) => !after.has(name));
-  return { whole: false, put, removed };
-}
-
-function applyChanges(before: Content | undefined, { whole, put, removed }: MachineChanges): Content {
-  const content = new Map(whole ? [] : before);
-  for (const name of removed) content.delete(name);
-  for (const machine of put) content.set(machine.name, machine);
-  return content;
-}
