Draw others, list live members and find the open call in one place each

Two counters and a time stamp were written and never read.

Change: MachineDirectory.randomOthers and liveMembers, openCallOf beside the program's records; the unread fields are gone. Behaviour is unchanged.

--- a/bench/simulation/simulated-back-ends.ts
+++ b/bench/simulation/simulated-back-ends.ts
@@ -31,8 +31,6 @@
   process: SimulatedProcess;
   model: EngineModel;
   #stepping = false;
-  /** When the engine last took a new request. */
-  lastTakenMs = Number.NEGATIVE_INFINITY;
   /** Since when the platform lists the engine as leaving. */
   leavingSinceMs: number | undefined;
   /** Longest time after the listing at which work was still taken. */
@@ -60,7 +58,6 @@
   submit(request: GenerateRequest, sink: Parameters<EngineModel["submit"]>[1]) {
     const refusal = this.model.submit(request, sink, this.#time.nowMs);
     if (refusal) return refusal;
-    this.lastTakenMs = this.#time.nowMs;
     if (this.leavingSinceMs !== undefined) {
       const afterMs = this.#time.nowMs - this.leavingSinceMs;
       this.latestAfterLeavingMs = Math.max(this.latestAfterLeavingMs, afterMs);
--- a/src/node/archive/shard-archiver.ts
+++ b/src/node/archive/shard-archiver.ts
@@ -32,8 +32,6 @@
   readonly #archive: ShardArchive;
   readonly #pending = new Map<number, Pending>();
   #stop: () => void = () => undefined;
-  /** Objects written since the start. */
-  written = 0;
 
   constructor(context: NodeContext, shards: ShardHost, archive: ShardArchive) {
     this.#context = context;
@@ -102,7 +100,6 @@
     try {
       await this.#archive.writeBase(replica.shard, replica.generation, { lastIndex, state });
       pending.sinceBase = 0;
-      this.written += 1;
     } catch (error) {
       pending.archivedIndex = undefined;
       throw error;
@@ -117,7 +114,6 @@
     try {
       await this.#archive.writeSegment(replica.shard, replica.generation, afterIndex, lastIndex, commands);
       pending.sinceBase += commands.length;
-      this.written += 1;
     } catch (error) {
       // The write may have taken effect or not; a whole state is right in either case.
       pending.commands = [];
--- a/src/node/archive/shard-recovery.ts
+++ b/src/node/archive/shard-recovery.ts
@@ -37,20 +37,17 @@
     this.#parts = parts;
     parts.rpc.handle("recoverShard", ({ shard }) => this.#recover(shard));
     parts.rpc.handle("shardPresence", async ({ shard, adopt }) => {
-      if (adopt) await this.adoptFromTable(shard);
+      if (adopt) await this.#adoptFromTable(shard);
       return this.#presence(shard);
     });
   }
 
   /** Starts a recovered shard here, if the table says that this instance is among its first replicas. */
-  async adoptFromTable(shard: number): Promise<void> {
-    const row = parseShardRow(await this.#parts.table.get(shardRowKey(shard)));
-    if (row) await this.adopt(row);
-  }
-
-  /** The same, with the row at hand. */
-  async adopt({ shard, voters, generation, lastIndex }: ShardRow): Promise<void> {
-    const { context, shards, archive } = this.#parts;
+  async #adoptFromTable(shard: number): Promise<void> {
+    const { context, shards, archive, table } = this.#parts;
+    const row = parseShardRow(await table.get(shardRowKey(shard)));
+    if (!row) return;
+    const { voters, generation, lastIndex } = row;
     const mine = voters.some((voter) => voter.instance === context.self.instance);
     const held = shards.get(shard);
     if (!mine || (held && held.generation >= generation)) return;
@@ -122,8 +119,6 @@
 /** Listed nodes that never held the shard: one that did may wake up with a journal of its own. */
 function freshNodes(machines: MachineDirectory, { voters }: ShardRow): Member[] {
   return machines
-    .nodes()
-    .filter((machine) => machine.state === "live")
-    .filter((machine) => !voters.some((voter) => voter.instance === machine.incarnation))
-    .map(({ incarnation, address, zone }) => ({ instance: incarnation, address, zone }));
+    .liveMembers()
+    .filter((member) => !voters.some((voter) => voter.instance === member.instance));
 }
--- a/src/node/calls/call-service.ts
+++ b/src/node/calls/call-service.ts
@@ -7,13 +7,14 @@
 import type { AbandonCall, CallEvent, SubmitCall } from "../../messages/call-messages.ts";
 import { repeat } from "../../runtime/clock.ts";
 import { RedirectSignal } from "../../runtime/rpc.ts";
+import { openCallOf } from "../../scheduling/program/open-call-of.ts";
 import type { CallRecord, ProgramRecord } from "../../scheduling/program/records.ts";
 import type { ShardReplica } from "../shard-replica.ts";
 import { CallAdmission, hashOfRequest } from "./call-admission.ts";
 import { finalEventOf, refusalEventOf } from "./call-events.ts";
 import { CallExecution } from "./call-execution.ts";
 import type { CallCounters, CallServiceParts } from "./call-service-parts.ts";
-import { CallTakeover, openCallOf } from "./call-takeover.ts";
+import { CallTakeover } from "./call-takeover.ts";
 import { type LaneEntry, ProgramLane } from "./program-lane.ts";
 
 const UNAVAILABLE_RETRY_AFTER_MS = 1_000;
--- a/src/node/calls/call-takeover.ts
+++ b/src/node/calls/call-takeover.ts
@@ -1,3 +1,4 @@
+import { openCallOf } from "../../scheduling/program/open-call-of.ts";
 import type { CallRecord, ProgramRecord } from "../../scheduling/program/records.ts";
 import type { ShardReplica } from "../shard-replica.ts";
 import type { CallExecution } from "./call-execution.ts";
@@ -92,9 +93,3 @@
     });
   }
 }
-
-/** The call whose intent is committed and whose end is not. */
-export function openCallOf(program: ProgramRecord): CallRecord | undefined {
-  const last = program.calls.at(-1);
-  return last && !last.outcome ? last : undefined;
-}
--- a/src/node/node-daemon.ts
+++ b/src/node/node-daemon.ts
@@ -188,11 +188,8 @@
 
   /** Tells a few others of a new configuration; they tell others, so all know within a few hops. */
   #spreadNews(version: number): void {
-    const { random, transport, self } = this.context;
-    const others = this.#machines.nodes().filter((node) => node.address !== self.address);
-    for (let count = 0; count < NEWS_FANOUT && others.length > 0; count++) {
-      const [target] = others.splice(random.below(others.length), 1);
-      transport.send(target.address, { type: "configurationNews", version });
+    for (const address of this.#machines.randomOthers(NEWS_FANOUT)) {
+      this.context.transport.send(address, { type: "configurationNews", version });
     }
   }
 
--- a/src/node/programs/program-service.ts
+++ b/src/node/programs/program-service.ts
@@ -13,6 +13,7 @@
 import { checkProgram } from "../../scheduling/admission/check-call.ts";
 import type { DecisionInputs } from "../../scheduling/decision/decision.ts";
 import type { EffectivePolicy } from "../../scheduling/policy/effective-policy.ts";
+import { openCallOf } from "../../scheduling/program/open-call-of.ts";
 import { programOfCall } from "../../scheduling/program/program-id.ts";
 import type { CallRecord, ProgramRecord } from "../../scheduling/program/records.ts";
 import type { DecisionBuilder } from "../calls/decision-builder.ts";
@@ -226,8 +227,7 @@
   /** Whether a program's pause has become longer than its template keeps cache for. */
   #pausesTooLong(program: ProgramRecord): boolean {
     const policy = this.#configuration.findPolicy(program);
-    const running = program.calls.at(-1)?.outcome === undefined && program.calls.length > 0;
-    if (!policy || running) return false;
+    if (!policy || openCallOf(program)) return false;
     return this.#context.clock.wallMs() - program.lastActiveAtMs > policy.cacheKeepMs;
   }
 
--- a/src/node/runners/hold-sweeper.ts
+++ b/src/node/runners/hold-sweeper.ts
@@ -21,8 +21,6 @@
   readonly #engine: EngineClient;
   #stop: () => void = () => undefined;
   #sweeping = false;
-  /** Holds that were released since the start. */
-  released = 0;
 
   constructor(
     context: NodeContext,
@@ -75,7 +73,7 @@
   async #releaseGone(home: RunnerHome, shard: number, programs: readonly string[]): Promise<void> {
     const { gone } = await this.#router.ask(shard, "findGone", { programs }, FIND_TIMEOUT_MS);
     for (const program of gone) {
-      if (await this.#homes.releaseHold(home, program)) this.released += 1;
+      await this.#homes.releaseHold(home, program);
     }
   }
 }
--- a/src/node/runners/machine-directory.ts
+++ b/src/node/runners/machine-directory.ts
@@ -3,6 +3,7 @@
  * what the platform has to answer does not grow with the number of nodes. A node that has not been told for a while
  * reads for itself.
  */
+import type { Member } from "../../coordination/shard-group/index.ts";
 import { type SnapshotNews, SnapshotRelay } from "../../coordination/snapshot-relay/index.ts";
 import type { FetchMachinesResponse } from "../../messages/rpc-messages.ts";
 import type { Machine, MachineList } from "../../platform/machine-list/machine-list.ts";
@@ -83,6 +84,24 @@
     return this.#nodes;
   }
 
+  /** Listed nodes that are not leaving, as replicas of shards would be. */
+  liveMembers(): Member[] {
+    return this.#nodes
+      .filter((machine) => machine.state === "live")
+      .map(({ incarnation, address, zone }) => ({ instance: incarnation, address, zone }));
+  }
+
+  /** Addresses of up to `count` other nodes, drawn at random. */
+  randomOthers(count: number): string[] {
+    const { random, self } = this.#context;
+    const others = this.#nodes.map((node) => node.address).filter((address) => address !== self.address);
+    const drawn: string[] = [];
+    while (drawn.length < count && others.length > 0) {
+      drawn.push(...others.splice(random.below(others.length), 1));
+    }
+    return drawn;
+  }
+
   /** Changes whenever {@link nodes} does, so that what is worked out from them need not be worked out again. */
   get nodesVersion(): number {
     return this.#nodesVersion;
@@ -204,11 +223,8 @@
   }
 
   #tellOthers(news: SnapshotNews): void {
-    const { random, transport, self } = this.#context;
-    const others = this.#nodes.filter((node) => node.address !== self.address);
-    for (let count = 0; count < NEWS_FANOUT && others.length > 0; count++) {
-      const [target] = others.splice(random.below(others.length), 1);
-      transport.send(target.address, { type: "machineListNews", news });
+    for (const address of this.randomOthers(NEWS_FANOUT)) {
+      this.#context.transport.send(address, { type: "machineListNews", news });
     }
   }
 
--- a/src/node/runners/runner-homes.ts
+++ b/src/node/runners/runner-homes.ts
@@ -161,20 +161,8 @@
     this.#announceWanted = false;
     const load = this.currentLoad();
     this.#directory.learn(this.#context.self.address, load);
-    for (const address of this.#announceTargets()) {
+    for (const address of this.#machines.randomOthers(ANNOUNCE_FANOUT)) {
       this.#context.transport.send(address, { type: "announceRunners", load });
     }
   }
-
-  #announceTargets(): string[] {
-    const others = this.#machines
-      .nodes()
-      .map((node) => node.address)
-      .filter((address) => address !== this.#context.self.address);
-    const targets: string[] = [];
-    while (targets.length < ANNOUNCE_FANOUT && others.length > 0) {
-      targets.push(...others.splice(this.#context.random.below(others.length), 1));
-    }
-    return targets;
-  }
 }
--- a/src/node/shard-steward.ts
+++ b/src/node/shard-steward.ts
@@ -120,7 +120,7 @@
   }
 
   async #createMissing(rows: readonly ShardRow[]): Promise<void> {
-    const nodes = this.#listedNodes();
+    const nodes = this.#machines.liveMembers();
     const { shards, firstNodes } = this.#context.settings.cluster;
     if (nodes.length < firstNodes) return;
     const existing = new Set(rows.map((row) => row.shard));
@@ -204,7 +204,7 @@
   /** Listed nodes that are not leaving, and replicas that answer although the list lacks them. */
   #usableNodes(replica: ShardReplica, nowMs: number): Member[] {
     const isDead = (member: Member) => this.#isDead(replica, member, nowMs);
-    const listed = this.#listedNodes().filter((member) => !isDead(member));
+    const listed = this.#machines.liveMembers().filter((member) => !isDead(member));
     const leaving = this.#machines.nodes().filter((machine) => machine.state === "leaving");
     const unlisted = allMembers(replica.membership).filter((member) => {
       if (listed.some((other) => other.instance === member.instance) || isDead(member)) return false;
@@ -213,13 +213,6 @@
     return [...listed, ...unlisted];
   }
 
-  #listedNodes(): Member[] {
-    return this.#machines
-      .nodes()
-      .filter((machine) => machine.state === "live")
-      .map(({ incarnation, address, zone }) => ({ instance: incarnation, address, zone }));
-  }
-
   /** A replica that its group has left behind is dropped after a while. */
   #dropIfOutside(replica: ShardReplica): void {
     const inside = allMembers(replica.membership).some(
