--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -25,7 +25,7 @@
     {
       name: "daemons-do-not-know-the-command-line",
       severity: "error",
-      from: { path: "^src/(node|sidecar|runtime|platform|messages|settings|telemetry|errors)" },
+      from: { path: "^src/(node|sidecar|runtime|ports|messages|settings|telemetry|errors)" },
       to: { path: "^src/cli" },
     },
     {
--- a/bench/capacity/hollow-cluster.ts
+++ b/bench/capacity/hollow-cluster.ts
@@ -1,7 +1,7 @@
 import { pino } from "pino";
 import { NodeDaemon } from "../../src/node/node-daemon.ts";
-import type { EngineClient } from "../../src/platform/engine/engine-client.ts";
-import type { Machine } from "../../src/platform/machine-list/machine-list.ts";
+import type { EngineClient } from "../../src/ports/engine/engine-client.ts";
+import type { Machine } from "../../src/ports/machine-list/machine-list.ts";
 import { SystemClock } from "../../src/runtime/clock.ts";
 import { SeededRandomSource } from "../../src/runtime/random-source.ts";
 import { loadTextHash } from "../../src/runtime/text-hash.ts";
--- a/bench/experiment/emulated-runner.ts
+++ b/bench/experiment/emulated-runner.ts
@@ -1,4 +1,4 @@
-import type { GenerateResult } from "../../src/platform/engine/engine-client.ts";
+import type { GenerateResult } from "../../src/ports/engine/engine-client.ts";
 import type { TextHash } from "../../src/runtime/text-hash.ts";
 import type { ChatMessage } from "../../src/scheduling/program/records.ts";
 import { RunnerQueue } from "../../src/scheduling/queue/runner-queue.ts";
--- a/bench/simulation/simulated-back-ends.ts
+++ b/bench/simulation/simulated-back-ends.ts
@@ -6,8 +6,8 @@
   GeneratedChunk,
   GenerateRequest,
   GenerateResult,
-} from "../../src/platform/engine/engine-client.ts";
-import type { ServiceClient, ServiceResult } from "../../src/platform/service/service-client.ts";
+} from "../../src/ports/engine/engine-client.ts";
+import type { ServiceClient, ServiceResult } from "../../src/ports/service/service-client.ts";
 import type { RandomSource } from "../../src/runtime/random-source.ts";
 import type { TextHash } from "../../src/runtime/text-hash.ts";
 import type { ServiceRequest } from "../../src/scheduling/program/records.ts";
--- a/bench/simulation/simulated-platform.ts
+++ b/bench/simulation/simulated-platform.ts
@@ -1,12 +1,7 @@
 import { platformError } from "../../src/errors/tulipwheel-error.ts";
-import type { Machine, MachineList } from "../../src/platform/machine-list/machine-list.ts";
-import type { ObjectStore } from "../../src/platform/objects/object-store.ts";
-import type {
-  Row,
-  TableStore,
-  Transaction,
-  TransactionResult,
-} from "../../src/platform/table/table-store.ts";
+import type { Machine, MachineList } from "../../src/ports/machine-list/machine-list.ts";
+import type { ObjectStore } from "../../src/ports/objects/object-store.ts";
+import type { Row, TableStore, Transaction, TransactionResult } from "../../src/ports/table/table-store.ts";
 import type { RandomSource } from "../../src/runtime/random-source.ts";
 import { MachineListModel } from "../../standins/machine-list/machine-list-model.ts";
 import { ObjectModel } from "../../standins/objects/object-model.ts";
--- a/bench/simulation/world.ts
+++ b/bench/simulation/world.ts
@@ -4,7 +4,7 @@
  */
 import { pino } from "pino";
 import { NodeDaemon } from "../../src/node/node-daemon.ts";
-import type { Machine } from "../../src/platform/machine-list/machine-list.ts";
+import type { Machine } from "../../src/ports/machine-list/machine-list.ts";
 import { SeededRandomSource } from "../../src/runtime/random-source.ts";
 import type { TextHash } from "../../src/runtime/text-hash.ts";
 import { type NodeSettings, nodeSettingsSchema } from "../../src/settings/node-settings.ts";
--- a/src/cli/demo/demo-system.ts
+++ b/src/cli/demo/demo-system.ts
@@ -9,7 +9,7 @@
 } from "../../../standins/http/platform-standins.ts";
 import { ServiceModel } from "../../../standins/service/service-model.ts";
 import { type RunningNode, startNode } from "../../node/start-node.ts";
-import type { Machine } from "../../platform/machine-list/machine-list.ts";
+import type { Machine } from "../../ports/machine-list/machine-list.ts";
 import { loadTextHash } from "../../runtime/text-hash.ts";
 import { nodeSettingsSchema } from "../../settings/node-settings.ts";
 import { parseYaml } from "../../settings/parse-yaml.ts";
--- a/src/messages/rpc-messages.ts
+++ b/src/messages/rpc-messages.ts
@@ -1,5 +1,5 @@
 import type { Problem } from "../errors/problem.ts";
-import type { Machine } from "../platform/machine-list/machine-list.ts";
+import type { Machine } from "../ports/machine-list/machine-list.ts";
 import type { Decision } from "../scheduling/decision/decision.ts";
 import type { ApplyResult } from "../scheduling/program/program-table.ts";
 import type { EndReason, ForkPoint, ProgramRecord } from "../scheduling/program/records.ts";
--- a/src/node/archive/shard-archive.ts
+++ b/src/node/archive/shard-archive.ts
@@ -1,5 +1,5 @@
 import { Encoder } from "cbor-x";
-import type { ObjectStore } from "../../platform/objects/object-store.ts";
+import type { ObjectStore } from "../../ports/objects/object-store.ts";
 import { type ShardCommand, type ShardSnapshot, ShardState } from "../../scheduling/shard-state.ts";
 import { archivePrefix, baseKey, chainOf, parseArchiveKey, segmentKey } from "./archive-keys.ts";
 
--- a/src/node/archive/shard-recovery.ts
+++ b/src/node/archive/shard-recovery.ts
@@ -7,7 +7,7 @@
 import type { Member } from "../../coordination/shard-group/index.ts";
 import { requestError } from "../../errors/tulipwheel-error.ts";
 import type { RecoverShardResponse, ShardPresenceResponse } from "../../messages/rpc-messages.ts";
-import type { TableStore } from "../../platform/table/table-store.ts";
+import type { TableStore } from "../../ports/table/table-store.ts";
 import type { RpcEndpoint } from "../../runtime/rpc.ts";
 import type { NodeContext } from "../node-context.ts";
 import type { MachineDirectory } from "../runners/machine-directory.ts";
--- a/src/node/calls/completion-runner.ts
+++ b/src/node/calls/completion-runner.ts
@@ -1,5 +1,5 @@
 import { problemOf } from "../../errors/tulipwheel-error.ts";
-import type { EngineClient, GenerateResult } from "../../platform/engine/engine-client.ts";
+import type { EngineClient, GenerateResult } from "../../ports/engine/engine-client.ts";
 import { delay } from "../../runtime/clock.ts";
 import { RedirectSignal } from "../../runtime/rpc.ts";
 import { messageTokensBound, utf8Length } from "../../scheduling/admission/worst-case-tokens.ts";
--- a/src/node/calls/service-runner.ts
+++ b/src/node/calls/service-runner.ts
@@ -1,6 +1,6 @@
 import type { Problem } from "../../errors/problem.ts";
 import { problemOf } from "../../errors/tulipwheel-error.ts";
-import type { ServiceClient, ServiceResult } from "../../platform/service/service-client.ts";
+import type { ServiceClient, ServiceResult } from "../../ports/service/service-client.ts";
 import { delay } from "../../runtime/clock.ts";
 import { RedirectSignal } from "../../runtime/rpc.ts";
 import type { ServiceRequest } from "../../scheduling/program/records.ts";
--- a/src/node/configuration/configuration-table.ts
+++ b/src/node/configuration/configuration-table.ts
@@ -4,7 +4,7 @@
   ApplyConfigurationResponse,
   ConfigurationEntry,
 } from "../../messages/rpc-messages.ts";
-import type { Row, TableStore, TransactionResult } from "../../platform/table/table-store.ts";
+import type { Row, TableStore, TransactionResult } from "../../ports/table/table-store.ts";
 import type { Clock } from "../../runtime/clock.ts";
 import { delay } from "../../runtime/clock.ts";
 
--- a/src/node/node-platform.ts
+++ b/src/node/node-platform.ts
@@ -1,8 +1,8 @@
-import type { EngineClient } from "../platform/engine/engine-client.ts";
-import type { MachineList } from "../platform/machine-list/machine-list.ts";
-import type { ObjectStore } from "../platform/objects/object-store.ts";
-import type { ServiceClient } from "../platform/service/service-client.ts";
-import type { TableStore } from "../platform/table/table-store.ts";
+import type { EngineClient } from "../ports/engine/engine-client.ts";
+import type { MachineList } from "../ports/machine-list/machine-list.ts";
+import type { ObjectStore } from "../ports/objects/object-store.ts";
+import type { ServiceClient } from "../ports/service/service-client.ts";
+import type { TableStore } from "../ports/table/table-store.ts";
 
 /** Everything outside that a node talks to. */
 export interface NodePlatform {
--- a/src/node/runners/hold-sweeper.ts
+++ b/src/node/runners/hold-sweeper.ts
@@ -1,4 +1,4 @@
-import type { EngineClient } from "../../platform/engine/engine-client.ts";
+import type { EngineClient } from "../../ports/engine/engine-client.ts";
 import { repeat } from "../../runtime/clock.ts";
 import type { ShardRouter } from "../../runtime/shard-router.ts";
 import type { NodeContext } from "../node-context.ts";
--- a/src/node/runners/machine-content.ts
+++ b/src/node/runners/machine-content.ts
@@ -1,5 +1,5 @@
 import type { MachineChanges } from "../../messages/rpc-messages.ts";
-import type { Machine } from "../../platform/machine-list/machine-list.ts";
+import type { Machine } from "../../ports/machine-list/machine-list.ts";
 import type { TextHash } from "../../runtime/text-hash.ts";
 
 const HEXADECIMAL = 16;
--- a/src/node/runners/machine-directory.ts
+++ b/src/node/runners/machine-directory.ts
@@ -6,7 +6,7 @@
 import type { Member } from "../../coordination/shard-group/index.ts";
 import { type SnapshotNews, SnapshotRelay } from "../../coordination/snapshot-relay/index.ts";
 import type { FetchMachinesResponse } from "../../messages/rpc-messages.ts";
-import type { Machine, MachineList } from "../../platform/machine-list/machine-list.ts";
+import type { Machine, MachineList } from "../../ports/machine-list/machine-list.ts";
 import { repeat } from "../../runtime/clock.ts";
 import type { RpcEndpoint } from "../../runtime/rpc.ts";
 import type { NodeContext } from "../node-context.ts";
--- a/src/node/runners/runner-directory.ts
+++ b/src/node/runners/runner-directory.ts
@@ -1,5 +1,5 @@
 import type { RunnerLoad } from "../../messages/slot-messages.ts";
-import type { Machine } from "../../platform/machine-list/machine-list.ts";
+import type { Machine } from "../../ports/machine-list/machine-list.ts";
 import type { RunnerView } from "../../scheduling/runner-selection/runner-view.ts";
 import type { MachineDirectory } from "./machine-directory.ts";
 
--- a/src/node/runners/runner-home.ts
+++ b/src/node/runners/runner-home.ts
@@ -1,6 +1,6 @@
 import type { RequestSlot, RunnerLoad, SlotRefused } from "../../messages/slot-messages.ts";
-import type { EngineClient, EngineLoad } from "../../platform/engine/engine-client.ts";
-import type { Machine } from "../../platform/machine-list/machine-list.ts";
+import type { EngineClient, EngineLoad } from "../../ports/engine/engine-client.ts";
+import type { Machine } from "../../ports/machine-list/machine-list.ts";
 import { RunnerQueue } from "../../scheduling/queue/runner-queue.ts";
 import { type SlotRequest, slotKey } from "../../scheduling/queue/slot-request.ts";
 import type { NodeContext } from "../node-context.ts";
--- a/src/node/runners/runner-homes.ts
+++ b/src/node/runners/runner-homes.ts
@@ -1,5 +1,5 @@
 import type { ReleaseProgram, ReleaseSlot, RequestSlot, RunnerLoad } from "../../messages/slot-messages.ts";
-import type { EngineClient } from "../../platform/engine/engine-client.ts";
+import type { EngineClient } from "../../ports/engine/engine-client.ts";
 import { repeat } from "../../runtime/clock.ts";
 import type { ConfigurationService } from "../configuration/configuration-service.ts";
 import type { NodeContext } from "../node-context.ts";
--- a/src/node/shard-row.ts
+++ b/src/node/shard-row.ts
@@ -1,5 +1,5 @@
 import type { Member } from "../coordination/shard-group/index.ts";
-import type { Row } from "../platform/table/table-store.ts";
+import type { Row } from "../ports/table/table-store.ts";
 
 /** What the platform's table says of a shard. */
 export interface ShardRow {
--- a/src/node/shard-steward.ts
+++ b/src/node/shard-steward.ts
@@ -10,7 +10,7 @@
   type PlacementOptions,
 } from "../coordination/placement/index.ts";
 import { allMembers, type Member, type Membership } from "../coordination/shard-group/index.ts";
-import type { Row, TableStore } from "../platform/table/table-store.ts";
+import type { Row, TableStore } from "../ports/table/table-store.ts";
 import { delay, repeat } from "../runtime/clock.ts";
 import type { NodeContext } from "./node-context.ts";
 import type { MachineDirectory } from "./runners/machine-directory.ts";
--- a/src/node/start-node.ts
+++ b/src/node/start-node.ts
@@ -1,9 +1,9 @@
-import { HttpEngineClient } from "../platform/engine/http-engine-client.ts";
-import { HttpJsonClient, HttpPools } from "../platform/http-json.ts";
-import { HttpMachineList } from "../platform/machine-list/http-machine-list.ts";
-import { HttpObjectStore } from "../platform/objects/http-object-store.ts";
-import { HttpServiceClient } from "../platform/service/http-service-client.ts";
-import { HttpTableStore } from "../platform/table/http-table-store.ts";
+import { HttpEngineClient } from "../ports/engine/http-engine-client.ts";
+import { HttpJsonClient, HttpPools } from "../ports/http-json.ts";
+import { HttpMachineList } from "../ports/machine-list/http-machine-list.ts";
+import { HttpObjectStore } from "../ports/objects/http-object-store.ts";
+import { HttpServiceClient } from "../ports/service/http-service-client.ts";
+import { HttpTableStore } from "../ports/table/http-table-store.ts";
 import { SystemClock } from "../runtime/clock.ts";
 import { systemRandom } from "../runtime/system-random.ts";
 import { TcpTransport } from "../runtime/tcp-transport.ts";
--- a/src/runtime/cancellation.ts
+++ b/src/runtime/cancellation.ts
@@ -1,4 +1,4 @@
-import type { Cancellation } from "../platform/engine/engine-client.ts";
+import type { Cancellation } from "../ports/engine/engine-client.ts";
 
 /** The holder's end of a {@link Cancellation}. */
 export class CancellationSource implements Cancellation {
--- a/standins/engine/engine-model.ts
+++ b/standins/engine/engine-model.ts
@@ -11,7 +11,7 @@
   EngineRefusal,
   GenerateRequest,
   GenerateResult,
-} from "../../src/platform/engine/engine-client.ts";
+} from "../../src/ports/engine/engine-client.ts";
 import { SeededRandomSource } from "../../src/runtime/random-source.ts";
 import type { TextHash } from "../../src/runtime/text-hash.ts";
 import { answerTokens, GeneratedText } from "./generated-text.ts";
--- a/standins/http/engine-standin.ts
+++ b/standins/http/engine-standin.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from "node:http";
-import type { EngineOrder, GenerateRequest } from "../../src/platform/engine/engine-client.ts";
+import type { EngineOrder, GenerateRequest } from "../../src/ports/engine/engine-client.ts";
 import type { TextHash } from "../../src/runtime/text-hash.ts";
 import { EngineModel, type EngineModelOptions } from "../engine/engine-model.ts";
 import { HttpStandin, jsonOf, type StandinAnswer, type StandinRequest } from "./http-standin.ts";
--- a/standins/http/platform-standins.ts
+++ b/standins/http/platform-standins.ts
@@ -1,6 +1,6 @@
-import type { Machine } from "../../src/platform/machine-list/machine-list.ts";
-import type { Transaction } from "../../src/platform/table/table-store.ts";
-import type { WeightSet } from "../../src/platform/weights/weight-store.ts";
+import type { Machine } from "../../src/ports/machine-list/machine-list.ts";
+import type { Transaction } from "../../src/ports/table/table-store.ts";
+import type { WeightSet } from "../../src/ports/weights/weight-store.ts";
 import { MachineListModel, type MachineListModelOptions } from "../machine-list/machine-list-model.ts";
 import { ObjectModel } from "../objects/object-model.ts";
 import { ServiceModel } from "../service/service-model.ts";
--- a/standins/machine-list/machine-list-model.ts
+++ b/standins/machine-list/machine-list-model.ts
@@ -1,4 +1,4 @@
-import type { Machine } from "../../src/platform/machine-list/machine-list.ts";
+import type { Machine } from "../../src/ports/machine-list/machine-list.ts";
 
 /** Options of a {@link MachineListModel}. */
 export interface MachineListModelOptions {
--- a/standins/table/table-model.ts
+++ b/standins/table/table-model.ts
@@ -1,4 +1,4 @@
-import type { Row, Transaction, TransactionResult } from "../../src/platform/table/table-store.ts";
+import type { Row, Transaction, TransactionResult } from "../../src/ports/table/table-store.ts";
 
 /** The platform's transactional table, in memory. */
 export class TableModel {
--- a/test/contract/machine-content.test.ts
+++ b/test/contract/machine-content.test.ts
@@ -2,7 +2,7 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { MachineContent } from "../../src/node/runners/machine-content.ts";
-import type { Machine } from "../../src/platform/machine-list/machine-list.ts";
+import type { Machine } from "../../src/ports/machine-list/machine-list.ts";
 import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
 
 function machine(index: number, state: Machine["state"]): Machine {
--- a/test/contract/standins.test.ts
+++ b/test/contract/standins.test.ts
@@ -5,14 +5,14 @@
   GeneratedChunk,
   GenerateRequest,
   GenerateResult,
-} from "../../src/platform/engine/engine-client.ts";
-import { HttpEngineClient } from "../../src/platform/engine/http-engine-client.ts";
-import { HttpJsonClient, HttpPools } from "../../src/platform/http-json.ts";
-import { HttpMachineList } from "../../src/platform/machine-list/http-machine-list.ts";
-import { HttpObjectStore } from "../../src/platform/objects/http-object-store.ts";
-import { HttpServiceClient } from "../../src/platform/service/http-service-client.ts";
-import { HttpTableStore } from "../../src/platform/table/http-table-store.ts";
-import { HttpWeightStore } from "../../src/platform/weights/http-weight-store.ts";
+} from "../../src/ports/engine/engine-client.ts";
+import { HttpEngineClient } from "../../src/ports/engine/http-engine-client.ts";
+import { HttpJsonClient, HttpPools } from "../../src/ports/http-json.ts";
+import { HttpMachineList } from "../../src/ports/machine-list/http-machine-list.ts";
+import { HttpObjectStore } from "../../src/ports/objects/http-object-store.ts";
+import { HttpServiceClient } from "../../src/ports/service/http-service-client.ts";
+import { HttpTableStore } from "../../src/ports/table/http-table-store.ts";
+import { HttpWeightStore } from "../../src/ports/weights/http-weight-store.ts";
 import { CancellationSource } from "../../src/runtime/cancellation.ts";
 import { loadTextHash } from "../../src/runtime/text-hash.ts";
 import { EngineStandin } from "../../standins/http/engine-standin.ts";
