--- /dev/null
+++ b/src/coordination/liveness/index.ts
@@ -0,0 +1,1 @@
+export { type LivenessOptions, PeerLiveness } from "./peer-liveness.ts";
--- /dev/null
+++ b/src/coordination/partition-ownership/preferred-owner.ts
@@ -0,0 +1,36 @@
+/** A node that may own partitions. */
+export interface OwnerCandidate {
+  readonly name: string;
+  /** Hash of the name: the same on every node. */
+  readonly hash: number;
+}
+
+const MULTIPLIER_A = 0x85ebca6b;
+const MULTIPLIER_B = 0xc2b2ae35;
+
+/**
+ * The node that should own a partition, by rendezvous hashing: all who know the same candidates agree, and a candidate
+ * that comes or goes moves only its own partitions. Undefined when there is no candidate.
+ */
+export function preferredOwner(partition: number, candidates: readonly OwnerCandidate[]): string | undefined {
+  let best: OwnerCandidate | undefined;
+  let bestScore = -1;
+  for (const candidate of candidates) {
+    const score = mix(candidate.hash ^ Math.imul(partition + 1, MULTIPLIER_A));
+    if (score > bestScore || (score === bestScore && best && candidate.name < best.name)) {
+      best = candidate;
+      bestScore = score;
+    }
+  }
+  return best?.name;
+}
+
+function mix(value: number): number {
+  let mixed = value;
+  mixed ^= mixed >>> 16;
+  mixed = Math.imul(mixed, MULTIPLIER_A);
+  mixed ^= mixed >>> 13;
+  mixed = Math.imul(mixed, MULTIPLIER_B);
+  mixed ^= mixed >>> 16;
+  return mixed >>> 0;
+}
--- /dev/null
+++ b/src/coordination/token-account/index.ts
@@ -0,0 +1,6 @@
+export {
+  type AccountSnapshot,
+  type StoredAccount,
+  TokenAccount,
+  type TurnGrant,
+} from "./token-account.ts";
--- /dev/null
+++ b/src/gateway/calls/plain-call.ts
@@ -0,0 +1,50 @@
+/** A call whose answer is one piece. It is run again only where its route says that this does no harm. */
+import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+import type { RunnerAnswerHead } from "../runners/runner-exchange.ts";
+import { RoutedCall } from "./routed-call.ts";
+import type { AttemptFailure } from "./runner-attempt.ts";
+
+/** See the module's comment. */
+export class PlainCall extends RoutedCall {
+  protected override begin(): void {
+    this.next();
+  }
+
+  protected override next(): void {
+    const runner = this.chooseRunner(undefined);
+    if (!runner) return this.#giveUp("no runner can take the call");
+    let head: RunnerAnswerHead | undefined;
+    const chunks: Buffer[] = [];
+    const tried = this.tryAt(runner, this.exchange.body, undefined, {
+      onHead: (answer) => {
+        head = answer;
+      },
+      onData: (chunk) => chunks.push(chunk),
+      onEnd: () => this.#answer(head, Buffer.concat(chunks)),
+      onFailed: (failure) => this.#onFailed(runner, failure),
+    });
+    if (!tried) this.#giveUp("too many runners refused the call");
+  }
+
+  #answer(head: RunnerAnswerHead | undefined, body: Buffer): void {
+    if (!head) return this.failUnknown("an answer without a head");
+    const { calls } = this.parts.context.platform;
+    this.exchange.answer(head.status, calls.headersForCaller(head.rawHeaders), body);
+    this.finish();
+  }
+
+  #onFailed(runner: RunnerEntry, failure: AttemptFailure): void {
+    this.attempt = undefined;
+    this.noteFailure(runner, failure);
+    if (failure.type !== "broken") return this.next();
+    const mayRepeat = this.route.kind === "safe" && this.mayHaveRun.size < this.route.maxAttempts;
+    if (!mayRepeat) return this.failUnknown(`the runner gave no answer: ${failure.detail}`);
+    this.excluded.add(runner.id);
+    this.next();
+  }
+
+  #giveUp(detail: string): void {
+    if (this.mayHaveRun.size > 0) this.failUnknown(detail);
+    else this.refuse("overloaded", detail);
+  }
+}
--- /dev/null
+++ b/src/gateway/calls/routed-call.ts
@@ -0,0 +1,158 @@
+/** What plain calls and turns have in common: the time they have, the runners they met, and how they end early. */
+import type { CallContext } from "../../ports/call-protocol.ts";
+import type { TimerHandle } from "../../runtime/clock.ts";
+import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
+import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+import type { CallerExchange } from "../ingress/caller-exchange.ts";
+import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
+import { RunnerAttempt } from "./runner-attempt.ts";
+
+/** What is known of a call when it begins. */
+export interface CallStart {
+  readonly exchange: CallerExchange;
+  readonly call: CallContext;
+  readonly route: Route;
+  readonly pool: RunnerPool;
+}
+
+const BAD_GATEWAY = 502;
+const UNAVAILABLE = 503;
+const GATEWAY_TIMEOUT = 504;
+/** When callers of a request that was not run should come back, in ms; up to as much again is added at random. */
+const RETRY_AFTER_MS = 100;
+/** Tries at runners within one call, whatever became of them. */
+const MAX_TRIES = 12;
+
+/** See the module's comment. */
+export abstract class RoutedCall {
+  protected readonly parts: AttemptParts;
+  protected readonly exchange: CallerExchange;
+  protected readonly call: CallContext;
+  protected readonly route: Route;
+  protected readonly pool: RunnerPool;
+  /** Of the monotonic clock: when the route's or the caller's time is over. */
+  protected readonly deadlineAtMs: number;
+  /** Runners that refused the call, or could not be reached. */
+  protected readonly excluded = new Set<string>();
+  /** Runners that may have run it. */
+  protected readonly mayHaveRun = new Set<string>();
+  protected attempt: RunnerAttempt | undefined;
+  #tries = 0;
+  #timer: TimerHandle | undefined;
+  #over = false;
+
+  constructor(parts: AttemptParts, start: CallStart) {
+    this.parts = parts;
+    this.exchange = start.exchange;
+    this.call = start.call;
+    this.route = start.route;
+    this.pool = start.pool;
+    const timeMs = Math.min(this.call.deadlineMs ?? this.route.timeoutMs, this.route.timeoutMs);
+    this.deadlineAtMs = this.exchange.arrivedAtMs + timeMs;
+  }
+
+  /** Begins; the call looks after itself from then on. */
+  run(): void {
+    this.#timer = this.parts.context.clock.schedule(Math.max(0, this.leftMs), () => this.#onDeadline());
+    this.exchange.onGone(() => this.#onGone());
+    if (!this.#over) this.begin();
+  }
+
+  protected abstract begin(): void;
+  /** The next try, or the end. */
+  protected abstract next(): void;
+  /** Called once when the call is over, however it ended. */
+  protected onOver(): void {}
+
+  protected get over(): boolean {
+    return this.#over;
+  }
+
+  protected get leftMs(): number {
+    return this.deadlineAtMs - this.parts.context.clock.monotonicMs();
+  }
+
+  protected chooseRunner(preferred: string | undefined): RunnerEntry | undefined {
+    const { board, context } = this.parts;
+    return board.choose({
+      pool: this.pool.name,
+      zone: context.settings.zone,
+      excluded: this.excluded,
+      preferred,
+      nowMs: context.clock.monotonicMs(),
+      sample: context.random.unit(),
+    });
+  }
+
+  /** Sends the call to a runner; false when it has been tried too often. */
+  protected tryAt(
+    runner: RunnerEntry,
+    body: Buffer,
+    lastEventId: number | undefined,
+    listener: AttemptListener,
+  ): boolean {
+    this.#tries += 1;
+    if (this.#tries > MAX_TRIES) return false;
+    const { exchange, call, leftMs } = this;
+    const request = { exchange, call, body, deadlineMs: leftMs, lastEventId };
+    this.attempt = new RunnerAttempt(this.parts, runner, request, listener);
+    return true;
+  }
+
+  /** Takes in that a try gave no answer. */
+  protected noteFailure(runner: RunnerEntry, failure: AttemptFailure): void {
+    if (failure.type === "broken") this.mayHaveRun.add(runner.id);
+    else this.excluded.add(runner.id);
+    const { requestId } = this.call;
+    this.parts.context.log.info({ request: requestId, runner: runner.id, failure }, "try failed");
+  }
+
+  /** Ends the call: no runner has run it, and none will. */
+  protected refuse(kind: string, detail: string): void {
+    const { random } = this.parts.context;
+    const retryAfterMs = RETRY_AFTER_MS * (1 + random.unit());
+    this.fail(UNAVAILABLE, kind, detail, retryAfterMs);
+  }
+
+  /** Ends the call: nobody can say whether it has run. */
+  protected failUnknown(detail: string): void {
+    this.fail(BAD_GATEWAY, "outcome-unknown", detail);
+  }
+
+  /** Ends the call with an answer of the system's own, or by breaking off one that has begun. */
+  protected fail(status: number, kind: string, detail: string, retryAfterMs?: number): void {
+    if (this.#over) return;
+    const { requestId } = this.call;
+    const route = this.route.name;
+    const elapsedMs = Math.round(this.parts.context.clock.monotonicMs() - this.exchange.arrivedAtMs);
+    this.parts.context.log.info(
+      { request: requestId, route, status, kind, detail, elapsedMs },
+      "call failed",
+    );
+    if (this.exchange.started) this.exchange.breakOff();
+    else
+      this.exchange.refuse({ status, kind, detail, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) });
+    this.finish();
+  }
+
+  /** The call is over. */
+  protected finish(): void {
+    if (this.#over) return;
+    this.#over = true;
+    if (this.#timer) this.parts.context.clock.cancel(this.#timer);
+    this.attempt?.abort();
+    this.onOver();
+  }
+
+  #onDeadline(): void {
+    const sent = this.attempt !== undefined || this.mayHaveRun.size > 0;
+    if (sent) this.fail(GATEWAY_TIMEOUT, "timeout", "The time of the call is over.");
+    else this.refuse("timeout", "The time of the call is over; it was not run.");
+  }
+
+  #onGone(): void {
+    const { requestId } = this.call;
+    this.parts.context.log.debug({ request: requestId }, "caller gone");
+    this.finish();
+  }
+}
--- /dev/null
+++ b/src/gateway/calls/runner-attempt.ts
@@ -0,0 +1,131 @@
+/** One try of a call at one runner: what was sent, and what its answer means. */
+import type { CallContext } from "../../ports/call-protocol.ts";
+import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
+import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type { CallerExchange } from "../ingress/caller-exchange.ts";
+import type { RunnerConnections } from "../runners/runner-connections.ts";
+import {
+  type RunnerAnswerHead,
+  type RunnerExchange,
+  type RunnerExchangeListener,
+  sendToRunner,
+} from "../runners/runner-exchange.ts";
+
+/** Why a try gave no answer. */
+export type AttemptFailure =
+  /** No connection: nothing was sent. */
+  | { readonly type: "unreachable"; readonly detail: string }
+  /** The runner says that it has not run the request and never will. */
+  | { readonly type: "notRun"; readonly status: number }
+  /** The request may have run, or be running. */
+  | { readonly type: "broken"; readonly detail: string };
+
+/** What becomes of a try. After `onEnd` or `onFailed` nothing more comes. */
+export interface AttemptListener {
+  onHead(head: RunnerAnswerHead): void;
+  onData(chunk: Buffer): void;
+  onEnd(): void;
+  onFailed(failure: AttemptFailure): void;
+}
+
+/** What all tries of the calls of a gateway share. */
+export interface AttemptParts {
+  readonly context: GatewayContext;
+  readonly board: RunnerBoard;
+  readonly connections: RunnerConnections;
+}
+
+/** What one try sends. */
+export interface AttemptRequest {
+  readonly exchange: CallerExchange;
+  readonly call: CallContext;
+  readonly body: Buffer;
+  /** Time that the runner is given, in ms. */
+  readonly deadlineMs: number;
+  readonly lastEventId: number | undefined;
+}
+
+const MISDIRECTED = 421;
+
+/** See the module's comment. */
+export class RunnerAttempt implements RunnerExchangeListener {
+  readonly runner: RunnerEntry;
+  readonly #parts: AttemptParts;
+  readonly #request: AttemptRequest;
+  readonly #listener: AttemptListener;
+  readonly #exchange: RunnerExchange;
+  #over = false;
+  /** Status of an answer that says that nothing was run; its body is read and dropped. */
+  #notRunStatus: number | undefined;
+
+  constructor(parts: AttemptParts, runner: RunnerEntry, request: AttemptRequest, listener: AttemptListener) {
+    this.runner = runner;
+    this.#parts = parts;
+    this.#request = request;
+    this.#listener = listener;
+    parts.board.started(runner.id);
+    const { exchange, body, deadlineMs, lastEventId } = request;
+    const headers = parts.context.platform.calls.headersForRunner(exchange.rawHeaders, {
+      deadlineMs,
+      expectedRunner: runner.id,
+      lastEventId,
+    });
+    this.#exchange = sendToRunner(
+      parts.connections.pool(runner),
+      { method: exchange.method, path: exchange.target, headers, body },
+      this,
+    );
+  }
+
+  /** Gives the try up; the runner is told by the end of the connection. */
+  abort(): void {
+    if (this.#over) return;
+    this.#finish();
+    this.#exchange.abort();
+  }
+
+  onHead(head: RunnerAnswerHead): boolean {
+    const answer = this.#parts.context.platform.calls.describeAnswer(head.status, head.headers);
+    if (answer.requestId !== this.#request.call.requestId) {
+      this.#fail({ type: "broken", detail: `an answer to ${answer.requestId} came` });
+      return false;
+    }
+    if (answer.notRun) this.#notRunStatus = head.status;
+    else this.#listener.onHead(head);
+    return true;
+  }
+
+  onData(chunk: Buffer): void {
+    if (this.#notRunStatus === undefined && !this.#over) this.#listener.onData(chunk);
+  }
+
+  onEnd(): void {
+    if (this.#notRunStatus !== undefined) {
+      this.#fail({ type: "notRun", status: this.#notRunStatus });
+      return;
+    }
+    if (this.#over) return;
+    this.#finish();
+    this.#listener.onEnd();
+  }
+
+  onFailed(error: Error, sent: boolean): void {
+    if (this.#notRunStatus !== undefined) this.#fail({ type: "notRun", status: this.#notRunStatus });
+    else this.#fail({ type: sent ? "broken" : "unreachable", detail: error.message });
+  }
+
+  #fail(failure: AttemptFailure): void {
+    if (this.#over) return;
+    this.#finish();
+    const { board, context } = this.#parts;
+    if (failure.type === "notRun" && failure.status === MISDIRECTED) board.markLeaving(this.runner.id);
+    else if (failure.type !== "broken") board.avoid(this.runner.id, context.clock.monotonicMs());
+    this.#listener.onFailed(failure);
+  }
+
+  #finish(): void {
+    this.#over = true;
+    this.#parts.board.ended(this.runner.id);
+  }
+}
--- /dev/null
+++ b/src/gateway/calls/streamed-call.ts
@@ -0,0 +1,223 @@
+/**
+ * A call whose answer is a stream of events: a turn of a program, or a stream of its own. Events are passed on as they
+ * come, whole ones only, so that a stream that breaks can go on at the event after the last one.
+ */
+import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+import type { AdmitTurnResponse, EndTurnRequest } from "../gateway-messages.ts";
+import type { PartitionClient } from "../partitions/partition-client.ts";
+import type { RunnerAnswerHead } from "../runners/runner-exchange.ts";
+import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
+import { type CallStart, RoutedCall } from "./routed-call.ts";
+import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
+
+const PAYMENT_REQUIRED = 402;
+const NOT_FOUND = 404;
+const FIRST_FAILURE_STATUS = 300;
+/** Output and input bytes are kept as they came. */
+const ENCODING = "latin1";
+
+/** See the module's comment. */
+export class StreamedCall extends RoutedCall {
+  readonly #partitions: PartitionClient;
+  readonly #splitter = new EventSplitter();
+  readonly #output: string[] = [];
+  #history: readonly Uint8Array[] = [];
+  #preferred: string | undefined;
+  #admitted = false;
+  #startedHead: RunnerAnswerHead | undefined;
+  #events = 0;
+  #lastEventId: number | undefined;
+  #lastRunner: string | undefined;
+
+  constructor(parts: AttemptParts, partitions: PartitionClient, start: CallStart) {
+    super(parts, start);
+    this.#partitions = partitions;
+  }
+
+  protected override begin(): void {
+    if (this.#isTurn) void this.#admit();
+    else this.next();
+  }
+
+  protected override next(): void {
+    const runner = this.#nextRunner();
+    if (!runner) return this.#giveUp("no runner can take the turn");
+    this.#splitter.reset();
+    const tried = this.tryAt(runner, this.#body(), this.#lastEventId, this.#listenerFor(runner));
+    if (!tried) this.#giveUp("too many runners refused the turn");
+  }
+
+  protected override onOver(): void {
+    if (this.#admitted) void this.#partitions.end(this.#endRequest(false));
+  }
+
+  /** Whether the owner of the program's partition has to be asked. */
+  get #isTurn(): boolean {
+    const { program } = this.call;
+    return program !== undefined && (program.tokenBudget !== undefined || this.route.retainsTurns);
+  }
+
+  get #budget(): { tokens: number; most: number } | undefined {
+    const tokens = this.call.program?.tokenBudget;
+    const most = this.call.maxGeneratedTokens;
+    return tokens === undefined || most === undefined ? undefined : { tokens, most };
+  }
+
+  async #admit(): Promise<void> {
+    const { program, requestId } = this.call;
+    if (!program) return;
+    const { clock, settings } = this.parts.context;
+    const request = {
+      partition: this.#partitions.partitionOf(program.id),
+      program: program.id,
+      session: program.session,
+      turn: requestId,
+      budget: this.#budget,
+      history: this.route.retainsTurns ? { previousTurn: program.previousTurn } : undefined,
+    };
+    const patienceAtMs = Math.min(this.deadlineAtMs, clock.monotonicMs() + settings.timing.ownerWaitMs);
+    const answer = await this.#partitions.admit(request, patienceAtMs, () => this.over);
+    this.#admitted = answer.type === "granted" || answer.type === "unavailable";
+    if (!this.over) this.#onAdmission(answer);
+    else if (this.#admitted) this.onOver();
+  }
+
+  #onAdmission(answer: AdmitTurnResponse): void {
+    switch (answer.type) {
+      case "granted":
+        this.#history = answer.history;
+        this.#preferred = answer.runner;
+        return this.next();
+      case "exhausted":
+        return this.fail(
+          PAYMENT_REQUIRED,
+          "budget-exhausted",
+          `${answer.spent} tokens are spent or promised.`,
+        );
+      case "noSuchTurn":
+        return this.fail(NOT_FOUND, "no-such-turn", "The turn before is not known.");
+      case "unavailable":
+        return this.refuse("unavailable", answer.detail);
+    }
+  }
+
+  #nextRunner(): RunnerEntry | undefined {
+    const last = this.#lastRunner;
+    // A stream goes on where it ran, as long as that runner is there: another one would be one more that runs it.
+    if (last !== undefined && this.mayHaveRun.has(last) && !this.excluded.has(last)) {
+      const same = this.parts.board.ready(last);
+      if (same) return same;
+    }
+    return this.chooseRunner(this.#preferred);
+  }
+
+  #body(): Buffer {
+    const { body } = this.exchange;
+    return this.#history.length === 0 ? body : Buffer.concat([...this.#history, body]);
+  }
+
+  #listenerFor(runner: RunnerEntry): AttemptListener {
+    let head: RunnerAnswerHead | undefined;
+    const failedBody: Buffer[] = [];
+    const failed = () => head !== undefined && head.status >= FIRST_FAILURE_STATUS;
+    return {
+      onHead: (answer) => {
+        head = answer;
+        this.#lastRunner = runner.id;
+      },
+      onData: (chunk) => {
+        if (failed()) failedBody.push(chunk);
+        else for (const event of this.#splitter.push(chunk)) this.#forward(event, head);
+      },
+      onEnd: () => {
+        if (failed()) this.#answerFailure(runner, head, Buffer.concat(failedBody));
+        else void this.#complete(head);
+      },
+      onFailed: (failure) => this.#onFailed(runner, failure),
+    };
+  }
+
+  #forward(event: StreamEvent, head: RunnerAnswerHead | undefined): void {
+    const last = this.#lastEventId;
+    if (event.id !== undefined && last !== undefined && event.id <= last) return;
+    this.#start(head);
+    this.exchange.write(event.bytes);
+    this.#events += 1;
+    if (event.id !== undefined) this.#lastEventId = event.id;
+    if (this.route.retainsTurns) this.#output.push(event.data, "\n");
+  }
+
+  #start(head: RunnerAnswerHead | undefined): void {
+    if (this.#startedHead || !head) return;
+    this.#startedHead = head;
+    const { calls } = this.parts.context.platform;
+    this.exchange.start(head.status, calls.headersForCaller(head.rawHeaders));
+  }
+
+  /** The runner itself answered with a failure. */
+  #answerFailure(runner: RunnerEntry, head: RunnerAnswerHead | undefined, body: Buffer): void {
+    this.attempt = undefined;
+    if (this.#startedHead || !head) {
+      return this.#onFailed(runner, { type: "broken", detail: `status ${head?.status} in mid-stream` });
+    }
+    const { calls } = this.parts.context.platform;
+    this.exchange.answer(head.status, calls.headersForCaller(head.rawHeaders), body);
+    this.finish();
+  }
+
+  async #complete(head: RunnerAnswerHead | undefined): Promise<void> {
+    this.attempt = undefined;
+    this.#start(head);
+    const { rest } = this.#splitter;
+    if (rest.length > 0) this.exchange.write(rest);
+    if (this.#admitted && this.route.retainsTurns && !(await this.#retain())) return;
+    this.exchange.end();
+    this.finish();
+  }
+
+  /** Has the turn kept before its answer ends. */
+  async #retain(): Promise<boolean> {
+    this.#admitted = false;
+    const request = this.#endRequest(true);
+    const answer = await this.#partitions.end(request, Math.max(0, this.leftMs));
+    if (answer.type === "ended") return true;
+    this.#admitted = true;
+    this.fail(0, "unavailable", `The turn could not be kept: ${answer.detail}`);
+    return false;
+  }
+
+  #endRequest(whole: boolean): EndTurnRequest {
+    const { program, requestId } = this.call;
+    const name = program?.id ?? "";
+    const content = {
+      previousTurn: program?.previousTurn,
+      input: this.exchange.body,
+      output: Buffer.from(this.#output.join(""), ENCODING),
+    };
+    return {
+      partition: this.#partitions.partitionOf(name),
+      program: name,
+      session: program?.session,
+      turn: requestId,
+      budget: this.#budget,
+      tokens: this.#events * (this.pool.engine?.tokensPerEvent ?? 1),
+      runner: this.#lastRunner,
+      retained: whole ? content : undefined,
+    };
+  }
+
+  #onFailed(runner: RunnerEntry, failure: AttemptFailure): void {
+    this.attempt = undefined;
+    this.noteFailure(runner, failure);
+    if (failure.type === "broken") {
+      this.#lastRunner = runner.id;
+      if (!this.route.resumable) return this.failUnknown(`the stream broke: ${failure.detail}`);
+    }
+    this.next();
+  }
+
+  #giveUp(detail: string): void {
+    if (this.mayHaveRun.size > 0) this.failUnknown(detail);
+    else this.refuse("overloaded", detail);
+  }
+}
--- /dev/null
+++ b/src/gateway/configuration/table-follower.ts
@@ -0,0 +1,90 @@
+/**
+ * Follows one table of the store: reads it whole, then waits for changes, and reads it anew when the history is gone.
+ * What it gives never goes back: an answer that is older than one before is asked for again.
+ */
+import type { RowChange, StoredRow } from "../../ports/store/row-store.ts";
+import { delay } from "../../runtime/clock.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type { StoreHealth } from "../store-health.ts";
+
+/** How long a wait for changes lasts; short, so that a broken connection is noticed soon. */
+const WATCH_WAIT_MS = 2_000;
+const RETRY_MS = 100;
+
+/** What a follower gives. */
+export interface TableListener {
+  /** The table as a whole. */
+  onTable(rows: readonly StoredRow[]): void;
+  onChanges(changes: readonly RowChange[]): void;
+}
+
+/** See the module's comment. */
+export class TableFollower {
+  readonly #context: GatewayContext;
+  readonly #health: StoreHealth;
+  readonly #table: string;
+  readonly #listener: TableListener;
+  #stopped = false;
+  /** Version of the store up to which the listener knows everything. */
+  #version = 0;
+
+  constructor(context: GatewayContext, health: StoreHealth, table: string, listener: TableListener) {
+    this.#context = context;
+    this.#health = health;
+    this.#table = table;
+    this.#listener = listener;
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#stopped) {
+      const read = await this.#readWhole();
+      while (read && !this.#stopped) {
+        if (!(await this.#watchOnce())) break;
+      }
+      await delay(this.#context.clock, RETRY_MS);
+    }
+  }
+
+  async #readWhole(): Promise<boolean> {
+    const rows: StoredRow[] = [];
+    let version: number | undefined;
+    let from: string | undefined;
+    for (;;) {
+      const range = { table: this.#table, part: "", ...(from === undefined ? {} : { from }) };
+      const read = await this.#context.platform.store.read(range);
+      this.#health.note(read);
+      if (read.type !== "rows" || read.version < this.#version) return false;
+      // Pages are of different moments: what changed in between comes with the watch from the first one's version.
+      version ??= read.version;
+      rows.push(...read.rows);
+      const last = read.rows.at(-1);
+      if (!read.more || !last) break;
+      from = `${last.key}\u0000`;
+    }
+    this.#version = version;
+    this.#listener.onTable(rows);
+    return true;
+  }
+
+  /** Waits for changes once; false when the table has to be read anew. */
+  async #watchOnce(): Promise<boolean> {
+    const outcome = await this.#context.platform.store.watch(this.#table, this.#version, WATCH_WAIT_MS);
+    this.#health.note(outcome);
+    if (outcome.type === "historyGone") return false;
+    if (outcome.type !== "changes") {
+      await delay(this.#context.clock, RETRY_MS);
+      return true;
+    }
+    if (outcome.changes.length > 0) this.#listener.onChanges(outcome.changes);
+    this.#version = Math.max(this.#version, outcome.version);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway-context.ts
@@ -0,0 +1,28 @@
+import type { Logger } from "pino";
+import type { CallProtocol, EntryProtocol } from "../ports/call-protocol.ts";
+import type { PlatformRecords } from "../ports/platform-records.ts";
+import type { RowStore } from "../ports/store/row-store.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { RandomSource } from "../runtime/random-source.ts";
+import type { TextHash } from "../runtime/text-hash.ts";
+import type { GatewaySettings } from "./gateway-settings.ts";
+
+/** How the platform around a gateway speaks. */
+export interface GatewayPlatform {
+  readonly store: RowStore;
+  readonly calls: CallProtocol;
+  readonly entry: EntryProtocol;
+  readonly records: PlatformRecords;
+}
+
+/** What all parts of a gateway share. */
+export interface GatewayContext {
+  readonly settings: GatewaySettings;
+  /** Unique per start of the process. */
+  readonly instance: string;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly hash: TextHash;
+  readonly log: Logger;
+  readonly platform: GatewayPlatform;
+}
--- /dev/null
+++ b/src/gateway/gateway-daemon.ts
@@ -0,0 +1,135 @@
+/** One gateway: takes callers' requests, owns partitions of programs, and answers who should be called. */
+import { delay } from "../runtime/clock.ts";
+import { RpcEndpoint } from "../runtime/rpc.ts";
+import type { TcpTransport } from "../runtime/tcp-transport.ts";
+import { RunnerBoard } from "../scheduling/runner-board/runner-board.ts";
+import { CallService } from "./calls/call-service.ts";
+import { RoutingWatch } from "./configuration/routing-watch.ts";
+import type { GatewayContext } from "./gateway-context.ts";
+import type { GatewayMessage, GatewayRpcSchema, GatewayState } from "./gateway-messages.ts";
+import { EntryServer } from "./ingress/entry-server.ts";
+import { IngressServer } from "./ingress/ingress-server.ts";
+import { MemberDirectory } from "./members/member-directory.ts";
+import { MemberRegistry } from "./members/member-registry.ts";
+import { PartitionClient } from "./partitions/partition-client.ts";
+import { PartitionHost } from "./partitions/partition-host.ts";
+import { RunnerConnections } from "./runners/runner-connections.ts";
+import { RunnerWatch } from "./runners/runner-watch.ts";
+import { StoreHealth } from "./store-health.ts";
+
+const STOP_POLL_MS = 50;
+
+/** See the module's comment. */
+export class GatewayDaemon {
+  readonly #context: GatewayContext;
+  readonly #transport: TcpTransport<GatewayMessage>;
+  readonly #rpc: RpcEndpoint<GatewayRpcSchema>;
+  readonly #members: MemberDirectory;
+  readonly #registry: MemberRegistry;
+  readonly #partitions: PartitionHost;
+  readonly #routing: RoutingWatch;
+  readonly #runners: RunnerWatch;
+  readonly #board = new RunnerBoard();
+  readonly #connections: RunnerConnections;
+  readonly #ingress: IngressServer;
+  readonly #entry: EntryServer;
+  #stopping: Promise<void> | undefined;
+
+  constructor(context: GatewayContext, transport: TcpTransport<GatewayMessage>) {
+    this.#context = context;
+    this.#transport = transport;
+    const health = new StoreHealth(context);
+    this.#rpc = new RpcEndpoint<GatewayRpcSchema>(transport, context.clock, context.random);
+    this.#members = new MemberDirectory(context, transport);
+    this.#registry = new MemberRegistry(context, this.#members, transport.self.address);
+    this.#partitions = new PartitionHost(context, this.#members, health, this.#rpc);
+    this.#routing = new RoutingWatch(context, health);
+    this.#runners = new RunnerWatch(context, health, this.#board);
+    this.#connections = new RunnerConnections(this.#board);
+    this.#ingress = new IngressServer(context);
+    this.#entry = new EntryServer(context, this.#members, () => this.state === "ready");
+    const client = new PartitionClient(context, this.#members, this.#partitions, this.#rpc);
+    const parts = { context, board: this.#board, connections: this.#connections };
+    const calls = new CallService(parts, client, () => (this.#canServe ? this.#routing.routes : undefined));
+    this.#ingress.onRequest = (exchange) => calls.handle(exchange);
+    this.#routing.onChanged = (routes) => this.#ingress.setLimits(routes.configuration.limits);
+    this.#members.selfReport = () => ({
+      state: this.state,
+      storeReachable: health.reachable,
+      owned: this.#partitions.owned,
+      inFlight: this.#board.inFlight(),
+    });
+    this.#wireMembers();
+  }
+
+  /** Where this gateway is in its life. */
+  get state(): GatewayState {
+    if (this.#stopping) return "stopping";
+    return this.#canServe ? "ready" : "starting";
+  }
+
+  /** Starts all parts. */
+  async start(): Promise<void> {
+    const { listen } = this.#context.settings;
+    this.#routing.start();
+    this.#runners.start();
+    this.#members.start();
+    this.#registry.start();
+    this.#partitions.start();
+    await this.#entry.listen([listen.readiness, listen.directory]);
+    await this.#ingress.listen(listen.callers);
+  }
+
+  /** A planned stop: leaves the directory, lets requests in flight end, and hands its partitions over. */
+  stop(): Promise<void> {
+    this.#stopping ??= this.#stop();
+    return this.#stopping;
+  }
+
+  get #canServe(): boolean {
+    return this.#routing.routes !== undefined && this.#runners.ready;
+  }
+
+  #wireMembers(): void {
+    this.#members.onHeard = (member) => {
+      this.#partitions.learn(member);
+      this.#board.report(member.instance, member.heartbeat.inFlight);
+    };
+    this.#members.onLost = (member) => {
+      this.#partitions.forget(member);
+      this.#board.dropReport(member.instance);
+      this.#rpc.abandon(member.address);
+    };
+    this.#transport.onDisconnected((address, refused) => {
+      this.#rpc.abandon(address);
+      this.#members.onDisconnected(address, refused);
+    });
+    this.#transport.onMessage((message, from) => {
+      switch (message.type) {
+        case "heartbeat":
+          return this.#members.onHeartbeat(message, from);
+        case "rpcRequest":
+          return void this.#rpc.onRequest(message, from);
+        case "rpcResponse":
+          return this.#rpc.onResponse(message);
+      }
+    });
+  }
+
+  async #stop(): Promise<void> {
+    const { clock, settings, log } = this.#context;
+    log.info({ active: this.#ingress.active, connections: this.#ingress.connections }, "stops");
+    const startedMs = clock.monotonicMs();
+    await Promise.resolve();
+    this.#members.tick();
+    this.#ingress.beginStop();
+    await Promise.race([this.#partitions.release(), delay(clock, settings.timing.lingerMs)]);
+    this.#members.tick();
+    await delay(clock, Math.max(0, startedMs + settings.timing.lingerMs - clock.monotonicMs()));
+    this.#ingress.stopListening();
+    const deadlineMs = startedMs + settings.timing.stopMs;
+    while (this.#ingress.active > 0 && clock.monotonicMs() < deadlineMs) await delay(clock, STOP_POLL_MS);
+    log.info({ active: this.#ingress.active, connections: this.#ingress.connections }, "stopped");
+    await this.#transport.close();
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway-settings.ts
@@ -0,0 +1,57 @@
+import { z } from "zod";
+import { addressSchema, durationSchema, loggingSchema, nameSchema } from "../settings/common-schemas.ts";
+
+const listenSchema = z.strictObject({
+  callers: addressSchema.describe("Where callers send requests, IP:port"),
+  readiness: addressSchema.describe("Where the readiness check is answered, IP:port"),
+  directory: addressSchema.describe("Where callers ask which addresses to use, IP:port"),
+  peers: addressSchema.describe("Where other gateways reach this one, IP:port"),
+  metrics: addressSchema.optional().describe("Where metrics are served, IP:port; none when left out"),
+});
+
+const timingSchema = z.strictObject({
+  heartbeatMs: durationSchema.default(250).describe("Time between heartbeats to each peer, ms"),
+  suspectMs: durationSchema.default(1_000).describe("Silence after which a peer counts as gone, ms"),
+  forgetMs: durationSchema.default(60_000).describe("Silence after which a peer's address is dropped, ms"),
+  claimMs: durationSchema.default(100).describe("Time between looks for partitions without an owner, ms"),
+  settleInMs: durationSchema
+    .default(600)
+    .describe("Time after the start in which peers are heard before partitions are claimed, ms"),
+  ownerWaitMs: durationSchema.default(1_500).describe("Longest wait for a partition's owner, ms"),
+  stopMs: durationSchema.default(6_500).describe("Longest time that a planned stop takes, ms"),
+  lingerMs: durationSchema
+    .default(2_500)
+    .describe("Time that a planned stop keeps taking connections of callers that know no better, ms"),
+  directoryTtlS: z.number().min(0.1).max(60).default(1).describe("How long callers keep addresses, s"),
+});
+
+const budgetSchema = z.strictObject({
+  aheadTurns: z
+    .number()
+    .min(0)
+    .max(16)
+    .default(2)
+    .describe("Turns for which tokens are set aside in the store along with the present one"),
+});
+
+/** Settings of a gateway process. */
+export const gatewaySettingsSchema = z.strictObject({
+  name: nameSchema.describe("Name of the machine, unique in the system"),
+  region: z.string().describe("Region that the machine is in"),
+  zone: z.string().describe("Zone that the machine is in"),
+  listen: listenSchema,
+  seeds: z.array(addressSchema).default([]).describe("Peer addresses to start from; may be stale"),
+  store: addressSchema.describe("The platform's transactional store, IP:port"),
+  partitions: z
+    .int()
+    .min(1)
+    .max(65_536)
+    .default(32)
+    .describe("Number of partitions of programs; fixed once the system has started"),
+  timing: timingSchema.prefault({}),
+  budget: budgetSchema.prefault({}),
+  logging: loggingSchema.prefault({}),
+});
+
+/** Settings of a gateway process. */
+export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- /dev/null
+++ b/src/gateway/ingress/ingress-server.ts
@@ -0,0 +1,113 @@
+/** Takes callers' requests over HTTP, whole, and hands them on. A planned stop ends connections between requests. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { CallerLimits } from "../../scheduling/routing/routing-configuration.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import { CallerExchange } from "./caller-exchange.ts";
+import { readBody } from "./read-body.ts";
+
+const MAX_HEADER_BYTES = 65_536;
+const CONNECTIONS_CHECK_MS = 1_000;
+/** Added to the idle time that callers are told, so that a request crosses no close. */
+const IDLE_MARGIN_MS = 1_000;
+const TOO_LARGE = 413;
+/** Bounds before a configuration is known. */
+const FIRST_LIMITS: CallerLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  headerTimeoutMs: 5_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** See the module's comment. */
+export class IngressServer {
+  readonly #context: GatewayContext;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  #limits = FIRST_LIMITS;
+  #active = 0;
+  #stopping = false;
+  /** Called with each request that has been read whole. */
+  onRequest: (exchange: CallerExchange) => void = () => undefined;
+
+  constructor(context: GatewayContext) {
+    this.#context = context;
+    this.#server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
+      requestTimeout: 0,
+      keepAlive: true,
+      noDelay: true,
+    });
+    this.#applyLimits(FIRST_LIMITS);
+    this.#server.on("request", (request, response) => void this.#serve(request, response));
+    this.#server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+    });
+  }
+
+  /** Requests that have no whole answer yet. */
+  get active(): number {
+    return this.#active;
+  }
+
+  /** Connections of callers. */
+  get connections(): number {
+    return this.#sockets.size;
+  }
+
+  /** Listens at `IP:port`. */
+  listen(address: string): Promise<void> {
+    return listenAt(this.#server, address);
+  }
+
+  /** Puts the operators' limits in force. */
+  setLimits(limits: CallerLimits): void {
+    this.#limits = limits;
+    this.#applyLimits(limits);
+  }
+
+  /** From now on, every answer ends its connection, and connections at rest are ended. */
+  beginStop(): void {
+    this.#stopping = true;
+    this.#server.closeIdleConnections();
+  }
+
+  /** Takes no new connections. */
+  stopListening(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  #applyLimits(limits: CallerLimits): void {
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAtMs = this.#context.clock.monotonicMs();
+    this.#active += 1;
+    response.on("close", () => {
+      this.#active -= 1;
+    });
+    const outcome = await readBody(request, this.#limits.bodyBytes);
+    if (outcome.type === "broken") return;
+    const body = outcome.type === "body" ? outcome.body : Buffer.alloc(0);
+    const exchange = new CallerExchange(request, response, body, arrivedAtMs, () => this.#stopping);
+    if (outcome.type === "tooLarge") {
+      exchange.refuse({ status: TOO_LARGE, kind: "body-too-large", detail: "The body is over the limit." });
+      return;
+    }
+    this.onRequest(exchange);
+  }
+}
+
+/** Makes a server listen at `IP:port`. */
+export function listenAt(server: Server, address: string): Promise<void> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(Number(port), host, () => resolve());
+  });
+}
--- /dev/null
+++ b/src/gateway/members/member-registry.ts
@@ -0,0 +1,75 @@
+/**
+ * Gateways in the store: each writes its address when it starts and reads those of the others, so that they find each
+ * other when no seed is up. Nothing else depends on these rows.
+ */
+import { decode, encode } from "cbor-x";
+import { delay } from "../../runtime/clock.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type { MemberDirectory } from "./member-directory.ts";
+
+const TABLE = "gateways";
+const RETRY_MS = 250;
+const READ_MS = 5_000;
+/** A live gateway writes its row again this often, in ms. */
+const REFRESH_MS = 60_000;
+/** Rows older than this are of machines that are gone. */
+const STALE_MS = 3 * REFRESH_MS;
+
+interface GatewayRow {
+  readonly address: string;
+  readonly writtenWallMs: number;
+}
+
+/** See the module's comment. */
+export class MemberRegistry {
+  readonly #context: GatewayContext;
+  readonly #members: MemberDirectory;
+  readonly #address: string;
+  #stopped = false;
+
+  constructor(context: GatewayContext, members: MemberDirectory, address: string) {
+    this.#context = context;
+    this.#members = members;
+    this.#address = address;
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  async #run(): Promise<void> {
+    const { clock } = this.#context;
+    let registeredMs = Number.NEGATIVE_INFINITY;
+    while (!this.#stopped) {
+      const nowMs = clock.monotonicMs();
+      if (nowMs - registeredMs >= REFRESH_MS && (await this.#register())) registeredMs = nowMs;
+      const read = await this.#readOthers();
+      await delay(clock, read ? READ_MS : RETRY_MS);
+    }
+  }
+
+  async #register(): Promise<boolean> {
+    const row: GatewayRow = { address: this.#address, writtenWallMs: this.#context.clock.wallMs() };
+    const outcome = await this.#context.platform.store.transact({
+      conditions: [],
+      puts: [{ table: TABLE, part: "", key: this.#context.settings.name, value: encode(row) }],
+      removes: [],
+    });
+    return outcome.type === "committed";
+  }
+
+  async #readOthers(): Promise<boolean> {
+    const outcome = await this.#context.platform.store.read({ table: TABLE, part: "" });
+    if (outcome.type !== "rows") return false;
+    const nowMs = this.#context.clock.wallMs();
+    for (const { value } of outcome.rows) {
+      const row = decode(value) as GatewayRow;
+      if (nowMs - row.writtenWallMs < STALE_MS) this.#members.know(row.address);
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/src/gateway/partitions/owned-partition.ts
@@ -0,0 +1,141 @@
+/** One partition that this gateway owns: the accounts of its programs, and their retained turns. */
+import { type StoredAccount, TokenAccount } from "../../coordination/token-account/index.ts";
+import type { TransactionOutcome } from "../../ports/store/row-store.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type {
+  AdmitTurnRequest,
+  AdmitTurnResponse,
+  EndTurnRequest,
+  EndTurnResponse,
+} from "../gateway-messages.ts";
+import { PartitionWriter } from "./partition-writer.ts";
+import { type HistoryOutcome, RetainedTurns } from "./retained-turns.ts";
+
+/** What this gateway remembers of a program, beside its account. */
+interface ProgramState {
+  readonly account: TokenAccount;
+  /** The runner of the last turn, by session; the empty text stands for the whole program. */
+  readonly runners: Map<string, string>;
+}
+
+const WHOLE_PROGRAM = "";
+
+/** The partition has another owner now. */
+export const MOVED = "moved";
+
+/** See the module's comment. */
+export class OwnedPartition {
+  readonly partition: number;
+  readonly epoch: number;
+  readonly #context: GatewayContext;
+  readonly #programs = new Map<string, ProgramState>();
+  readonly #turns: RetainedTurns;
+  readonly #writer: PartitionWriter;
+  #releasing = false;
+
+  constructor(
+    context: GatewayContext,
+    partition: number,
+    epoch: number,
+    accounts: ReadonlyMap<string, StoredAccount>,
+    newestVersion: () => number,
+    onLost: () => void,
+    onOutcome: (outcome: TransactionOutcome) => void,
+  ) {
+    this.#context = context;
+    this.partition = partition;
+    this.epoch = epoch;
+    for (const [program, stored] of accounts) {
+      this.#programs.set(program, { account: new TokenAccount(stored), runners: new Map() });
+    }
+    this.#turns = new RetainedTurns(context, partition, newestVersion);
+    this.#writer = new PartitionWriter(context, partition, epoch, onLost, onOutcome);
+  }
+
+  /** Answers whether a turn may run; see {@link AdmitTurnRequest}. */
+  async admit(request: AdmitTurnRequest): Promise<AdmitTurnResponse | typeof MOVED> {
+    if (this.#releasing) return MOVED;
+    const program = this.#program(request.program);
+    const reserved = this.#reserve(program, request);
+    if (reserved === "exhausted") return { type: "exhausted", spent: program.account.committed };
+    const [committed, history] = await Promise.all([reserved, this.#history(request)]);
+    if (!committed) return MOVED;
+    if (history.type !== "history") {
+      program.account.settle(request.turn, 0);
+      return history;
+    }
+    const runner =
+      program.runners.get(request.session ?? WHOLE_PROGRAM) ?? program.runners.get(WHOLE_PROGRAM);
+    return { type: "granted", history: history.parts, runner };
+  }
+
+  /** Takes in how a turn ended; see {@link EndTurnRequest}. */
+  async end(request: EndTurnRequest): Promise<EndTurnResponse | typeof MOVED> {
+    const { turn, tokens, budget, retained, runner } = request;
+    if (this.#releasing) return MOVED;
+    const program = this.#program(request.program);
+    const settled = budget !== undefined && program.account.settle(turn, tokens);
+    if (runner !== undefined) {
+      program.runners.set(request.session ?? WHOLE_PROGRAM, runner);
+      program.runners.set(WHOLE_PROGRAM, runner);
+    }
+    if (retained) {
+      const account = settled ? program.account : undefined;
+      if (settled)
+        program.account.replenish(budget.most, budget.tokens, this.#context.settings.budget.aheadTurns);
+      if (!(await this.#writer.writeTurn(turn, retained, request.program, account))) return MOVED;
+      this.#turns.add(turn, retained);
+      return { type: "ended" };
+    }
+    if (settled) this.#replenish(program.account, request.program, budget);
+    return { type: "ended" };
+  }
+
+  /** Writes everything and lets go of the partition. */
+  async release(): Promise<void> {
+    this.#releasing = true;
+    const accounts = new Map(
+      [...this.#programs].map(([program, { account }]) => [
+        program,
+        { snapshot: () => account.snapshot(true), stored: (revision: number) => account.stored(revision) },
+      ]),
+    );
+    await this.#writer.release(accounts);
+  }
+
+  /** Another owner has taken over. */
+  stop(): void {
+    this.#writer.stop();
+  }
+
+  #program(name: string): ProgramState {
+    const known = this.#programs.get(name);
+    if (known) return known;
+    const program: ProgramState = { account: new TokenAccount(), runners: new Map() };
+    this.#programs.set(name, program);
+    return program;
+  }
+
+  /** Sets tokens aside for a turn; resolves with false when the partition is lost. */
+  #reserve(program: ProgramState, request: AdmitTurnRequest): Promise<boolean> | "exhausted" {
+    const { turn, budget } = request;
+    if (!budget) return Promise.resolve(true);
+    const { account } = program;
+    const { aheadTurns } = this.#context.settings.budget;
+    const grant = account.admit(turn, budget.most, budget.tokens, aheadTurns);
+    if (grant.type === "exhausted") return "exhausted";
+    if (account.holds(grant.revision)) return Promise.resolve(true);
+    return this.#writer.writeAccount(request.program, account);
+  }
+
+  #replenish(account: TokenAccount, program: string, budget: { tokens: number; most: number }): void {
+    const { aheadTurns } = this.#context.settings.budget;
+    if (!account.replenish(budget.most, budget.tokens, aheadTurns)) return;
+    void this.#writer.writeAccount(program, account);
+  }
+
+  async #history({ history }: AdmitTurnRequest): Promise<HistoryOutcome> {
+    if (history?.previousTurn === undefined) return { type: "history", parts: [] };
+    return this.#turns.history(history.previousTurn);
+  }
+}
--- /dev/null
+++ b/src/gateway/partitions/partition-client.ts
@@ -0,0 +1,86 @@
+/**
+ * Asks the owners of partitions, wherever they are: every gateway takes callers' requests, and one of them owns the
+ * partition of a program.
+ */
+import { delay } from "../../runtime/clock.ts";
+import type { RpcEndpoint } from "../../runtime/rpc.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type {
+  AdmitTurnRequest,
+  AdmitTurnResponse,
+  EndTurnRequest,
+  EndTurnResponse,
+  GatewayRpcSchema,
+} from "../gateway-messages.ts";
+import type { MemberDirectory } from "../members/member-directory.ts";
+import type { PartitionHost } from "./partition-host.ts";
+
+const OWNER_POLL_MS = 20;
+/** How long the end of a turn is told again and again, in ms; after it, the turn counts at its most. */
+const END_PATIENCE_MS = 30_000;
+
+type Unavailable = { readonly type: "unavailable"; readonly detail: string };
+
+/** See the module's comment. */
+export class PartitionClient {
+  readonly #context: GatewayContext;
+  readonly #members: MemberDirectory;
+  readonly #host: PartitionHost;
+  readonly #rpc: RpcEndpoint<GatewayRpcSchema>;
+
+  constructor(
+    context: GatewayContext,
+    members: MemberDirectory,
+    host: PartitionHost,
+    rpc: RpcEndpoint<GatewayRpcSchema>,
+  ) {
+    this.#context = context;
+    this.#members = members;
+    this.#host = host;
+    this.#rpc = rpc;
+  }
+
+  /** The partition of a program. */
+  partitionOf(program: string): number {
+    return this.#context.hash.hash32(program) % this.#context.settings.partitions;
+  }
+
+  /** Asks whether a turn may run, until `deadlineAtMs` of the clock or `cancelled`. */
+  admit(
+    request: AdmitTurnRequest,
+    deadlineAtMs: number,
+    cancelled: () => boolean,
+  ): Promise<AdmitTurnResponse> {
+    return this.#ask("admitTurn", request, deadlineAtMs, cancelled);
+  }
+
+  /** Tells that a turn has ended; keeps on trying. */
+  end(request: EndTurnRequest, patienceMs = END_PATIENCE_MS): Promise<EndTurnResponse> {
+    const deadlineAtMs = this.#context.clock.monotonicMs() + patienceMs;
+    return this.#ask("endTurn", request, deadlineAtMs, () => false);
+  }
+
+  async #ask<Name extends keyof GatewayRpcSchema>(
+    name: Name,
+    request: GatewayRpcSchema[Name]["request"],
+    deadlineAtMs: number,
+    cancelled: () => boolean,
+  ): Promise<GatewayRpcSchema[Name]["response"] | Unavailable> {
+    const { clock } = this.#context;
+    let detail = "no gateway owns the partition";
+    while (!cancelled()) {
+      const leftMs = deadlineAtMs - clock.monotonicMs();
+      if (leftMs <= 0) break;
+      const owner = this.#host.owners.owner(request.partition);
+      const address = owner && this.#members.addressOf(owner.instance);
+      if (address !== undefined) {
+        const reply = await this.#rpc.ask(address, name, request, leftMs);
+        if (reply.type === "done") return reply.body;
+        detail = `the owner ${owner?.instance} gave ${reply.type}`;
+        if (reply.type === "redirect" && owner) this.#host.owners.forget(request.partition, owner.instance);
+      }
+      await delay(clock, OWNER_POLL_MS);
+    }
+    return { type: "unavailable", detail };
+  }
+}
--- /dev/null
+++ b/src/gateway/partitions/partition-host.ts
@@ -0,0 +1,190 @@
+/**
+ * The partitions that this gateway owns. A gateway takes over a partition whose owner is gone when rendezvous hashing
+ * prefers it; the store's condition on the owner's row decides between several.
+ */
+import {
+  type Ownership,
+  OwnershipMap,
+  preferredOwner,
+} from "../../coordination/partition-ownership/index.ts";
+import type { StoredAccount } from "../../coordination/token-account/index.ts";
+import type { StoredRow } from "../../ports/store/row-store.ts";
+import { repeat } from "../../runtime/clock.ts";
+import { RedirectSignal, type RpcEndpoint } from "../../runtime/rpc.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type { GatewayRpcSchema } from "../gateway-messages.ts";
+import type { Member, MemberDirectory } from "../members/member-directory.ts";
+import type { StoreHealth } from "../store-health.ts";
+import { MOVED, OwnedPartition } from "./owned-partition.ts";
+import { decodeAccount, decodeOwner, encodeOwner, ownerKey, partOf, TABLES } from "./partition-rows.ts";
+
+const FIRST_COMMIT = 0;
+
+/** See the module's comment. */
+export class PartitionHost {
+  readonly owners = new OwnershipMap();
+  readonly #context: GatewayContext;
+  readonly #members: MemberDirectory;
+  readonly #health: StoreHealth;
+  readonly #owned = new Map<number, OwnedPartition>();
+  readonly #claiming = new Set<number>();
+  #claimAfterMs = 0;
+  #stop: () => void = () => undefined;
+  #stopping = false;
+
+  constructor(
+    context: GatewayContext,
+    members: MemberDirectory,
+    health: StoreHealth,
+    rpc: RpcEndpoint<GatewayRpcSchema>,
+  ) {
+    this.#context = context;
+    this.#members = members;
+    this.#health = health;
+    rpc.handle("admitTurn", async (request) => {
+      const answer = await this.#require(request.partition).admit(request);
+      return answer === MOVED ? this.#redirect(request.partition) : answer;
+    });
+    rpc.handle("endTurn", async (request) => {
+      const answer = await this.#require(request.partition).end(request);
+      return answer === MOVED ? this.#redirect(request.partition) : answer;
+    });
+  }
+
+  /** Partitions owned here, for the heartbeat. */
+  get owned(): [number, number][] {
+    return [...this.#owned.values()].map(({ partition, epoch }) => [partition, epoch]);
+  }
+
+  start(): void {
+    const { clock, settings } = this.#context;
+    this.#claimAfterMs = clock.monotonicMs() + settings.timing.settleInMs;
+    this.#stop = repeat(clock, settings.timing.claimMs, () => this.#claimOrphans());
+  }
+
+  /** Lets go of all partitions; resolves when the store knows. */
+  async release(): Promise<void> {
+    this.#stopping = true;
+    this.#stop();
+    await Promise.all([...this.#owned.values()].map((partition) => partition.release()));
+  }
+
+  /** Takes in what another gateway owns. */
+  learn(member: Member): void {
+    for (const [partition, epoch] of member.heartbeat.owned) {
+      this.#learn(partition, { instance: member.instance, epoch });
+    }
+  }
+
+  /** Forgets what a gateway owned that is gone. */
+  forget(member: Member): void {
+    this.owners.forgetInstance(member.instance);
+  }
+
+  #learn(partition: number, ownership: Ownership): void {
+    if (!this.owners.learn(partition, ownership)) return;
+    const mine = this.#owned.get(partition);
+    if (mine && mine.epoch < ownership.epoch) mine.stop();
+  }
+
+  #require(partition: number): OwnedPartition {
+    const owned = this.#owned.get(partition);
+    if (!owned) return this.#redirect(partition);
+    return owned;
+  }
+
+  #redirect(partition: number): never {
+    throw new RedirectSignal(this.owners.owner(partition)?.instance);
+  }
+
+  #claimOrphans(): void {
+    const { clock, settings } = this.#context;
+    if (this.#stopping || clock.monotonicMs() < this.#claimAfterMs) return;
+    const candidates = this.#members.ownerCandidates();
+    for (let partition = 0; partition < settings.partitions; partition += 1) {
+      if (this.#owned.has(partition) || this.#claiming.has(partition)) continue;
+      const owner = this.owners.owner(partition);
+      if (owner && this.#members.mayOwn(owner.instance)) continue;
+      if (preferredOwner(partition, candidates) === settings.name) void this.#claim(partition);
+    }
+  }
+
+  async #claim(partition: number): Promise<void> {
+    this.#claiming.add(partition);
+    const epoch = await this.#takeOwnerRow(partition);
+    if (epoch !== undefined) {
+      const accounts = await this.#readAccounts(partition, epoch);
+      if (accounts && !this.#stopping) this.#adopt(partition, epoch, accounts);
+    }
+    this.#claiming.delete(partition);
+  }
+
+  /** Writes this gateway into the owner's row; returns the version if that was done. */
+  async #takeOwnerRow(partition: number): Promise<number | undefined> {
+    const { store } = this.#context.platform;
+    const key = ownerKey(partition);
+    const read = await store.read({ table: key.table, part: key.part });
+    this.#health.note(read);
+    if (read.type !== "rows") return undefined;
+    const row = read.rows.find((candidate) => candidate.key === key.key);
+    if (row && this.#isHeldByOther(partition, row)) return undefined;
+    const owner = { instance: this.#context.instance, commit: FIRST_COMMIT };
+    const outcome = await store.transact({
+      conditions: [{ ...key, version: row?.version ?? 0 }],
+      puts: [{ ...key, value: encodeOwner(owner) }],
+      removes: [],
+    });
+    this.#health.note(outcome);
+    return outcome.type === "committed" ? outcome.version : undefined;
+  }
+
+  #isHeldByOther(partition: number, row: StoredRow): boolean {
+    const { instance } = decodeOwner(row.value);
+    if (instance === this.#context.instance || !this.#members.mayOwn(instance)) return false;
+    // Its epoch is not known from the row, which every write changes; its heartbeat will tell.
+    this.#context.log.debug({ partition, instance }, "partition has a live owner");
+    return true;
+  }
+
+  async #readAccounts(partition: number, epoch: number): Promise<Map<string, StoredAccount> | undefined> {
+    const accounts = new Map<string, StoredAccount>();
+    let from: string | undefined;
+    for (;;) {
+      const range = {
+        table: TABLES.accounts,
+        part: partOf(partition),
+        ...(from === undefined ? {} : { from }),
+      };
+      const read = await this.#context.platform.store.read(range);
+      this.#health.note(read);
+      if (read.type !== "rows" || read.version < epoch) return undefined;
+      for (const row of read.rows) accounts.set(row.key, decodeAccount(row.value));
+      const last = read.rows.at(-1);
+      if (!read.more || !last) return accounts;
+      from = `${last.key}\u0000`;
+    }
+  }
+
+  #adopt(partition: number, epoch: number, accounts: ReadonlyMap<string, StoredAccount>): void {
+    const { log, instance } = this.#context;
+    const owned: OwnedPartition = new OwnedPartition(
+      this.#context,
+      partition,
+      epoch,
+      accounts,
+      () => this.#health.newestVersion,
+      () => this.#onLost(owned),
+      (outcome) => this.#health.note(outcome),
+    );
+    this.#owned.set(partition, owned);
+    this.owners.learn(partition, { instance, epoch });
+    log.info({ partition, epoch, programs: accounts.size }, "partition taken over");
+    this.#members.tick();
+  }
+
+  #onLost(owned: OwnedPartition): void {
+    if (this.#owned.get(owned.partition) === owned) this.#owned.delete(owned.partition);
+    this.owners.forget(owned.partition, this.#context.instance);
+    this.#context.log.info({ partition: owned.partition, epoch: owned.epoch }, "partition let go");
+  }
+}
--- /dev/null
+++ b/src/gateway/partitions/partition-writer.ts
@@ -0,0 +1,199 @@
+/**
+ * Writes a partition's changes to the store, many at a time, one transaction after the other. Each transaction is
+ * fenced by the one before: it changes the owner's row and demands the version that the last one left. A transaction
+ * without an answer is sent again as it was; if it had been done, the owner's row says so.
+ */
+import type { AccountSnapshot } from "../../coordination/token-account/index.ts";
+import type { RowKey, StoredRow, TransactionOutcome } from "../../ports/store/row-store.ts";
+import { delay } from "../../runtime/clock.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type { RetainedTurnContent } from "../gateway-messages.ts";
+import {
+  accountKey,
+  decodeOwner,
+  encodeAccount,
+  encodeOwner,
+  encodeTurn,
+  ownerKey,
+  turnKey,
+} from "./partition-rows.ts";
+
+/** Rows in one transaction; the store takes 100 entries, the owner's row and its condition included. */
+const MAX_ROWS = 90;
+/** Bytes of retained turns in one transaction; the store takes 1 MB of text in base 64. */
+const MAX_BYTES = 600_000;
+const RETRY_MS = 40;
+
+/** What the writer needs of a program's account. */
+export interface WritableAccount {
+  snapshot(releaseAhead: boolean): AccountSnapshot;
+  stored(revision: number): void;
+}
+
+interface Batch {
+  readonly accounts: Map<string, WritableAccount>;
+  readonly turns: Map<string, RetainedTurnContent>;
+  bytes: number;
+  readonly done: Promise<boolean>;
+  readonly settle: (committed: boolean) => void;
+}
+
+interface BatchWrite {
+  readonly puts: (RowKey & { readonly value: Buffer })[];
+  readonly revisions: (readonly [WritableAccount, number])[];
+}
+
+/** See the module's comment. */
+export class PartitionWriter {
+  readonly #context: GatewayContext;
+  readonly #partition: number;
+  readonly #onLost: () => void;
+  readonly #onOutcome: (outcome: TransactionOutcome) => void;
+  readonly #batches: Batch[] = [];
+  #version: number;
+  #commit = 0;
+  #running = false;
+  #lost = false;
+
+  /**
+   * @param version version of the owner's row, as this owner wrote it
+   * @param onLost called once when another owner has taken over
+   */
+  constructor(
+    context: GatewayContext,
+    partition: number,
+    version: number,
+    onLost: () => void,
+    onOutcome: (outcome: TransactionOutcome) => void,
+  ) {
+    this.#context = context;
+    this.#partition = partition;
+    this.#version = version;
+    this.#onLost = onLost;
+    this.#onOutcome = onOutcome;
+  }
+
+  /** Resolves with true once the account, as it is when the transaction leaves, is in the store. */
+  writeAccount(program: string, account: WritableAccount): Promise<boolean> {
+    const batch = this.#openBatch(0);
+    batch.accounts.set(program, account);
+    return this.#schedule(batch);
+  }
+
+  /** Resolves with true once the turn is in the store, along with the account. */
+  writeTurn(
+    turn: string,
+    content: RetainedTurnContent,
+    program: string,
+    account: WritableAccount | undefined,
+  ): Promise<boolean> {
+    const batch = this.#openBatch(content.input.length + content.output.length);
+    batch.turns.set(turn, content);
+    if (account) batch.accounts.set(program, account);
+    return this.#schedule(batch);
+  }
+
+  /** Writes what is left, with nothing set aside any more, and lets go of the partition. */
+  async release(accounts: ReadonlyMap<string, WritableAccount>): Promise<void> {
+    let pending: Promise<boolean> = Promise.resolve(true);
+    for (const [program, account] of accounts) pending = this.writeAccount(program, account);
+    await pending;
+    while (this.#running) await delay(this.#context.clock, 1);
+    if (this.#lost) return;
+    await this.#transact({ puts: [], revisions: [] }, "");
+    this.#lose();
+  }
+
+  /** Another owner has taken over: nothing more is written. */
+  stop(): void {
+    this.#lose();
+  }
+
+  #openBatch(bytes: number): Batch {
+    const last = this.#batches.at(-1);
+    const rows = last ? last.accounts.size + last.turns.size : 0;
+    if (last && rows + 2 <= MAX_ROWS && last.bytes + bytes <= MAX_BYTES) {
+      last.bytes += bytes;
+      return last;
+    }
+    let settle: (committed: boolean) => void = () => undefined;
+    const done = new Promise<boolean>((resolve) => {
+      settle = resolve;
+    });
+    const batch: Batch = { accounts: new Map(), turns: new Map(), bytes, done, settle };
+    this.#batches.push(batch);
+    return batch;
+  }
+
+  #schedule(batch: Batch): Promise<boolean> {
+    if (this.#lost) batch.settle(false);
+    else if (!this.#running) void this.#run();
+    return batch.done;
+  }
+
+  async #run(): Promise<void> {
+    this.#running = true;
+    // What the same turn of the event loop still brings goes along.
+    await Promise.resolve();
+    for (let batch = this.#batches.shift(); batch && !this.#lost; batch = this.#batches.shift()) {
+      const write = this.#writeOf(batch);
+      const committed = await this.#transact(write, this.#context.instance);
+      if (committed) for (const [account, revision] of write.revisions) account.stored(revision);
+      batch.settle(committed);
+    }
+    this.#running = false;
+  }
+
+  #writeOf(batch: Batch): BatchWrite {
+    const write: BatchWrite = { puts: [], revisions: [] };
+    for (const [program, account] of batch.accounts) {
+      const { revision, account: stored } = account.snapshot(false);
+      write.puts.push({ ...accountKey(this.#partition, program), value: encodeAccount(stored) });
+      write.revisions.push([account, revision]);
+    }
+    for (const [turn, content] of batch.turns) {
+      write.puts.push({ ...turnKey(this.#partition, turn), value: encodeTurn(content) });
+    }
+    return write;
+  }
+
+  /** Sends a transaction until it is done or the partition is lost. */
+  async #transact(write: BatchWrite, instance: string): Promise<boolean> {
+    const { store } = this.#context.platform;
+    this.#commit += 1;
+    const key = ownerKey(this.#partition);
+    const owner = { instance, commit: this.#commit };
+    const puts = [...write.puts, { ...key, value: encodeOwner(owner) }];
+    while (!this.#lost) {
+      const conditions = [{ ...key, version: this.#version }];
+      const outcome = await store.transact({ conditions, puts, removes: [] });
+      this.#onOutcome(outcome);
+      if (outcome.type === "committed") {
+        this.#version = outcome.version;
+        return !this.#lost;
+      }
+      if (outcome.type === "conflict") return this.#afterConflict(outcome.rows, instance);
+      await delay(this.#context.clock, RETRY_MS);
+    }
+    return false;
+  }
+
+  /** The owner's row has changed: by an unanswered try of the same transaction, or by another owner. */
+  #afterConflict(rows: readonly StoredRow[], instance: string): boolean {
+    const row = rows.find((candidate) => candidate.table === ownerKey(this.#partition).table);
+    const owner = row && decodeOwner(row.value);
+    if (row && owner?.instance === instance && owner.commit === this.#commit) {
+      this.#version = row.version;
+      return !this.#lost;
+    }
+    this.#lose();
+    return false;
+  }
+
+  #lose(): void {
+    if (this.#lost) return;
+    this.#lost = true;
+    for (const batch of this.#batches.splice(0)) batch.settle(false);
+    this.#onLost();
+  }
+}
--- /dev/null
+++ b/src/gateway/partitions/retained-turns.ts
@@ -0,0 +1,104 @@
+/** The turns of one partition that are kept: recent ones in memory, all in the store. */
+import type { ReadOutcome } from "../../ports/store/row-store.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type { RetainedTurnContent } from "../gateway-messages.ts";
+import { decodeTurn, keyAfter, turnKey } from "./partition-rows.ts";
+
+/** Longest chain of turns that is put together. */
+const MAX_CHAIN = 1_000;
+
+/** What was said before a turn. */
+export type HistoryOutcome =
+  | { readonly type: "history"; readonly parts: readonly Uint8Array[] }
+  | { readonly type: "noSuchTurn" }
+  | { readonly type: "unavailable"; readonly detail: string };
+
+type TurnLookup =
+  | { readonly type: "found"; readonly content: RetainedTurnContent }
+  | { readonly type: "noSuchTurn" }
+  | { readonly type: "unavailable"; readonly detail: string };
+
+/** See the module's comment. */
+export class RetainedTurns {
+  readonly #context: GatewayContext;
+  readonly #partition: number;
+  readonly #partitionCount: number;
+  readonly #turns = new Map<string, RetainedTurnContent>();
+  /** Newest version of the store that was seen: an answer that is older cannot say that a turn is not there. */
+  readonly #newestVersion: () => number;
+
+  constructor(context: GatewayContext, partition: number, newestVersion: () => number) {
+    this.#context = context;
+    this.#partition = partition;
+    this.#partitionCount = context.settings.partitions;
+    this.#newestVersion = newestVersion;
+  }
+
+  /** Keeps a turn in memory. */
+  add(turn: string, content: RetainedTurnContent): void {
+    this.#turns.set(turn, content);
+  }
+
+  /** Input and output of a turn and of all before it, oldest first. */
+  async history(turn: string): Promise<HistoryOutcome> {
+    const contents: RetainedTurnContent[] = [];
+    for (let next: string | undefined = turn; next !== undefined; ) {
+      const lookup = await this.#find(next);
+      if (lookup.type === "unavailable") return lookup;
+      // A turn that is there has all before it: they were kept first.
+      if (lookup.type === "noSuchTurn") return contents.length === 0 ? lookup : unavailable("chain broken");
+      if (contents.push(lookup.content) > MAX_CHAIN) return unavailable("chain too long");
+      next = lookup.content.previousTurn;
+    }
+    const parts = contents.reverse().flatMap(({ input, output }) => [input, output]);
+    return { type: "history", parts };
+  }
+
+  async #find(turn: string): Promise<TurnLookup> {
+    const known = this.#turns.get(turn);
+    if (known) return { type: "found", content: known };
+    const own = await this.#read(this.#partition, turn);
+    if (own.type === "unavailable") return own;
+    const lookup = own.type === "found" ? own : await this.#findElsewhere(turn);
+    if (lookup.type === "found") this.#turns.set(turn, lookup.content);
+    return lookup;
+  }
+
+  /** A program may go on from a turn of another program, whose partition its name does not tell. */
+  async #findElsewhere(turn: string): Promise<TurnLookup> {
+    const reads: Promise<TurnLookup>[] = [];
+    for (let partition = 0; partition < this.#partitionCount; partition += 1) {
+      if (partition !== this.#partition) reads.push(this.#read(partition, turn));
+    }
+    const lookups = await Promise.all(reads);
+    return (
+      lookups.find((lookup) => lookup.type === "found") ??
+      lookups.find((lookup) => lookup.type === "unavailable") ?? { type: "noSuchTurn" }
+    );
+  }
+
+  async #read(partition: number, turn: string): Promise<TurnLookup> {
+    const key = turnKey(partition, turn);
+    const newest = this.#newestVersion();
+    const outcome = await this.#context.platform.store.read({
+      table: key.table,
+      part: key.part,
+      from: turn,
+      until: keyAfter(turn),
+      limit: 1,
+    });
+    return lookupOf(outcome, newest);
+  }
+}
+
+function lookupOf(outcome: ReadOutcome, newestVersion: number): TurnLookup {
+  if (outcome.type !== "rows") return unavailable(outcome.detail);
+  const [row] = outcome.rows;
+  if (row) return { type: "found", content: decodeTurn(row.value) };
+  if (outcome.version < newestVersion) return unavailable("the store's answer is old");
+  return { type: "noSuchTurn" };
+}
+
+function unavailable(detail: string): { type: "unavailable"; detail: string } {
+  return { type: "unavailable", detail };
+}
--- /dev/null
+++ b/src/gateway/runners/runner-connections.ts
@@ -0,0 +1,59 @@
+/** Connections to runners: a pool for each incarnation, closed when it is gone. */
+import { Pool } from "undici";
+import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
+import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+
+/** Connections of this gateway to one runner, all requests in flight included. */
+const MAX_CONNECTIONS = 64;
+const CONNECT_TIMEOUT_MS = 1_000;
+/** How long a connection rests where the runner names no time, in ms. */
+const IDLE_MS = 4_000;
+/** A connection is given up this long before the time that the runner names, in ms. */
+const IDLE_MARGIN_MS = 500;
+const MAX_IDLE_MS = 600_000;
+
+/** See the module's comment. */
+export class RunnerConnections {
+  readonly #board: RunnerBoard;
+  readonly #pools = new Map<string, Pool>();
+
+  constructor(board: RunnerBoard) {
+    this.#board = board;
+  }
+
+  /** The pool of a runner. */
+  pool(runner: RunnerEntry): Pool {
+    const known = this.#pools.get(runner.id);
+    if (known) return known;
+    this.#closeGone();
+    const pool = new Pool(`http://${runner.address}`, {
+      connections: MAX_CONNECTIONS,
+      pipelining: 1,
+      connectTimeout: CONNECT_TIMEOUT_MS,
+      keepAliveTimeout: IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      keepAliveMaxTimeout: MAX_IDLE_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    this.#pools.set(runner.id, pool);
+    return pool;
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    const pools = [...this.#pools.values()];
+    this.#pools.clear();
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+
+  /** Requests under way at a runner that is gone from the list still end. */
+  #closeGone(): void {
+    const listed = new Set(this.#board.entries().map((entry) => entry.id));
+    for (const [id, pool] of this.#pools) {
+      if (listed.has(id)) continue;
+      this.#pools.delete(id);
+      void pool.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/store-health.ts
@@ -0,0 +1,51 @@
+/** Whether the platform's store answers this gateway, and the newest version that it has named. */
+import type { ReadOutcome, TransactionOutcome, WatchOutcome } from "../ports/store/row-store.ts";
+import type { GatewayContext } from "./gateway-context.ts";
+
+/** Time without an answer, with calls failing, after which the store counts as out of reach, in ms. */
+const LOST_AFTER_MS = 1_500;
+
+/** See the module's comment. */
+export class StoreHealth {
+  readonly #context: GatewayContext;
+  #lastAnswerMs = Number.NEGATIVE_INFINITY;
+  #firstFailureMs: number | undefined;
+  #reachable = false;
+  #newestVersion = 0;
+
+  constructor(context: GatewayContext) {
+    this.#context = context;
+  }
+
+  /** Whether the store has answered lately. */
+  get reachable(): boolean {
+    return this.#reachable;
+  }
+
+  /** The newest version that any answer has named. */
+  get newestVersion(): number {
+    return this.#newestVersion;
+  }
+
+  /** Takes in how a call ended. */
+  note(outcome: ReadOutcome | TransactionOutcome | WatchOutcome): void {
+    const nowMs = this.#context.clock.monotonicMs();
+    if (outcome.type === "refused" || outcome.type === "unknown") {
+      this.#firstFailureMs ??= nowMs;
+      if (nowMs - this.#firstFailureMs >= LOST_AFTER_MS) this.#set(false, outcome.detail);
+      return;
+    }
+    if ("version" in outcome) this.#newestVersion = Math.max(this.#newestVersion, outcome.version);
+    this.#firstFailureMs = undefined;
+    this.#lastAnswerMs = nowMs;
+    this.#set(true, "answers");
+  }
+
+  #set(reachable: boolean, reason: string): void {
+    if (this.#reachable === reachable) return;
+    this.#reachable = reachable;
+    const log = this.#context.log;
+    if (reachable) log.info({ reason }, "store reachable");
+    else log.warn({ reason, lastAnswerMs: Math.round(this.#lastAnswerMs) }, "store out of reach");
+  }
+}
--- a/src/messages/rpc-messages.ts
+++ b/src/messages/rpc-messages.ts
@@ -294,24 +294,29 @@
 /** The name of a request. */
 export type RpcName = keyof RpcSchema;
 
+/** A list of requests and their responses, by name. */
+export type RpcSchemaShape<Schema> = {
+  readonly [Name in keyof Schema]: { request: unknown; response: unknown };
+};
+
 /** A request on the wire. */
-export interface RpcRequest {
+export interface RpcRequest<Schema extends RpcSchemaShape<Schema> = RpcSchema> {
   readonly type: "rpcRequest";
   readonly id: string;
-  readonly name: RpcName;
-  readonly body: RpcSchema[RpcName]["request"];
+  readonly name: keyof Schema;
+  readonly body: Schema[keyof Schema]["request"];
 }
 
 /** How a request ended. */
-export type RpcResult =
-  | { readonly type: "done"; readonly body: RpcSchema[RpcName]["response"] }
+export type RpcResult<Schema extends RpcSchemaShape<Schema> = RpcSchema> =
+  | { readonly type: "done"; readonly body: Schema[keyof Schema]["response"] }
   | { readonly type: "problem"; readonly problem: Problem }
   /** The receiver does not lead the shard that the request is about. */
   | { readonly type: "redirect"; readonly leader: string | undefined };
 
 /** A response on the wire. */
-export interface RpcResponse {
+export interface RpcResponse<Schema extends RpcSchemaShape<Schema> = RpcSchema> {
   readonly type: "rpcResponse";
   readonly id: string;
-  readonly result: RpcResult;
+  readonly result: RpcResult<Schema>;
 }
--- /dev/null
+++ b/src/ports/call-protocol.ts
@@ -0,0 +1,76 @@
+import type { IncomingHttpHeaders } from "node:http";
+
+/** What a program says of itself with each of its requests. */
+export interface ProgramContext {
+  readonly id: string;
+  /** One line of turns of the program. */
+  readonly session: string | undefined;
+  /** Time that is left until the program should be over, in ms. */
+  readonly deadlineMs: number | undefined;
+  /** Tokens that all turns of the program may generate. */
+  readonly tokenBudget: number | undefined;
+  /** The request whose answer this turn goes on from. */
+  readonly previousTurn: string | undefined;
+}
+
+/** What a caller's request says of itself. */
+export interface CallContext {
+  readonly requestId: string;
+  /** How long the caller will wait, in ms. */
+  readonly deadlineMs: number | undefined;
+  /** Events up to this one need not be sent again. */
+  readonly lastEventId: number | undefined;
+  /** Requests about the same object share this value. */
+  readonly affinityKey: string | undefined;
+  readonly program: ProgramContext | undefined;
+  readonly model: string | undefined;
+  readonly promptTokens: number | undefined;
+  /** The most tokens that the request may generate. */
+  readonly maxGeneratedTokens: number | undefined;
+}
+
+/** What the system adds to a request on its way to a runner. */
+export interface RunnerRequestContext {
+  /** Time that is left for the runner, in ms. */
+  readonly deadlineMs: number;
+  /** Only this incarnation of a runner may run the request. */
+  readonly expectedRunner: string;
+  readonly lastEventId: number | undefined;
+}
+
+/** What a runner's answer says of itself. */
+export interface RunnerAnswerContext {
+  /** The request that it answers. */
+  readonly requestId: string | undefined;
+  /** The runner says that it has not run the request and never will. */
+  readonly notRun: boolean;
+}
+
+/** Headers as Node.js gives them raw: names and values in turn. */
+export type RawHeaders = readonly string[];
+
+/** The names that callers and runners use on the wire. */
+export interface CallProtocol {
+  /** Undefined when the request has no usable identifier. */
+  describeCall(headers: IncomingHttpHeaders): CallContext | undefined;
+  /** The caller's headers as they go on to a runner: those of one connection left out, ours set. */
+  headersForRunner(headers: RawHeaders, context: RunnerRequestContext): string[];
+  describeAnswer(status: number, headers: IncomingHttpHeaders): RunnerAnswerContext;
+  /** The runner's headers as they go back to the caller. */
+  headersForCaller(headers: RawHeaders): string[];
+}
+
+/** What a caller who asks the directory says. */
+export interface DirectoryQuery {
+  readonly region: string | undefined;
+  readonly zone: string | undefined;
+}
+
+/** The questions about the system itself: whether a node is ready, and which addresses callers should use. */
+export interface EntryProtocol {
+  isReadinessCheck(method: string, url: string): boolean;
+  /** Undefined when the request is no question for the directory. */
+  describeQuery(method: string, url: string): DirectoryQuery | undefined;
+  /** The directory's answer, as JSON text. */
+  directoryAnswer(addresses: readonly string[], ttlSeconds: number): string;
+}
--- a/src/runtime/rpc.ts
+++ b/src/runtime/rpc.ts
@@ -4,7 +4,13 @@
   requestError,
   type TulipwheelErrorInstance,
 } from "../errors/tulipwheel-error.ts";
-import type { RpcName, RpcRequest, RpcResponse, RpcResult, RpcSchema } from "../messages/rpc-messages.ts";
+import type {
+  RpcRequest,
+  RpcResponse,
+  RpcResult,
+  RpcSchema,
+  RpcSchemaShape,
+} from "../messages/rpc-messages.ts";
 import type { Clock, TimerHandle } from "./clock.ts";
 import type { RandomSource } from "./random-source.ts";
 import type { Sender, Transport } from "./transport.ts";
@@ -19,77 +25,93 @@
 }
 
 /** Answers one kind of request. */
-export type RpcHandler<Name extends RpcName> = (
-  body: RpcSchema[Name]["request"],
+export type RpcHandler<Name extends keyof Schema, Schema extends RpcSchemaShape<Schema> = RpcSchema> = (
+  body: Schema[Name]["request"],
   from: Sender,
-) => Promise<RpcSchema[Name]["response"]>;
+) => Promise<Schema[Name]["response"]>;
 
 /** The outcome of one request to one process. */
-export type RpcReply<Name extends RpcName> =
-  | { readonly type: "done"; readonly body: RpcSchema[Name]["response"] }
+export type RpcReply<Name extends keyof Schema, Schema extends RpcSchemaShape<Schema> = RpcSchema> =
+  | { readonly type: "done"; readonly body: Schema[Name]["response"] }
   | { readonly type: "redirect"; readonly leader: string | undefined }
   | { readonly type: "problem"; readonly error: TulipwheelErrorInstance }
   | { readonly type: "timeout" };
 
-interface PendingRequest {
-  readonly resolve: (result: RpcResult | undefined) => void;
+interface PendingRequest<Schema extends RpcSchemaShape<Schema>> {
+  readonly address: string;
+  readonly resolve: (result: RpcResult<Schema> | undefined) => void;
   readonly timer: TimerHandle;
 }
 
 const REQUEST_ID_LENGTH = 12;
 
-/** Requests and responses over a {@link Transport}: one try to one process, with a time-out. */
-export class RpcEndpoint {
-  readonly #transport: Transport;
+type RpcTransport<Schema extends RpcSchemaShape<Schema>> = Pick<
+  Transport<RpcRequest<Schema> | RpcResponse<Schema>>,
+  "send"
+>;
+
+/**
+ * Requests and responses over a {@link Transport}: one try to one process, with a time-out. `Schema` lists the
+ * requests and their responses.
+ */
+export class RpcEndpoint<Schema extends RpcSchemaShape<Schema> = RpcSchema> {
+  readonly #transport: RpcTransport<Schema>;
   readonly #clock: Clock;
   readonly #random: RandomSource;
-  readonly #handlers = new Map<RpcName, RpcHandler<RpcName>>();
-  readonly #pending = new Map<string, PendingRequest>();
+  readonly #handlers = new Map<keyof Schema, RpcHandler<keyof Schema, Schema>>();
+  readonly #pending = new Map<string, PendingRequest<Schema>>();
 
-  constructor(transport: Transport, clock: Clock, random: RandomSource) {
+  constructor(transport: RpcTransport<Schema>, clock: Clock, random: RandomSource) {
     this.#transport = transport;
     this.#clock = clock;
     this.#random = random;
   }
 
   /** Sets who answers a kind of request. */
-  handle<Name extends RpcName>(name: Name, handler: RpcHandler<Name>): void {
-    this.#handlers.set(name, handler as unknown as RpcHandler<RpcName>);
+  handle<Name extends keyof Schema>(name: Name, handler: RpcHandler<Name, Schema>): void {
+    this.#handlers.set(name, handler as unknown as RpcHandler<keyof Schema, Schema>);
   }
 
   /** Asks one process once. */
-  async ask<Name extends RpcName>(
+  async ask<Name extends keyof Schema>(
     address: string,
     name: Name,
-    body: RpcSchema[Name]["request"],
+    body: Schema[Name]["request"],
     timeoutMs: number,
-  ): Promise<RpcReply<Name>> {
+  ): Promise<RpcReply<Name, Schema>> {
     const id = this.#random.token(REQUEST_ID_LENGTH);
-    const result = await new Promise<RpcResult | undefined>((resolve) => {
+    const result = await new Promise<RpcResult<Schema> | undefined>((resolve) => {
       const timer = this.#clock.schedule(timeoutMs, () => this.#settle(id, undefined));
-      this.#pending.set(id, { resolve, timer });
+      this.#pending.set(id, { address, resolve, timer });
       this.#transport.send(address, { type: "rpcRequest", id, name, body });
     });
     if (!result) return { type: "timeout" };
     if (result.type === "problem") return { type: "problem", error: errorOfProblem(result.problem) };
-    return result as RpcReply<Name>;
+    return result as RpcReply<Name, Schema>;
   }
 
   /** Takes in a request from another process. */
-  async onRequest(request: RpcRequest, from: Sender): Promise<void> {
+  async onRequest(request: RpcRequest<Schema>, from: Sender): Promise<void> {
     const result = await this.#answer(request, from);
     this.#transport.send(from.address, { type: "rpcResponse", id: request.id, result });
   }
 
   /** Takes in a response; one that comes late is passed over. */
-  onResponse(response: RpcResponse): void {
+  onResponse(response: RpcResponse<Schema>): void {
     this.#settle(response.id, response.result);
   }
 
-  async #answer(request: RpcRequest, from: Sender): Promise<RpcResult> {
+  /** Gives up what was asked of an address whose connection has ended: no answer can come any more. */
+  abandon(address: string): void {
+    for (const [id, pending] of [...this.#pending]) {
+      if (pending.address === address) this.#settle(id, undefined);
+    }
+  }
+
+  async #answer(request: RpcRequest<Schema>, from: Sender): Promise<RpcResult<Schema>> {
     try {
       const handler = this.#handlers.get(request.name);
-      if (!handler) throw requestError("not-found", `This process does not answer ${request.name}.`);
+      if (!handler) throw requestError("not-found", `This process does not answer ${String(request.name)}.`);
       return { type: "done", body: await handler(request.body, from) };
     } catch (error) {
       if (error instanceof RedirectSignal) return { type: "redirect", leader: error.leader };
@@ -97,7 +119,7 @@
     }
   }
 
-  #settle(id: string, result: RpcResult | undefined): void {
+  #settle(id: string, result: RpcResult<Schema> | undefined): void {
     const pending = this.#pending.get(id);
     if (!pending) return;
     this.#pending.delete(id);
--- a/src/runtime/tcp-transport.ts
+++ b/src/runtime/tcp-transport.ts
@@ -8,10 +8,10 @@
 import type { MessageHandler, Sender, Transport } from "./transport.ts";
 
 /** Messages of one turn of the event loop to one address. Only the first batch of a connection names the sender. */
-interface Batch {
+interface Batch<Kind> {
   readonly from?: Sender;
   readonly configurationVersion: number;
-  readonly messages: readonly Message[];
+  readonly messages: readonly Kind[];
 }
 
 /** One connection: its coder remembers the shapes of objects, so that only the first of a shape carries its keys. */
@@ -36,7 +36,7 @@
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 
 /** See the module's comment. */
-export class TcpTransport implements Transport {
+export class TcpTransport<Kind = Message> implements Transport<Kind> {
   configurationVersion = 0;
   readonly counters: TransportCounters = {
     batchesSent: 0,
@@ -50,8 +50,9 @@
   readonly #server: Server;
   readonly #connections = new Map<string, Connection>();
   readonly #sockets = new Set<Socket>();
-  readonly #outbox = new Map<string, Message[]>();
-  #handler: MessageHandler = () => undefined;
+  readonly #outbox = new Map<string, Kind[]>();
+  #handler: MessageHandler<Kind> = () => undefined;
+  #onDisconnected: (address: string, refused: boolean) => void = () => undefined;
   #flushScheduled = false;
   #closed = false;
 
@@ -62,7 +63,7 @@
   }
 
   /** Listens at `self.address`; port 0 takes a free one. */
-  static async listen(self: Sender): Promise<TcpTransport> {
+  static async listen<Kind = Message>(self: Sender): Promise<TcpTransport<Kind>> {
     const { host, port } = parseAddress(self.address);
     const server = createServer({ noDelay: true });
     await new Promise<void>((resolve, reject) => {
@@ -71,18 +72,28 @@
     });
     const bound = server.address();
     const boundPort = typeof bound === "object" && bound ? bound.port : port;
-    return new TcpTransport({ instance: self.instance, address: `${host}:${boundPort}` }, server);
+    return new TcpTransport<Kind>({ instance: self.instance, address: `${host}:${boundPort}` }, server);
   }
 
   get self(): Sender {
     return this.#self;
   }
 
-  onMessage(handler: MessageHandler): void {
+  onMessage(handler: MessageHandler<Kind>): void {
     this.#handler = handler;
   }
 
-  send(address: string, message: Message): void {
+  /** Sets who is told that the connection to an address has ended; `refused` when nobody listened there. */
+  onDisconnected(handler: (address: string, refused: boolean) => void): void {
+    this.#onDisconnected = handler;
+  }
+
+  /** Ends the connection to an address, if there is one; the next message opens another. */
+  disconnect(address: string): void {
+    this.#connections.get(address)?.socket.destroy();
+  }
+
+  send(address: string, message: Kind): void {
     if (this.#closed) return;
     const queue = this.#outbox.get(address);
     if (queue) queue.push(message);
@@ -111,11 +122,11 @@
     }
   }
 
-  #deliverLocally(messages: readonly Message[]): void {
+  #deliverLocally(messages: readonly Kind[]): void {
     for (const message of messages) this.#handler(message, this.#self, this.configurationVersion);
   }
 
-  #write(address: string, messages: readonly Message[]): void {
+  #write(address: string, messages: readonly Kind[]): void {
     const connection = this.#connections.get(address) ?? this.#connect(address);
     const { socket, encoder } = connection;
     if (socket.writableLength > MAX_BUFFERED_BYTES) {
@@ -123,7 +134,7 @@
       return;
     }
     const { configurationVersion } = this;
-    const batch: Batch = connection.introduced
+    const batch: Batch<Kind> = connection.introduced
       ? { configurationVersion, messages }
       : { from: this.#self, configurationVersion, messages };
     connection.introduced = true;
@@ -147,7 +158,7 @@
     const connection: Connection = { socket, encoder, introduced: false, peer: undefined };
     this.#sockets.add(socket);
     const decoder = new DecoderStream();
-    decoder.on("data", (batch: Batch) => this.#onBatch(batch, connection));
+    decoder.on("data", (batch: Batch<Kind>) => this.#onBatch(batch, connection));
     decoder.on("error", () => socket.destroy());
     socket.on("data", (bytes: Buffer) => {
       this.counters.bytesReceived += bytes.length;
@@ -160,8 +171,8 @@
     return connection;
   }
 
-  #onBatch(batch: Batch, connection: Connection): void {
-    if (this.#closed || !isBatch(batch)) return void connection.socket.destroy();
+  #onBatch(batch: Batch<Kind>, connection: Connection): void {
+    if (this.#closed || !isBatch<Kind>(batch)) return void connection.socket.destroy();
     if (batch.from) connection.peer = batch.from;
     const { peer } = connection;
     if (!peer) return void connection.socket.destroy();
@@ -174,8 +185,14 @@
   #rememberRoute(address: string, connection: Connection): void {
     if (this.#connections.has(address)) return;
     this.#connections.set(address, connection);
+    let refused = false;
+    connection.socket.on("error", (error: NodeJS.ErrnoException) => {
+      refused = error.code === "ECONNREFUSED";
+    });
     connection.socket.on("close", () => {
-      if (this.#connections.get(address) === connection) this.#connections.delete(address);
+      if (this.#connections.get(address) !== connection) return;
+      this.#connections.delete(address);
+      if (!this.#closed) this.#onDisconnected(address, refused);
     });
   }
 }
@@ -186,8 +203,8 @@
   return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
 }
 
-function isBatch(value: unknown): value is Batch {
-  const batch = value as Partial<Batch> | undefined;
+function isBatch<Kind>(value: unknown): value is Batch<Kind> {
+  const batch = value as Partial<Batch<Kind>> | undefined;
   return (
     (batch?.from === undefined || typeof batch.from.address === "string") && Array.isArray(batch?.messages)
   );
--- a/src/runtime/transport.ts
+++ b/src/runtime/transport.ts
@@ -9,19 +9,24 @@
 }
 
 /** Called for each message that arrives, in order per sender while its connection lasts. */
-export type MessageHandler = (message: Message, from: Sender, configurationVersion: number) => void;
+export type MessageHandler<Kind = Message> = (
+  message: Kind,
+  from: Sender,
+  configurationVersion: number,
+) => void;
 
 /**
  * Carries internal messages between processes. Delivery is at most once and may fail silently:
  * whoever needs an answer asks again.
+ * `Kind` is the union of messages that the processes exchange.
  */
-export interface Transport {
+export interface Transport<Kind = Message> {
   /** This process, as others see it. */
   readonly self: Sender;
   /** Queues a message; all messages to one address within a turn of the event loop travel together. */
-  send(address: string, message: Message): void;
+  send(address: string, message: Kind): void;
   /** Sets who is called for arriving messages. */
-  onMessage(handler: MessageHandler): void;
+  onMessage(handler: MessageHandler<Kind>): void;
   /** The newest configuration version known here; travels with every batch of messages. */
   configurationVersion: number;
   /** Ends all connections. */
--- /dev/null
+++ b/src/scheduling/routing/route-table.ts
@@ -0,0 +1,49 @@
+import type { Route, RoutingConfiguration, RunnerPool } from "./routing-configuration.ts";
+
+/** Finds the route of a request: among the routes of its host, the one with the longest matching prefix. */
+export class RouteTable {
+  readonly configuration: RoutingConfiguration;
+  readonly #byHost = new Map<string, Route[]>();
+  readonly #pools: ReadonlyMap<string, RunnerPool>;
+
+  constructor(configuration: RoutingConfiguration) {
+    this.configuration = configuration;
+    this.#pools = new Map(configuration.pools.map((pool) => [pool.name, pool]));
+    for (const route of configuration.routes) this.#add(route);
+    for (const routes of this.#byHost.values()) {
+      routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+    }
+  }
+
+  /** The route of a request; undefined when the configuration has none. */
+  find(host: string, path: string): Route | undefined {
+    return this.#byHost.get(host)?.find((route) => path.startsWith(route.pathPrefix));
+  }
+
+  /** A pool by name. */
+  pool(name: string): RunnerPool | undefined {
+    return this.#pools.get(name);
+  }
+
+  #add(route: Route): void {
+    const routes = this.#byHost.get(route.host);
+    if (routes) routes.push(route);
+    else this.#byHost.set(route.host, [route]);
+  }
+}
+
+/**
+ * The pool for a request of a route. Requests with the same sample go to the same pool, so that a program's prompts
+ * stay where they were read.
+ *
+ * @param sample a number in [0, 1)
+ */
+export function choosePool(route: Route, sample: number): string | undefined {
+  const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
+  let rest = sample * total;
+  for (const share of route.shares) {
+    rest -= share.weight;
+    if (rest < 0) return share.pool;
+  }
+  return route.shares.at(-1)?.pool;
+}
--- /dev/null
+++ b/src/scheduling/runner-board/runner-entry.ts
@@ -0,0 +1,13 @@
+/** What the platform's list says of one incarnation of a runner. */
+export interface RunnerEntry {
+  /** Unique per start of the runner. */
+  readonly id: string;
+  readonly pool: string;
+  /** IP address and port. */
+  readonly address: string;
+  readonly zone: string;
+  /** Requests that it works on at once. */
+  readonly slots: number;
+  /** A draining runner serves what it has and takes nothing new. */
+  readonly state: "ready" | "draining";
+}
