--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -6,14 +6,14 @@
       comment: "Coordination parts are embedded by others: they know nothing of scheduling, daemons or I/O.",
       severity: "error",
       from: { path: "^src/coordination" },
-      to: { path: "^(src/(?!coordination)|standins|bench|node:)" },
+      to: { path: "^(src/(?!coordination)|platform|standins|bench|node:)" },
     },
     {
       name: "scheduling-is-pure",
       comment: "Scheduling knows coordination and the kinds of errors, and no I/O.",
       severity: "error",
       from: { path: "^src/scheduling" },
-      to: { path: "^(src/(?!scheduling|coordination|errors)|standins|bench)" },
+      to: { path: "^(src/(?!scheduling|coordination|errors)|platform|standins|bench)" },
     },
     {
       name: "no-node-modules-in-pure-code",
@@ -25,7 +25,7 @@
     {
       name: "daemons-do-not-know-the-command-line",
       severity: "error",
-      from: { path: "^src/(node|sidecar|runtime|ports|messages|settings|telemetry|errors)" },
+      from: { path: "^src/(node|sidecar|gateway|runtime|ports|messages|settings|telemetry|errors)" },
       to: { path: "^src/cli" },
     },
     {
@@ -41,6 +41,23 @@
       from: { path: "^src", pathNot: "^src/cli/demo" },
       to: { path: "^(standins|bench|test)" },
     },
+    {
+      name: "only-platform-knows-the-platform",
+      comment: "The adapter is wired by its own entry; the product sees interfaces.",
+      severity: "error",
+      from: { path: "^(src|standins)" },
+      to: { path: "^platform" },
+    },
+    {
+      name: "platform-translates-only",
+      comment: "The adapter knows interfaces and the start of a gateway, none of its parts.",
+      severity: "error",
+      from: { path: "^platform" },
+      to: {
+        path: "^src",
+        pathNot: "^src/(ports|runtime/clock|settings/load-settings|scheduling/(routing|runner-board)/|gateway/(start-gateway|gateway-settings))",
+      },
+    },
     {
       name: "no-circles",
       severity: "error",
--- /dev/null
+++ b/test/contract/gateway-parts.test.ts
@@ -0,0 +1,209 @@
+/** The pure parts of a gateway. */
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { PeerLiveness } from "../../src/coordination/liveness/index.ts";
+import { OwnershipMap, preferredOwner } from "../../src/coordination/partition-ownership/index.ts";
+import { EventSplitter } from "../../src/gateway/calls/event-splitter.ts";
+import { choosePool, RouteTable } from "../../src/scheduling/routing/route-table.ts";
+import type { Route } from "../../src/scheduling/routing/routing-configuration.ts";
+import { RunnerBoard } from "../../src/scheduling/runner-board/runner-board.ts";
+import type { RunnerEntry } from "../../src/scheduling/runner-board/runner-entry.ts";
+
+const CANDIDATES = ["a", "b", "c", "d"].map((name, index) => ({ name, hash: 0x9e3779b9 * (index + 1) }));
+
+describe("preferred owner", () => {
+  it("is the same for everybody, in whatever order candidates are known", () => {
+    for (let partition = 0; partition < 64; partition += 1) {
+      const owner = preferredOwner(partition, CANDIDATES);
+      expect(preferredOwner(partition, [...CANDIDATES].reverse())).toEqual(owner);
+    }
+  });
+
+  it("moves only the partitions of a candidate that goes", () => {
+    const left = CANDIDATES.slice(1);
+    for (let partition = 0; partition < 64; partition += 1) {
+      const before = preferredOwner(partition, CANDIDATES);
+      if (before !== "a") expect(preferredOwner(partition, left)).toEqual(before);
+    }
+  });
+
+  it("spreads partitions", () => {
+    const counts = new Map<string, number>();
+    for (let partition = 0; partition < 400; partition += 1) {
+      const owner = preferredOwner(partition, CANDIDATES) ?? "";
+      counts.set(owner, (counts.get(owner) ?? 0) + 1);
+    }
+    for (const count of counts.values()) expect(count > 60 && count < 140).toEqual(true);
+  });
+
+  it("is nobody when there is no candidate", () => {
+    expect(preferredOwner(1, [])).toEqual(undefined);
+  });
+});
+
+describe("ownership map", () => {
+  it("believes the newest epoch, in whatever order it hears", () => {
+    const owners = new OwnershipMap();
+    expect(owners.learn(1, { instance: "new", epoch: 7 })).toEqual(true);
+    expect(owners.learn(1, { instance: "old", epoch: 5 })).toEqual(false);
+    expect(owners.owner(1)?.instance).toEqual("new");
+  });
+
+  it("forgets an owner only if it still is the one", () => {
+    const owners = new OwnershipMap();
+    owners.learn(1, { instance: "a", epoch: 1 });
+    owners.forget(1, "b");
+    expect(owners.owner(1)?.instance).toEqual("a");
+    owners.forgetInstance("a");
+    expect(owners.owner(1)).toEqual(undefined);
+  });
+});
+
+describe("peer liveness", () => {
+  const options = { suspectAfterMs: 1_000, forgetAfterMs: 10_000 };
+
+  it("suspects a silent peer and clears it with its next heartbeat", () => {
+    const liveness = new PeerLiveness(options);
+    expect(liveness.alive("a", 0)).toEqual(false);
+    liveness.heard("a", 0);
+    expect(liveness.alive("a", 999)).toEqual(true);
+    expect(liveness.alive("a", 1_000)).toEqual(false);
+    liveness.heard("a", 1_500);
+    expect(liveness.alive("a", 1_600)).toEqual(true);
+  });
+
+  it("takes a refused connection for an end at once", () => {
+    const liveness = new PeerLiveness(options);
+    liveness.heard("a", 0);
+    liveness.refused("a");
+    expect(liveness.alive("a", 1)).toEqual(false);
+  });
+
+  it("forgets a peer that stays silent", () => {
+    const liveness = new PeerLiveness(options);
+    liveness.heard("a", 0);
+    expect(liveness.forgetSilent(9_999)).toEqual([]);
+    expect(liveness.forgetSilent(10_000)).toEqual(["a"]);
+    expect(liveness.silenceMs("a", 10_001)).toEqual(undefined);
+  });
+});
+
+const ROUTE: Route = {
+  name: "r",
+  host: "h",
+  pathPrefix: "/a/",
+  kind: "safe",
+  timeoutMs: 1_000,
+  targetLatencyMs: 100,
+  priority: 0,
+  shares: [
+    { pool: "x", weight: 90 },
+    { pool: "y", weight: 10 },
+  ],
+  maxAttempts: 2,
+  resumable: false,
+  retainsTurns: false,
+  retentionMs: 60_000,
+};
+
+describe("route table", () => {
+  const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  const routes = [ROUTE, { ...ROUTE, name: "longer", pathPrefix: "/a/b/" }];
+  const table = new RouteTable({ version: 1, routes, pools: [], limits });
+
+  it("takes the longest prefix of the host", () => {
+    expect(table.find("h", "/a/b/c")?.name).toEqual("longer");
+    expect(table.find("h", "/a/c")?.name).toEqual("r");
+  });
+
+  it("has no route for other hosts and paths", () => {
+    expect(table.find("other", "/a/b")).toEqual(undefined);
+    expect(table.find("h", "/a")).toEqual(undefined);
+  });
+
+  it("spreads requests by weight", () => {
+    let first = 0;
+    for (let sample = 0; sample < 1_000; sample += 1) {
+      if (choosePool(ROUTE, sample / 1_000) === "x") first += 1;
+    }
+    expect(first).toEqual(900);
+  });
+});
+
+describe("runner board", () => {
+  const entry = (id: string, more: Partial<RunnerEntry> = {}): RunnerEntry => ({
+    id,
+    pool: "p",
+    address: "127.0.0.1:1",
+    zone: "z",
+    slots: 4,
+    state: "ready",
+    ...more,
+  });
+  const choice = {
+    pool: "p",
+    zone: "z",
+    excluded: new Set<string>(),
+    preferred: undefined,
+    nowMs: 0,
+    sample: 0,
+  };
+
+  it("takes the runner with least in flight, as all nodes see it", () => {
+    const board = new RunnerBoard();
+    for (const id of ["a", "b"]) board.upsert(entry(id));
+    board.report("other node", [["a", 2]]);
+    board.started("b");
+    expect(board.choose(choice)?.id).toEqual("b");
+    board.dropReport("other node");
+    expect(board.choose(choice)?.id).toEqual("a");
+  });
+
+  it("goes back to the runner that holds the prompt while it has room", () => {
+    const board = new RunnerBoard();
+    for (const id of ["a", "b"]) board.upsert(entry(id));
+    board.started("a");
+    expect(board.choose({ ...choice, preferred: "a" })?.id).toEqual("a");
+    for (let count = 0; count < 6; count += 1) board.started("a");
+    expect(board.choose({ ...choice, preferred: "a" })?.id).toEqual("b");
+  });
+
+  it("gives nothing new to runners that drain, left, or refused the request", () => {
+    const board = new RunnerBoard();
+    board.upsert(entry("a", { state: "draining" }));
+    expect(board.choose(choice)).toEqual(undefined);
+    board.upsert(entry("b"));
+    expect(board.choose({ ...choice, excluded: new Set(["b"]) })).toEqual(undefined);
+    board.markLeaving("b");
+    expect(board.choose(choice)).toEqual(undefined);
+    board.remove("b");
+    expect(board.ready("b")).toEqual(undefined);
+  });
+
+  it("passes over a runner that refused connections, but takes it when nothing else is left", () => {
+    const board = new RunnerBoard();
+    for (const id of ["a", "b"]) board.upsert(entry(id));
+    board.avoid("a", 0);
+    for (let count = 0; count < 4; count += 1) board.started("b");
+    expect(board.choose({ ...choice, nowMs: 10 })?.id).toEqual("b");
+    expect(board.choose({ ...choice, excluded: new Set(["b"]) })?.id).toEqual("a");
+  });
+});
+
+describe("event splitter", () => {
+  const text = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\nda";
+
+  it("gives the same events however the bytes are cut", () => {
+    for (let cut = 0; cut <= text.length; cut += 1) {
+      const splitter = new EventSplitter();
+      const first = splitter.push(Buffer.from(text.slice(0, cut)));
+      const events = [...first, ...splitter.push(Buffer.from(text.slice(cut)))];
+      expect(events.map((event) => [event.id, event.data])).toEqual([
+        [1, "a"],
+        [2, "b\nc"],
+      ]);
+      expect(events.map((event) => event.bytes.toString()).join("")).toEqual(text.slice(0, -8));
+      expect(splitter.rest.toString()).toEqual("id: 3\nda");
+    }
+  });
+});
--- /dev/null
+++ b/test/contract/partition-writer.test.ts
@@ -0,0 +1,136 @@
+/** Writes of a partition's owner, through each fault of the store and against another owner. */
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { expect } from "earl";
+import { TokenAccount } from "../../src/coordination/token-account/index.ts";
+import type { GatewayContext } from "../../src/gateway/gateway-context.ts";
+import {
+  accountKey,
+  decodeAccount,
+  encodeOwner,
+  ownerKey,
+} from "../../src/gateway/partitions/partition-rows.ts";
+import { PartitionWriter } from "../../src/gateway/partitions/partition-writer.ts";
+import { RowStoreStandin, type StoreFault } from "../../standins/platform/row-store-standin.ts";
+import { gatewayContext } from "./support/gateway-parts.ts";
+
+const PARTITION = 1;
+const PROGRAM = "program";
+
+let standin: RowStoreStandin;
+let context: GatewayContext;
+let lost: number;
+
+async function takeOver(owner: GatewayContext, version: number): Promise<PartitionWriter> {
+  const key = ownerKey(PARTITION);
+  const value = encodeOwner({ instance: owner.instance, commit: 0 });
+  const outcome = await context.platform.store.transact({
+    conditions: [{ ...key, version }],
+    puts: [{ ...key, value }],
+    removes: [],
+  });
+  if (outcome.type !== "committed") throw new Error(`not taken over: ${outcome.type}`);
+  return new PartitionWriter(
+    owner,
+    PARTITION,
+    outcome.version,
+    () => {
+      lost += 1;
+    },
+    () => undefined,
+  );
+}
+
+async function storedTokens(): Promise<number | undefined> {
+  const { table, part } = accountKey(PARTITION, PROGRAM);
+  const read = await context.platform.store.read({ table, part });
+  const [row] = read.type === "rows" ? read.rows : [];
+  return row && new TokenAccount(decodeAccount(row.value)).committed;
+}
+
+function spend(account: TokenAccount, turn: string): TokenAccount {
+  account.admit(turn, 100, 10_000, 0);
+  return account;
+}
+
+describe("partition writer", () => {
+  beforeEach(async () => {
+    standin = new RowStoreStandin();
+    context = await gatewayContext("first", await standin.listen());
+    lost = 0;
+  });
+  afterEach(() => standin.close());
+
+  const FAULTS: StoreFault[] = ["busy", "throttled", "silent", "reset", "lostAnswer", "lateWrite"];
+  for (const fault of FAULTS) {
+    it(`has everything stored in the end, once, after ${fault}`, async () => {
+      const writer = await takeOver(context, 0);
+      const account = spend(new TokenAccount(), "turn-1");
+      standin.fault = fault;
+      const first = writer.writeAccount(PROGRAM, account);
+      setTimeout(() => {
+        standin.fault = "none";
+      }, 100);
+      expect(await first).toEqual(true);
+      expect(await storedTokens()).toEqual(100);
+      expect(await writer.writeAccount(PROGRAM, spend(account, "turn-2"))).toEqual(true);
+      expect(await storedTokens()).toEqual(200);
+      // A write that was done late must not put an older count in place of a newer one.
+      await new Promise((resolve) => setTimeout(resolve, 400));
+      expect(await storedTokens()).toEqual(200);
+      expect(lost).toEqual(0);
+    });
+  }
+
+  it("writes what comes at the same time in one transaction", async () => {
+    const writer = await takeOver(context, 0);
+    const before = standin.counts.writes;
+    const writes = Array.from({ length: 20 }, (_, index) =>
+      writer.writeAccount(`program-${index}`, spend(new TokenAccount(), "turn")),
+    );
+    expect(await Promise.all(writes)).toEqual(writes.map(() => true));
+    expect(standin.counts.writes - before).toEqual(1);
+  });
+
+  it("splits what is more than a transaction takes", async () => {
+    const writer = await takeOver(context, 0);
+    const writes = Array.from({ length: 250 }, (_, index) =>
+      writer.writeAccount(`program-${index}`, spend(new TokenAccount(), "turn")),
+    );
+    expect(await Promise.all(writes)).toEqual(writes.map(() => true));
+  });
+
+  it("loses to a new owner, and writes nothing more", async () => {
+    const first = await takeOver(context, 0);
+    const second = { ...context, instance: "second#1" };
+    const writer = await takeOver(second, standin.model.version);
+    expect(await first.writeAccount(PROGRAM, spend(new TokenAccount(), "turn"))).toEqual(false);
+    expect(lost).toEqual(1);
+    expect(await storedTokens()).toEqual(undefined);
+    expect(await writer.writeAccount(PROGRAM, spend(new TokenAccount(), "turn"))).toEqual(true);
+  });
+
+  it("loses a write whose answer was lost when the new owner came first", async () => {
+    const first = await takeOver(context, 0);
+    standin.fault = "lateWrite";
+    standin.lateWriteMs = 500;
+    const write = first.writeAccount(PROGRAM, spend(new TokenAccount(), "turn"));
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    standin.fault = "none";
+    await takeOver({ ...context, instance: "second#1" }, standin.model.version);
+    expect(await write).toEqual(false);
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    expect(await storedTokens()).toEqual(undefined);
+  });
+
+  it("sets nothing aside any more when it lets go", async () => {
+    const writer = await takeOver(context, 0);
+    const account = new TokenAccount();
+    account.admit("turn", 100, 10_000, 3);
+    await writer.writeAccount(PROGRAM, account);
+    expect(await storedTokens()).toEqual(400);
+    const released = { snapshot: () => account.snapshot(true), stored: () => undefined };
+    await writer.release(new Map([[PROGRAM, released]]));
+    expect(await storedTokens()).toEqual(100);
+    expect(lost).toEqual(1);
+  });
+});
--- /dev/null
+++ b/test/contract/platform-names.test.ts
@@ -0,0 +1,27 @@
+/** Only the adapter, the platform's stand-in and its tests know the platform's names. */
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { describe, it } from "node:test";
+import { expect } from "earl";
+
+const FOLDERS = ["src", "bench", "examples"];
+const NAMES =
+  /rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|tls-key|expected-rev|x-(response-signature|not-executed|expect-instance|deadline-ms|token-(budget|usage)|previous-turn|program-(id|deadline-ms)|session-id|prompt-prefix|affinity-key|request-urgency)|path-prefix|traffic-split|retains-context|TULIPWHEEL_NODE_FILE/i;
+
+function filesOf(folder: string): string[] {
+  return readdirSync(folder, { recursive: true, encoding: "utf8" })
+    .filter((name) => name.endsWith(".ts") || name.endsWith(".mjs"))
+    .map((name) => join(folder, name));
+}
+
+describe("names of the platform", () => {
+  it("stand nowhere outside the adapter and the stand-in", () => {
+    const found = FOLDERS.flatMap(filesOf).filter((file) => NAMES.test(readFileSync(file, "utf8")));
+    expect(found).toEqual([]);
+  });
+
+  it("are found by the check where they stand", () => {
+    const found = filesOf("platform").filter((file) => NAMES.test(readFileSync(file, "utf8")));
+    expect(found.length).toBeGreaterThan(2);
+  });
+});
--- /dev/null
+++ b/test/contract/support/gateway-parts.ts
@@ -0,0 +1,52 @@
+/** A gateway's context for tests of its parts, before the stand-in of the platform's store. */
+import { pino } from "pino";
+import { callProtocol } from "../../../platform/call-headers.ts";
+import { entryProtocol } from "../../../platform/entry-protocol.ts";
+import { HttpRowStore } from "../../../platform/http-row-store.ts";
+import { platformRecords } from "../../../platform/rows.ts";
+import type { GatewayContext } from "../../../src/gateway/gateway-context.ts";
+import { gatewaySettingsSchema } from "../../../src/gateway/gateway-settings.ts";
+import { openPool } from "../../../src/ports/http/connection-pool.ts";
+import { SystemClock } from "../../../src/runtime/clock.ts";
+import { SeededRandomSource } from "../../../src/runtime/random-source.ts";
+import { loadTextHash } from "../../../src/runtime/text-hash.ts";
+
+const UNUSED = "127.0.0.1:1";
+
+/** A client of the store at an address. */
+export function storeClient(address: string, timeoutMs = 200): HttpRowStore {
+  const pool = openPool(address, {
+    connections: 8,
+    connectTimeout: 200,
+    keepAliveTimeout: 1_000,
+    keepAliveTimeoutThreshold: 100,
+    keepAliveMaxTimeout: 1_000,
+  });
+  return new HttpRowStore(pool, new SystemClock(), timeoutMs);
+}
+
+/** The context of a gateway of this name. */
+export async function gatewayContext(name: string, storeAddress: string): Promise<GatewayContext> {
+  const settings = gatewaySettingsSchema.parse({
+    name,
+    region: "region",
+    zone: "zone-a",
+    listen: { callers: UNUSED, readiness: UNUSED, directory: UNUSED, peers: UNUSED },
+    store: storeAddress,
+    partitions: 4,
+  });
+  return {
+    settings,
+    instance: `${name}#1`,
+    clock: new SystemClock(),
+    random: new SeededRandomSource(1),
+    hash: await loadTextHash(),
+    log: pino({ level: "silent" }),
+    platform: {
+      store: storeClient(storeAddress),
+      calls: callProtocol,
+      entry: entryProtocol,
+      records: platformRecords,
+    },
+  };
+}
--- /dev/null
+++ b/test/contract/token-account.test.ts
@@ -0,0 +1,118 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import { type StoredAccount, TokenAccount } from "../../src/coordination/token-account/index.ts";
+
+const BUDGET = 1_000;
+const MOST = 200;
+
+/** Stores what the account wants stored, and gives it back. */
+function store(account: TokenAccount): StoredAccount {
+  const { revision, account: stored } = account.snapshot();
+  account.stored(revision);
+  return stored;
+}
+
+describe("token account", () => {
+  it("grants turns until their most would not fit any more", () => {
+    const account = new TokenAccount();
+    for (let turn = 0; turn < 5; turn += 1) {
+      expect(account.admit(`turn-${turn}`, MOST, BUDGET, 0).type).toEqual("granted");
+    }
+    expect(account.admit("turn-5", MOST, BUDGET, 0)).toEqual({ type: "exhausted", spent: 1_000 });
+  });
+
+  it("gives back what a turn did not use", () => {
+    const account = new TokenAccount();
+    for (let turn = 0; turn < 5; turn += 1) account.admit(`turn-${turn}`, MOST, BUDGET, 0);
+    account.settle("turn-0", 50);
+    expect(account.admit("turn-5", MOST, BUDGET, 0).type).toEqual("exhausted");
+    account.settle("turn-1", 50);
+    expect(account.admit("turn-5", MOST, BUDGET, 0).type).toEqual("granted");
+  });
+
+  it("counts a turn once, however often it asks and ends", () => {
+    const account = new TokenAccount();
+    account.admit("turn", MOST, BUDGET, 0);
+    account.admit("turn", MOST, BUDGET, 0);
+    expect(account.committed).toEqual(MOST);
+    expect(account.settle("turn", 10)).toEqual(true);
+    expect(account.settle("turn", 10)).toEqual(false);
+    expect(account.committed).toEqual(10);
+  });
+
+  it("asks for the store before a turn that was not set aside, and not for one that was", () => {
+    const account = new TokenAccount();
+    const first = account.admit("turn-1", MOST, BUDGET, 1);
+    expect(first.type === "granted" && account.holds(first.revision)).toEqual(false);
+    store(account);
+    expect(first.type === "granted" && account.holds(first.revision)).toEqual(true);
+    const second = account.admit("turn-2", MOST, BUDGET, 1);
+    expect(second.type === "granted" && account.holds(second.revision)).toEqual(true);
+    const third = account.admit("turn-3", MOST, BUDGET, 1);
+    expect(third.type === "granted" && account.holds(third.revision)).toEqual(false);
+  });
+
+  it("does not take a snapshot for stored that is older than the grant", () => {
+    const account = new TokenAccount();
+    account.admit("turn-1", MOST, BUDGET, 0);
+    const { revision } = account.snapshot();
+    const grant = account.admit("turn-2", MOST, BUDGET, 0);
+    account.stored(revision);
+    expect(grant.type === "granted" && account.holds(grant.revision)).toEqual(false);
+  });
+
+  it("counts what a lost owner had set aside as spent, until its open turns are settled", () => {
+    const account = new TokenAccount();
+    account.admit("turn-1", MOST, BUDGET, 2);
+    const taken = new TokenAccount(store(account));
+    expect(taken.committed).toEqual(600);
+    expect(taken.settle("turn-1", 30)).toEqual(true);
+    expect(taken.committed).toEqual(430);
+  });
+
+  it("sets nothing aside when it lets go", () => {
+    const account = new TokenAccount();
+    account.admit("turn-1", MOST, BUDGET, 2);
+    expect(account.snapshot(true).account).toEqual({ settled: 0, ahead: 0, open: [["turn-1", MOST]] });
+  });
+
+  it("never grants more than the budget in all, whoever dies when", () => {
+    const step = fc.record({
+      kind: fc.constantFrom("admit", "settle", "store", "ownerLost", "replenish"),
+      used: fc.integer({ min: 0, max: MOST }),
+      most: fc.integer({ min: 1, max: MOST }),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 60 }), fc.integer({ min: 0, max: 3 }), (steps, ahead) => {
+        let stored: StoredAccount | undefined;
+        let account = new TokenAccount();
+        let handedOut = 0;
+        let turns = 0;
+        const open: [string, number][] = [];
+        for (const { kind, used, most } of steps) {
+          if (kind === "admit") {
+            const turn = `turn-${turns++}`;
+            const grant = account.admit(turn, most, BUDGET, ahead);
+            if (grant.type !== "granted") continue;
+            // Granted means: stored first, unless it was set aside before.
+            if (!account.holds(grant.revision)) stored = store(account);
+            open.push([turn, most]);
+          }
+          if (kind === "settle") {
+            const [turn, most] = open.shift() ?? ["none", 0];
+            const tokens = Math.min(used, most);
+            account.settle(turn, tokens);
+            handedOut += tokens;
+          }
+          if (kind === "replenish") account.replenish(most, BUDGET, ahead);
+          if (kind === "store") stored = store(account);
+          if (kind === "ownerLost") account = new TokenAccount(stored);
+        }
+        for (const [, most] of open) handedOut += most;
+        expect(handedOut <= BUDGET).toEqual(true);
+      }),
+      { seed: 1, numRuns: 2_000 },
+    );
+  });
+});
