--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -55,7 +55,8 @@
       from: { path: "^platform" },
       to: {
         path: "^src",
-        pathNot: "^src/(ports|runtime/clock|settings/load-settings|scheduling/(routing|runner-board)/|gateway/(start-gateway|gateway-settings))",
+        pathNot:
+          "^src/(ports|runtime/clock|settings/load-settings|scheduling/(routing|runner-board)/|gateway/(start-gateway|gateway-settings))",
       },
     },
     {
--- a/src/gateway/calls/plain-call.ts
+++ b/src/gateway/calls/plain-call.ts
@@ -16,7 +16,7 @@
     if (!runner) return this.#giveUp("no runner can take the call");
     let head: HttpAnswerHead | undefined;
     const chunks: Buffer[] = [];
-    const tried = this.tryAt(runner, this.exchange.body, undefined, {
+    const tried = this.tryAt(runner, this.exchange.body, this.call.lastEventId, {
       onHead: (answer) => {
         head = answer;
       },
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -33,9 +33,14 @@
   constructor(parts: AttemptParts, partitions: PartitionClient, start: CallStart) {
     super(parts, start);
     this.#partitions = partitions;
+    this.#lastEventId = this.call.lastEventId;
   }
 
   protected override begin(): void {
+    // The answer is kept whole, and what an earlier try has handed to the caller is not known here.
+    if (this.route.retainsTurns && this.#lastEventId !== undefined) {
+      return this.refuse("cannot-resume", "Send the turn again from its start.");
+    }
     if (this.#isTurn) void this.#admit();
     else this.next();
   }
@@ -109,7 +114,14 @@
       const same = this.parts.board.ready(last);
       if (same) return same;
     }
-    return this.chooseRunner(this.#preferred);
+    return this.#runnersLeft > 0 ? this.chooseRunner(this.#preferred) : undefined;
+  }
+
+  /** How many runners more may run the turn; those that are gone do not count. */
+  get #runnersLeft(): number {
+    const { board } = this.parts;
+    const there = [...this.mayHaveRun].filter((id) => board.listed(id) && !this.excluded.has(id));
+    return this.route.maxAttempts - there.length;
   }
 
   #body(): Buffer {
--- a/src/ports/call-protocol.ts
+++ b/src/ports/call-protocol.ts
@@ -35,6 +35,7 @@
   readonly deadlineMs: number;
   /** Only this incarnation of a runner may run the request. */
   readonly expectedRunner: string;
+  /** The runner goes on after this event; undefined for a run from the start, whatever the caller said. */
   readonly lastEventId: number | undefined;
 }
 
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -61,6 +61,11 @@
     for (const entry of entries) this.upsert(entry);
   }
 
+  /** Whether a runner is in the list, ready or not. */
+  listed(id: string): boolean {
+    return this.#runners.has(id);
+  }
+
   /** The entry of a runner that may take new work. */
   ready(id: string): RunnerEntry | undefined {
     const state = this.#runners.get(id);
--- /dev/null
+++ b/test/process/gateway.test.ts
@@ -0,0 +1,281 @@
+/** Gateways as separate processes: what callers and runners see, through kills, stops and trouble of the store. */
+import { afterEach, describe, it } from "node:test";
+import { expect } from "earl";
+import { request } from "undici";
+import { RunnerStandin } from "../../standins/platform/runner-standin.ts";
+import { call, newRequestId, turn } from "./support/gateway-caller.ts";
+import { GatewayCluster, PATHS, pause, TEST_HOST, type TestGateway } from "./support/gateway-cluster.ts";
+
+const TOKENS_PER_EVENT = 10;
+const MISSING = 404;
+const SPENT = 402;
+
+let cluster: GatewayCluster;
+
+function gateway(index: number): TestGateway {
+  return cluster.gateways[index % cluster.gateways.length] as TestGateway;
+}
+
+/** Asks until an answer comes that is not a promise that nothing was run. */
+async function insist<Answer extends { status: number }>(ask: () => Promise<Answer>): Promise<Answer> {
+  const untilMs = performance.now() + 10_000;
+  for (;;) {
+    const answer = await ask();
+    if ((answer.status !== 503 && answer.status !== 0) || performance.now() > untilMs) return answer;
+    await pause(50);
+  }
+}
+
+function eventsIn(body: string): number {
+  return body.split("\n\n").length - 1;
+}
+
+function wholeStream(id: string, events: number): string {
+  const parts = Array.from({ length: events }, (_, index) => {
+    return `id: ${index + 1}\ndata: ${RunnerStandin.eventData(id, index + 1)}\n\n`;
+  });
+  return parts.join("");
+}
+
+describe("gateways", () => {
+  afterEach(() => cluster.stop());
+
+  it("pass requests and answers on as they are, and the stream event by event", async () => {
+    cluster = await GatewayCluster.start(1, 1, 1);
+    const id = newRequestId();
+    const plain = await call(gateway(0), `${PATHS.unsafe}x?y=1`, id);
+    expect([plain.status, plain.body]).toEqual([200, `done ${id}`]);
+    expect(plain.headers["x-response-signature"]).toEqual(`api-0.${id}`);
+    const [ran] = cluster.services[0]?.ran ?? [];
+    expect([ran?.method, ran?.target, ran?.body]).toEqual(["POST", `${PATHS.unsafe}x?y=1`, `input of ${id}`]);
+    expect((ran?.deadlineMs ?? 0) <= 3_000).toEqual(true);
+    const streamed = await turn(gateway(0), PATHS.turn, newRequestId(), { program: "p" });
+    expect([streamed.status, eventsIn(streamed.body)]).toEqual([200, 4]);
+    expect((await call(gateway(0), "/none/", newRequestId())).status).toEqual(MISSING);
+  });
+
+  it("never hand a program more tokens than its budget, through whichever gateway it asks", async () => {
+    cluster = await GatewayCluster.start(3, 2, 0);
+    const options = { program: "looping", budget: 200, most: 40 };
+    const asks = Array.from({ length: 12 }, (_, index) =>
+      turn(gateway(index), PATHS.turn, newRequestId(), options),
+    );
+    const answers = await Promise.all(asks);
+    for (let index = 0; index < 12; index += 1) {
+      answers.push(await turn(gateway(index), PATHS.turn, newRequestId(), options));
+    }
+    const tokens = answers.reduce((sum, { body, status }) => {
+      return sum + (status === 200 ? eventsIn(body) * TOKENS_PER_EVENT : 0);
+    }, 0);
+    expect(tokens).toEqual(200);
+    expect(answers.at(-1)?.status).toEqual(SPENT);
+  });
+
+  it("keep to the budget when all gateways are killed and start again", async () => {
+    cluster = await GatewayCluster.start(3, 2, 0);
+    const options = { program: "looping", budget: 200, most: 40 };
+    for (let index = 0; index < 3; index += 1) {
+      expect((await turn(gateway(index), PATHS.turn, newRequestId(), options)).status).toEqual(200);
+    }
+    await Promise.all(cluster.gateways.map((one) => one.process.kill()));
+    for (const one of cluster.gateways) cluster.restart(one);
+    await cluster.ready();
+    let tokens = 3 * 40;
+    for (let index = 0; index < 6; index += 1) {
+      const answer = await insist(() => turn(gateway(index), PATHS.turn, newRequestId(), options));
+      if (answer.status === 200) tokens += eventsIn(answer.body) * TOKENS_PER_EVENT;
+      else expect(answer.status).toEqual(SPENT);
+    }
+    expect(tokens <= 200).toEqual(true);
+  });
+
+  it("put kept turns together for the runner, also after all gateways were killed", async () => {
+    cluster = await GatewayCluster.start(2, 1, 0);
+    const first = newRequestId();
+    expect((await turn(gateway(0), PATHS.kept, first, { program: "p" })).status).toEqual(200);
+    await Promise.all(cluster.gateways.map((one) => one.process.kill()));
+    for (const one of cluster.gateways) cluster.restart(one);
+    await cluster.ready();
+    const second = newRequestId();
+    const next = { program: "p", previous: first };
+    const answer = await insist(() => turn(gateway(1), PATHS.kept, second, next));
+    expect(answer.status).toEqual(200);
+    const output = [1, 2, 3, 4].map((event) => `${RunnerStandin.eventData(first, event)}\n`).join("");
+    const ran = cluster.engines[0]?.ran.find((one) => one.id === second);
+    expect(ran?.body).toEqual(`input of ${first}\n${output}input of ${second}\n`);
+    const foreign = { program: "another program", previous: second };
+    expect((await insist(() => turn(gateway(0), PATHS.kept, newRequestId(), foreign))).status).toEqual(200);
+    const forged = { program: "p", previous: "never-said" };
+    expect((await insist(() => turn(gateway(0), PATHS.kept, newRequestId(), forged))).status).toEqual(
+      MISSING,
+    );
+  });
+
+  it("go on with a broken stream at the runner that has it", async () => {
+    cluster = await GatewayCluster.start(1, 2, 0);
+    for (const engine of cluster.engines) {
+      engine.fault = "breakStream";
+      engine.faultCount = 1;
+    }
+    const id = newRequestId();
+    const answer = await turn(gateway(0), PATHS.turn, id, { program: "p" });
+    expect([answer.status, answer.body]).toEqual([200, wholeStream(id, 4)]);
+    const runners = cluster.engines.filter((engine) => engine.ran.some((one) => one.id === id));
+    expect(runners.length).toEqual(1);
+    expect(runners[0]?.ran.map((one) => one.lastEventId)).toEqual([undefined, 2]);
+  });
+
+  it("run what may not be repeated at most once, and promise nothing when its answer is lost", async () => {
+    cluster = await GatewayCluster.start(1, 0, 2);
+    const cases = ["lostAnswer", "otherRequest", "unframedReset"] as const;
+    for (const fault of cases) {
+      for (const service of cluster.services) service.fault = fault;
+      const id = newRequestId();
+      const { status } = await call(gateway(0), PATHS.unsafe, id);
+      expect([fault, status]).toEqual([fault, 502]);
+      const runs = cluster.services.flatMap((service) => service.ran.filter((one) => one.id === id));
+      expect(runs.length).toEqual(1);
+    }
+  });
+
+  it("run again what may be repeated, within its attempts", async () => {
+    cluster = await GatewayCluster.start(1, 0, 2);
+    for (const service of cluster.services) {
+      service.fault = "lostAnswer";
+      service.faultCount = 1;
+    }
+    const id = newRequestId();
+    // One runner loses the answer, the other would as well: two attempts are all that the route allows.
+    expect((await call(gateway(0), PATHS.safe, id)).status).toEqual(502);
+    expect((await call(gateway(0), PATHS.safe, newRequestId())).status).toEqual(200);
+  });
+
+  it("take no late second answer for the answer of another request", async () => {
+    cluster = await GatewayCluster.start(1, 0, 1);
+    const [service] = cluster.services;
+    if (service) service.fault = "surplus";
+    for (let count = 0; count < 20; count += 1) {
+      const id = newRequestId();
+      const answer = await call(gateway(0), PATHS.safe, id);
+      if (answer.status === 200) expect(answer.body).toEqual(`done ${id}`);
+    }
+  });
+
+  it("say that nothing was run when every runner is full, with a time to come back", async () => {
+    cluster = await GatewayCluster.start(1, 0, 2);
+    for (const service of cluster.services) service.fault = "full";
+    const answer = await call(gateway(0), PATHS.unsafe, newRequestId());
+    expect(answer.status).toEqual(503);
+    expect(Number(answer.headers["retry-after"]) > 0).toEqual(true);
+    expect(cluster.services.flatMap((service) => service.ran)).toEqual([]);
+  });
+
+  it("end a request at its route's time, and the runner's work with it", async () => {
+    cluster = await GatewayCluster.start(1, 1, 1);
+    cluster.configure({ version: 2, timeoutMs: 300 });
+    await pause(1_000);
+    for (const runner of [...cluster.services, ...cluster.engines]) runner.fault = "silent";
+    const startedMs = performance.now();
+    expect((await call(gateway(0), PATHS.unsafe, newRequestId())).status).toEqual(504);
+    expect((await turn(gateway(0), PATHS.turn, newRequestId(), { program: "p" })).status).toEqual(504);
+    expect(performance.now() - startedMs < 1_500).toEqual(true);
+    await pause(100);
+    expect(cluster.services[0]?.ran.map((one) => one.cancelled)).toEqual([true]);
+    expect(cluster.engines[0]?.ran.map((one) => one.cancelled)).toEqual([true]);
+  });
+
+  it("stop the runner when the caller leaves", async () => {
+    cluster = await GatewayCluster.start(1, 0, 1);
+    const [service] = cluster.services;
+    if (service) service.fault = "silent";
+    const leaving = new AbortController();
+    const asked = request(`http://${gateway(0).addresses.callers}${PATHS.safe}`, {
+      headers: { host: TEST_HOST, "X-Request-Id": newRequestId(), "X-Deadline-Ms": "3000" },
+      signal: leaving.signal,
+    }).catch(() => undefined);
+    await pause(300);
+    leaving.abort();
+    await asked;
+    await pause(300);
+    expect(service?.ran.map((one) => one.cancelled)).toEqual([true]);
+  });
+
+  it("stop as planned without cutting a request, and leave the directory at once", async () => {
+    cluster = await GatewayCluster.start(2, 1, 0);
+    const [engine] = cluster.engines;
+    if (engine) engine.stepMs = 300;
+    const id = newRequestId();
+    const asked = turn(gateway(0), PATHS.turn, id, { program: "p" });
+    await pause(200);
+    gateway(0).process.signal("SIGTERM");
+    await pause(200);
+    const ready = await request(`http://${gateway(0).addresses.readiness}/tulipwheel/readyz`);
+    expect(ready.statusCode).toEqual(503);
+    expect(await cluster.directory(gateway(1))).toEqual([gateway(1).addresses.callers]);
+    expect(await asked.then(({ status, body }) => [status, body])).toEqual([200, wholeStream(id, 4)]);
+    expect(await gateway(0).process.exited).toEqual(0);
+    const after = await insist(() => turn(gateway(1), PATHS.turn, newRequestId(), { program: "p" }));
+    expect(after.status).toEqual(200);
+  });
+
+  it("put a configuration in force within two seconds, also when the store has dropped its history", async () => {
+    cluster = await GatewayCluster.start(2, 0, 1);
+    const [service] = cluster.services;
+    if (service) service.fault = "silent";
+    let version = 2;
+    for (const compact of [false, true]) {
+      cluster.configure({ version, timeoutMs: version * 100 });
+      if (compact) cluster.store.model.compact();
+      await pause(2_000);
+      for (const one of cluster.gateways) {
+        const startedMs = performance.now();
+        await call(one, PATHS.unsafe, newRequestId());
+        const tookMs = performance.now() - startedMs;
+        expect(tookMs > version * 100 - 20 && tookMs < version * 100 + 200).toEqual(true);
+      }
+      version += 2;
+    }
+  });
+
+  it("send a runner that drains nothing new", async () => {
+    cluster = await GatewayCluster.start(1, 0, 2);
+    const [leaving, staying] = cluster.services;
+    if (!leaving || !staying) throw new Error("two services were started");
+    cluster.listRunner(leaving, "api", "draining");
+    await pause(500);
+    for (let count = 0; count < 10; count += 1) await call(gateway(0), PATHS.unsafe, newRequestId());
+    expect([leaving.ran.length, staying.ran.length]).toEqual([0, 10]);
+  });
+
+  it("go on within what was set aside while the store is down, and answer at once beyond it", async () => {
+    cluster = await GatewayCluster.start(2, 1, 1);
+    const options = { program: "p", budget: 10_000, most: 40 };
+    await turn(gateway(0), PATHS.turn, newRequestId(), options);
+    cluster.store.fault = "silent";
+    expect((await turn(gateway(0), PATHS.turn, newRequestId(), options)).status).toEqual(200);
+    expect((await call(gateway(1), PATHS.unsafe, newRequestId())).status).toEqual(200);
+    const startedMs = performance.now();
+    const refused = await turn(gateway(1), PATHS.turn, newRequestId(), { ...options, program: "new" });
+    expect(refused.status).toEqual(503);
+    expect(Number(refused.headers["retry-after"]) > 0).toEqual(true);
+    expect(performance.now() - startedMs < 2_500).toEqual(true);
+    cluster.store.fault = "none";
+    const again = await insist(() =>
+      turn(gateway(1), PATHS.turn, newRequestId(), { ...options, program: "new" }),
+    );
+    expect(again.status).toEqual(200);
+  });
+
+  it("give a dead gateway's programs to others within seconds", async () => {
+    cluster = await GatewayCluster.start(3, 1, 0);
+    const programs = Array.from({ length: 12 }, (_, index) => `p-${index}`);
+    for (const program of programs) await turn(gateway(1), PATHS.turn, newRequestId(), { program });
+    await gateway(0).process.kill();
+    const startedMs = performance.now();
+    for (const program of programs) {
+      const answer = await insist(() => turn(gateway(1), PATHS.turn, newRequestId(), { program }));
+      expect(answer.status).toEqual(200);
+    }
+    expect(performance.now() - startedMs < 4_000).toEqual(true);
+  });
+});
