--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -56,7 +56,7 @@
       to: {
         path: "^src",
         pathNot:
-          "^src/(ports|runtime/clock|settings/load-settings|scheduling/(routing|runner-board)/|gateway/(start-gateway|gateway-settings))",
+          "^src/(ports|runtime/clock|scheduling/(routing|runner-board)/|gateway/(run-gateway|gateway-settings|gateway-context))",
       },
     },
     {
--- a/src/cli/commands/settings-commands.ts
+++ b/src/cli/commands/settings-commands.ts
@@ -2,6 +2,7 @@
 import { stringify } from "yaml";
 import { z } from "zod";
 import { configurationError } from "../../errors/tulipwheel-error.ts";
+import { gatewaySettingsSchema } from "../../gateway/gateway-settings.ts";
 import { loadSettings, parseOverride } from "../../settings/load-settings.ts";
 import { nodeSettingsSchema } from "../../settings/node-settings.ts";
 import { sidecarSettingsSchema } from "../../settings/sidecar-settings.ts";
@@ -10,12 +11,19 @@
 import { TulipwheelCommand } from "../tulipwheel-command.ts";
 
 const CATEGORY = "Settings";
-const SCHEMAS: Record<string, z.ZodObject> = { node: nodeSettingsSchema, sidecar: sidecarSettingsSchema };
+const SCHEMAS: Record<string, z.ZodObject> = {
+  gateway: gatewaySettingsSchema,
+  node: nodeSettingsSchema,
+  sidecar: sidecarSettingsSchema,
+};
 
 function schemaOf(daemon: string): z.ZodObject {
   const schema = SCHEMAS[daemon];
   if (schema) return schema;
-  throw configurationError("invalid-settings", `"${daemon}" is neither node nor sidecar.`);
+  throw configurationError(
+    "invalid-settings",
+    `"${daemon}" is not one of ${Object.keys(SCHEMAS).join(", ")}.`,
+  );
 }
 
 /** `tulipwheel settings check` */
--- a/src/gateway/configuration/table-follower.ts
+++ b/src/gateway/configuration/table-follower.ts
@@ -24,15 +24,24 @@
   readonly #health: StoreHealth;
   readonly #table: string;
   readonly #listener: TableListener;
+  readonly #pauseMs: number;
   #stopped = false;
   /** Version of the store up to which the listener knows everything. */
   #version = 0;
 
-  constructor(context: GatewayContext, health: StoreHealth, table: string, listener: TableListener) {
+  /** @param pauseMs least time between two waits, in ms: for tables that change all the time */
+  constructor(
+    context: GatewayContext,
+    health: StoreHealth,
+    table: string,
+    listener: TableListener,
+    pauseMs = 0,
+  ) {
     this.#context = context;
     this.#health = health;
     this.#table = table;
     this.#listener = listener;
+    this.#pauseMs = pauseMs;
   }
 
   start(): void {
@@ -85,6 +94,7 @@
     }
     if (outcome.changes.length > 0) this.#listener.onChanges(outcome.changes);
     this.#version = Math.max(this.#version, outcome.version);
+    if (this.#pauseMs > 0) await delay(this.#context.clock, this.#pauseMs);
     return true;
   }
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -7,6 +7,7 @@
 import { RoutingWatch } from "./configuration/routing-watch.ts";
 import type { GatewayContext } from "./gateway-context.ts";
 import type { GatewayMessage, GatewayRpcSchema, GatewayState } from "./gateway-messages.ts";
+import type { GatewaySettings } from "./gateway-settings.ts";
 import { EntryServer } from "./ingress/entry-server.ts";
 import { IngressServer } from "./ingress/ingress-server.ts";
 import { MemberDirectory } from "./members/member-directory.ts";
@@ -86,6 +87,18 @@
     return this.#stopping;
   }
 
+  /** Takes what may change while the process runs: the seeds. */
+  reload(settings: GatewaySettings): void {
+    for (const seed of settings.seeds) this.#members.know(seed);
+    this.#context.log.info({ seeds: settings.seeds }, "settings read again");
+  }
+
+  /** Notes an error that no part has handled; what it touched has failed, the rest goes on. */
+  noteUnexpected(reason: unknown): void {
+    const stack = reason instanceof Error ? reason.stack : String(reason);
+    this.#context.log.error({ stack }, "unexpected error");
+  }
+
   get #canServe(): boolean {
     return this.#routing.routes !== undefined && this.#runners.ready;
   }
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -13,7 +13,7 @@
   heartbeatMs: durationSchema.default(500).describe("Time between heartbeats to each peer, ms"),
   suspectMs: durationSchema.default(1_250).describe("Silence after which a peer counts as gone, ms"),
   forgetMs: durationSchema.default(60_000).describe("Silence after which a peer's address is dropped, ms"),
-  claimMs: durationSchema.default(100).describe("Time between looks for partitions without an owner, ms"),
+  claimMs: durationSchema.default(200).describe("Time between looks for partitions without an owner, ms"),
   settleInMs: durationSchema
     .default(600)
     .describe("Time after the start in which peers are heard before partitions are claimed, ms"),
@@ -46,7 +46,7 @@
     .int()
     .min(1)
     .max(65_536)
-    .default(32)
+    .default(16)
     .describe("Number of partitions of programs; fixed once the system has started"),
   timing: timingSchema.prefault({}),
   budget: budgetSchema.prefault({}),
--- a/src/gateway/partitions/retained-turns.ts
+++ b/src/gateway/partitions/retained-turns.ts
@@ -7,6 +7,9 @@
 /** Longest chain of turns that is put together. */
 const MAX_CHAIN = 1_000;
 
+/** Bytes of turns that one partition keeps in memory; older ones are read from the store again. */
+const MAX_CACHED_BYTES = 8 * 1024 * 1024;
+
 /** What was said before a turn. */
 export type HistoryOutcome =
   | { readonly type: "history"; readonly parts: readonly Uint8Array[] }
@@ -23,7 +26,9 @@
   readonly #context: GatewayContext;
   readonly #partition: number;
   readonly #partitionCount: number;
+  /** In the order in which they were added. */
   readonly #turns = new Map<string, RetainedTurnContent>();
+  #cachedBytes = 0;
   /** Newest version of the store that was seen: an answer that is older cannot say that a turn is not there. */
   readonly #newestVersion: () => number;
 
@@ -34,9 +39,16 @@
     this.#newestVersion = newestVersion;
   }
 
-  /** Keeps a turn in memory. */
+  /** Keeps a turn, which is in the store, in memory as well; the oldest ones give way. */
   add(turn: string, content: RetainedTurnContent): void {
+    if (this.#turns.has(turn)) return;
     this.#turns.set(turn, content);
+    this.#cachedBytes += sizeOf(content);
+    for (const [oldest, gone] of this.#turns) {
+      if (this.#cachedBytes <= MAX_CACHED_BYTES) return;
+      this.#turns.delete(oldest);
+      this.#cachedBytes -= sizeOf(gone);
+    }
   }
 
   /** Input and output of a turn and of all before it, oldest first. */
@@ -60,7 +72,7 @@
     const own = await this.#read(this.#partition, turn);
     if (own.type === "unavailable") return own;
     const lookup = own.type === "found" ? own : await this.#findElsewhere(turn);
-    if (lookup.type === "found") this.#turns.set(turn, lookup.content);
+    if (lookup.type === "found") this.add(turn, lookup.content);
     return lookup;
   }
 
@@ -91,6 +103,10 @@
   }
 }
 
+function sizeOf({ input, output }: RetainedTurnContent): number {
+  return input.length + output.length;
+}
+
 function lookupOf(outcome: ReadOutcome, newestVersion: number): TurnLookup {
   if (outcome.type !== "rows") return unavailable(outcome.detail);
   const [row] = outcome.rows;
--- /dev/null
+++ b/src/gateway/run-gateway.ts
@@ -0,0 +1,40 @@
+/** The life of a gateway's process: settings, start, signals, end. */
+import { TulipwheelError } from "../errors/tulipwheel-error.ts";
+import { loadSettings } from "../settings/load-settings.ts";
+import type { GatewayPlatform } from "./gateway-context.ts";
+import type { GatewayDaemon } from "./gateway-daemon.ts";
+import { type GatewaySettings, gatewaySettingsSchema } from "./gateway-settings.ts";
+import { startGateway } from "./start-gateway.ts";
+
+const INVALID_SETTINGS = 2;
+
+/**
+ * Runs a gateway until it is told to stop. SIGTERM is a planned stop; SIGHUP reads the settings again and takes the
+ * seeds from them. Settings that are not valid end the process with code 2 and a message that names line and remedy.
+ *
+ * @param platformOf how the platform around the gateway speaks
+ */
+export async function runGateway(
+  settingsFile: string | undefined,
+  platformOf: (settings: GatewaySettings) => GatewayPlatform,
+): Promise<void> {
+  try {
+    const settings = await loadSettings(settingsFile, [], gatewaySettingsSchema);
+    const gateway = await startGateway(settings, platformOf(settings));
+    process.on("SIGTERM", () => void gateway.stop().then(() => process.exit(0)));
+    process.on("SIGHUP", () => void reload(gateway, settingsFile));
+    process.on("unhandledRejection", (reason) => gateway.noteUnexpected(reason));
+  } catch (error) {
+    if (!(error instanceof TulipwheelError)) throw error;
+    process.stderr.write(`${(error as Error).message}\n`);
+    process.exit(INVALID_SETTINGS);
+  }
+}
+
+async function reload(gateway: GatewayDaemon, settingsFile: string | undefined): Promise<void> {
+  try {
+    gateway.reload(await loadSettings(settingsFile, [], gatewaySettingsSchema));
+  } catch (error) {
+    gateway.noteUnexpected(error);
+  }
+}
--- a/src/gateway/runners/runner-watch.ts
+++ b/src/gateway/runners/runner-watch.ts
@@ -1,10 +1,13 @@
 /** Keeps the board of runners in line with the platform's list. */
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
-import { TableFollower } from "../configuration/table-follower.ts";
+import { TableFollower, type TableListener } from "../configuration/table-follower.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { StoreHealth } from "../store-health.ts";
 
+/** Runners write their entries all the time; a change is seen this much later at most, in ms. */
+const PAUSE_MS = 500;
+
 /** See the module's comment. */
 export class RunnerWatch {
   readonly #context: GatewayContext;
@@ -13,7 +16,7 @@
 
   constructor(context: GatewayContext, health: StoreHealth, board: RunnerBoard) {
     this.#context = context;
-    this.#follower = new TableFollower(context, health, context.platform.records.runnerTable, {
+    const listener: TableListener = {
       onTable: (rows) => {
         board.replace(rows.flatMap((row) => this.#parse(row.key, row.value)));
         this.#read = true;
@@ -24,7 +27,9 @@
           else for (const entry of this.#parse(key, value)) board.upsert(entry);
         }
       },
-    });
+    };
+    const { runnerTable } = context.platform.records;
+    this.#follower = new TableFollower(context, health, runnerTable, listener, PAUSE_MS);
   }
 
   /** Whether the list has been read once. */
