Test clusters wait until their partitions have owners

Cause: the test of kept turns failed once in five runs: its first turn came 0.7 s after the start, before any gateway may claim partitions (0.6 s, then each 0.2 s), and got 503 with a time to come back, which is what a starting system says.

--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request as httpRequest } from "undici";
+import { ownerKey } from "../../../src/gateway/partitions/partition-rows.ts";
 import { RowStoreStandin } from "../../../standins/platform/row-store-standin.ts";
 import { RunnerStandin } from "../../../standins/platform/runner-standin.ts";
 import { StartedProcess } from "./child-process.ts";
@@ -11,6 +12,7 @@
 const ENTRY = "platform/main.ts";
 const READY_TIMEOUT_MS = 20_000;
 const POLL_MS = 25;
+const PARTITIONS = 4;
 
 /** Hosts and paths of the routes that every test cluster has. */
 export const TEST_HOST = "test.example";
@@ -51,6 +53,7 @@
     for (let index = 0; index < services; index += 1) await cluster.addRunner("api", cluster.services, index);
     for (let index = 0; index < gateways; index += 1) await cluster.addGateway();
     await cluster.ready();
+    await cluster.owned();
     return cluster;
   }
 
@@ -124,6 +127,7 @@
       listen: addresses,
       seeds: this.gateways.slice(0, 3).map((gateway) => gateway.addresses.peers),
       store: this.#storeAddress,
+      partitions: PARTITIONS,
     };
     const settingsFile = join(this.#folder, `${name}.yaml`);
     await writeFile(settingsFile, JSON.stringify(settings));
@@ -149,6 +153,20 @@
     }
   }
 
+  /** Waits until every partition has its first owner. */
+  async owned(): Promise<void> {
+    const deadlineMs = performance.now() + READY_TIMEOUT_MS;
+    for (let partition = 0; partition < PARTITIONS; partition += 1) {
+      const { table, part } = ownerKey(partition);
+      while (this.store.model.read(table, part, "", undefined).length === 0) {
+        if (performance.now() > deadlineMs) throw new Error(`partition ${partition} has no owner`);
+        await pause(POLL_MS);
+      }
+    }
+    // What the store knows, the gateways know with the owner's next message.
+    await pause(POLL_MS);
+  }
+
   /** The addresses that a gateway's directory answers with. */
   async directory(gateway: TestGateway): Promise<string[]> {
     const url = `http://${gateway.addresses.directory}/tulipwheel/resolve?name=${TEST_HOST}&zone=zone-a`;
