Talk to a process that started anew over its own connection

The others had heard the newcomers, but went on sending to connections that hung in the void since the loss of power: a connection that exists was never replaced. Ruled out: the store (it answered), refusals while it was down (it was not).

Change: whoever introduces itself replaces connections to an earlier process or ones that hang while connecting; connecting ends after 1 s; a gateway that has just started and hears fewer than half of those it knows of claims nothing for 4 s. Test: the connection test fails (no answer) without the change.

--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -127,6 +127,11 @@
     this.#noticeSilence();
   }
 
+  /** Whether at least half of the gateways that were heard of, this one included, are alive. */
+  get hearsMost(): boolean {
+    return 2 * (this.#alive().length + 1) >= this.#known.size + 1;
+  }
+
   /** The address of a live incarnation. */
   addressOf(instance: string): string | undefined {
     if (instance === this.#context.instance) return this.#transport.self.address;
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -29,6 +29,7 @@
   readonly #owned = new Map<number, OwnedPartition>();
   readonly #claiming = new Set<number>();
   #claimAfterMs = 0;
+  #claimAloneAfterMs = 0;
   #stop: () => void = () => undefined;
   #stopping = false;
 
@@ -59,6 +60,7 @@
   start(): void {
     const { clock, settings } = this.#context;
     this.#claimAfterMs = clock.monotonicMs() + settings.timing.settleInMs;
+    this.#claimAloneAfterMs = clock.monotonicMs() + settings.timing.settleInAloneMs;
     this.#stop = repeat(clock, settings.timing.claimMs, () => this.#claimOrphans());
   }
 
@@ -99,7 +101,10 @@
 
   #claimOrphans(): void {
     const { clock, settings } = this.#context;
-    if (this.#stopping || clock.monotonicMs() < this.#claimAfterMs) return;
+    const nowMs = clock.monotonicMs();
+    if (this.#stopping || nowMs < this.#claimAfterMs) return;
+    // A gateway that has just started and hears few others would take partitions from owners that are alive.
+    if (nowMs < this.#claimAloneAfterMs && !this.#members.hearsMost) return;
     const candidates = this.#members.ownerCandidates();
     for (let partition = 0; partition < settings.partitions; partition += 1) {
       if (this.#owned.has(partition) || this.#claiming.has(partition)) continue;
--- a/src/runtime/tcp-transport.ts
+++ b/src/runtime/tcp-transport.ts
@@ -32,6 +32,8 @@
   connectionErrors: number;
 }
 
+/** Longest time until a connection stands, in ms. */
+const CONNECT_TIMEOUT_MS = 1_000;
 /** Bytes that may wait for a slow peer before its connection is given up. */
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 
@@ -148,6 +150,9 @@
   #connect(address: string): Connection {
     const { host, port } = parseAddress(address);
     const socket = createConnection({ host, port, noDelay: true });
+    // A machine without power says nothing: the attempt would hang for minutes.
+    socket.setTimeout(CONNECT_TIMEOUT_MS, () => socket.destroy());
+    socket.once("connect", () => socket.setTimeout(0));
     const connection = this.#adopt(socket);
     this.#rememberRoute(address, connection);
     return connection;
@@ -173,7 +178,10 @@
 
   #onBatch(batch: Batch<Kind>, connection: Connection): void {
     if (this.#closed || !isBatch<Kind>(batch)) return void connection.socket.destroy();
-    if (batch.from) connection.peer = batch.from;
+    if (batch.from) {
+      connection.peer = batch.from;
+      this.#dropStaleRoute(batch.from, connection);
+    }
     const { peer } = connection;
     if (!peer) return void connection.socket.destroy();
     this.#rememberRoute(peer.address, connection);
@@ -181,6 +189,17 @@
     for (const message of batch.messages) this.#handler(message, peer, batch.configurationVersion);
   }
 
+  /** A process that introduces itself makes connections to an earlier one at its address useless. */
+  #dropStaleRoute(peer: Sender, connection: Connection): void {
+    const known = this.#connections.get(peer.address);
+    if (!known || known === connection) return;
+    const unanswered = known.peer === undefined && known.socket.connecting;
+    const earlier = known.peer !== undefined && known.peer.instance !== peer.instance;
+    if (!unanswered && !earlier) return;
+    this.#connections.delete(peer.address);
+    known.socket.destroy();
+  }
+
   /** Answers to a process go over the connection that it opened. */
   #rememberRoute(address: string, connection: Connection): void {
     if (this.#connections.has(address)) return;
