Let go of what an owner no longer names, and judge the store by its last answer

Two unanswered writes in a row made a gateway call the store out of reach, others took its partitions over, it took some back, and those that it had let go of were still booked to it by everybody else: a partition was only ever learnt, never withdrawn, as long as its owner lived. Ruled out: the fencing (no budget was exceeded, no turn lost), the writer (it ended).

Change: a heartbeat names all that its sender owns; what is missing is let go. The store counts as out of reach when a call fails 2.2 s after the last answer of any call; waits for changes are answered every 2 s. Tests: simulation of gateways on virtual time under 14 kinds of faults; the one for lost answers fails without.

--- /dev/null
+++ b/bench/simulation/gateways/gateway-faults.ts
@@ -0,0 +1,119 @@
+/** What can go wrong in a simulation of gateways, each kind with how it begins and ends. */
+import type { GatewayWorld } from "./gateway-world.ts";
+
+/** Kinds of faults. */
+export const GATEWAY_FAULTS = [
+  "kill",
+  "kill-all",
+  "freeze",
+  "planned-stop",
+  "part-peers",
+  "cut-store",
+  "cut-store-answers",
+  "store-busy",
+  "store-silent",
+  "store-slow",
+  "lost-answers",
+  "late-writes",
+  "history-dropped",
+  "messages-lost",
+] as const;
+
+/** A kind of fault. */
+export type GatewayFault = (typeof GATEWAY_FAULTS)[number];
+
+const RESTART_MS = 1_500;
+const LASTS_MS = 4_000;
+const SLOWNESS = 60;
+const LOST_PART = 0.35;
+const MESSAGES_LOST_PART = 0.2;
+
+/** Begins a fault; it ends by itself within some seconds. */
+export function strike(world: GatewayWorld, fault: GatewayFault): void {
+  const index = world.random.below(world.gateways.length);
+  const { conditions } = world.store;
+  switch (fault) {
+    case "kill":
+      return killAndRestart(world, [index]);
+    case "kill-all":
+      return killAndRestart(world, [...world.gateways.keys()]);
+    case "freeze":
+      return freeze(world, index);
+    case "planned-stop":
+      return stopAndRestart(world, index);
+    case "part-peers":
+      return partPeers(world, index);
+    case "cut-store":
+      return cutStore(world, index, "cut");
+    case "cut-store-answers":
+      return cutStore(world, index, "answersLost");
+    case "store-busy":
+      conditions.outage = "busy";
+      return void world.time.after(LASTS_MS, () => {
+        conditions.outage = "none";
+      });
+    case "store-silent":
+      conditions.outage = "silent";
+      return void world.time.after(LASTS_MS, () => {
+        conditions.outage = "none";
+      });
+    case "store-slow":
+      conditions.slowness = SLOWNESS;
+      return void world.time.after(LASTS_MS, () => {
+        conditions.slowness = 1;
+      });
+    case "lost-answers":
+    case "late-writes":
+      conditions.lostAnswers = LOST_PART;
+      conditions.lateWrites = fault === "late-writes";
+      return void world.time.after(LASTS_MS, () => {
+        conditions.lostAnswers = 0;
+      });
+    case "history-dropped":
+      world.configure();
+      return world.store.model.compact();
+    case "messages-lost":
+      world.network.conditions.loss = MESSAGES_LOST_PART;
+      return void world.time.after(LASTS_MS, () => {
+        world.network.conditions.loss = 0;
+      });
+  }
+}
+
+function killAndRestart(world: GatewayWorld, indexes: readonly number[]): void {
+  for (const index of indexes) world.gateways[index]?.process.kill();
+  world.time.after(RESTART_MS, () => {
+    for (const index of indexes) if (!world.gateways[index]?.process.alive) world.start(index);
+  });
+}
+
+function freeze(world: GatewayWorld, index: number): void {
+  const process = world.gateways[index]?.process;
+  process?.freeze();
+  world.time.after(LASTS_MS, () => process?.wake());
+}
+
+function stopAndRestart(world: GatewayWorld, index: number): void {
+  const gateway = world.gateways[index];
+  void gateway?.stop();
+  world.time.after(LASTS_MS, () => killAndRestart(world, [index]));
+}
+
+function partPeers(world: GatewayWorld, index: number): void {
+  const name = `gateway-${index}`;
+  world.network.cut(name, "*");
+  world.network.cut("*", name);
+  world.time.after(LASTS_MS, () => {
+    world.network.heal(name, "*");
+    world.network.heal("*", name);
+  });
+}
+
+function cutStore(world: GatewayWorld, index: number, path: "cut" | "answersLost"): void {
+  const store = world.gateways[index]?.store;
+  if (!store) return;
+  store.path = path;
+  world.time.after(LASTS_MS, () => {
+    store.path = "open";
+  });
+}
--- /dev/null
+++ b/bench/simulation/gateways/gateway-workload.ts
@@ -0,0 +1,139 @@
+/** Programs that take turns through whichever gateway, and what was seen of them from outside. */
+import type { EndTurnRequest } from "../../../src/gateway/gateway-messages.ts";
+import type { GatewayWorld } from "./gateway-world.ts";
+import type { SimulatedGateway } from "./simulated-gateway.ts";
+
+/** What callers have seen of one program. */
+export interface ProgramObservation {
+  readonly name: string;
+  readonly budget: number;
+  /** Tokens that callers were handed, those of turns that broke off included. */
+  handed: number;
+}
+
+/** A turn whose answer was whole. */
+export interface WholeTurn {
+  readonly turn: string;
+  /** Everything that was said up to its end. */
+  readonly said: string;
+}
+
+/** What came of a simulation. */
+export interface GatewayObservations {
+  readonly programs: ProgramObservation[];
+  readonly whole: WholeTurn[];
+  /** Broken promises. */
+  readonly broken: string[];
+  granted: number;
+  exhausted: number;
+  unavailable: number;
+}
+
+const MOST = 100;
+const BUDGET_TURNS = 6;
+const MAX_TURN_MS = 300;
+const PATIENCE_MS = 1_500;
+const RETRY_MS = 300;
+/** Every so many turns goes on from a turn of another program. */
+const FOREIGN_EVERY = 12;
+
+/** Runs one program after the other until `untilMs`; they loop until their budget is spent. */
+export async function runPrograms(
+  world: GatewayWorld,
+  observations: GatewayObservations,
+  untilMs: number,
+): Promise<void> {
+  while (world.time.nowMs < untilMs) {
+    const name = `program-${observations.programs.length}`;
+    const program = { name, budget: MOST * BUDGET_TURNS, handed: 0 };
+    observations.programs.push(program);
+    await runProgram(world, observations, program, untilMs);
+  }
+}
+
+async function runProgram(
+  world: GatewayWorld,
+  observations: GatewayObservations,
+  program: ProgramObservation,
+  untilMs: number,
+): Promise<void> {
+  let last: WholeTurn | undefined;
+  for (let count = 0; world.time.nowMs < untilMs; count += 1) {
+    const { whole } = observations;
+    if (count % FOREIGN_EVERY === 1 && whole.length > 0) last = whole[world.random.below(whole.length)];
+    const outcome = await takeTurn(world, observations, program, `${program.name}/${count}`, last);
+    if (outcome === "exhausted") return;
+    if (outcome !== "failed") last = outcome;
+    else await pause(world, RETRY_MS);
+  }
+}
+
+async function takeTurn(
+  world: GatewayWorld,
+  observations: GatewayObservations,
+  program: ProgramObservation,
+  turn: string,
+  last: WholeTurn | undefined,
+): Promise<WholeTurn | "exhausted" | "failed"> {
+  const gateway = world.drawServing();
+  if (!gateway) return "failed";
+  const budget = { tokens: program.budget, most: MOST };
+  const partition = gateway.client.partitionOf(program.name);
+  const context = { partition, program: program.name, session: "main", turn, budget };
+  const history = { previousTurn: last?.turn };
+  const untilMs = gateway.process.monotonicMs() + PATIENCE_MS;
+  const asked = gateway.client.admit({ ...context, history }, untilMs, () => false);
+  const answer = await orDeath(gateway, world, asked);
+  if (!answer) return "failed";
+  if (answer.type === "exhausted") {
+    observations.exhausted += 1;
+    return "exhausted";
+  }
+  if (answer.type === "noSuchTurn") {
+    observations.broken.push(`history: ${history.previousTurn} was answered whole, and is not there`);
+    return "failed";
+  }
+  if (answer.type === "unavailable") {
+    observations.unavailable += 1;
+    return "failed";
+  }
+  observations.granted += 1;
+  const said = Buffer.concat(answer.history).toString();
+  if (said !== (last?.said ?? "")) observations.broken.push(`history: ${turn} got what was not said`);
+  await pause(world, world.random.unit() * MAX_TURN_MS);
+  const tokens = world.random.below(MOST + 1);
+  program.handed += tokens;
+  const retained = {
+    previousTurn: last?.turn,
+    input: Buffer.from(`[${turn}]`),
+    output: Buffer.from(`(${tokens})`),
+  };
+  const request: EndTurnRequest = { ...context, tokens, runner: undefined, retained };
+  const ended = await orDeath(gateway, world, gateway.client.end(request, PATIENCE_MS));
+  if (ended?.type !== "ended") return "failed";
+  const whole = { turn, said: `${said}[${turn}](${tokens})` };
+  observations.whole.push(whole);
+  return whole;
+}
+
+/** The answer, or nothing when the gateway dies first. */
+function orDeath<Answer>(
+  gateway: SimulatedGateway,
+  world: GatewayWorld,
+  asked: Promise<Answer>,
+): Promise<Answer | undefined> {
+  return new Promise((resolve) => {
+    void asked.then(resolve);
+    const look = () => {
+      if (!gateway.process.alive) resolve(undefined);
+      else world.time.after(RETRY_MS, look);
+    };
+    world.time.after(RETRY_MS, look);
+  });
+}
+
+function pause(world: GatewayWorld, delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    world.time.after(delayMs, resolve);
+  });
+}
--- /dev/null
+++ b/bench/simulation/gateways/gateway-world.ts
@@ -0,0 +1,92 @@
+/** Gateways, the store and the network of one simulation; and what can be done to them. */
+import type { GatewayMessage } from "../../../src/gateway/gateway-messages.ts";
+import { gatewaySettingsSchema } from "../../../src/gateway/gateway-settings.ts";
+import { SeededRandomSource } from "../../../src/runtime/random-source.ts";
+import type { TextHash } from "../../../src/runtime/text-hash.ts";
+import { SimulatedNetwork } from "../simulated-network.ts";
+import { SimulatedProcess, VirtualTime } from "../virtual-time.ts";
+import { CONFIGURATION_KEY, CONFIGURATION_TABLE, SimulatedGateway } from "./simulated-gateway.ts";
+import { SharedStore, SimulatedRowStore } from "./simulated-row-store.ts";
+
+const GATEWAYS = 5;
+const ZONES = 3;
+const PARTITIONS = 8;
+const UNUSED = "127.0.0.1:1";
+const SEED_SPREAD = 1_000;
+
+/** See the module's comment. */
+export class GatewayWorld {
+  readonly time = new VirtualTime();
+  readonly store: SharedStore;
+  readonly network: SimulatedNetwork<GatewayMessage>;
+  readonly gateways: SimulatedGateway[] = [];
+  readonly random: SeededRandomSource;
+  readonly #hash: TextHash;
+  readonly #seed: number;
+  #starts = 0;
+  #version = 0;
+
+  constructor(seed: number, hash: TextHash) {
+    this.#seed = seed;
+    this.#hash = hash;
+    this.random = new SeededRandomSource(seed);
+    this.store = new SharedStore(this.time, new SeededRandomSource(seed + SEED_SPREAD));
+    this.network = new SimulatedNetwork(this.time, new SeededRandomSource(seed + 2 * SEED_SPREAD));
+    this.network.refusesForDead = true;
+    this.configure();
+    for (let index = 0; index < GATEWAYS; index += 1) this.start(index);
+  }
+
+  /** The newest version that the operators have written. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Writes a new version of the configuration. */
+  configure(): void {
+    this.#version += 1;
+    const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    const text = JSON.stringify({ version: this.#version, routes: [], pools: [], limits });
+    const value = Buffer.from(text).toString("base64");
+    const row = { table: CONFIGURATION_TABLE, part: "", key: CONFIGURATION_KEY, value };
+    this.store.model.transact({ conditions: [], puts: [row], removes: [] });
+  }
+
+  /** Starts a gateway's process, for the first time or anew. */
+  start(index: number): void {
+    this.#starts += 1;
+    const name = `gateway-${index}`;
+    const zone = `zone-${index % ZONES}`;
+    const process = new SimulatedProcess(name, zone, this.time);
+    const settings = gatewaySettingsSchema.parse({
+      name,
+      region: "region",
+      zone,
+      listen: { callers: UNUSED, readiness: UNUSED, directory: UNUSED, peers: addressOf(index) },
+      seeds: [0, 1, 2].map(addressOf),
+      store: UNUSED,
+      partitions: PARTITIONS,
+    });
+    const gateway = new SimulatedGateway({
+      settings,
+      instance: `${name}#${this.#starts}`,
+      process,
+      store: new SimulatedRowStore(this.store, process),
+      network: this.network,
+      random: new SeededRandomSource(this.#seed * SEED_SPREAD + this.#starts),
+      hash: this.#hash,
+    });
+    this.gateways[index] = gateway;
+    gateway.start();
+  }
+
+  /** A gateway that serves, drawn at random; undefined when there is none. */
+  drawServing(): SimulatedGateway | undefined {
+    const serving = this.gateways.filter((gateway) => gateway.serves);
+    return serving.length === 0 ? undefined : serving[this.random.below(serving.length)];
+  }
+}
+
+function addressOf(index: number): string {
+  return `10.0.0.${index + 1}:7000`;
+}
--- /dev/null
+++ b/bench/simulation/gateways/run-gateway-simulation.ts
@@ -0,0 +1,91 @@
+/** Runs gateways under faults on virtual time, and checks what must always hold. */
+import type { TextHash } from "../../../src/runtime/text-hash.ts";
+import { type GatewayFault, strike } from "./gateway-faults.ts";
+import { type GatewayObservations, runPrograms } from "./gateway-workload.ts";
+import { GatewayWorld } from "./gateway-world.ts";
+
+/** One simulated run. */
+export interface GatewaySimulationOptions {
+  readonly seed: number;
+  readonly faults: readonly GatewayFault[];
+  /** Virtual time under faults, in ms. */
+  readonly durationMs: number;
+}
+
+const PROGRAMS_AT_ONCE = 12;
+const QUIET_START_MS = 3_000;
+const FAULT_EVERY_MS = 5_000;
+/** After the last fault, everything must work again within this time, in ms. */
+const RECOVERY_MS = 8_000;
+const CALM_MS = 4_000;
+const CONFIGURATION_EVERY_MS = 2_500;
+
+/** See the module's comment. */
+export async function runGatewaySimulation(
+  options: GatewaySimulationOptions,
+  hash: TextHash,
+): Promise<GatewayObservations> {
+  const world = new GatewayWorld(options.seed, hash);
+  const observations: GatewayObservations = {
+    programs: [],
+    whole: [],
+    broken: [],
+    granted: 0,
+    exhausted: 0,
+    unavailable: 0,
+  };
+  await world.time.runUntil(QUIET_START_MS);
+  const faultsEndMs = QUIET_START_MS + options.durationMs;
+  const endMs = faultsEndMs + RECOVERY_MS + CALM_MS;
+  scheduleFaults(world, options.faults, faultsEndMs);
+  watchConfiguration(world, observations, endMs);
+  for (let count = 0; count < PROGRAMS_AT_ONCE; count += 1) void runPrograms(world, observations, endMs);
+  await world.time.runUntil(faultsEndMs + RECOVERY_MS);
+  const { granted, unavailable } = observations;
+  await world.time.runUntil(endMs);
+  if (observations.granted === granted) observations.broken.push("recovery: nothing is granted any more");
+  const refused = observations.unavailable - unavailable;
+  if (refused > 0) observations.broken.push(`recovery: ${refused} turns found no owner in calm time`);
+  checkConfiguration(world, observations);
+  checkBudgets(observations);
+  return observations;
+}
+
+function scheduleFaults(world: GatewayWorld, faults: readonly GatewayFault[], untilMs: number): void {
+  for (let atMs = QUIET_START_MS; atMs < untilMs; atMs += FAULT_EVERY_MS) {
+    for (const fault of faults) {
+      world.time.after(atMs - world.time.nowMs + world.random.unit() * FAULT_EVERY_MS, () => {
+        strike(world, fault);
+      });
+    }
+  }
+}
+
+/** New versions come all the time; no process may ever go back to an older one. */
+function watchConfiguration(world: GatewayWorld, observations: GatewayObservations, endMs: number): void {
+  const seen = new Map<object, number>();
+  const look = () => {
+    for (const gateway of world.gateways) {
+      const version = gateway.routing.routes?.configuration.version ?? 0;
+      if (version < (seen.get(gateway) ?? 0)) observations.broken.push("configuration: a gateway went back");
+      seen.set(gateway, version);
+    }
+    if (world.time.nowMs < endMs - CALM_MS) world.configure();
+    if (world.time.nowMs < endMs) world.time.after(CONFIGURATION_EVERY_MS, look);
+  };
+  look();
+}
+
+function checkConfiguration(world: GatewayWorld, observations: GatewayObservations): void {
+  for (const gateway of world.gateways) {
+    const version = gateway.routing.routes?.configuration.version;
+    if (version !== world.version)
+      observations.broken.push(`configuration: ${version} in force, not ${world.version}`);
+  }
+}
+
+function checkBudgets({ programs, broken }: GatewayObservations): void {
+  for (const { name, handed, budget } of programs) {
+    if (handed > budget) broken.push(`budget: ${name} was handed ${handed} of ${budget} tokens`);
+  }
+}
--- /dev/null
+++ b/bench/simulation/gateways/simulated-gateway.ts
@@ -0,0 +1,132 @@
+/** One gateway of a simulation: everything but HTTP, put together as the daemon does it. */
+import { pino } from "pino";
+import { RoutingWatch } from "../../../src/gateway/configuration/routing-watch.ts";
+import type { GatewayContext, GatewayPlatform } from "../../../src/gateway/gateway-context.ts";
+import type {
+  GatewayMessage,
+  GatewayRpcSchema,
+  GatewayState,
+} from "../../../src/gateway/gateway-messages.ts";
+import type { GatewaySettings } from "../../../src/gateway/gateway-settings.ts";
+import { MemberDirectory } from "../../../src/gateway/members/member-directory.ts";
+import { MemberRegistry } from "../../../src/gateway/members/member-registry.ts";
+import { PartitionClient } from "../../../src/gateway/partitions/partition-client.ts";
+import { PartitionHost } from "../../../src/gateway/partitions/partition-host.ts";
+import { StoreHealth } from "../../../src/gateway/store-health.ts";
+import type { PlatformRecords } from "../../../src/ports/platform-records.ts";
+import type { RandomSource } from "../../../src/runtime/random-source.ts";
+import { RpcEndpoint } from "../../../src/runtime/rpc.ts";
+import type { TextHash } from "../../../src/runtime/text-hash.ts";
+import type { RoutingConfiguration } from "../../../src/scheduling/routing/routing-configuration.ts";
+import type { SimulatedNetwork, SimulatedTransport } from "../simulated-network.ts";
+import type { SimulatedProcess } from "../virtual-time.ts";
+import type { SimulatedRowStore } from "./simulated-row-store.ts";
+
+/** Where the simulation's operators write. */
+export const CONFIGURATION_TABLE = "configuration";
+export const CONFIGURATION_KEY = "newest";
+
+const RECORDS: PlatformRecords = {
+  configurationTable: CONFIGURATION_TABLE,
+  configurationKey: CONFIGURATION_KEY,
+  runnerTable: "runners",
+  parseConfiguration: (value) => JSON.parse(value.toString("utf8")) as RoutingConfiguration,
+  parseRunner: () => {
+    throw new Error("the simulation has no runners");
+  },
+};
+
+/** The simulation speaks to gateways below their HTTP. */
+const NO_CALLERS = {} as Pick<GatewayPlatform, "calls" | "entry">;
+
+/** What a gateway is started with. */
+export interface SimulatedGatewayParts {
+  readonly settings: GatewaySettings;
+  readonly instance: string;
+  readonly process: SimulatedProcess;
+  readonly store: SimulatedRowStore;
+  readonly network: SimulatedNetwork<GatewayMessage>;
+  readonly random: RandomSource;
+  readonly hash: TextHash;
+}
+
+/** See the module's comment. */
+export class SimulatedGateway {
+  readonly process: SimulatedProcess;
+  readonly store: SimulatedRowStore;
+  readonly client: PartitionClient;
+  readonly routing: RoutingWatch;
+  readonly #transport: SimulatedTransport<GatewayMessage>;
+  readonly #rpc: RpcEndpoint<GatewayRpcSchema>;
+  readonly #members: MemberDirectory;
+  readonly #registry: MemberRegistry;
+  readonly #host: PartitionHost;
+  #stopping = false;
+
+  constructor(parts: SimulatedGatewayParts) {
+    const { settings, instance, process, store, network, random, hash } = parts;
+    const address = settings.listen.peers;
+    const platform = { store, records: RECORDS, ...NO_CALLERS };
+    const log = pino({ level: "silent" });
+    const context: GatewayContext = { settings, instance, clock: process, random, hash, log, platform };
+    this.process = process;
+    this.store = store;
+    this.#transport = network.attach(process, { instance, address });
+    const health = new StoreHealth(context);
+    this.#rpc = new RpcEndpoint<GatewayRpcSchema>(this.#transport, process, random);
+    this.#members = new MemberDirectory(context, this.#transport);
+    this.#registry = new MemberRegistry(context, this.#members, address);
+    this.#host = new PartitionHost(context, this.#members, health, this.#rpc);
+    this.routing = new RoutingWatch(context, health);
+    this.client = new PartitionClient(context, this.#members, this.#host, this.#rpc, health);
+    this.#members.selfReport = () => ({
+      state: this.state,
+      storeReachable: health.reachable,
+      owned: this.#host.owned,
+      inFlight: [],
+    });
+    this.#wire();
+  }
+
+  get state(): GatewayState {
+    if (this.#stopping) return "stopping";
+    return this.routing.routes ? "ready" : "starting";
+  }
+
+  /** Whether callers are sent here, and it serves. */
+  get serves(): boolean {
+    return this.process.alive && !this.process.frozen && this.routing.routes !== undefined;
+  }
+
+  start(): void {
+    this.routing.start();
+    this.#members.start();
+    this.#registry.start();
+    this.#host.start();
+  }
+
+  /** A planned stop. */
+  async stop(): Promise<void> {
+    this.#stopping = true;
+    this.#members.tick();
+    await this.#host.release();
+    this.#members.tick();
+  }
+
+  #wire(): void {
+    this.#members.onHeard = (member) => this.#host.learn(member);
+    this.#members.onLost = (member) => {
+      this.#host.forget(member);
+      this.#rpc.abandon(member.address);
+    };
+    this.#transport.onDisconnected((address, refused) => {
+      this.#rpc.abandon(address);
+      this.#members.onDisconnected(address, refused);
+    });
+    this.#transport.onMessage((message, from) => {
+      if (message.type === "heartbeat") this.#members.onHeartbeat(message, from);
+      else if (message.type === "rpcRequest") void this.#rpc.onRequest(message, from);
+      else this.#rpc.onResponse(message);
+    });
+  }
+}
--- a/bench/simulation/simulated-network.ts
+++ b/bench/simulation/simulated-network.ts
@@ -20,11 +20,13 @@
 const HELD_UP_MS = 40;
 
 /** Connects simulated processes; cuts, loses, doubles and reorders by the seed. */
-export class SimulatedNetwork {
+export class SimulatedNetwork<Kind = Message> {
   readonly conditions: NetworkConditions = { loss: 0, duplication: 0, reordering: 0 };
   readonly #time: VirtualTime;
   readonly #random: RandomSource;
-  readonly #endpoints = new Map<string, SimulatedTransport>();
+  /** Whether a message to a dead process tells its sender that nobody listens there. */
+  refusesForDead = false;
+  readonly #endpoints = new Map<string, SimulatedTransport<Kind>>();
   readonly #cuts = new Set<string>();
 
   constructor(time: VirtualTime, random: RandomSource) {
@@ -33,8 +35,8 @@
   }
 
   /** Connects a process under an address; a process that was there before is disconnected. */
-  attach(process: SimulatedProcess, self: Sender): SimulatedTransport {
-    const transport = new SimulatedTransport(this, process, self);
+  attach(process: SimulatedProcess, self: Sender): SimulatedTransport<Kind> {
+    const transport = new SimulatedTransport<Kind>(this, process, self);
     this.#endpoints.set(self.address, transport);
     return transport;
   }
@@ -60,7 +62,12 @@
   }
 
   /** Sends a copy of a message, as over a wire. */
-  deliver(from: SimulatedTransport, address: string, message: Message, configurationVersion: number): void {
+  deliver(
+    from: SimulatedTransport<Kind>,
+    address: string,
+    message: Kind,
+    configurationVersion: number,
+  ): void {
     const { loss, duplication, reordering } = this.conditions;
     if (this.#random.unit() < loss) return;
     const copies = this.#random.unit() < duplication ? 2 : 1;
@@ -73,45 +80,63 @@
     }
   }
 
-  #arrive(from: SimulatedTransport, address: string, bytes: Uint8Array, configurationVersion: number): void {
+  #arrive(
+    from: SimulatedTransport<Kind>,
+    address: string,
+    bytes: Uint8Array,
+    configurationVersion: number,
+  ): void {
     const target = this.#endpoints.get(address);
     if (!target || !this.passes(from.process.name, target.process.name)) return;
-    target.process.run(() =>
-      target.receive(ENCODER.decode(bytes) as Message, from.self, configurationVersion),
-    );
+    if (!target.process.alive && this.refusesForDead) from.process.run(() => from.refuse(address));
+    target.process.run(() => target.receive(ENCODER.decode(bytes) as Kind, from.self, configurationVersion));
   }
 }
 
 const ENCODER = new Encoder({ useRecords: false });
 
 /** A {@link Transport} over the simulated network. */
-export class SimulatedTransport implements Transport {
+export class SimulatedTransport<Kind = Message> implements Transport<Kind> {
   readonly process: SimulatedProcess;
   readonly self: Sender;
   configurationVersion = 0;
-  readonly #network: SimulatedNetwork;
-  #handler: MessageHandler = () => undefined;
+  readonly #network: SimulatedNetwork<Kind>;
+  #handler: MessageHandler<Kind> = () => undefined;
+  #onDisconnected: (address: string, refused: boolean) => void = () => undefined;
 
-  constructor(network: SimulatedNetwork, process: SimulatedProcess, self: Sender) {
+  constructor(network: SimulatedNetwork<Kind>, process: SimulatedProcess, self: Sender) {
     this.#network = network;
     this.process = process;
     this.self = self;
   }
 
-  send(address: string, message: Message): void {
+  send(address: string, message: Kind): void {
     if (!this.process.alive) return;
     this.#network.deliver(this, address, message, this.configurationVersion);
   }
 
-  onMessage(handler: MessageHandler): void {
+  onMessage(handler: MessageHandler<Kind>): void {
     this.#handler = handler;
   }
 
   /** Hands a message to the process. */
-  receive(message: Message, from: Sender, configurationVersion: number): void {
+  receive(message: Kind, from: Sender, configurationVersion: number): void {
     this.#handler(message, from, configurationVersion);
   }
 
+  /** Sets who is told that nobody listens at an address. */
+  onDisconnected(handler: (address: string, refused: boolean) => void): void {
+    this.#onDisconnected = handler;
+  }
+
+  /** There are no connections to end here. */
+  disconnect(_address: string): void {}
+
+  /** Nobody listens at an address. */
+  refuse(address: string): void {
+    this.#onDisconnected(address, true);
+  }
+
   async close(): Promise<void> {
     this.#handler = () => undefined;
   }
--- a/src/coordination/partition-ownership/ownership-map.ts
+++ b/src/coordination/partition-ownership/ownership-map.ts
@@ -28,6 +28,15 @@
     if (this.#owners.get(partition)?.instance === instance) this.#owners.delete(partition);
   }
 
+  /** Takes in everything that an incarnation says it owns: what it does not name, it has let go. */
+  learnAll(instance: string, owned: readonly (readonly [partition: number, epoch: number])[]): void {
+    const named = new Set(owned.map(([partition]) => partition));
+    for (const [partition, owner] of this.#owners) {
+      if (owner.instance === instance && !named.has(partition)) this.#owners.delete(partition);
+    }
+    for (const [partition, epoch] of owned) this.learn(partition, { instance, epoch });
+  }
+
   /** Forgets everything that an incarnation owned. */
   forgetInstance(instance: string): void {
     for (const [partition, owner] of this.#owners) {
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -2,11 +2,7 @@
  * The partitions that this gateway owns. A gateway takes over a partition whose owner is gone when rendezvous hashing
  * prefers it; the store's condition on the owner's row decides between several.
  */
-import {
-  type Ownership,
-  OwnershipMap,
-  preferredOwner,
-} from "../../coordination/partition-ownership/index.ts";
+import { OwnershipMap, preferredOwner } from "../../coordination/partition-ownership/index.ts";
 import type { StoredAccount } from "../../coordination/token-account/index.ts";
 import type { StoredRow } from "../../ports/store/row-store.ts";
 import { repeat } from "../../runtime/clock.ts";
@@ -73,8 +69,11 @@
 
   /** Takes in what another gateway owns. */
   learn(member: Member): void {
-    for (const [partition, epoch] of member.heartbeat.owned) {
-      this.#learn(partition, { instance: member.instance, epoch });
+    const { owned } = member.heartbeat;
+    this.owners.learnAll(member.instance, owned);
+    for (const [partition, epoch] of owned) {
+      const mine = this.#owned.get(partition);
+      if (mine && mine.epoch < epoch) mine.stop();
     }
   }
 
@@ -83,12 +82,6 @@
     this.owners.forgetInstance(member.instance);
   }
 
-  #learn(partition: number, ownership: Ownership): void {
-    if (!this.owners.learn(partition, ownership)) return;
-    const mine = this.#owned.get(partition);
-    if (mine && mine.epoch < ownership.epoch) mine.stop();
-  }
-
   #require(partition: number): OwnedPartition {
     const owned = this.#owned.get(partition);
     if (!owned) return this.#redirect(partition);
--- a/src/gateway/store-health.ts
+++ b/src/gateway/store-health.ts
@@ -2,14 +2,16 @@
 import type { ReadOutcome, TransactionOutcome, WatchOutcome } from "../ports/store/row-store.ts";
 import type { GatewayContext } from "./gateway-context.ts";
 
-/** Time for which all calls have failed after which the store counts as out of reach, in ms. */
-const LOST_AFTER_MS = 200;
+/**
+ * Time without any answer, in ms, after which a call that fails shows that the store is out of reach. Some answers may
+ * be lost all the time; the waits for changes are answered every two seconds at least.
+ */
+const LOST_AFTER_MS = 2_200;
 
 /** See the module's comment. */
 export class StoreHealth {
   readonly #context: GatewayContext;
   #lastAnswerMs = Number.NEGATIVE_INFINITY;
-  #firstFailureMs: number | undefined;
   #reachable = false;
   #newestVersion = 0;
 
@@ -31,12 +33,10 @@
   note(outcome: ReadOutcome | TransactionOutcome | WatchOutcome): void {
     const nowMs = this.#context.clock.monotonicMs();
     if (outcome.type === "refused" || outcome.type === "unknown") {
-      this.#firstFailureMs ??= nowMs;
-      if (nowMs - this.#firstFailureMs >= LOST_AFTER_MS) this.#set(false, outcome.detail);
+      if (nowMs - this.#lastAnswerMs >= LOST_AFTER_MS) this.#set(false, outcome.detail);
       return;
     }
     if ("version" in outcome) this.#newestVersion = Math.max(this.#newestVersion, outcome.version);
-    this.#firstFailureMs = undefined;
     this.#lastAnswerMs = nowMs;
     this.#set(true, "answers");
   }
--- a/test/contract/gateway-parts.test.ts
+++ b/test/contract/gateway-parts.test.ts
@@ -207,3 +207,19 @@
     }
   });
 });
+
+describe("what an owner says of itself", () => {
+  it("takes back what it no longer names, and only that", () => {
+    const owners = new OwnershipMap();
+    owners.learnAll("a", [
+      [1, 5],
+      [2, 6],
+    ]);
+    owners.learnAll("b", [[2, 9]]);
+    owners.learnAll("a", [[1, 5]]);
+    expect(owners.owner(1)?.instance).toEqual("a");
+    expect(owners.owner(2)?.instance).toEqual("b");
+    owners.learnAll("a", []);
+    expect(owners.owner(1)).toEqual(undefined);
+  });
+});
