Take over what its named owner has never heard of, and nothing from an owner that writes

Change: a row whose owner is alive and does not say so itself is watched for 0.7 s and then taken over; a gateway that hears fewer than half of the others takes nothing from an owner whose writes it sees; what a gateway owns itself is known from the partitions it holds, not from hearsay.

--- a/bench/simulation/gateways/gateway-workload.ts
+++ b/bench/simulation/gateways/gateway-workload.ts
@@ -27,6 +27,8 @@
   granted: number;
   exhausted: number;
   unavailable: number;
+  /** Why the last turn was not answered. */
+  lastUnavailable: string;
 }
 
 const MOST = 100;
@@ -95,6 +97,7 @@
   }
   if (answer.type === "unavailable") {
     observations.unavailable += 1;
+    observations.lastUnavailable = `${world.time.nowMs} ms, partition ${partition} at ${gateway.process.name}: ${answer.detail}`;
     return "failed";
   }
   observations.granted += 1;
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -17,9 +17,11 @@
   settleInMs: durationSchema
     .default(600)
     .describe("Time after the start in which peers are heard before partitions are claimed, ms"),
-  settleInAloneMs: durationSchema
-    .default(4_000)
-    .describe("The same, for a gateway that hears fewer than half of those it knows of, ms"),
+  watchOwnerMs: durationSchema
+    .default(700)
+    .describe(
+      "Time for which a gateway that hears fewer than half of the others watches an owner's writes, ms",
+    ),
   ownerWaitMs: durationSchema.default(1_500).describe("Longest wait for a partition's owner, ms"),
   stopMs: durationSchema.default(6_500).describe("Longest time that a planned stop takes, ms"),
   lingerMs: durationSchema
--- a/src/gateway/partitions/partition-client.ts
+++ b/src/gateway/partitions/partition-client.ts
@@ -75,8 +75,8 @@
     while (!cancelled()) {
       const leftMs = deadlineAtMs - clock.monotonicMs();
       if (leftMs <= 0) break;
-      const owner = this.#host.owners.owner(request.partition);
-      const address = owner && this.#members.addressOf(owner.instance);
+      const owner = this.#host.ownerOf(request.partition);
+      const address = owner === undefined ? undefined : this.#members.addressOf(owner);
       if (address === undefined && !this.#health.reachable) {
         detail = "nobody owns the partition, and the store does not answer";
         break;
@@ -84,8 +84,9 @@
       if (address !== undefined) {
         const reply = await this.#rpc.ask(address, name, request, leftMs);
         if (reply.type === "done") return reply.body;
-        detail = `the owner ${owner?.instance} gave ${reply.type}`;
-        if (reply.type === "redirect" && owner) this.#host.owners.forget(request.partition, owner.instance);
+        detail = `the owner ${owner} gave ${reply.type}`;
+        if (reply.type === "redirect" && owner !== undefined)
+          this.#host.forgetOwner(request.partition, owner);
       }
       await delay(clock, OWNER_POLL_MS);
     }
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -5,7 +5,7 @@
 import { OwnershipMap, preferredOwner } from "../../coordination/partition-ownership/index.ts";
 import type { StoredAccount } from "../../coordination/token-account/index.ts";
 import type { StoredRow } from "../../ports/store/row-store.ts";
-import { repeat } from "../../runtime/clock.ts";
+import { delay, repeat } from "../../runtime/clock.ts";
 import { RedirectSignal, type RpcEndpoint } from "../../runtime/rpc.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { GatewayRpcSchema } from "../gateway-messages.ts";
@@ -18,14 +18,13 @@
 
 /** See the module's comment. */
 export class PartitionHost {
-  readonly owners = new OwnershipMap();
+  readonly #owners = new OwnershipMap();
   readonly #context: GatewayContext;
   readonly #members: MemberDirectory;
   readonly #health: StoreHealth;
   readonly #owned = new Map<number, OwnedPartition>();
   readonly #claiming = new Set<number>();
   #claimAfterMs = 0;
-  #claimAloneAfterMs = 0;
   #stop: () => void = () => undefined;
   #stopping = false;
 
@@ -48,6 +47,17 @@
     });
   }
 
+  /** The incarnation that owns a partition, as far as this gateway knows. */
+  ownerOf(partition: number): string | undefined {
+    if (this.#owned.has(partition)) return this.#context.instance;
+    return this.#owners.owner(partition)?.instance;
+  }
+
+  /** Forgets an owner that says that it is none. */
+  forgetOwner(partition: number, instance: string): void {
+    this.#owners.forget(partition, instance);
+  }
+
   /** Partitions owned here, for the heartbeat. */
   get owned(): [number, number][] {
     return [...this.#owned.values()].map(({ partition, epoch }) => [partition, epoch]);
@@ -56,7 +66,6 @@
   start(): void {
     const { clock, settings } = this.#context;
     this.#claimAfterMs = clock.monotonicMs() + settings.timing.settleInMs;
-    this.#claimAloneAfterMs = clock.monotonicMs() + settings.timing.settleInAloneMs;
     this.#stop = repeat(clock, settings.timing.claimMs, () => this.#claimOrphans());
   }
 
@@ -70,7 +79,7 @@
   /** Takes in what another gateway owns. */
   learn(member: Member): void {
     const { owned } = member.heartbeat;
-    this.owners.learnAll(member.instance, owned);
+    this.#owners.learnAll(member.instance, owned);
     for (const [partition, epoch] of owned) {
       const mine = this.#owned.get(partition);
       if (mine && mine.epoch < epoch) mine.stop();
@@ -79,7 +88,7 @@
 
   /** Forgets what a gateway owned that is gone. */
   forget(member: Member): void {
-    this.owners.forgetInstance(member.instance);
+    this.#owners.forgetInstance(member.instance);
   }
 
   #require(partition: number): OwnedPartition {
@@ -89,20 +98,17 @@
   }
 
   #redirect(partition: number): never {
-    throw new RedirectSignal(this.owners.owner(partition)?.instance);
+    throw new RedirectSignal(this.ownerOf(partition));
   }
 
   #claimOrphans(): void {
     const { clock, settings } = this.#context;
     const nowMs = clock.monotonicMs();
     if (this.#stopping || nowMs < this.#claimAfterMs) return;
-    // A gateway that has just started and hears few others would take partitions from owners that are alive.
-    if (nowMs < this.#claimAloneAfterMs && !this.#members.hearsMost) return;
     const candidates = this.#members.ownerCandidates();
     for (let partition = 0; partition < settings.partitions; partition += 1) {
       if (this.#owned.has(partition) || this.#claiming.has(partition)) continue;
-      const owner = this.owners.owner(partition);
-      if (owner && this.#members.mayOwn(owner.instance)) continue;
+      if (this.#hasLiveOwner(partition)) continue;
       if (preferredOwner(partition, candidates) === settings.name) void this.#claim(partition);
     }
   }
@@ -121,11 +127,13 @@
   async #takeOwnerRow(partition: number): Promise<number | undefined> {
     const { store } = this.#context.platform;
     const key = ownerKey(partition);
-    const read = await store.read({ table: key.table, part: key.part });
-    this.#health.note(read);
-    if (read.type !== "rows") return undefined;
-    const row = read.rows.find((candidate) => candidate.key === key.key);
-    if (row && this.#isHeldByOther(partition, row)) return undefined;
+    const read = await this.#readOwnerRow(partition);
+    if (!read) return undefined;
+    const { row } = read;
+    const isDoubtful = this.#namesOther(row) || !this.#members.hearsMost;
+    if (isDoubtful && (await this.#isWritten(partition, row))) return undefined;
+    // One that the row names and that does not say so itself has never heard that it took the partition over.
+    if (this.#hasLiveOwner(partition)) return undefined;
     const owner = { instance: this.#context.instance, commit: FIRST_COMMIT };
     const outcome = await store.transact({
       conditions: [{ ...key, version: row?.version ?? 0 }],
@@ -136,12 +144,36 @@
     return outcome.type === "committed" ? outcome.version : undefined;
   }
 
-  #isHeldByOther(partition: number, row: StoredRow): boolean {
+  async #readOwnerRow(partition: number): Promise<{ readonly row: StoredRow | undefined } | undefined> {
+    const key = ownerKey(partition);
+    const read = await this.#context.platform.store.read({ table: key.table, part: key.part });
+    this.#health.note(read);
+    if (read.type !== "rows") return undefined;
+    return { row: read.rows.find((candidate) => candidate.key === key.key) };
+  }
+
+  /**
+   * Whether an owner goes on writing. A gateway that hears few of the others may itself be the one that is cut off:
+   * it takes nothing from an owner whose writes it sees in the store.
+   */
+  async #isWritten(partition: number, row: StoredRow | undefined): Promise<boolean> {
+    const { clock, settings } = this.#context;
+    await delay(clock, settings.timing.watchOwnerMs);
+    const again = await this.#readOwnerRow(partition);
+    return !again || again.row?.version !== row?.version;
+  }
+
+  /** Whether the row names another gateway that is alive. */
+  #namesOther(row: StoredRow | undefined): boolean {
+    if (!row) return false;
     const { instance } = decodeOwner(row.value);
-    if (instance === this.#context.instance || !this.#members.mayOwn(instance)) return false;
-    // Its epoch is not known from the row, which every write changes; its heartbeat will tell.
-    this.#context.log.debug({ partition, instance }, "partition has a live owner");
-    return true;
+    return instance !== this.#context.instance && this.#members.mayOwn(instance);
+  }
+
+  /** Whether a gateway that is alive says that it owns the partition. */
+  #hasLiveOwner(partition: number): boolean {
+    const owner = this.ownerOf(partition);
+    return owner !== undefined && this.#members.mayOwn(owner);
   }
 
   async #readAccounts(partition: number, epoch: number): Promise<Map<string, StoredAccount> | undefined> {
@@ -174,14 +206,14 @@
       () => this.#onLost(owned),
     );
     this.#owned.set(partition, owned);
-    this.owners.learn(partition, { instance, epoch });
+    this.#owners.learn(partition, { instance, epoch });
     log.info({ partition, epoch, programs: accounts.size }, "partition taken over");
     this.#members.tick();
   }
 
   #onLost(owned: OwnedPartition): void {
     if (this.#owned.get(owned.partition) === owned) this.#owned.delete(owned.partition);
-    this.owners.forget(owned.partition, this.#context.instance);
+    this.#owners.forget(owned.partition, this.#context.instance);
     this.#context.log.info({ partition: owned.partition, epoch: owned.epoch }, "partition let go");
   }
 }
