--- a/bench/mutations.ts
+++ b/bench/mutations.ts
@@ -7,175 +7,9 @@
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { Cli, Command, Option } from "clipanion";
-
-/** One replaced text. */
-interface Edit {
-  readonly file: string;
-  readonly from: string;
-  readonly to: string;
-}
-
-/** A deliberate break. */
-interface Mutation {
-  readonly promise: string;
-  readonly name: string;
-  readonly edits: readonly Edit[];
-  /** Arguments of the simulation under which the break should show. */
-  readonly args: readonly string[];
-}
-
-const MUTATIONS: readonly Mutation[] = [
-  {
-    promise: "call order",
-    name: "numbers of calls are ignored",
-    edits: [
-      {
-        file: "src/node/calls/call-admission.ts",
-        from: "number: submit.number ?? program.nextNumber",
-        to: "number: program.nextNumber",
-      },
-      {
-        file: "src/node/calls/program-lane.ts",
-        from: "submit.number <= nextNumber",
-        to: "submit.number > 0",
-      },
-      {
-        file: "src/node/calls/call-service.ts",
-        from: "submit.number >= program.nextNumber",
-        to: "submit.number > 0",
-      },
-    ],
-    args: ["--faults", "none"],
-  },
-  {
-    promise: "history",
-    name: "commit on one replica, the others later",
-    edits: [
-      {
-        file: "src/coordination/shard-group/shard-group.ts",
-        from: "held[majoritySize(this.membership) - 1] ?? 0",
-        to: "held[0] ?? 0",
-      },
-      {
-        file: "src/coordination/shard-group/shard-group.ts",
-        from: "for (const progress of this.#followers.values()) this.#sendEntries(progress, nowMs);\n    this.#advanceCommit",
-        to: "this.#advanceCommit",
-      },
-    ],
-    args: ["--faults", "kill-node"],
-  },
-  {
-    promise: "budget",
-    name: "the ledger forgets what it has lent",
-    edits: [
-      {
-        file: "src/coordination/budget-escrow/budget-ledger.ts",
-        from: "limit - this.outstanding(budget)",
-        to: "limit",
-      },
-    ],
-    args: ["--faults", "kill-node", "--budget", "9000"],
-  },
-  {
-    promise: "engine memory",
-    name: "nothing is released when a program ends, and no sweep",
-    edits: [
-      {
-        file: "src/node/programs/program-service.ts",
-        from: 'if (home) this.#context.transport.send(home, { type: "releaseProgram", runner, program: program.id });',
-        to: "if (!home) return;",
-      },
-      {
-        file: "src/node/runners/hold-sweeper.ts",
-        from: "if (this.#sweeping) return;",
-        to: "if (!this.#sweeping) return;",
-      },
-    ],
-    args: ["--faults", "kill-node,kill-engine"],
-  },
-  {
-    promise: "whole answers",
-    name: "pieces that were seen before are not cut off",
-    edits: [
-      {
-        file: "src/sidecar/calls/call-session.ts",
-        from: "text.slice(this.#received.length - offset)",
-        to: "text",
-      },
-      {
-        file: "src/sidecar/calls/call-session.ts",
-        from: "if (offset + text.length <= this.#received.length) return;",
-        to: "",
-      },
-    ],
-    args: ["--faults", "network-duplicates"],
-  },
-  {
-    promise: "true refusals",
-    name: "not-run after a time-out",
-    edits: [
-      {
-        file: "src/node/calls/service-runner.ts",
-        from: '  return problemOf("outcome-unknown", detail);\n}',
-        to: '  return problemOf("outcome-unknown", detail, { outcome: "not-run" });\n}',
-      },
-    ],
-    args: ["--faults", "service-hangs"],
-  },
-  {
-    promise: "at most once",
-    name: "a new leader sends again what may not be repeated",
-    edits: [
-      {
-        file: "src/node/calls/call-execution.ts",
-        from: "if (takenOver && !job.record.repeatable)",
-        to: "if (takenOver && job.record.attempt > 99)",
-      },
-    ],
-    args: ["--faults", "kill-node,isolate-node,service-hangs"],
-  },
-  {
-    promise: "leaving back ends",
-    name: "homes do not look at the list",
-    edits: [
-      {
-        file: "src/node/runners/runner-home.ts",
-        from: 'this.#machine.state === "leaving" || this.#engineLeaving',
-        to: "this.#engineLeaving",
-      },
-      {
-        file: "src/node/runners/runner-directory.ts",
-        from: 'machine.state === "leaving" || (known?.load.leaving ?? false)',
-        to: "known?.load.leaving ?? false",
-      },
-    ],
-    args: ["--faults", "engine-leaves"],
-  },
-  {
-    promise: "planned stops",
-    name: "a stop waits for nothing",
-    edits: [
-      {
-        file: "src/node/node-daemon.ts",
-        from: "(this.#hasReplicas() || this.calls.activeCalls > 0)",
-        to: "clock.monotonicMs() < 0",
-      },
-    ],
-    args: ["--faults", "drain-node"],
-  },
-  {
-    promise: "configuration",
-    name: "old policies stay in force",
-    edits: [
-      {
-        file: "src/node/configuration/configuration-service.ts",
-        from: "    this.#policies.clear();\n",
-        to: "",
-      },
-    ],
-    args: ["--faults", "none"],
-  },
-];
+import { GATEWAY_MUTATIONS } from "./mutations/gateway-mutations.ts";
+import type { Edit, Mutation } from "./mutations/mutation.ts";
+import { NODE_MUTATIONS } from "./mutations/node-mutations.ts";
 
 const COPIED = ["src", "bench", "standins", "package.json", "tsconfig.json"];
 const RUN_TIMEOUT_MS = 100_000;
@@ -187,7 +21,9 @@
   jobs = Option.String("--jobs", "6", { description: "Breaks tried at once" });
 
   override async execute(): Promise<number> {
-    const queue = MUTATIONS.filter((mutation) => !this.only || mutation.name.includes(this.only));
+    const queue = [...NODE_MUTATIONS, ...GATEWAY_MUTATIONS].filter(
+      (mutation) => !this.only || mutation.name.includes(this.only),
+    );
     const results: string[] = [];
     let missed = 0;
     const work = async () => {
@@ -212,10 +48,13 @@
     for (const name of COPIED) await cp(name, join(folder, name), { recursive: true });
     await symlink(resolve("node_modules"), join(folder, "node_modules"));
     for (const edit of mutation.edits) await applyEdit(folder, edit);
-    const output = await simulate(folder, ["--seed", "1", "--runs", runs, ...mutation.args]);
+    const output = await simulate(folder, [mutation.script, "--seed", "1", "--runs", runs, ...mutation.args]);
     const lines = output.split("\n");
     const at = lines.findIndex((line) => line.includes(" BROKEN"));
-    if (at < 0) return lines.some((line) => / passed, /.test(line)) ? undefined : "the run did not finish";
+    if (at < 0)
+      return lines.some((line) => / passed, | broke a promise/.test(line))
+        ? undefined
+        : "the run did not finish";
     return `seed ${/seed (\d+)/.exec(lines[at])?.[1]}, \`${mutation.args.join(" ")}\`: ${lines[at + 1].trim()}`;
   } finally {
     await rm(folder, { recursive: true });
@@ -232,14 +71,9 @@
 function simulate(folder: string, args: readonly string[]): Promise<string> {
   return new Promise((resolveOutput) => {
     const options = { cwd: folder, timeout: RUN_TIMEOUT_MS, maxBuffer: 64 * 1024 * 1024 };
-    execFile(
-      process.execPath,
-      ["--import", "tsx", "bench/simulate.ts", ...args],
-      options,
-      (_error, stdout) => {
-        resolveOutput(stdout);
-      },
-    );
+    execFile(process.execPath, ["--import", "tsx", ...args], options, (_error, stdout) => {
+      resolveOutput(stdout);
+    });
   });
 }
 
--- /dev/null
+++ b/bench/mutations/mutation.ts
@@ -0,0 +1,19 @@
+/** What a deliberate break is. */
+
+/** One replaced text. */
+export interface Edit {
+  readonly file: string;
+  readonly from: string;
+  readonly to: string;
+}
+
+/** A deliberate break. */
+export interface Mutation {
+  readonly promise: string;
+  readonly name: string;
+  readonly edits: readonly Edit[];
+  /** The simulation that should notice. */
+  readonly script: "bench/simulate.ts" | "bench/simulate-gateways.ts";
+  /** Arguments of the simulation under which the break should show. */
+  readonly args: readonly string[];
+}
