Take a reset for an error in the clients of services and engines as well

Cause: what the gateway's process test had found holds for the product's older clients: an answer without a length whose connection is reset passed for a whole one (a charge half answered counted as answered). Test: four ways for an answer to end; the one with a reset failed before.

--- a/src/ports/http-json.ts
+++ b/src/ports/http-json.ts
@@ -1,7 +1,16 @@
-import { Pool } from "undici";
+// Loading undici as a whole gives its pools `request`, which is used here.
+import "undici";
+import type { Pool } from "undici";
 import { platformError } from "../errors/tulipwheel-error.ts";
+import { openPool } from "./http/connection-pool.ts";
 
-const CONNECTIONS_PER_PEER = 256;
+const POOL_OPTIONS = {
+  connections: 256,
+  connectTimeout: 1_000,
+  keepAliveTimeout: 4_000,
+  keepAliveTimeoutThreshold: 2_000,
+  keepAliveMaxTimeout: 600_000,
+};
 const DEFAULT_TIMEOUT_MS = 3_000;
 
 /** Options of an {@link HttpJsonClient}. */
@@ -32,7 +41,7 @@
   get(address: string): Pool {
     const existing = this.#pools.get(address);
     if (existing) return existing;
-    const pool = new Pool(`http://${address}`, { connections: CONNECTIONS_PER_PEER, connectTimeout: 1_000 });
+    const pool = openPool(address, POOL_OPTIONS);
     this.#pools.set(address, pool);
     return pool;
   }
--- /dev/null
+++ b/test/contract/service-client.test.ts
@@ -0,0 +1,48 @@
+/** The client of services, where the connection decides whether an answer is whole. */
+import { createServer, type Server } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { expect } from "earl";
+import { HttpPools } from "../../src/ports/http-json.ts";
+import { HttpServiceClient } from "../../src/ports/service/http-service-client.ts";
+import type { ServiceResult } from "../../src/ports/service/service-client.ts";
+import type { ServiceRequest } from "../../src/scheduling/program/records.ts";
+
+const HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+
+let server: Server | undefined;
+const pools = new HttpPools();
+
+/** Answers with these bytes, and then ends or resets the connection. */
+async function serve(answer: string, end: "end" | "reset"): Promise<string> {
+  server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => {
+      socket.write(answer);
+      setTimeout(() => (end === "end" ? socket.end() : socket.resetAndDestroy()), 50);
+    });
+  });
+  await new Promise<void>((resolve) => server?.listen(0, "127.0.0.1", resolve));
+  const bound = server.address();
+  return `127.0.0.1:${typeof bound === "object" && bound ? bound.port : 0}`;
+}
+
+function send(address: string): Promise<ServiceResult> {
+  const request = { method: "POST", path: "/charge", body: "1", contentType: "text/plain" } as ServiceRequest;
+  return new HttpServiceClient(pools).send(address, request, "call-1", 2_000);
+}
+
+describe("service client", () => {
+  afterEach(() => server?.close());
+
+  const CASES: [string, string, "end" | "reset", string][] = [
+    ["an answer with its length", `${HEAD}Content-Length: 4\r\n\r\ndone`, "end", "answered"],
+    ["one without, ended by its connection", `${HEAD}\r\ndone`, "end", "answered"],
+    ["one without whose connection is reset", `${HEAD}\r\ndo`, "reset", "unknown"],
+    ["one that is shorter than its length", `${HEAD}Content-Length: 4\r\n\r\ndo`, "end", "unknown"],
+  ];
+  for (const [name, answer, end, type] of CASES) {
+    it(`takes ${name} for ${type}`, async () => {
+      expect((await send(await serve(answer, end))).type as string).toEqual(type);
+    });
+  }
+});
