--- a/bench/simulation/gateways/gateway-workload.ts
+++ b/bench/simulation/gateways/gateway-workload.ts
@@ -27,6 +27,8 @@
   granted: number;
   exhausted: number;
   unavailable: number;
+  /** Times that a partition was seen with another owner than before. */
+  ownerChanges: number;
   /** Why the last turn was not answered. */
   lastUnavailable: string;
 }
--- a/bench/simulation/gateways/gateway-world.ts
+++ b/bench/simulation/gateways/gateway-world.ts
@@ -1,6 +1,7 @@
 /** Gateways, the store and the network of one simulation; and what can be done to them. */
 import type { GatewayMessage } from "../../../src/gateway/gateway-messages.ts";
 import { gatewaySettingsSchema } from "../../../src/gateway/gateway-settings.ts";
+import { decodeOwner, ownerKey } from "../../../src/gateway/partitions/partition-rows.ts";
 import { SeededRandomSource } from "../../../src/runtime/random-source.ts";
 import type { TextHash } from "../../../src/runtime/text-hash.ts";
 import { SimulatedNetwork } from "../simulated-network.ts";
@@ -80,6 +81,17 @@
     gateway.start();
   }
 
+  /** Partitions and the incarnations that the store names as their owners. */
+  owners(): [partition: number, instance: string][] {
+    const owners: [number, string][] = [];
+    for (let partition = 0; partition < PARTITIONS; partition += 1) {
+      const { table, part } = ownerKey(partition);
+      const [row] = this.store.model.read(table, part, "", undefined);
+      if (row) owners.push([partition, decodeOwner(Buffer.from(row.value ?? "", "base64")).instance]);
+    }
+    return owners;
+  }
+
   /** A gateway that serves, drawn at random; undefined when there is none. */
   drawServing(): SimulatedGateway | undefined {
     const serving = this.gateways.filter((gateway) => gateway.serves);
--- a/bench/simulation/gateways/run-gateway-simulation.ts
+++ b/bench/simulation/gateways/run-gateway-simulation.ts
@@ -19,6 +19,7 @@
 const RECOVERY_MS = 8_000;
 const CALM_MS = 4_000;
 const CONFIGURATION_EVERY_MS = 2_500;
+const OWNERS_EVERY_MS = 500;
 
 /** See the module's comment. */
 export async function runGatewaySimulation(
@@ -33,6 +34,7 @@
     granted: 0,
     exhausted: 0,
     unavailable: 0,
+    ownerChanges: 0,
     lastUnavailable: "",
   };
   await world.time.runUntil(QUIET_START_MS);
@@ -40,6 +42,7 @@
   const endMs = faultsEndMs + RECOVERY_MS + CALM_MS;
   scheduleFaults(world, options.faults, faultsEndMs);
   watchConfiguration(world, observations, endMs);
+  watchOwners(world, observations, endMs);
   for (let count = 0; count < PROGRAMS_AT_ONCE; count += 1) void runPrograms(world, observations, endMs);
   await world.time.runUntil(faultsEndMs + RECOVERY_MS);
   const { granted, unavailable } = observations;
@@ -80,6 +83,20 @@
   look();
 }
 
+/** Counts the partitions that move. */
+function watchOwners(world: GatewayWorld, observations: GatewayObservations, endMs: number): void {
+  const owners = new Map<number, string>();
+  const look = () => {
+    for (const [partition, instance] of world.owners()) {
+      const before = owners.get(partition);
+      if (before !== undefined && before !== instance) observations.ownerChanges += 1;
+      owners.set(partition, instance);
+    }
+    if (world.time.nowMs < endMs) world.time.after(OWNERS_EVERY_MS, look);
+  };
+  look();
+}
+
 function checkConfiguration(world: GatewayWorld, observations: GatewayObservations): void {
   for (const gateway of world.gateways) {
     const version = gateway.routing.routes?.configuration.version;
--- a/test/simulation/gateways.test.ts
+++ b/test/simulation/gateways.test.ts
@@ -4,6 +4,7 @@
 import { GATEWAY_FAULTS, type GatewayFault } from "../../bench/simulation/gateways/gateway-faults.ts";
 import { runGatewaySimulation } from "../../bench/simulation/gateways/run-gateway-simulation.ts";
 import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
+import { knownRed } from "../support/known-red.ts";
 
 const DURATION_MS = 20_000;
 const LEAST_GRANTED = 100;
@@ -43,6 +44,13 @@
   for (const [index, faults] of PAIRS.entries()) {
     it(`holds under ${faults.join(" and ")}`, () => expectKept(100 + index, faults));
   }
+  const STAYS = "gateways: partitions stay with owners that live through an outage of the store";
+  it(STAYS, knownRed(STAYS), async () => {
+    for (const fault of ["store-busy", "store-silent"] as const) {
+      const result = await runGatewaySimulation({ seed: 7, faults: [fault], durationMs: DURATION_MS }, hash);
+      expect([fault, result.ownerChanges]).toEqual([fault, 0]);
+    }
+  });
   for (const [seed, faults, cause] of REGRESSIONS) {
     it(`holds where ${cause} (seed ${seed})`, () => expectKept(seed, faults));
   }
