Take requests that fail, stay silent or crawl as evidence against their runner

Outcomes of the last seconds, silence beyond three times the route's target and a pace far behind the pool's now cost in the choice; nodes tell each other the failing ones along with heartbeats.

--- a/bench/simulation/gateways/simulated-gateway.ts
+++ b/bench/simulation/gateways/simulated-gateway.ts
@@ -82,7 +82,7 @@
     this.#members.selfReport = () => ({
       state: this.state,
       owned: this.#host.owned,
-      inFlight: [],
+      runners: { inFlight: [], failing: [] },
     });
     this.#wire();
   }
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -20,6 +20,9 @@
 const GATEWAY_TIMEOUT = 504;
 /** When callers of a request that was not run should come back, in ms; up to as much again is added at random. */
 const RETRY_AFTER_MS = 100;
+/** A runner that is silent for so many times the route's target has a fault, or is overloaded. */
+const PATIENCE_FACTOR = 3;
+const MIN_PATIENCE_MS = 400;
 /** Tries at runners within one call, whatever became of them. */
 const MAX_TRIES = 12;
 
@@ -94,7 +97,9 @@
     this.#tries += 1;
     if (this.#tries > MAX_TRIES) return false;
     const { exchange, call, leftMs } = this;
-    const request = { exchange, call, body, deadlineMs: leftMs, lastEventId };
+    const patienceMs = Math.max(MIN_PATIENCE_MS, this.route.targetLatencyMs * PATIENCE_FACTOR);
+    const streaming = this.route.kind === "streaming";
+    const request = { exchange, call, body, deadlineMs: leftMs, lastEventId, streaming, patienceMs };
     this.attempt = new RunnerAttempt(this.parts, runner, request, listener);
     return true;
   }
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -6,6 +6,8 @@
   type HttpExchangeListener,
   sendRequest,
 } from "../../ports/http/http-exchange.ts";
+import type { PendingRequest } from "../../scheduling/runner-board/pending-request.ts";
+import type { RequestOutcome } from "../../scheduling/runner-board/request-outcome.ts";
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import type { GatewayContext } from "../gateway-context.ts";
@@ -44,9 +46,16 @@
   /** Time that the runner is given, in ms. */
   readonly deadlineMs: number;
   readonly lastEventId: number | undefined;
+  /** Whether the answer comes event by event. */
+  readonly streaming: boolean;
+  /** Silence after which the try speaks against its runner, in ms. */
+  readonly patienceMs: number;
 }
 
 const MISDIRECTED = 421;
+const FIRST_SERVER_ERROR = 500;
+/** Streams of fewer events say little of their runner's pace. */
+const MIN_PACED_EVENTS = 3;
 
 /** See the module's comment. */
 export class RunnerAttempt implements HttpExchangeListener {
@@ -55,7 +64,11 @@
   readonly #request: AttemptRequest;
   readonly #listener: AttemptListener;
   readonly #exchange: HttpExchange;
+  readonly #pending: PendingRequest;
   #over = false;
+  #status = 0;
+  #firstByteMs = 0;
+  #chunks = 0;
   /** Status of an answer that says that nothing was run; its body is read and dropped. */
   #notRunStatus: number | undefined;
 
@@ -64,7 +77,7 @@
     this.#parts = parts;
     this.#request = request;
     this.#listener = listener;
-    parts.board.started(runner.id);
+    this.#pending = parts.board.started(runner.id, this.#nowMs, request.patienceMs);
     const { exchange, body, deadlineMs, lastEventId } = request;
     const headers = parts.context.platform.calls.headersForRunner(exchange.rawHeaders, {
       deadlineMs,
@@ -81,7 +94,7 @@
   /** Gives the try up; the runner is told by the end of the connection. */
   abort(): void {
     if (this.#over) return;
-    this.#finish();
+    this.#finish("abandoned");
     this.#exchange.abort();
   }
 
@@ -91,13 +104,18 @@
       this.#fail({ type: "broken", detail: `an answer to ${answer.requestId} came` });
       return false;
     }
+    this.#status = head.status;
+    this.#pending.answered = true;
+    this.#firstByteMs = this.#nowMs;
     if (answer.notRun) this.#notRunStatus = head.status;
     else this.#listener.onHead(head);
     return true;
   }
 
   onData(chunk: Buffer): void {
-    if (this.#notRunStatus === undefined && !this.#over) this.#listener.onData(chunk);
+    if (this.#notRunStatus !== undefined || this.#over) return;
+    this.#chunks += 1;
+    this.#listener.onData(chunk);
   }
 
   onEnd(): void {
@@ -106,7 +124,8 @@
       return;
     }
     if (this.#over) return;
-    this.#finish();
+    this.#notePace();
+    this.#finish(this.#status < FIRST_SERVER_ERROR ? "success" : "failure");
     this.#listener.onEnd();
   }
 
@@ -117,15 +136,28 @@
 
   #fail(failure: AttemptFailure): void {
     if (this.#over) return;
-    this.#finish();
-    const { board, context } = this.#parts;
+    this.#finish(failure.type === "broken" ? "failure" : "abandoned");
+    const { board } = this.#parts;
     if (failure.type === "notRun" && failure.status === MISDIRECTED) board.markLeaving(this.runner.id);
-    else if (failure.type !== "broken") board.avoid(this.runner.id, context.clock.monotonicMs());
+    else if (failure.type !== "broken") board.avoid(this.runner.id, this.#nowMs);
     this.#listener.onFailed(failure);
   }
 
-  #finish(): void {
+  #finish(outcome: RequestOutcome): void {
     this.#over = true;
-    this.#parts.board.ended(this.runner.id);
+    this.#parts.board.ended(this.#pending, outcome, this.#nowMs);
+  }
+
+  /** Events of a stream come as they are made; another answer is one step. */
+  #notePace(): void {
+    const { board } = this.#parts;
+    const nowMs = this.#nowMs;
+    if (!this.#request.streaming) board.paced(this.runner.id, nowMs - this.#pending.startedAtMs, nowMs);
+    else if (this.#chunks >= MIN_PACED_EVENTS)
+      board.paced(this.runner.id, (nowMs - this.#firstByteMs) / this.#chunks, nowMs);
+  }
+
+  get #nowMs(): number {
+    return this.#parts.context.clock.monotonicMs();
   }
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -57,7 +57,7 @@
     this.#members.selfReport = () => ({
       state: this.state,
       owned: this.#partitions.owned,
-      inFlight: this.#board.inFlight(),
+      runners: this.#board.ownReport(context.clock.monotonicMs()),
     });
     this.#wireMembers();
   }
@@ -105,7 +105,7 @@
   #wireMembers(): void {
     this.#members.onHeard = (member) => {
       this.#partitions.learn(member);
-      this.#board.report(member.instance, member.heartbeat.inFlight);
+      this.#board.report(member.instance, member.heartbeat.runners);
     };
     this.#members.onLost = (member) => {
       this.#partitions.forget(member);
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -1,5 +1,6 @@
 /** What gateways say to each other. */
 import type { RpcRequest, RpcResponse } from "../messages/rpc-messages.ts";
+import type { NodeReport } from "../scheduling/runner-board/node-report.ts";
 
 /** Where a gateway is in its life. Only ready ones are given to callers; only they own partitions. */
 export type GatewayState = "starting" | "ready" | "stopping";
@@ -15,8 +16,8 @@
   readonly storeReachable: boolean;
   /** Partitions that it owns, with the epochs of its ownership. */
   readonly owned: readonly (readonly [partition: number, epoch: number])[];
-  /** Its requests in flight, by runner. */
-  readonly inFlight: readonly (readonly [runner: string, count: number])[];
+  /** Its requests at runners. */
+  readonly runners: NodeReport;
   /** Addresses of gateways that it knows; only now and then. */
   readonly peers: readonly string[];
 }
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -7,6 +7,7 @@
 import type { OwnerCandidate } from "../../coordination/partition-ownership/index.ts";
 import { repeat } from "../../runtime/clock.ts";
 import type { Sender, Transport } from "../../runtime/transport.ts";
+import type { NodeReport } from "../../scheduling/runner-board/node-report.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { GatewayMessage, GatewayState, Heartbeat } from "../gateway-messages.ts";
 import type { StoreHealth } from "../store-health.ts";
@@ -24,7 +25,7 @@
 export interface SelfReport {
   readonly state: GatewayState;
   readonly owned: readonly (readonly [number, number])[];
-  readonly inFlight: readonly (readonly [string, number])[];
+  readonly runners: NodeReport;
 }
 
 /** Another gateway. */
@@ -52,7 +53,7 @@
   selfReport: () => SelfReport = () => ({
     state: "starting",
     owned: [],
-    inFlight: [],
+    runners: { inFlight: [], failing: [] },
   });
   onHeard: (member: Member) => void = () => undefined;
   onLost: MemberLost = () => undefined;
--- /dev/null
+++ b/src/scheduling/runner-board/pending-request.ts
@@ -0,0 +1,9 @@
+/** A request that has left for a runner and is not over. Times are of the monotonic clock, in ms. */
+export interface PendingRequest {
+  readonly runner: string;
+  readonly startedAtMs: number;
+  /** Silence after which the request speaks against its runner. */
+  readonly patienceMs: number;
+  /** Whether the head of the answer has come. */
+  answered: boolean;
+}
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -2,7 +2,12 @@
  * What one node believes of the runners: the platform's list, requests in flight from here and, from heartbeats,
  * from the other nodes, and what this node has met itself. Pure: time comes in as a value.
  */
+import type { NodeReport } from "./node-report.ts";
+import type { OutcomeCounts } from "./outcome-counts.ts";
+import type { PendingRequest } from "./pending-request.ts";
+import type { RequestOutcome } from "./request-outcome.ts";
 import type { RunnerEntry } from "./runner-entry.ts";
+import { RunnerHealth } from "./runner-health.ts";
 
 /** How long a runner that refused a connection, or left, is passed over, in ms. */
 const AVOID_MS = 1_000;
@@ -14,14 +19,32 @@
 const COLD_PROMPT_COST = 0.35;
 /** What each request beyond the slots costs, as a share of all slots. */
 const QUEUED_COST = 4;
+/** What a runner costs at which every request fails, as a share of all slots. */
+const FAILING_COST = 4;
+/** Outcomes that are assumed to have been good, so that one failure alone says little. */
+const ASSUMED_SUCCESSES = 2;
+/** What a runner costs for each time that its steps take as long again as those of the pool. */
+const SLOW_COST = 0.25;
+/** A pace up to this many times as slow as the pool's costs nothing. */
+const TOLERATED_SLOWNESS = 2;
+const MAX_SLOW_COST = 2;
+/** Runners with less than this of failures are not worth a report. */
+const MIN_REPORTED_FAILURES = 0.2;
+const REPORT_DIGITS = 10;
 
 interface RunnerState {
   entry: RunnerEntry;
-  inFlight: number;
+  readonly health: RunnerHealth;
   avoidUntilMs: number;
   leaving: boolean;
 }
 
+/** A report of another node, by runner. */
+interface ReportOfNode {
+  readonly inFlight: ReadonlyMap<string, number>;
+  readonly outcomes: ReadonlyMap<string, OutcomeCounts>;
+}
+
 /** What a choice depends on. */
 export interface RunnerChoice {
   readonly pool: string;
@@ -39,14 +62,13 @@
 /** See the module's comment. */
 export class RunnerBoard {
   readonly #runners = new Map<string, RunnerState>();
-  /** Requests of other nodes, by node and runner. */
-  readonly #reports = new Map<string, ReadonlyMap<string, number>>();
+  readonly #reports = new Map<string, ReportOfNode>();
 
   /** Takes in a new or changed entry of the list. */
   upsert(entry: RunnerEntry): void {
     const known = this.#runners.get(entry.id);
     if (known) known.entry = entry;
-    else this.#runners.set(entry.id, { entry, inFlight: 0, avoidUntilMs: 0, leaving: false });
+    else this.#runners.set(entry.id, { entry, health: new RunnerHealth(), avoidUntilMs: 0, leaving: false });
   }
 
   /** Takes out an entry that is gone from the list. */
@@ -82,10 +104,11 @@
     let best: RunnerState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     const candidates = this.#candidates(choice);
+    const usualMs = usualPaceMs(candidates, choice.nowMs);
     const start = Math.floor(choice.sample * candidates.length);
     for (let index = 0; index < candidates.length; index += 1) {
       const state = candidates[(start + index) % candidates.length] as RunnerState;
-      const cost = this.#costOf(state, choice);
+      const cost = this.#costOf(state, choice, usualMs);
       if (cost < bestCost) {
         best = state;
         bestCost = cost;
@@ -96,22 +119,30 @@
 
   /** Requests under way at a runner, as far as known. */
   load(id: string): number {
-    const state = this.#runners.get(id);
-    let sum = state?.inFlight ?? 0;
-    for (const report of this.#reports.values()) sum += report.get(id) ?? 0;
+    let sum = this.#runners.get(id)?.health.inFlight ?? 0;
+    for (const report of this.#reports.values()) sum += report.inFlight.get(id) ?? 0;
     return sum;
   }
 
-  /** Counts a request that leaves for a runner; call {@link ended} when it is over. */
-  started(id: string): void {
-    const state = this.#runners.get(id);
-    if (state) state.inFlight += 1;
+  /**
+   * Counts a request that leaves for a runner; call {@link ended} when it is over.
+   *
+   * @param patienceMs silence after which the request speaks against the runner, in ms
+   */
+  started(runner: string, nowMs: number, patienceMs: number): PendingRequest {
+    const pending = { runner, startedAtMs: nowMs, patienceMs, answered: false };
+    this.#runners.get(runner)?.health.begin(pending);
+    return pending;
+  }
+
+  /** Takes in how long a runner took for one step of its work, in ms. */
+  paced(runner: string, stepMs: number, nowMs: number): void {
+    this.#runners.get(runner)?.health.pace(stepMs, nowMs);
   }
 
   /** Counts the end of a request. */
-  ended(id: string): void {
-    const state = this.#runners.get(id);
-    if (state && state.inFlight > 0) state.inFlight -= 1;
+  ended(pending: PendingRequest, outcome: RequestOutcome, nowMs: number): void {
+    this.#runners.get(pending.runner)?.health.end(pending, outcome, nowMs);
   }
 
   /** Passes over a runner for a while, after it refused a connection or was full. */
@@ -126,16 +157,22 @@
     if (state) state.leaving = true;
   }
 
-  /** Requests of this node in flight, for the heartbeat. */
-  inFlight(): [string, number][] {
-    const counts: [string, number][] = [];
-    for (const [id, state] of this.#runners) if (state.inFlight > 0) counts.push([id, state.inFlight]);
-    return counts;
+  /** What this node tells the others, for the heartbeat. */
+  ownReport(nowMs: number): NodeReport {
+    const inFlight: [string, number][] = [];
+    const failing: [string, number, number][] = [];
+    for (const [id, { health }] of this.#runners) {
+      if (health.inFlight > 0) inFlight.push([id, health.inFlight]);
+      const { successes, failures } = health.counts(nowMs);
+      if (failures >= MIN_REPORTED_FAILURES) failing.push([id, rounded(successes), rounded(failures)]);
+    }
+    return { inFlight, failing };
   }
 
-  /** Takes in what another node has in flight. */
-  report(node: string, counts: readonly (readonly [string, number])[]): void {
-    this.#reports.set(node, new Map(counts));
+  /** Takes in what another node tells. */
+  report(node: string, { inFlight, failing }: NodeReport): void {
+    const outcomes = failing.map(([id, successes, failures]) => [id, { successes, failures }] as const);
+    this.#reports.set(node, { inFlight: new Map(inFlight), outcomes: new Map(outcomes) });
   }
 
   /** Drops what a node that is gone had in flight. */
@@ -153,7 +190,20 @@
     return candidates;
   }
 
-  #costOf(state: RunnerState, choice: RunnerChoice): number {
+  /** Part of the requests of the last seconds that failed at a runner, as all nodes see it: 0 to 1. */
+  failureRate(id: string, nowMs: number): number {
+    const own = this.#runners.get(id)?.health.counts(nowMs);
+    let successes = own?.successes ?? 0;
+    let failures = own?.failures ?? 0;
+    for (const report of this.#reports.values()) {
+      const outcomes = report.outcomes.get(id);
+      successes += outcomes?.successes ?? 0;
+      failures += outcomes?.failures ?? 0;
+    }
+    return failures / (failures + successes + ASSUMED_SUCCESSES);
+  }
+
+  #costOf(state: RunnerState, choice: RunnerChoice, usualMs: number | undefined): number {
     const { entry } = state;
     const load = this.load(entry.id);
     const beyond = Math.max(0, load + 1 - entry.slots);
@@ -161,10 +211,28 @@
     if (entry.zone !== choice.zone) cost += OTHER_ZONE_COST;
     if (choice.preferred !== undefined && choice.preferred !== entry.id) cost += COLD_PROMPT_COST;
     if (choice.nowMs < state.avoidUntilMs) cost += AVOIDED_COST;
-    return cost;
+    cost += this.failureRate(entry.id, choice.nowMs) * FAILING_COST;
+    return cost + slownessCost(state.health.paceMs(choice.nowMs), usualMs);
   }
 }
 
 function isReady(state: RunnerState): boolean {
   return state.entry.state === "ready" && !state.leaving;
 }
+
+/** The median pace of the candidates; undefined when too few are known. */
+function usualPaceMs(candidates: readonly RunnerState[], nowMs: number): number | undefined {
+  const times = candidates.flatMap(({ health }) => health.paceMs(nowMs) ?? []);
+  times.sort((left, right) => left - right);
+  return times.length >= 2 ? times[Math.floor((times.length - 1) / 2)] : undefined;
+}
+
+function slownessCost(paceMs: number | undefined, usualMs: number | undefined): number {
+  if (paceMs === undefined || usualMs === undefined || usualMs <= 0) return 0;
+  const beyond = Math.max(0, paceMs / usualMs - TOLERATED_SLOWNESS);
+  return Math.min(MAX_SLOW_COST, beyond * SLOW_COST);
+}
+
+function rounded(count: number): number {
+  return Math.round(count * REPORT_DIGITS) / REPORT_DIGITS;
+}
--- a/test/contract/gateway-parts.test.ts
+++ b/test/contract/gateway-parts.test.ts
@@ -149,11 +149,13 @@
     sample: 0,
   };
 
+  const PATIENCE_MS = 400;
+
   it("takes the runner with least in flight, as all nodes see it", () => {
     const board = new RunnerBoard();
     for (const id of ["a", "b"]) board.upsert(entry(id));
-    board.report("other node", [["a", 2]]);
-    board.started("b");
+    board.report("other node", { inFlight: [["a", 2]], failing: [] });
+    board.started("b", 0, PATIENCE_MS);
     expect(board.choose(choice)?.id).toEqual("b");
     board.dropReport("other node");
     expect(board.choose(choice)?.id).toEqual("a");
@@ -162,9 +164,9 @@
   it("goes back to the runner that holds the prompt while it has room", () => {
     const board = new RunnerBoard();
     for (const id of ["a", "b"]) board.upsert(entry(id));
-    board.started("a");
+    board.started("a", 0, PATIENCE_MS);
     expect(board.choose({ ...choice, preferred: "a" })?.id).toEqual("a");
-    for (let count = 0; count < 6; count += 1) board.started("a");
+    for (let count = 0; count < 6; count += 1) board.started("a", 0, PATIENCE_MS);
     expect(board.choose({ ...choice, preferred: "a" })?.id).toEqual("b");
   });
 
@@ -180,11 +182,49 @@
     expect(board.ready("b")).toEqual(undefined);
   });
 
+  const EVIDENCE: [name: string, against: (board: RunnerBoard) => void][] = [
+    ["answers badly", (board) => board.ended(board.started("a", 0, PATIENCE_MS), "failure", 10)],
+    ["does not answer at all", (board) => void board.started("a", -2 * PATIENCE_MS, PATIENCE_MS)],
+    ["was silent until its caller left", (board) => abandon(board, -2 * PATIENCE_MS)],
+    ["fails requests of other nodes", (board) => board.report("n", { inFlight: [], failing: [["a", 1, 2]] })],
+    ["takes far longer than the others", (board) => pace(board)],
+  ];
+  function abandon(board: RunnerBoard, startedMs: number): void {
+    board.ended(board.started("a", startedMs, PATIENCE_MS), "abandoned", 10);
+  }
+  function pace(board: RunnerBoard): void {
+    for (const [id, stepMs] of [
+      ["a", 200],
+      ["b", 25],
+      ["c", 25],
+    ] as const)
+      board.paced(id, stepMs, 10);
+  }
+  for (const [name, against] of EVIDENCE) {
+    it(`passes over a runner that ${name}, until that is long ago`, () => {
+      const board = new RunnerBoard();
+      for (const id of ["a", "b", "c"]) board.upsert(entry(id, id === "a" ? {} : { zone: "far" }));
+      expect(board.choose({ ...choice, nowMs: 20 })?.id).toEqual("a");
+      against(board);
+      expect(board.choose({ ...choice, nowMs: 20 })?.id).toEqual("b");
+    });
+  }
+
+  it("thinks well again of a runner that failed long ago, and of one whose caller left early", () => {
+    const board = new RunnerBoard();
+    for (const id of ["a", "b"]) board.upsert(entry(id, id === "a" ? {} : { zone: "far" }));
+    board.ended(board.started("a", 0, PATIENCE_MS), "failure", 10);
+    expect(board.choose({ ...choice, nowMs: 20_000 })?.id).toEqual("a");
+    abandon(board, 20_000);
+    expect(board.choose({ ...choice, nowMs: 20_020 })?.id).toEqual("a");
+    expect(board.ownReport(20_020)).toEqual({ inFlight: [], failing: [] });
+  });
+
   it("passes over a runner that refused connections, but takes it when nothing else is left", () => {
     const board = new RunnerBoard();
     for (const id of ["a", "b"]) board.upsert(entry(id));
     board.avoid("a", 0);
-    for (let count = 0; count < 4; count += 1) board.started("b");
+    for (let count = 0; count < 4; count += 1) board.started("b", 0, PATIENCE_MS);
     expect(board.choose({ ...choice, nowMs: 10 })?.id).toEqual("b");
     expect(board.choose({ ...choice, excluded: new Set(["b"]) })?.id).toEqual("a");
   });
