Relay heartbeats per zone where gateways are many

From 25 gateways on, two relays per zone pass on what they hear, as differences with a sequence; below, nothing changes. Loads of runners travel as sums by zone.

--- a/bench/simulate-gateways.ts
+++ b/bench/simulate-gateways.ts
@@ -1,11 +1,12 @@
 /**
- * Runs the simulation of gateways: `npm run simulate:gateways -- [--seed N] [--runs N] [--faults a,b]`. Without
+ * Runs the simulation of gateways: `npm run simulate:gateways -- [--seed N] [--runs N] [--faults a,b] [--relays]`. Without
  * `--faults`, each run draws two kinds by its seed. Ends with code 1 if any promise was broken.
  */
 import { parseArgs } from "node:util";
 import { SeededRandomSource } from "../src/runtime/random-source.ts";
 import { loadTextHash } from "../src/runtime/text-hash.ts";
 import { GATEWAY_FAULTS, type GatewayFault } from "./simulation/gateways/gateway-faults.ts";
+import { RELAYED_FLEET, SMALL_FLEET } from "./simulation/gateways/gateway-world.ts";
 import { runGatewaySimulation } from "./simulation/gateways/run-gateway-simulation.ts";
 
 const DURATION_MS = 20_000;
@@ -15,6 +16,7 @@
     seed: { type: "string", default: "1" },
     runs: { type: "string", default: "10" },
     faults: { type: "string" },
+    relays: { type: "boolean", default: false },
   },
 });
 
@@ -29,12 +31,13 @@
   process.stderr.write(`Unknown faults: ${unknown.join(", ")}. Known: ${GATEWAY_FAULTS.join(", ")}.\n`);
   process.exit(2);
 }
+const fleet = values.relays ? RELAYED_FLEET : SMALL_FLEET;
 const hash = await loadTextHash();
 const first = Number(values.seed);
 let failed = 0;
 for (let seed = first; seed < first + Number(values.runs); seed += 1) {
   const faults = drawFaults(seed);
-  const result = await runGatewaySimulation({ seed, faults, durationMs: DURATION_MS }, hash);
+  const result = await runGatewaySimulation({ seed, faults, durationMs: DURATION_MS, fleet }, hash);
   const verdict = result.broken.length === 0 ? "holds" : "BROKEN";
   const { granted, exhausted, unavailable } = result;
   process.stdout.write(
--- a/bench/simulation/gateways/gateway-world.ts
+++ b/bench/simulation/gateways/gateway-world.ts
@@ -9,12 +9,22 @@
 import { CONFIGURATION_KEY, CONFIGURATION_TABLE, SimulatedGateway } from "./simulated-gateway.ts";
 import { SharedStore, SimulatedRowStore } from "./simulated-row-store.ts";
 
-const GATEWAYS = 5;
 const ZONES = 3;
 const PARTITIONS = 8;
 const UNUSED = "127.0.0.1:1";
 const SEED_SPREAD = 1_000;
 
+/** How many gateways there are, and from how many on relays carry their heartbeats. */
+export interface GatewayFleet {
+  readonly gateways: number;
+  readonly directMost: number;
+}
+
+/** Few gateways: each sends its heartbeats to all others. */
+export const SMALL_FLEET: GatewayFleet = { gateways: 5, directMost: 24 };
+/** Gateways enough for relays: two of the four of each zone. */
+export const RELAYED_FLEET: GatewayFleet = { gateways: 12, directMost: 4 };
+
 /** See the module's comment. */
 export class GatewayWorld {
   readonly time = new VirtualTime();
@@ -24,18 +34,20 @@
   readonly random: SeededRandomSource;
   readonly #hash: TextHash;
   readonly #seed: number;
+  readonly #fleet: GatewayFleet;
   #starts = 0;
   #version = 0;
 
-  constructor(seed: number, hash: TextHash) {
+  constructor(seed: number, hash: TextHash, fleet: GatewayFleet = SMALL_FLEET) {
     this.#seed = seed;
+    this.#fleet = fleet;
     this.#hash = hash;
     this.random = new SeededRandomSource(seed);
     this.store = new SharedStore(this.time, new SeededRandomSource(seed + SEED_SPREAD));
     this.network = new SimulatedNetwork(this.time, new SeededRandomSource(seed + 2 * SEED_SPREAD));
     this.network.refusesForDead = true;
     this.configure();
-    for (let index = 0; index < GATEWAYS; index += 1) this.start(index);
+    for (let index = 0; index < fleet.gateways; index += 1) this.start(index);
   }
 
   /** The newest version that the operators have written. */
@@ -67,6 +79,7 @@
       seeds: [0, 1, 2].map(addressOf),
       store: UNUSED,
       partitions: PARTITIONS,
+      membership: { directMost: this.#fleet.directMost },
     });
     const gateway = new SimulatedGateway({
       settings,
--- a/bench/simulation/gateways/run-gateway-simulation.ts
+++ b/bench/simulation/gateways/run-gateway-simulation.ts
@@ -2,7 +2,7 @@
 import type { TextHash } from "../../../src/runtime/text-hash.ts";
 import { type GatewayFault, strike } from "./gateway-faults.ts";
 import { type GatewayObservations, runPrograms } from "./gateway-workload.ts";
-import { GatewayWorld } from "./gateway-world.ts";
+import { type GatewayFleet, GatewayWorld } from "./gateway-world.ts";
 
 /** One simulated run. */
 export interface GatewaySimulationOptions {
@@ -10,6 +10,7 @@
   readonly faults: readonly GatewayFault[];
   /** Virtual time under faults, in ms. */
   readonly durationMs: number;
+  readonly fleet?: GatewayFleet;
 }
 
 const PROGRAMS_AT_ONCE = 8;
@@ -26,7 +27,7 @@
   options: GatewaySimulationOptions,
   hash: TextHash,
 ): Promise<GatewayObservations> {
-  const world = new GatewayWorld(options.seed, hash);
+  const world = new GatewayWorld(options.seed, hash, options.fleet);
   const observations: GatewayObservations = {
     programs: [],
     whole: [],
--- a/bench/simulation/gateways/simulated-gateway.ts
+++ b/bench/simulation/gateways/simulated-gateway.ts
@@ -124,6 +124,7 @@
     });
     this.#transport.onMessage((message, from) => {
       if (message.type === "heartbeat") this.#members.onHeartbeat(message, from);
+      else if (message.type === "memberDigest") this.#members.onDigest(message, from);
       else if (message.type === "rpcRequest") void this.#rpc.onRequest(message, from);
       else this.#rpc.onResponse(message);
     });
--- a/src/coordination/liveness/index.ts
+++ b/src/coordination/liveness/index.ts
@@ -1,1 +1,1 @@
-export { type LivenessOptions, PeerLiveness } from "./peer-liveness.ts";
+export { PeerLiveness } from "./peer-liveness.ts";
--- a/src/coordination/liveness/peer-liveness.ts
+++ b/src/coordination/liveness/peer-liveness.ts
@@ -2,13 +2,6 @@
  * Which peers are alive, from heartbeats alone. A peer that is silent for too long, or whose connection broke and
  * could not be opened again, is suspected; its next heartbeat clears it. Pure.
  */
-export interface LivenessOptions {
-  /** Silence after which a peer is suspected, in ms. */
-  readonly suspectAfterMs: number;
-  /** Silence after which a peer is forgotten, in ms. */
-  readonly forgetAfterMs: number;
-}
-
 interface PeerState {
   lastHeardMs: number;
   refused: boolean;
@@ -16,11 +9,12 @@
 
 /** See the module's comment. Peers are keyed by address. */
 export class PeerLiveness {
-  readonly #options: LivenessOptions;
+  readonly #suspectAfterMs: number;
   readonly #peers = new Map<string, PeerState>();
 
-  constructor(options: LivenessOptions) {
-    this.#options = options;
+  /** @param suspectAfterMs silence after which a peer is suspected, in ms */
+  constructor(suspectAfterMs: number) {
+    this.#suspectAfterMs = suspectAfterMs;
   }
 
   /** A heartbeat arrived. */
@@ -37,23 +31,16 @@
   /** Whether the peer counts as alive. */
   alive(address: string, nowMs: number): boolean {
     const peer = this.#peers.get(address);
-    return peer !== undefined && !peer.refused && nowMs - peer.lastHeardMs < this.#options.suspectAfterMs;
+    return peer !== undefined && !peer.refused && nowMs - peer.lastHeardMs < this.#suspectAfterMs;
   }
 
-  /** Time since the peer was heard, in ms; undefined for one that never was. */
-  silenceMs(address: string, nowMs: number): number | undefined {
-    const peer = this.#peers.get(address);
-    return peer && nowMs - peer.lastHeardMs;
+  /** This node itself stood still: what peers sent meanwhile has not been read yet, so nobody counts as silent. */
+  resume(nowMs: number): void {
+    for (const peer of this.#peers.values()) peer.lastHeardMs = nowMs;
   }
 
-  /** Peers that have been silent for so long that they are forgotten now. */
-  forgetSilent(nowMs: number): string[] {
-    const forgotten: string[] = [];
-    for (const [address, peer] of this.#peers) {
-      if (nowMs - peer.lastHeardMs < this.#options.forgetAfterMs) continue;
-      this.#peers.delete(address);
-      forgotten.push(address);
-    }
-    return forgotten;
+  /** Forgets a peer. */
+  forget(address: string): void {
+    this.#peers.delete(address);
   }
 }
--- /dev/null
+++ b/src/coordination/relay-selection/index.ts
@@ -0,0 +1,1 @@
+export { type RelayCandidate, selectRelays } from "./select-relays.ts";
--- /dev/null
+++ b/src/coordination/relay-selection/select-relays.ts
@@ -0,0 +1,34 @@
+/** A node that may relay heartbeats for its zone. */
+export interface RelayCandidate {
+  readonly address: string;
+  readonly zone: string;
+  /** Hash of the node's name: the same on every node. */
+  readonly hash: number;
+}
+
+/**
+ * The nodes that relay heartbeats, some per zone: all who know the same live nodes choose the same ones, and the loss of
+ * one brings in one other. Pure.
+ *
+ * @returns addresses of relays by zone, in order of preference
+ */
+export function selectRelays(
+  candidates: readonly RelayCandidate[],
+  relaysPerZone: number,
+): Map<string, string[]> {
+  const byZone = new Map<string, RelayCandidate[]>();
+  for (const candidate of candidates) {
+    const zone = byZone.get(candidate.zone);
+    if (zone) zone.push(candidate);
+    else byZone.set(candidate.zone, [candidate]);
+  }
+  const relays = new Map<string, string[]>();
+  for (const [zone, members] of byZone) {
+    members.sort((left, right) => left.hash - right.hash || (left.address < right.address ? -1 : 1));
+    relays.set(
+      zone,
+      members.slice(0, relaysPerZone).map(({ address }) => address),
+    );
+  }
+  return relays;
+}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -103,10 +103,10 @@
   }
 
   #wireMembers(): void {
-    this.#members.onHeard = (member) => {
-      this.#partitions.learn(member);
-      this.#board.report(member.instance, member.heartbeat.runners);
-    };
+    this.#members.onHeard = (member) => this.#partitions.learn(member);
+    this.#members.onLoads = (source, report) =>
+      this.#board.report(source, report, this.#context.clock.monotonicMs());
+    this.#members.sumLoads = (sources) => this.#board.sumReports(sources);
     this.#members.onLost = (member) => {
       this.#partitions.forget(member);
       this.#board.dropReport(member.instance);
@@ -120,6 +120,8 @@
       switch (message.type) {
         case "heartbeat":
           return this.#members.onHeartbeat(message, from);
+        case "memberDigest":
+          return this.#members.onDigest(message, from);
         case "rpcRequest":
           return void this.#rpc.onRequest(message, from);
         case "rpcResponse":
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -5,9 +5,10 @@
 /** Where a gateway is in its life. Only ready ones are given to callers; only they own partitions. */
 export type GatewayState = "starting" | "ready" | "stopping";
 
-/** A gateway says that it is alive, and what others need to know of it. */
-export interface Heartbeat {
-  readonly type: "heartbeat";
+/** What a gateway says of itself. */
+export interface MemberStatus {
+  /** Rises with each change of what the incarnation says of itself. */
+  readonly revision: number;
   readonly name: string;
   readonly zone: string;
   /** Where callers reach it. */
@@ -16,10 +17,39 @@
   readonly storeReachable: boolean;
   /** Partitions that it owns, with the epochs of its ownership. */
   readonly owned: readonly (readonly [partition: number, epoch: number])[];
+}
+
+/** A gateway says that it is alive, and what others need to know of it. */
+export interface Heartbeat extends MemberStatus {
+  readonly type: "heartbeat";
   /** Its requests at runners. */
   readonly runners: NodeReport;
   /** Addresses of gateways that it knows; only now and then. */
   readonly peers: readonly string[];
+  /** Whether it missed a digest of the receiver, and has to be told everything again. */
+  readonly missedDigest: boolean;
+}
+
+/** What a relay passes on of a gateway that it hears. */
+export interface RelayedMember {
+  readonly address: string;
+  readonly instance: string;
+  readonly status: MemberStatus;
+}
+
+/** A relay passes on what is news to the receiver of the gateways that it hears. */
+export interface MemberDigest {
+  readonly type: "memberDigest";
+  /** Counts the relay's digests to this receiver. */
+  readonly sequence: number;
+  /** Gateways that are new, or say something else of themselves. */
+  readonly changed: readonly RelayedMember[];
+  /** Incarnations that the relay no longer hears. */
+  readonly lost: readonly string[];
+  /** Whether `changed` names every gateway that the relay hears. */
+  readonly whole: boolean;
+  /** Requests at runners, summed by zone: those of gateways that the receiver does not hear itself. */
+  readonly loads: readonly (readonly [zone: string, report: NodeReport])[];
 }
 
 /** Asks the owner of a program's partition whether a turn may run. Repeating it changes nothing. */
@@ -81,4 +111,8 @@
 }
 
 /** Every message between gateways. */
-export type GatewayMessage = Heartbeat | RpcRequest<GatewayRpcSchema> | RpcResponse<GatewayRpcSchema>;
+export type GatewayMessage =
+  | Heartbeat
+  | MemberDigest
+  | RpcRequest<GatewayRpcSchema>
+  | RpcResponse<GatewayRpcSchema>;
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -35,6 +35,14 @@
   directoryTtlS: z.number().min(0.1).max(60).default(1).describe("How long callers keep addresses, s"),
 });
 
+const membershipSchema = z.strictObject({
+  directMost: z
+    .int()
+    .min(1)
+    .default(24)
+    .describe("Most gateways that send heartbeats to all others; with more, some per zone relay them"),
+});
+
 const budgetSchema = z.strictObject({
   aheadTurns: z
     .number()
@@ -59,6 +67,7 @@
     .default(16)
     .describe("Number of partitions of programs; fixed once the system has started"),
   timing: timingSchema.prefault({}),
+  membership: membershipSchema.prefault({}),
   budget: budgetSchema.prefault({}),
   logging: loggingSchema.prefault({}),
 });
--- /dev/null
+++ b/src/gateway/members/digest-log.ts
@@ -0,0 +1,39 @@
+/** What was passed on to each receiver of digests, so that a digest holds only what is news to it. */
+import type { MemberDigest, MemberStatus } from "../gateway-messages.ts";
+import type { Member } from "./member.ts";
+
+/** The part of a digest that speaks of gateways. */
+export type MemberNews = Pick<MemberDigest, "sequence" | "changed" | "lost" | "whole">;
+
+interface ReceiverState {
+  sequence: number;
+  /** What it was last told, by incarnation. */
+  readonly told: Map<string, MemberStatus>;
+}
+
+/** See the module's comment. */
+export class DigestLog {
+  /** By address. */
+  readonly #receivers = new Map<string, ReceiverState>();
+
+  /** What to tell a receiver, given the gateways that are heard now; it counts as told from now on. */
+  news(receiver: string, heard: readonly Member[]): MemberNews {
+    const known = this.#receivers.get(receiver);
+    const state = known ?? { sequence: 0, told: new Map<string, MemberStatus>() };
+    this.#receivers.set(receiver, state);
+    state.sequence += 1;
+    const { sequence, told } = state;
+    const changed = heard.filter((member) => told.get(member.instance) !== member.status);
+    for (const { instance, status } of changed) told.set(instance, status);
+    const instances = new Set(heard.map((member) => member.instance));
+    const lost = [...told.keys()].filter((instance) => !instances.has(instance));
+    for (const instance of lost) told.delete(instance);
+    const relayed = changed.map(({ address, instance, status }) => ({ address, instance, status }));
+    return { sequence, changed: relayed, lost, whole: known === undefined };
+  }
+
+  /** A receiver may have missed something: it is told everything again. */
+  reset(receiver: string): void {
+    this.#receivers.delete(receiver);
+  }
+}
--- /dev/null
+++ b/src/gateway/members/same-status.ts
@@ -0,0 +1,21 @@
+import type { MemberStatus } from "../gateway-messages.ts";
+
+/** What a gateway may say differently of itself from one moment to the next. */
+export type ChangingStatus = Pick<MemberStatus, "state" | "storeReachable" | "owned">;
+
+/** Whether a gateway says the same of itself as before. */
+export function sameStatus(left: ChangingStatus, right: ChangingStatus): boolean {
+  return (
+    left.state === right.state &&
+    left.storeReachable === right.storeReachable &&
+    sameOwned(left.owned, right.owned)
+  );
+}
+
+function sameOwned(left: MemberStatus["owned"], right: MemberStatus["owned"]): boolean {
+  if (left.length !== right.length) return false;
+  return left.every(([partition, epoch], index) => {
+    const other = right[index];
+    return other !== undefined && other[0] === partition && other[1] === epoch;
+  });
+}
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -9,7 +9,8 @@
 import { RedirectSignal, type RpcEndpoint } from "../../runtime/rpc.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { GatewayRpcSchema } from "../gateway-messages.ts";
-import type { Member, MemberDirectory } from "../members/member-directory.ts";
+import type { Member } from "../members/member.ts";
+import type { MemberDirectory } from "../members/member-directory.ts";
 import type { StoreHealth } from "../store-health.ts";
 import { MOVED, OwnedPartition } from "./owned-partition.ts";
 import { decodeAccount, decodeOwner, encodeOwner, ownerKey, partOf, TABLES } from "./partition-rows.ts";
@@ -78,7 +79,7 @@
 
   /** Takes in what another gateway owns. */
   learn(member: Member): void {
-    const { owned } = member.heartbeat;
+    const { owned } = member.status;
     this.#owners.learnAll(member.instance, owned);
     for (const [partition, epoch] of owned) {
       const mine = this.#owned.get(partition);
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -30,6 +30,8 @@
 const MAX_SLOW_COST = 2;
 /** Runners with less than this of failures are not worth a report. */
 const MIN_REPORTED_FAILURES = 0.2;
+/** How long a report counts, in ms. */
+const REPORT_TTL_MS = 3_000;
 const REPORT_DIGITS = 10;
 
 interface RunnerState {
@@ -43,6 +45,7 @@
 interface ReportOfNode {
   readonly inFlight: ReadonlyMap<string, number>;
   readonly outcomes: ReadonlyMap<string, OutcomeCounts>;
+  readonly atMs: number;
 }
 
 /** What a choice depends on. */
@@ -101,6 +104,7 @@
 
   /** The best runner for a request; undefined when none may take it. */
   choose(choice: RunnerChoice): RunnerEntry | undefined {
+    this.#dropStaleReports(choice.nowMs);
     let best: RunnerState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     const candidates = this.#candidates(choice);
@@ -170,9 +174,25 @@
   }
 
   /** Takes in what another node tells. */
-  report(node: string, { inFlight, failing }: NodeReport): void {
+  report(node: string, { inFlight, failing }: NodeReport, nowMs: number): void {
     const outcomes = failing.map(([id, successes, failures]) => [id, { successes, failures }] as const);
-    this.#reports.set(node, { inFlight: new Map(inFlight), outcomes: new Map(outcomes) });
+    this.#reports.set(node, { inFlight: new Map(inFlight), outcomes: new Map(outcomes), atMs: nowMs });
+  }
+
+  /** The reports of some nodes, as one. */
+  sumReports(nodes: readonly string[]): NodeReport {
+    const inFlight = new Map<string, number>();
+    const failing = new Map<string, [successes: number, failures: number]>();
+    for (const node of nodes) {
+      const report = this.#reports.get(node);
+      if (!report) continue;
+      for (const [id, count] of report.inFlight) inFlight.set(id, (inFlight.get(id) ?? 0) + count);
+      for (const [id, { successes, failures }] of report.outcomes) {
+        const sum = failing.get(id) ?? [0, 0];
+        failing.set(id, [rounded(sum[0] + successes), rounded(sum[1] + failures)]);
+      }
+    }
+    return { inFlight: [...inFlight], failing: [...failing].map(([id, sum]) => [id, ...sum] as const) };
   }
 
   /** Drops what a node that is gone had in flight. */
@@ -180,6 +200,11 @@
     this.#reports.delete(node);
   }
 
+  #dropStaleReports(nowMs: number): void {
+    for (const [node, { atMs }] of this.#reports)
+      if (nowMs - atMs > REPORT_TTL_MS) this.#reports.delete(node);
+  }
+
   #candidates(choice: RunnerChoice): RunnerState[] {
     const candidates: RunnerState[] = [];
     for (const state of this.#runners.values()) {
--- a/test/contract/gateway-parts.test.ts
+++ b/test/contract/gateway-parts.test.ts
@@ -60,10 +60,10 @@
 });
 
 describe("peer liveness", () => {
-  const options = { suspectAfterMs: 1_000, forgetAfterMs: 10_000 };
+  const SUSPECT_MS = 1_000;
 
   it("suspects a silent peer and clears it with its next heartbeat", () => {
-    const liveness = new PeerLiveness(options);
+    const liveness = new PeerLiveness(SUSPECT_MS);
     expect(liveness.alive("a", 0)).toEqual(false);
     liveness.heard("a", 0);
     expect(liveness.alive("a", 999)).toEqual(true);
@@ -73,18 +73,28 @@
   });
 
   it("takes a refused connection for an end at once", () => {
-    const liveness = new PeerLiveness(options);
+    const liveness = new PeerLiveness(SUSPECT_MS);
     liveness.heard("a", 0);
     liveness.refused("a");
     expect(liveness.alive("a", 1)).toEqual(false);
   });
 
-  it("forgets a peer that stays silent", () => {
-    const liveness = new PeerLiveness(options);
+  it("forgets a peer", () => {
+    const liveness = new PeerLiveness(SUSPECT_MS);
     liveness.heard("a", 0);
-    expect(liveness.forgetSilent(9_999)).toEqual([]);
-    expect(liveness.forgetSilent(10_000)).toEqual(["a"]);
-    expect(liveness.silenceMs("a", 10_001)).toEqual(undefined);
+    liveness.forget("a");
+    expect(liveness.alive("a", 1)).toEqual(false);
+  });
+
+  it("suspects nobody for silence while this node itself stood still", () => {
+    const liveness = new PeerLiveness(SUSPECT_MS);
+    liveness.heard("a", 0);
+    liveness.heard("refused", 0);
+    liveness.refused("refused");
+    liveness.resume(5_000);
+    expect(liveness.alive("a", 5_000 + SUSPECT_MS - 1)).toEqual(true);
+    expect(liveness.alive("a", 5_000 + SUSPECT_MS)).toEqual(false);
+    expect(liveness.alive("refused", 5_000)).toEqual(false);
   });
 });
 
@@ -154,7 +164,7 @@
   it("takes the runner with least in flight, as all nodes see it", () => {
     const board = new RunnerBoard();
     for (const id of ["a", "b"]) board.upsert(entry(id));
-    board.report("other node", { inFlight: [["a", 2]], failing: [] });
+    board.report("other node", { inFlight: [["a", 2]], failing: [] }, 0);
     board.started("b", 0, PATIENCE_MS);
     expect(board.choose(choice)?.id).toEqual("b");
     board.dropReport("other node");
@@ -186,7 +196,10 @@
     ["answers badly", (board) => board.ended(board.started("a", 0, PATIENCE_MS), "failure", 10)],
     ["does not answer at all", (board) => void board.started("a", -2 * PATIENCE_MS, PATIENCE_MS)],
     ["was silent until its caller left", (board) => abandon(board, -2 * PATIENCE_MS)],
-    ["fails requests of other nodes", (board) => board.report("n", { inFlight: [], failing: [["a", 1, 2]] })],
+    [
+      "fails requests of other nodes",
+      (board) => board.report("n", { inFlight: [], failing: [["a", 1, 2]] }, 0),
+    ],
     ["takes far longer than the others", (board) => pace(board)],
   ];
   function abandon(board: RunnerBoard, startedMs: number): void {
