--- /dev/null
+++ b/src/gateway/members/member-view.ts
@@ -0,0 +1,188 @@
+/**
+ * What this gateway believes of the others: who they are, who is alive, and what they last said of themselves. Life
+ * comes from heartbeats, heard directly or through relays.
+ */
+import { PeerLiveness } from "../../coordination/liveness/index.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type { MemberDigest, MemberStatus } from "../gateway-messages.ts";
+import type { Member } from "./member.ts";
+import { Vouchers } from "./vouchers.ts";
+
+/** Told of what changes. */
+export interface MemberViewListener {
+  /** Something is new: a gateway, what one says of itself, or its loss. */
+  onChanged(): void;
+  /** A gateway that was alive is no longer. */
+  onLost(member: Member): void;
+}
+
+/** See the module's comment. */
+export class MemberView {
+  readonly #context: GatewayContext;
+  readonly #listener: MemberViewListener;
+  readonly #liveness: PeerLiveness;
+  readonly #vouchers: Vouchers;
+  /** By address. */
+  readonly #members = new Map<string, Member>();
+  readonly #byInstance = new Map<string, Member>();
+  /** Incarnations that are no longer alive, and since when (monotonic clock, ms). */
+  readonly #lost = new Map<string, number>();
+  #lastLookMs: number | undefined;
+
+  constructor(context: GatewayContext, listener: MemberViewListener) {
+    const { suspectMs } = context.settings.timing;
+    this.#context = context;
+    this.#listener = listener;
+    this.#liveness = new PeerLiveness(suspectMs);
+    this.#vouchers = new Vouchers(suspectMs);
+  }
+
+  /** Gateways that were heard of and are not forgotten. */
+  get size(): number {
+    return this.#members.size;
+  }
+
+  /** The gateway that was last heard of at an address. */
+  at(address: string): Member | undefined {
+    return this.#members.get(address);
+  }
+
+  /** All that are alive. */
+  alive(): Member[] {
+    return [...this.#members.values()].filter((member) => this.isAlive(member));
+  }
+
+  /** An incarnation, if it is alive. */
+  live(instance: string): Member | undefined {
+    const member = this.#byInstance.get(instance);
+    return member && this.isAlive(member) ? member : undefined;
+  }
+
+  /** Whether a gateway is alive: heard here, or by a relay. */
+  isAlive({ address, instance }: Member): boolean {
+    return this.isHeard(address) || this.#relaysFor(instance).length > 0;
+  }
+
+  /** Whether a gateway is heard directly. */
+  isHeard(address: string): boolean {
+    return this.#liveness.alive(address, this.#nowMs);
+  }
+
+  /**
+   * Whether a gateway may be named to others of the zone: it is heard here, or by a relay of another zone. Two gateways
+   * of one zone that take each other for no relay would otherwise name a dead one to each other for ever.
+   */
+  isFirsthand({ address, instance }: Member): boolean {
+    if (this.isHeard(address)) return true;
+    return this.#relaysFor(instance).some((relay) => {
+      return this.#members.get(relay)?.status.zone !== this.#context.settings.zone;
+    });
+  }
+
+  /** Takes in a heartbeat. */
+  heard(address: string, instance: string, status: MemberStatus): Member {
+    const member = this.#remember(address, instance, status);
+    this.#liveness.heard(address, this.#nowMs);
+    return member;
+  }
+
+  /** Takes in which gateways a relay hears; returns those of whom it says something. */
+  relayed(relay: string, digest: MemberDigest): Member[] {
+    if (digest.whole) this.#vouchers.clear(relay);
+    this.#vouchers.refresh(relay, this.#nowMs);
+    const members: Member[] = [];
+    for (const { address, instance, status } of digest.changed) {
+      this.#vouchers.add(relay, instance);
+      const known = this.#members.get(address);
+      // Which of two incarnations is the newer one, only the gateway itself can say.
+      if (known && known.instance !== instance && this.isHeard(address)) continue;
+      members.push(this.#remember(address, instance, status));
+    }
+    for (const instance of digest.lost) this.#vouchers.remove(relay, instance);
+    if (digest.lost.length > 0 || digest.whole) this.noticeSilence();
+    return members;
+  }
+
+  /** Nobody listens at an address. */
+  refused(address: string): void {
+    this.#liveness.refused(address);
+    this.noticeSilence();
+  }
+
+  /** Looks who has fallen silent; returns the addresses of those that are forgotten now. */
+  look(): string[] {
+    this.#noticePause();
+    this.noticeSilence();
+    const { forgetMs } = this.#context.settings.timing;
+    const forgotten: string[] = [];
+    for (const member of [...this.#members.values()]) {
+      const lostAtMs = this.#lost.get(member.instance);
+      if (lostAtMs === undefined || this.#nowMs - lostAtMs < forgetMs) continue;
+      this.#forget(member);
+      forgotten.push(member.address);
+    }
+    return forgotten;
+  }
+
+  /** Tells of those that are no longer alive. */
+  noticeSilence(): void {
+    for (const member of this.#members.values()) {
+      if (!this.#lost.has(member.instance) && !this.isAlive(member)) this.#lose(member);
+    }
+  }
+
+  get #nowMs(): number {
+    return this.#context.clock.monotonicMs();
+  }
+
+  /** The relays that are heard and name a gateway. */
+  #relaysFor(instance: string): string[] {
+    const relays = this.#vouchers.relaysFor(instance, this.#nowMs);
+    return relays.filter((relay) => this.isHeard(relay));
+  }
+
+  #remember(address: string, instance: string, status: MemberStatus): Member {
+    const earlier = this.#members.get(address);
+    const isNew = earlier?.instance !== instance;
+    if (earlier && isNew) this.#lose(earlier);
+    const unchanged = earlier && !isNew && earlier.status.revision >= status.revision;
+    const hash = earlier && !isNew ? earlier.hash : this.#context.hash.hash32(status.name);
+    const member = unchanged ? earlier : { address, instance, hash, status };
+    if (isNew) this.#context.log.info({ peer: status.name, instance, address }, "peer heard");
+    const isBack = this.#lost.delete(instance);
+    if (earlier) this.#byInstance.delete(earlier.instance);
+    this.#members.set(address, member);
+    this.#byInstance.set(instance, member);
+    if (!unchanged || isBack) this.#listener.onChanged();
+    return member;
+  }
+
+  /** This process stood still: what others sent meanwhile is still to be read. */
+  #noticePause(): void {
+    const nowMs = this.#nowMs;
+    if (
+      this.#lastLookMs !== undefined &&
+      nowMs - this.#lastLookMs > this.#context.settings.timing.suspectMs
+    ) {
+      this.#liveness.resume(nowMs);
+      this.#vouchers.resume(nowMs);
+    }
+    this.#lastLookMs = nowMs;
+  }
+
+  #lose(member: Member): void {
+    if (this.#lost.has(member.instance)) return;
+    this.#lost.set(member.instance, this.#nowMs);
+    this.#context.log.info({ peer: member.status.name, instance: member.instance }, "peer lost");
+    this.#listener.onChanged();
+    this.#listener.onLost(member);
+  }
+
+  #forget({ address, instance }: Member): void {
+    this.#vouchers.clear(address);
+    this.#liveness.forget(address);
+    this.#members.delete(address);
+    this.#byInstance.delete(instance);
+    this.#lost.delete(instance);
+  }
+}
