Move what may run twice from a silent runner that fails others too

Cause: a request at a runner that never answers waited for its whole time; a call of a tool so lost fails its program. Now silence is looked at after three times the route's target; a safe call, or a resumable stream with attempts left, goes to another runner if requests fail at this one and go well at most others of its pool. Without that evidence nothing moves: under overload all runners are silent alike (contract test). Process test added: eight safe calls, one of two runners silent; no unsafe call runs twice.

--- a/src/gateway/calls/plain-call.ts
+++ b/src/gateway/calls/plain-call.ts
@@ -27,6 +27,11 @@
     if (!tried) this.#giveUp("too many runners refused the call");
   }
 
+  protected override mayMove(runner: RunnerEntry): boolean {
+    const ran = new Set([...this.mayHaveRun, runner.id]);
+    return this.route.kind === "safe" && ran.size < this.route.maxAttempts;
+  }
+
   #answer(head: HttpAnswerHead | undefined, body: Buffer): void {
     if (!head) return this.failUnknown("an answer without a head");
     const { calls } = this.parts.context.platform;
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -23,6 +23,8 @@
 /** A runner that is silent for so many times the route's target has a fault, or is overloaded. */
 const PATIENCE_FACTOR = 3;
 const MIN_PATIENCE_MS = 400;
+/** How often a runner that stays silent is looked at again, in ms. */
+const SILENCE_POLL_MS = 200;
 /** Tries at runners within one call, whatever became of them. */
 const MAX_TRIES = 12;
 
@@ -37,11 +39,14 @@
   protected readonly deadlineAtMs: number;
   /** Runners that refused the call, or could not be reached. */
   protected readonly excluded = new Set<string>();
+  /** Runners that were silent for too long; what may run twice goes to others. */
+  protected readonly silent = new Set<string>();
   /** Runners that may have run it. */
   protected readonly mayHaveRun = new Set<string>();
   protected attempt: RunnerAttempt | undefined;
   #tries = 0;
   #timer: TimerHandle | undefined;
+  #silenceTimer: TimerHandle | undefined;
   #over = false;
 
   constructor(parts: AttemptParts, start: CallStart) {
@@ -67,6 +72,9 @@
   /** Called once when the call is over, however it ended. */
   protected onOver(): void {}
 
+  /** Whether the call, once sent to a runner, may be sent to another one although the first may have run it. */
+  protected abstract mayMove(runner: RunnerEntry): boolean;
+
   protected get over(): boolean {
     return this.#over;
   }
@@ -80,7 +88,7 @@
     return board.choose({
       pool: this.pool.name,
       zone: context.settings.zone,
-      excluded: this.excluded,
+      excluded: this.silent.size === 0 ? this.excluded : new Set([...this.excluded, ...this.silent]),
       preferred,
       nowMs: context.clock.monotonicMs(),
       sample: context.random.unit(),
@@ -101,6 +109,7 @@
     const streaming = this.route.kind === "streaming";
     const request = { exchange, call, body, deadlineMs: leftMs, lastEventId, streaming, patienceMs };
     this.attempt = new RunnerAttempt(this.parts, runner, request, listener);
+    if (this.mayMove(runner)) this.#watchSilence(this.attempt, patienceMs);
     return true;
   }
 
@@ -144,10 +153,30 @@
     if (this.#over) return;
     this.#over = true;
     if (this.#timer) this.parts.context.clock.cancel(this.#timer);
+    this.#cancelSilenceTimer();
     this.attempt?.abort();
     this.onOver();
   }
 
+  /** Moves the call from a runner that is silent and fails other requests too. */
+  #watchSilence(attempt: RunnerAttempt, waitMs: number): void {
+    const { clock } = this.parts.context;
+    this.#cancelSilenceTimer();
+    this.#silenceTimer = clock.schedule(waitMs, () => {
+      if (this.#over || this.attempt !== attempt || !attempt.silent) return;
+      if (!this.parts.board.isOutlier(attempt.runner.id, clock.monotonicMs())) {
+        this.#watchSilence(attempt, SILENCE_POLL_MS);
+        return;
+      }
+      this.silent.add(attempt.runner.id);
+      attempt.giveUp();
+    });
+  }
+
+  #cancelSilenceTimer(): void {
+    if (this.#silenceTimer) this.parts.context.clock.cancel(this.#silenceTimer);
+  }
+
   #onDeadline(): void {
     const sent = this.attempt !== undefined || this.mayHaveRun.size > 0;
     if (sent) this.fail(GATEWAY_TIMEOUT, "timeout", "The time of the call is over.");
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -98,6 +98,18 @@
     this.#exchange.abort();
   }
 
+  /** Whether nothing of an answer has come. */
+  get silent(): boolean {
+    return !this.#over && !this.#pending.answered;
+  }
+
+  /** Takes the runner's silence for a failure. */
+  giveUp(): void {
+    if (this.#over) return;
+    this.#exchange.abort();
+    this.#fail({ type: "broken", detail: "the runner is silent, and fails others too" });
+  }
+
   onHead(head: HttpAnswerHead): boolean {
     const answer = this.#parts.context.platform.calls.describeAnswer(head.status, head.headers);
     if (answer.requestId !== this.#request.call.requestId) {
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -55,6 +55,11 @@
     if (!tried) this.#giveUp("too many runners refused the turn");
   }
 
+  protected override mayMove(runner: RunnerEntry): boolean {
+    const ran = new Set([...this.mayHaveRun, runner.id]);
+    return this.route.resumable && ran.size < this.route.maxAttempts;
+  }
+
   protected override onOver(): void {
     if (this.#admitted) void this.#partitions.end(this.#endRequest(false));
   }
@@ -112,7 +117,8 @@
   #nextRunner(): RunnerEntry | undefined {
     const last = this.#lastRunner;
     // A stream goes on where it ran, as long as that runner is there: another one would be one more that runs it.
-    if (last !== undefined && this.mayHaveRun.has(last) && !this.excluded.has(last)) {
+    const mayGoBack = last !== undefined && !this.excluded.has(last) && !this.silent.has(last);
+    if (mayGoBack && this.mayHaveRun.has(last)) {
       const same = this.parts.board.ready(last);
       if (same) return same;
     }
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -30,6 +30,8 @@
 const MAX_SLOW_COST = 2;
 /** Runners with less than this of failures are not worth a report. */
 const MIN_REPORTED_FAILURES = 0.2;
+/** How far an outlier's part of failures lies above that of the others. */
+const OUTLIER_MARGIN = 0.25;
 /** How long a report counts, in ms. */
 const REPORT_TTL_MS = 3_000;
 const REPORT_DIGITS = 10;
@@ -228,6 +230,19 @@
     return failures / (failures + successes + ASSUMED_SUCCESSES);
   }
 
+  /** Whether requests fail at a runner while they go well at most others of its pool. */
+  isOutlier(id: string, nowMs: number): boolean {
+    const pool = this.#runners.get(id)?.entry.pool;
+    const others = [...this.#runners.values()].filter(
+      (state) => state.entry.pool === pool && state.entry.id !== id && isReady(state),
+    );
+    if (others.length === 0) return false;
+    const rates = others.map((state) => this.failureRate(state.entry.id, nowMs));
+    rates.sort((left, right) => left - right);
+    const usual = rates[Math.floor(rates.length / 2)] ?? 0;
+    return this.failureRate(id, nowMs) >= usual + OUTLIER_MARGIN;
+  }
+
   #costOf(state: RunnerState, choice: RunnerChoice, usualMs: number | undefined): number {
     const { entry } = state;
     const load = this.load(entry.id);
--- a/test/contract/gateway-parts.test.ts
+++ b/test/contract/gateway-parts.test.ts
@@ -223,6 +223,19 @@
     });
   }
 
+  it("tells a runner that fails from a pool in which all do", () => {
+    const board = new RunnerBoard();
+    const ids = ["a", "b", "c"];
+    for (const id of ids) board.upsert(entry(id));
+    for (let count = 0; count < 3; count += 1) board.started("a", 0, PATIENCE_MS);
+    expect(board.isOutlier("a", PATIENCE_MS)).toEqual(false);
+    expect(ids.map((id) => board.isOutlier(id, 2 * PATIENCE_MS))).toEqual([true, false, false]);
+    for (const id of ["b", "c"]) {
+      for (let count = 0; count < 3; count += 1) board.started(id, 0, PATIENCE_MS);
+    }
+    expect(ids.map((id) => board.isOutlier(id, 2 * PATIENCE_MS))).toEqual([false, false, false]);
+  });
+
   it("thinks well again of a runner that failed long ago, and of one whose caller left early", () => {
     const board = new RunnerBoard();
     for (const id of ["a", "b"]) board.upsert(entry(id, id === "a" ? {} : { zone: "far" }));
--- a/test/process/gateway.test.ts
+++ b/test/process/gateway.test.ts
@@ -152,6 +152,23 @@
     expect((await call(gateway(0), PATHS.safe, newRequestId())).status).toEqual(200);
   });
 
+  it("move what may run twice from a silent runner while others answer, and nothing else", async () => {
+    cluster = await GatewayCluster.start(1, 0, 2);
+    const [silent, sound] = cluster.services;
+    if (!silent || !sound) throw new Error("two services were started");
+    silent.fault = "silent";
+    const startedMs = performance.now();
+    const ids = Array.from({ length: 8 }, () => newRequestId());
+    const answers = await Promise.all(ids.map((id) => call(gateway(0), PATHS.safe, id)));
+    expect(answers.map(({ status }) => status)).toEqual(ids.map(() => 200));
+    expect(performance.now() - startedMs < 2_000).toEqual(true);
+    expect(silent.ran.length > 0).toEqual(true);
+    const once = Array.from({ length: 8 }, () => newRequestId());
+    await Promise.all(once.map((id) => call(gateway(0), PATHS.unsafe, id)));
+    const ran = [...silent.ran, ...sound.ran].map(({ id }) => id).filter((id) => once.includes(id));
+    expect(ran.length).toEqual(new Set(ran).size);
+  });
+
   it("take no late second answer for the answer of another request", async () => {
     cluster = await GatewayCluster.start(1, 0, 1);
     const [service] = cluster.services;
--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -12,6 +12,7 @@
 const ENTRY = "platform/main.ts";
 const READY_TIMEOUT_MS = 20_000;
 const POLL_MS = 25;
+const ANSWER_TIMEOUT_MS = 1_000;
 const PARTITIONS = 4;
 
 /** Hosts and paths of the routes that every test cluster has. */
@@ -188,7 +189,7 @@
   async directory(gateway: TestGateway): Promise<string[]> {
     const url = `http://${gateway.addresses.directory}/tulipwheel/resolve?name=${TEST_HOST}&zone=zone-a`;
     try {
-      const { statusCode, body } = await httpRequest(url);
+      const { statusCode, body } = await httpRequest(url, { headersTimeout: ANSWER_TIMEOUT_MS, bodyTimeout: ANSWER_TIMEOUT_MS });
       const text = await body.text();
       return statusCode === 200 ? (JSON.parse(text) as { addresses: string[] }).addresses : [];
     } catch {
