--- a/test/process/gateway.test.ts
+++ b/test/process/gateway.test.ts
@@ -40,7 +40,7 @@
 }
 
 describe("gateways", () => {
-  afterEach(() => cluster.stop());
+  afterEach(() => cluster?.stop());
 
   it("pass requests and answers on as they are, and the stream event by event", async () => {
     cluster = await GatewayCluster.start(1, 1, 1);
