--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -15,7 +15,7 @@
 const NOT_FOUND = 404;
 const FIRST_FAILURE_STATUS = 300;
 /** When to come back after the owner of a partition, or the store, was out of reach, in ms. */
-const OWNER_RETRY_AFTER_MS = 900;
+const OWNER_RETRY_AFTER_MS = 450;
 /** Output and input bytes are kept as they came. */
 const ENCODING = "latin1";
 
