Wait for the store's answer to a write no longer than answers take

Writes now wait as TCP does for its acknowledgements: smoothed time and four deviations, doubled with each silence, 100 ms to 1 s. Sending again is safe: the owner's row says whether the first had been done.

--- /dev/null
+++ b/src/coordination/adaptive-timeout/index.ts
@@ -0,0 +1,1 @@
+export { AdaptiveTimeout } from "./adaptive-timeout.ts";
--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -50,7 +50,7 @@
     }
     this.#health = health;
     this.#turns = new RetainedTurns(context, partition, () => health.newestVersion);
-    this.#writer = new PartitionWriter(context, partition, epoch, onLost, (outcome) => health.note(outcome));
+    this.#writer = new PartitionWriter(context, partition, epoch, onLost, health);
   }
 
   /** Answers whether a turn may run; see {@link AdmitTurnRequest}. */
--- a/src/gateway/partitions/partition-writer.ts
+++ b/src/gateway/partitions/partition-writer.ts
@@ -4,10 +4,11 @@
  * without an answer is sent again as it was; if it had been done, the owner's row says so.
  */
 import type { AccountSnapshot } from "../../coordination/token-account/index.ts";
-import type { RowKey, StoredRow, TransactionOutcome } from "../../ports/store/row-store.ts";
+import type { RowKey, RowTransaction, StoredRow, TransactionOutcome } from "../../ports/store/row-store.ts";
 import { delay } from "../../runtime/clock.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { RetainedTurnContent } from "../gateway-messages.ts";
+import type { StoreHealth } from "../store-health.ts";
 import {
   accountKey,
   decodeOwner,
@@ -48,7 +49,7 @@
   readonly #context: GatewayContext;
   readonly #partition: number;
   readonly #onLost: () => void;
-  readonly #onOutcome: (outcome: TransactionOutcome) => void;
+  readonly #health: StoreHealth;
   readonly #batches: Batch[] = [];
   #version: number;
   #commit = 0;
@@ -64,13 +65,13 @@
     partition: number,
     version: number,
     onLost: () => void,
-    onOutcome: (outcome: TransactionOutcome) => void,
+    health: StoreHealth,
   ) {
     this.#context = context;
     this.#partition = partition;
     this.#version = version;
     this.#onLost = onLost;
-    this.#onOutcome = onOutcome;
+    this.#health = health;
   }
 
   /** Resolves with true once the account, as it is when the transaction leaves, is in the store. */
@@ -159,15 +160,13 @@
 
   /** Sends a transaction until it is done or the partition is lost. */
   async #transact(write: BatchWrite, instance: string): Promise<boolean> {
-    const { store } = this.#context.platform;
     this.#commit += 1;
     const key = ownerKey(this.#partition);
     const owner = { instance, commit: this.#commit };
     const puts = [...write.puts, { ...key, value: encodeOwner(owner) }];
     while (!this.#lost) {
       const conditions = [{ ...key, version: this.#version }];
-      const outcome = await store.transact({ conditions, puts, removes: [] });
-      this.#onOutcome(outcome);
+      const outcome = await this.#send({ conditions, puts, removes: [] });
       if (outcome.type === "committed") {
         this.#version = outcome.version;
         return !this.#lost;
@@ -178,6 +177,18 @@
     return false;
   }
 
+  /** Sends a transaction once; its answer is waited for no longer than answers take. */
+  async #send(transaction: RowTransaction): Promise<TransactionOutcome> {
+    const { clock, platform } = this.#context;
+    const { writeTimeout } = this.#health;
+    const startedMs = clock.monotonicMs();
+    const outcome = await platform.store.transact(transaction, writeTimeout.currentMs);
+    if (outcome.type === "unknown") writeTimeout.expired();
+    else writeTimeout.answered(clock.monotonicMs() - startedMs);
+    this.#health.note(outcome);
+    return outcome;
+  }
+
   /** The owner's row has changed: by an unanswered try of the same transaction, or by another owner. */
   #afterConflict(rows: readonly StoredRow[], instance: string): boolean {
     const row = rows.find((candidate) => candidate.table === ownerKey(this.#partition).table);
--- a/src/gateway/store-health.ts
+++ b/src/gateway/store-health.ts
@@ -1,4 +1,5 @@
 /** Whether the platform's store answers this gateway, and the newest version that it has named. */
+import { AdaptiveTimeout } from "../coordination/adaptive-timeout/index.ts";
 import type { ReadOutcome, TransactionOutcome, WatchOutcome } from "../ports/store/row-store.ts";
 import type { GatewayContext } from "./gateway-context.ts";
 
@@ -15,6 +16,8 @@
   #reachable = false;
   #reachableSinceMs = Number.POSITIVE_INFINITY;
   #newestVersion = 0;
+  /** How long writes of this gateway wait for their answers. */
+  readonly writeTimeout = new AdaptiveTimeout();
 
   constructor(context: GatewayContext) {
     this.#context = context;
--- a/test/contract/partition-writer.test.ts
+++ b/test/contract/partition-writer.test.ts
@@ -10,11 +10,14 @@
   ownerKey,
 } from "../../src/gateway/partitions/partition-rows.ts";
 import { PartitionWriter } from "../../src/gateway/partitions/partition-writer.ts";
+import { StoreHealth } from "../../src/gateway/store-health.ts";
 import { RowStoreStandin, type StoreFault } from "../../standins/platform/row-store-standin.ts";
 import { gatewayContext } from "./support/gateway-parts.ts";
 
 const PARTITION = 1;
 const PROGRAM = "program";
+/** How long calls of the store wait where nothing else is said, in ms. */
+const PATIENT_STORE_MS = 1_000;
 
 let standin: RowStoreStandin;
 let context: GatewayContext;
@@ -36,7 +39,7 @@
     () => {
       lost += 1;
     },
-    () => undefined,
+    new StoreHealth(owner),
   );
 }
 
@@ -55,7 +58,7 @@
 describe("partition writer", () => {
   beforeEach(async () => {
     standin = new RowStoreStandin();
-    context = await gatewayContext("first", await standin.listen());
+    context = await gatewayContext("first", await standin.listen(), PATIENT_STORE_MS);
     lost = 0;
   });
   afterEach(() => standin.close());
@@ -81,6 +84,22 @@
     });
   }
 
+  it("is held up by a lost answer for little longer than answers take", async () => {
+    const writer = await takeOver(context, 0);
+    const account = new TokenAccount();
+    for (let turn = 0; turn < 5; turn += 1)
+      await writer.writeAccount(PROGRAM, spend(account, `turn-${turn}`));
+    standin.fault = "lostAnswer";
+    const startedMs = performance.now();
+    const write = writer.writeAccount(PROGRAM, spend(account, "turn-5"));
+    setTimeout(() => {
+      standin.fault = "none";
+    }, 20);
+    expect(await write).toEqual(true);
+    expect(performance.now() - startedMs < PATIENT_STORE_MS / 2).toEqual(true);
+    expect(await storedTokens()).toEqual(600);
+  });
+
   it("writes what comes at the same time in one transaction", async () => {
     const writer = await takeOver(context, 0);
     const before = standin.counts.writes;
--- a/test/contract/support/gateway-parts.ts
+++ b/test/contract/support/gateway-parts.ts
@@ -26,7 +26,11 @@
 }
 
 /** The context of a gateway of this name. */
-export async function gatewayContext(name: string, storeAddress: string): Promise<GatewayContext> {
+export async function gatewayContext(
+  name: string,
+  storeAddress: string,
+  storeTimeoutMs?: number,
+): Promise<GatewayContext> {
   const settings = gatewaySettingsSchema.parse({
     name,
     region: "region",
@@ -43,7 +47,7 @@
     hash: await loadTextHash(),
     log: pino({ level: "silent" }),
     platform: {
-      store: storeClient(storeAddress),
+      store: storeClient(storeAddress, storeTimeoutMs),
       calls: callProtocol,
       entry: entryProtocol,
       records: platformRecords,
--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -189,7 +189,10 @@
   async directory(gateway: TestGateway): Promise<string[]> {
     const url = `http://${gateway.addresses.directory}/tulipwheel/resolve?name=${TEST_HOST}&zone=zone-a`;
     try {
-      const { statusCode, body } = await httpRequest(url, { headersTimeout: ANSWER_TIMEOUT_MS, bodyTimeout: ANSWER_TIMEOUT_MS });
+      const { statusCode, body } = await httpRequest(url, {
+        headersTimeout: ANSWER_TIMEOUT_MS,
+        bodyTimeout: ANSWER_TIMEOUT_MS,
+      });
       const text = await body.text();
       return statusCode === 200 ? (JSON.parse(text) as { addresses: string[] }).addresses : [];
     } catch {
