--- a/test/process/support/child-process.ts
+++ b/test/process/support/child-process.ts
@@ -5,6 +5,7 @@
 export class StartedProcess {
   readonly #child: ChildProcess;
   readonly #output: string[] = [];
+  readonly #written: string[] = [];
   readonly exited: Promise<number | null>;
 
   constructor(script: string, args: readonly string[], environment: Record<string, string> = {}) {
@@ -30,6 +31,17 @@
     return text;
   }
 
+  /** Keeps what the process writes to standard output, for {@link written}. */
+  collectOutput(): this {
+    this.#child.stdout?.on("data", (part) => this.#written.push(String(part)));
+    return this;
+  }
+
+  /** What was collected of standard output, and what the process wrote to standard error. */
+  get written(): string {
+    return this.#written.join("") + this.log;
+  }
+
   /** What the process wrote to standard error. */
   get log(): string {
     return this.#output.join("");
--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -23,6 +23,14 @@
 export interface TestRoutes {
   readonly version: number;
   readonly timeoutMs: number;
+  /** Paths of routes beside the usual ones. */
+  readonly added?: readonly string[];
+}
+
+/** A link that a gateway opens: to the store, or to a runner. `name` is the gateway's, or the runner's. */
+export interface TestLink {
+  readonly side: "store" | "runner";
+  readonly name: string;
 }
 
 /** One gateway of a cluster. */
@@ -40,11 +48,13 @@
   readonly services: RunnerStandin[] = [];
   readonly gateways: TestGateway[] = [];
   readonly #addresses: TestAddresses;
+  readonly #earlierLogs = new Map<string, string>();
+  #stopped = false;
   #storeAddress = "";
   #folder = "";
   #runnerAddresses = new Map<string, string>();
 
-  private constructor(addresses: TestAddresses) {
+  protected constructor(addresses: TestAddresses) {
     this.#addresses = addresses;
   }
 
@@ -56,13 +66,23 @@
     addresses = new TestAddresses(),
   ): Promise<GatewayCluster> {
     const cluster = new GatewayCluster(addresses);
+    await cluster.startAll(gateways, engines, services);
+    return cluster;
+  }
+
+  /** Starts everything; what was started ends if that fails. */
+  protected async startAll(gateways: number, engines: number, services: number): Promise<void> {
     try {
-      await cluster.#startAll(gateways, engines, services);
+      await this.#startAll(gateways, engines, services);
     } catch (error) {
-      await cluster.stop();
+      await this.stop();
       throw error;
     }
-    return cluster;
+  }
+
+  /** The address under which one side of a link reaches the other; tests may put something in between. */
+  protected async reach(address: string, _link: TestLink): Promise<string> {
+    return address;
   }
 
   async #startAll(gateways: number, engines: number, services: number): Promise<void> {
@@ -77,7 +97,7 @@
   }
 
   /** Writes the operators' configuration. */
-  configure({ version, timeoutMs }: TestRoutes): void {
+  configure({ version, timeoutMs, added = [] }: TestRoutes): void {
     const route = (name: string, path: string, kind: string, service: string, more: object) => ({
       name,
       host: TEST_HOST,
@@ -97,6 +117,7 @@
         route("kept", PATHS.kept, "streaming", "engine", { ...turn, "retains-context": true }),
         route("safe", PATHS.safe, "safe", "api", { "max-attempts": 2 }),
         route("unsafe", PATHS.unsafe, "unsafe", "api", {}),
+        ...added.map((path) => route(path, path, "safe", "api", { "max-attempts": 2 })),
       ],
       services: [
         {
@@ -118,7 +139,8 @@
   async addRunner(service: string, list: RunnerStandin[], index: number): Promise<RunnerStandin> {
     const runner = new RunnerStandin(`${service}-${index}`);
     list.push(runner);
-    this.#runnerAddresses.set(runner.id, await runner.listen());
+    const address = await this.reach(await runner.listen(), { side: "runner", name: runner.id });
+    this.#runnerAddresses.set(runner.id, address);
     this.listRunner(runner, service, "ready");
     return runner;
   }
@@ -144,7 +166,7 @@
       zone: "zone-a",
       listen: addresses,
       seeds: this.gateways.slice(0, 3).map((gateway) => gateway.addresses.peers),
-      store: this.#storeAddress,
+      store: await this.reach(this.#storeAddress, { side: "store", name }),
       partitions: PARTITIONS,
     };
     const settingsFile = join(this.#folder, `${name}.yaml`);
@@ -156,6 +178,8 @@
 
   /** Starts a gateway again whose process has ended. */
   restart(gateway: TestGateway): void {
+    const { name } = gateway;
+    this.#earlierLogs.set(name, `${this.#earlierLogs.get(name) ?? ""}${gateway.process.written}`);
     gateway.process = startProcess(gateway.settingsFile);
   }
 
@@ -200,8 +224,22 @@
     }
   }
 
+  /** What the processes wrote, earlier ones of a gateway first, by name. */
+  logs(): Map<string, string> {
+    const entries = this.gateways.map(({ name, process }) => {
+      return [name, `${this.#earlierLogs.get(name) ?? ""}${process.written}`] as const;
+    });
+    return new Map(entries);
+  }
+
+  /** Whether the cluster is being ended. */
+  get stopped(): boolean {
+    return this.#stopped;
+  }
+
   /** Ends everything that was started. */
   async stop(): Promise<void> {
+    this.#stopped = true;
     await Promise.all(this.gateways.map((gateway) => gateway.process.kill()));
     this.store.close();
     for (const runner of [...this.engines, ...this.services]) runner.close();
@@ -217,5 +255,5 @@
 }
 
 function startProcess(settingsFile: string): StartedProcess {
-  return new StartedProcess(ENTRY, [], { TULIPWHEEL_NODE_FILE: settingsFile });
+  return new StartedProcess(ENTRY, [], { TULIPWHEEL_NODE_FILE: settingsFile }).collectOutput();
 }
--- /dev/null
+++ b/test/soak/configuration-watch.ts
@@ -0,0 +1,87 @@
+/** Changes the configuration during a soak, and checks that it is in force in time and never goes back. */
+import { pause, type TestGateway } from "../process/support/gateway-cluster.ts";
+import type { SoakCluster } from "./soak-cluster.ts";
+import type { SoakLedger } from "./soak-ledger.ts";
+import { soakRequest } from "./soak-request.ts";
+
+const CHANGE_EVERY_MS = 4_000;
+const LOOK_EVERY_MS = 400;
+/** A route stays in the configuration for this many versions. */
+const VERSIONS_KEPT = 50;
+const TIMEOUT_MS = 3_000;
+const PROBE_TIMEOUT_MS = 1_000;
+const MISSING = 404;
+const UNAVAILABLE = 503;
+
+/** See the module's comment. */
+export class ConfigurationWatch {
+  readonly #cluster: SoakCluster;
+  readonly #ledger: SoakLedger;
+  /** Newest version whose route was seen, by process. */
+  readonly #seen = new Map<object, number>();
+  #version = 1;
+  #probes = 0;
+
+  constructor(cluster: SoakCluster, ledger: SoakLedger) {
+    this.#cluster = cluster;
+    this.#ledger = ledger;
+  }
+
+  /** Runs until `isOver`. */
+  async run(isOver: () => boolean): Promise<void> {
+    let changedMs = 0;
+    while (!isOver()) {
+      if (performance.now() - changedMs > CHANGE_EVERY_MS) {
+        this.#change();
+        changedMs = performance.now();
+      }
+      await Promise.all(this.#cluster.gateways.map((gateway) => this.#look(gateway)));
+      await pause(LOOK_EVERY_MS);
+    }
+  }
+
+  /** After all faults, every gateway must have the newest version. */
+  async checkNewest(): Promise<void> {
+    for (const gateway of this.#cluster.gateways) {
+      const status = await this.#probe(gateway, this.#version);
+      if (status === MISSING || status === 0)
+        this.#ledger.breaks(
+          "configuration",
+          `${gateway.name} answers ${status} for version ${this.#version}`,
+        );
+    }
+  }
+
+  #change(): void {
+    this.#version += 1;
+    const first = Math.max(2, this.#version - VERSIONS_KEPT);
+    const added: string[] = [];
+    for (let version = first; version <= this.#version; version += 1) added.push(pathOf(version));
+    this.#cluster.configure({ version: this.#version, timeoutMs: TIMEOUT_MS, added });
+  }
+
+  async #look(gateway: TestGateway): Promise<void> {
+    const { process } = gateway;
+    const version = this.#version;
+    const status = await this.#probe(gateway, version);
+    if (gateway.process !== process || status === 0 || status === UNAVAILABLE) return;
+    const seen = this.#seen.get(process) ?? 0;
+    if (status !== MISSING) this.#seen.set(process, Math.max(seen, version));
+    else if (seen >= version)
+      this.#ledger.breaks("configuration", `${gateway.name} went back before ${version}`);
+  }
+
+  async #probe(gateway: TestGateway, version: number): Promise<number> {
+    this.#probes += 1;
+    const id = `probe-${this.#probes}`;
+    const reached = this.#cluster.forCallers(gateway);
+    const headers = { "X-Request-Id": id };
+    const { status, whole } = await soakRequest(reached, pathOf(version), headers, id, PROBE_TIMEOUT_MS);
+    this.#ledger.note({ id, kind: "probe", gateway: gateway.name, status, whole });
+    return status;
+  }
+}
+
+function pathOf(version: number): string {
+  return `/version-${version}/`;
+}
--- /dev/null
+++ b/test/soak/faults/frozen-gateway.ts
@@ -0,0 +1,18 @@
+import type { StartedProcess } from "../../process/support/child-process.ts";
+import { SoakFault } from "./soak-fault.ts";
+
+/** A gateway stands still, and wakes with what it believed before. */
+export class FrozenGateway extends SoakFault {
+  #process: StartedProcess | undefined;
+
+  override begin(): string {
+    const { name, process } = this.draw(this.cluster.gateways);
+    this.#process = process;
+    process.signal("SIGSTOP");
+    return name;
+  }
+
+  override end(): void {
+    this.#process?.signal("SIGCONT");
+  }
+}
--- /dev/null
+++ b/test/soak/faults/link-trouble.ts
@@ -0,0 +1,34 @@
+import type { LinkState, LoopbackProxy } from "../loopback-proxy.ts";
+import { SoakFault } from "./soak-fault.ts";
+
+const STATES: readonly LinkState[] = ["delayed", "cutToTarget", "cutToCaller", "silent"];
+const RESET = "reset";
+
+/** One link to the store, a runner or a gateway is delayed, cut one way, silent, or reset. */
+export class LinkTrouble extends SoakFault {
+  #link: LoopbackProxy | undefined;
+
+  override begin(): string {
+    const { storeLinks, runnerLinks, callerLinks } = this.cluster;
+    const [side, links] = this.draw([
+      ["store", storeLinks],
+      ["runner", runnerLinks],
+      ["caller", callerLinks],
+    ] as const);
+    const [name, link] = this.draw([...links]);
+    const state = this.draw([...STATES, RESET] as const);
+    this.#link = link;
+    if (state === RESET) link.resetAll();
+    else link.state = state;
+    return `${side} ${name} ${state}`;
+  }
+
+  override end(): void {
+    const link = this.#link;
+    if (!link || link.state === "open") return;
+    const lostBytes = link.state !== "delayed";
+    link.state = "open";
+    // Bytes were swallowed: as on a real link, what is left of such connections breaks.
+    if (lostBytes) link.resetAll();
+  }
+}
--- /dev/null
+++ b/test/soak/loopback-proxy.ts
@@ -0,0 +1,67 @@
+/** Stands between two processes on the loopback, and misbehaves as links do. */
+import { createConnection, createServer, type Server, type Socket } from "node:net";
+import { parseAddress } from "../../src/runtime/tcp-transport.ts";
+
+/** What becomes of bytes: passed on, held up, or swallowed in one direction or both. */
+export type LinkState = "open" | "delayed" | "cutToTarget" | "cutToCaller" | "silent";
+
+/** See the module's comment. */
+export class LoopbackProxy {
+  state: LinkState = "open";
+  /** How long bytes are held up while delayed, in ms. */
+  delayMs = 200;
+  readonly #target: string;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+
+  constructor(target: string) {
+    this.#target = target;
+    this.#server = createServer({ noDelay: true }, (caller) => this.#accept(caller));
+  }
+
+  /** Listens at `IP:port`. */
+  async listen(address: string): Promise<void> {
+    const { host, port } = parseAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  /** Resets all connections; new ones may come. */
+  resetAll(): void {
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+  }
+
+  close(): void {
+    this.#server.close();
+    this.resetAll();
+  }
+
+  #accept(caller: Socket): void {
+    const target = createConnection({ ...parseAddress(this.#target), noDelay: true });
+    this.#join(caller, target, () => this.state === "silent" || this.state === "cutToTarget");
+    this.#join(target, caller, () => this.state === "silent" || this.state === "cutToCaller");
+  }
+
+  #join(from: Socket, to: Socket, isCut: () => boolean): void {
+    this.#sockets.add(from);
+    from.on("data", (bytes: Buffer) => {
+      if (isCut()) return;
+      this.#later(() => to.write(bytes));
+    });
+    from.on("end", () => {
+      if (!isCut()) this.#later(() => to.end());
+    });
+    from.on("error", () => to.resetAndDestroy());
+    from.on("close", () => {
+      this.#sockets.delete(from);
+      if (!isCut()) this.#later(() => to.destroySoon());
+    });
+  }
+
+  #later(act: () => void): void {
+    if (this.state === "delayed") setTimeout(act, this.delayMs);
+    else act();
+  }
+}
--- /dev/null
+++ b/test/soak/run-soak.ts
@@ -0,0 +1,125 @@
+/** One soak: real gateways under faults drawn from a seed, and the promises that callers and runners saw broken. */
+import { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import { pause } from "../process/support/gateway-cluster.ts";
+import { checkRunners } from "./check-runners.ts";
+import { ConfigurationWatch } from "./configuration-watch.ts";
+import type { SoakFault } from "./faults/soak-fault.ts";
+import { SOAK_FAULTS } from "./faults/soak-faults.ts";
+import { SoakCaller } from "./soak-caller.ts";
+import { SoakCluster } from "./soak-cluster.ts";
+import { SoakLedger } from "./soak-ledger.ts";
+
+/** What a soak is run with. */
+export interface SoakOptions {
+  readonly seed: number;
+  /** Time under faults, in ms. */
+  readonly durationMs: number;
+  /** Kinds to draw from; all when left out. */
+  readonly faults?: readonly string[];
+  readonly onFault?: (line: string) => void;
+}
+
+/** What came of it. */
+export interface SoakResult {
+  readonly ledger: SoakLedger;
+  /** Faults in order, a line each. */
+  readonly faults: readonly string[];
+  /** What each gateway wrote, by name. */
+  readonly logs: ReadonlyMap<string, string>;
+}
+
+const GATEWAYS = 4;
+const ENGINES = 3;
+const SERVICES = 3;
+const CALLERS = 6;
+/** Calm before the first fault, in ms. */
+const QUIET_MS = 1_500;
+const GAP_MS = 1_000;
+const SHORTEST_MS = 500;
+const LONGEST_MS = 4_000;
+/** Part of the faults that another one accompanies. */
+const PAIRED_PART = 0.4;
+/** After the last fault, everything must work again within this time, in ms. */
+const RECOVERY_MS = 12_000;
+const CALM_MS = 3_000;
+const OK = 200;
+/** Part of the tries in calm time that must be answered with success. */
+const SERVED_PART = 0.9;
+
+/** See the module's comment. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const random = new SeededRandomSource(options.seed);
+  const cluster = await SoakCluster.start(GATEWAYS, ENGINES, SERVICES);
+  const ledger = new SoakLedger();
+  const faults: string[] = [];
+  const note = (line: string) => {
+    const entry = `${ledger.nowMs} ms ${line}`;
+    faults.push(entry);
+    options.onFault?.(entry);
+  };
+  try {
+    let isOver = false;
+    const watch = new ConfigurationWatch(cluster, ledger);
+    const callers = Array.from({ length: CALLERS }, (_, index) => {
+      const own = new SeededRandomSource(options.seed + index + 1);
+      return new SoakCaller(`caller-${index}`, cluster, ledger, own);
+    });
+    const work = [...callers, watch].map((worker) => worker.run(() => isOver));
+    await pause(QUIET_MS);
+    await strikeUntil(ledger.nowMs + options.durationMs, cluster, random, options, ledger, note);
+    note("calm");
+    await pause(RECOVERY_MS);
+    const calmFromMs = ledger.nowMs;
+    await pause(CALM_MS);
+    isOver = true;
+    await Promise.all(work);
+    checkCalm(ledger, calmFromMs);
+    await watch.checkNewest();
+    checkRunners(cluster, ledger);
+    return { ledger, faults, logs: cluster.logs() };
+  } finally {
+    await cluster.stop();
+  }
+}
+
+async function strikeUntil(
+  untilMs: number,
+  cluster: SoakCluster,
+  random: SeededRandomSource,
+  options: SoakOptions,
+  ledger: SoakLedger,
+  note: (line: string) => void,
+): Promise<void> {
+  const names = options.faults ?? Object.keys(SOAK_FAULTS);
+  while (ledger.nowMs < untilMs) {
+    const count = random.unit() < PAIRED_PART ? 2 : 1;
+    const struck = Array.from({ length: count }, () => {
+      const name = names[random.below(names.length)] ?? "";
+      return strike(name, cluster, random, note);
+    });
+    await pause(SHORTEST_MS + random.unit() * (LONGEST_MS - SHORTEST_MS));
+    for (const fault of struck) fault.end();
+    note("over");
+    await pause(random.unit() * GAP_MS);
+  }
+}
+
+function strike(
+  name: string,
+  cluster: SoakCluster,
+  random: SeededRandomSource,
+  note: (line: string) => void,
+): SoakFault {
+  const Fault = SOAK_FAULTS[name];
+  if (!Fault) throw new Error(`unknown fault ${name}; known are ${Object.keys(SOAK_FAULTS).join(", ")}`);
+  const fault = new Fault(cluster, random);
+  note(`${name}: ${fault.begin()}`);
+  return fault;
+}
+
+function checkCalm(ledger: SoakLedger, fromMs: number): void {
+  const tries = ledger.tries.filter(({ atMs, kind }) => atMs >= fromMs && kind !== "probe");
+  const served = tries.filter(({ status, whole }) => whole && (status === OK || status === 402));
+  if (served.length < SERVED_PART * tries.length || served.length === 0)
+    ledger.breaks("recovery", `${served.length} of ${tries.length} tries served in calm time`);
+}
--- /dev/null
+++ b/test/soak/soak-caller.ts
@@ -0,0 +1,163 @@
+/** A caller that runs programs one after the other: turns that go on from each other, and calls of services between. */
+import type { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import { PATHS, pause } from "../process/support/gateway-cluster.ts";
+import type { SoakCluster } from "./soak-cluster.ts";
+import type { SoakLedger, SoakProgram } from "./soak-ledger.ts";
+import { type SoakAnswer, soakRequest } from "./soak-request.ts";
+
+/** Tokens that the test's engines make in each event. */
+const TOKENS_PER_EVENT = 10;
+/** Most tokens of a turn: that of the four events that the engines make. */
+const MOST = 40;
+const MAX_TURNS = 8;
+const TRIES = 5;
+const TIMEOUT_MS = 3_000;
+const RETRY_MS = 100;
+const MAX_RETRY_MS = 1_000;
+/** Part of the programs that loop until their budget is spent. */
+const LOOPING_PART = 0.3;
+const CALL_PART = 0.5;
+const OK = 200;
+const SPENT = 402;
+const MISSING = 404;
+const REFUSALS = [429, 503];
+
+/** A turn whose answer was whole. */
+interface SaidTurn {
+  readonly id: string;
+  /** All that was said up to its end. */
+  readonly said: string;
+}
+
+/** See the module's comment. */
+export class SoakCaller {
+  readonly #name: string;
+  readonly #cluster: SoakCluster;
+  readonly #ledger: SoakLedger;
+  readonly #random: SeededRandomSource;
+  #requests = 0;
+  #programs = 0;
+
+  constructor(name: string, cluster: SoakCluster, ledger: SoakLedger, random: SeededRandomSource) {
+    this.#name = name;
+    this.#cluster = cluster;
+    this.#ledger = ledger;
+    this.#random = random;
+  }
+
+  /** Runs programs until `isOver`. */
+  async run(isOver: () => boolean): Promise<void> {
+    while (!isOver()) await this.#runProgram(isOver);
+  }
+
+  async #runProgram(isOver: () => boolean): Promise<void> {
+    this.#programs += 1;
+    const loops = this.#random.unit() < LOOPING_PART;
+    const budget = MOST * (2 + this.#random.below(MAX_TURNS));
+    const program = { name: `${this.#name}-program-${this.#programs}`, budget, handed: 0 };
+    this.#ledger.programs.push(program);
+    const turns = loops ? Number.POSITIVE_INFINITY : 1 + this.#random.below(MAX_TURNS);
+    let last: SaidTurn | undefined;
+    for (let turn = 0; turn < turns && !isOver(); turn += 1) {
+      const next = await this.#insistOnTurn(program, last);
+      if (!next) return;
+      last = next;
+      if (this.#random.unit() < CALL_PART) await this.#callServices();
+    }
+  }
+
+  /** Sends a turn until it is answered whole; nothing when the program is over. */
+  async #insistOnTurn(program: SoakProgram, last: SaidTurn | undefined): Promise<SaidTurn | undefined> {
+    for (let count = 0; count < TRIES; count += 1) {
+      const id = this.#newId();
+      const prompt = `${last?.said ?? ""}input of ${id}\n`;
+      this.#ledger.prompts.set(id, prompt);
+      const answer = await this.#sendTurn(program, id, last);
+      const events = eventsOf(answer.body, answer.status);
+      program.handed += events.length * TOKENS_PER_EVENT;
+      if (program.handed > program.budget)
+        this.#ledger.breaks("budget", `${program.name}: ${program.handed} of ${program.budget} tokens`);
+      if (answer.status === MISSING) {
+        this.#ledger.breaks("retained turns", `${id}: ${last?.id} was answered whole, and is not there`);
+      }
+      if (answer.status === SPENT || answer.status === MISSING) return undefined;
+      if (answer.status === OK && answer.whole) {
+        this.#checkEvents(id, events);
+        return { id, said: `${prompt}${events.map((data) => `${data}\n`).join("")}` };
+      }
+      await pause(Math.min(MAX_RETRY_MS, answer.retryAfterMs ?? RETRY_MS));
+    }
+    return undefined;
+  }
+
+  async #sendTurn(program: SoakProgram, id: string, last: SaidTurn | undefined): Promise<SoakAnswer> {
+    const headers: Record<string, string> = {
+      "X-Request-Id": id,
+      "X-Program-Id": program.name,
+      "X-Session-Id": `${program.name}-main`,
+      "X-Program-Deadline-Ms": "60000",
+      "X-Token-Budget": String(program.budget),
+      "X-Token-Usage": `100,${MOST}`,
+      "X-Model": "m",
+    };
+    if (last) headers["X-Previous-Turn"] = last.id;
+    return this.#send("turn", PATHS.kept, id, headers, `input of ${id}\n`);
+  }
+
+  #checkEvents(id: string, events: readonly string[]): void {
+    const expected = [1, 2, 3, 4].map((event) => `${id}-${event}`);
+    if (events.join() !== expected.join())
+      this.#ledger.breaks("whole answers", `${id} got the events ${events.join()}`);
+  }
+
+  async #callServices(): Promise<void> {
+    const safe = this.#newId();
+    const answer = await this.#send("safe", PATHS.safe, safe, { "X-Request-Id": safe }, `input of ${safe}`);
+    this.#checkPlain(safe, answer);
+    const unsafe = this.#newId();
+    const outcome = await this.#send(
+      "unsafe",
+      PATHS.unsafe,
+      unsafe,
+      { "X-Request-Id": unsafe },
+      `input of ${unsafe}`,
+    );
+    this.#checkPlain(unsafe, outcome);
+  }
+
+  #checkPlain(id: string, answer: SoakAnswer): void {
+    if (answer.status === OK && answer.whole && answer.body !== `done ${id}`)
+      this.#ledger.breaks("whole answers", `${id} got ${answer.body}`);
+    if (answer.status === MISSING) this.#ledger.breaks("configuration", `${id} found no route`);
+    if (REFUSALS.includes(answer.status) && answer.retryAfterMs === undefined)
+      this.#ledger.breaks("refusals", `${id} was not told when to come back`);
+  }
+
+  async #send(
+    kind: "turn" | "safe" | "unsafe",
+    path: string,
+    id: string,
+    headers: Record<string, string>,
+    body: string,
+  ): Promise<SoakAnswer> {
+    const { gateways } = this.#cluster;
+    const gateway = gateways[this.#random.below(gateways.length)];
+    if (!gateway) throw new Error("there are gateways");
+    const answer = await soakRequest(this.#cluster.forCallers(gateway), path, headers, body, TIMEOUT_MS);
+    const { status, whole } = answer;
+    this.#ledger.note({ id, kind, gateway: gateway.name, status, whole });
+    return answer;
+  }
+
+  #newId(): string {
+    this.#requests += 1;
+    return `${this.#name}-${this.#requests}`;
+  }
+}
+
+/** The data of the whole events of a stream; nothing for an answer that is none. */
+function eventsOf(body: string, status: number): string[] {
+  if (status !== OK) return [];
+  const events = body.split("\n\n").slice(0, -1);
+  return events.map((event) => /^data: (.*)$/m.exec(event)?.[1] ?? "");
+}
--- /dev/null
+++ b/test/soak/soak-cluster.ts
@@ -0,0 +1,55 @@
+/** Gateways as separate processes whose links to callers, the store and runners lead through proxies. */
+import { GatewayCluster, type TestGateway, type TestLink } from "../process/support/gateway-cluster.ts";
+import { TestAddresses } from "../process/support/test-addresses.ts";
+import { LoopbackProxy } from "./loopback-proxy.ts";
+
+/** See the module's comment. */
+export class SoakCluster extends GatewayCluster {
+  /** By the gateway's name. */
+  readonly storeLinks = new Map<string, LoopbackProxy>();
+  /** By the runner's name. */
+  readonly runnerLinks = new Map<string, LoopbackProxy>();
+  /** By the gateway's name. */
+  readonly callerLinks = new Map<string, LoopbackProxy>();
+  readonly #proxyAddresses: TestAddresses;
+  readonly #callerAddresses = new Map<string, string>();
+
+  private constructor(addresses: TestAddresses, proxyAddresses: TestAddresses) {
+    super(addresses);
+    this.#proxyAddresses = proxyAddresses;
+  }
+
+  /** Starts everything, and waits until all gateways are ready. */
+  static override async start(gateways: number, engines: number, services: number): Promise<SoakCluster> {
+    const cluster = new SoakCluster(new TestAddresses(), new TestAddresses());
+    await cluster.startAll(gateways, engines, services);
+    for (const gateway of cluster.gateways) {
+      const address = cluster.#proxyAddresses.next();
+      const link = new LoopbackProxy(gateway.addresses.callers);
+      await link.listen(address);
+      cluster.callerLinks.set(gateway.name, link);
+      cluster.#callerAddresses.set(gateway.name, address);
+    }
+    return cluster;
+  }
+
+  /** A gateway as callers reach it. */
+  forCallers(gateway: TestGateway): TestGateway {
+    const callers = this.#callerAddresses.get(gateway.name) ?? gateway.addresses.callers;
+    return { ...gateway, addresses: { ...gateway.addresses, callers } };
+  }
+
+  override async stop(): Promise<void> {
+    const links = [this.storeLinks, this.runnerLinks, this.callerLinks];
+    for (const link of links.flatMap((map) => [...map.values()])) link.close();
+    await super.stop();
+  }
+
+  protected override async reach(address: string, { side, name }: TestLink): Promise<string> {
+    const proxyAddress = this.#proxyAddresses.next();
+    const link = new LoopbackProxy(address);
+    await link.listen(proxyAddress);
+    (side === "store" ? this.storeLinks : this.runnerLinks).set(name, link);
+    return proxyAddress;
+  }
+}
--- /dev/null
+++ b/test/soak/soak-request.ts
@@ -0,0 +1,43 @@
+/** A caller's request whose answer is read as far as it comes. */
+import { request } from "undici";
+import { TEST_HOST, type TestGateway } from "../process/support/gateway-cluster.ts";
+
+/** What came of an answer. */
+export interface SoakAnswer {
+  /** 0 when no head came. */
+  readonly status: number;
+  /** As much of the body as came. */
+  readonly body: string;
+  readonly whole: boolean;
+  readonly retryAfterMs: number | undefined;
+}
+
+const MS_PER_S = 1_000;
+
+/** Sends a request, and gives it up after `timeoutMs`. */
+export async function soakRequest(
+  gateway: TestGateway,
+  path: string,
+  headers: Record<string, string>,
+  body: string,
+  timeoutMs: number,
+): Promise<SoakAnswer> {
+  let status = 0;
+  let text = "";
+  let retryAfterMs: number | undefined;
+  try {
+    const answer = await request(`http://${gateway.addresses.callers}${path}`, {
+      method: "POST",
+      headers: { host: TEST_HOST, "X-Deadline-Ms": String(timeoutMs), ...headers },
+      body,
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    status = answer.statusCode;
+    const after = answer.headers["retry-after"];
+    if (after !== undefined) retryAfterMs = Number(after) * MS_PER_S;
+    for await (const chunk of answer.body) text += String(chunk);
+    return { status, body: text, whole: true, retryAfterMs };
+  } catch {
+    return { status, body: text, whole: false, retryAfterMs };
+  }
+}
