Log a line for each call with the grounds of its decisions, and serve metrics

A call now leaves one line when it is over: program, route and version of its configuration, the owner's answer and how long it took, each try with the load and the failures that the runner was chosen by, and the end. 300 lines a second at most, failures first; what is left out is counted and said. Lines are written in batches and dropped when the reader stalls (process test: 1,900 refused calls with nobody reading). Counters and histograms at listen.metrics; the library is loaded only there, in a file of its own.

--- a/bench/build-gateway.mjs
+++ b/bench/build-gateway.mjs
@@ -1,4 +1,4 @@
-/** Bundles the gateway into one file: a process that starts reads and compiles only what it serves with. */
+/** Bundles the gateway: a process that starts reads and compiles only what it serves with. */
 import { build } from "esbuild";
 
 const REQUIRE =
@@ -12,7 +12,12 @@
   target: "node20",
   legalComments: "none",
   logLevel: "warning",
-  outfile: "target/gateway.mjs",
+  outdir: "target",
+  entryNames: "gateway",
+  chunkNames: "gateway-[name]-[hash]",
+  outExtension: { ".js": ".mjs" },
+  // What only some gateways need, such as metrics, is a file of its own and is read only there.
+  splitting: true,
   // Libraries in the older module format ask for Node.js's own modules with `require`.
   banner: { js: REQUIRE },
 });
--- a/bench/simulation/gateways/simulated-gateway.ts
+++ b/bench/simulation/gateways/simulated-gateway.ts
@@ -13,6 +13,7 @@
 import { PartitionClient } from "../../../src/gateway/partitions/partition-client.ts";
 import { PartitionHost } from "../../../src/gateway/partitions/partition-host.ts";
 import { StoreHealth } from "../../../src/gateway/store-health.ts";
+import { NoMetrics } from "../../../src/gateway/telemetry/no-metrics.ts";
 import type { PlatformRecords } from "../../../src/ports/platform-records.ts";
 import type { RandomSource } from "../../../src/runtime/random-source.ts";
 import { RpcEndpoint } from "../../../src/runtime/rpc.ts";
@@ -68,7 +69,17 @@
     const address = settings.listen.peers;
     const platform = { store, records: RECORDS, ...NO_CALLERS };
     const log = pino({ level: "silent" });
-    const context: GatewayContext = { settings, instance, clock: process, random, hash, log, platform };
+    const metrics = new NoMetrics();
+    const context: GatewayContext = {
+      settings,
+      instance,
+      clock: process,
+      random,
+      hash,
+      log,
+      metrics,
+      platform,
+    };
     this.process = process;
     this.store = store;
     this.#transport = network.attach(process, { instance, address });
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -51,7 +51,8 @@
       exchange.refuse({ status: NOT_FOUND, kind: "no-route", detail: "No route leads there." });
       return;
     }
-    const start = { exchange, call, route, pool };
+    const configurationVersion = routes.configuration.version;
+    const start = { exchange, call, route, pool, configurationVersion };
     const routed =
       route.kind === "streaming"
         ? new StreamedCall(this.#parts, this.#partitions, start)
--- a/src/gateway/calls/plain-call.ts
+++ b/src/gateway/calls/plain-call.ts
@@ -36,7 +36,8 @@
     if (!head) return this.failUnknown("an answer without a head");
     const { calls } = this.parts.context.platform;
     this.exchange.answer(head.status, calls.headersForCaller(head.rawHeaders), body);
-    this.finish();
+    this.record.firstByteMs = this.elapsedMs;
+    this.finish({ status: head.status, kind: "answered" });
   }
 
   #onFailed(runner: RunnerEntry, failure: AttemptFailure): void {
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -4,6 +4,7 @@
 import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
+import { type CallEnd, CallRecord } from "../telemetry/call-record.ts";
 import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
 import { RunnerAttempt } from "./runner-attempt.ts";
 
@@ -13,10 +14,15 @@
   readonly call: CallContext;
   readonly route: Route;
   readonly pool: RunnerPool;
+  /** Version of the configuration that the route is from. */
+  readonly configurationVersion: number;
 }
 
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
+const PERCENT = 100;
+/** Longest detail in a line of the log, in characters. */
+const MAX_DETAIL = 200;
 const GATEWAY_TIMEOUT = 504;
 /** When callers of a request that was not run should come back, in ms; up to as much again is added at random. */
 const RETRY_AFTER_MS = 100;
@@ -44,6 +50,8 @@
   /** Runners that may have run it. */
   protected readonly mayHaveRun = new Set<string>();
   protected attempt: RunnerAttempt | undefined;
+  /** What goes into the log when the call is over. */
+  protected readonly record: CallRecord;
   #tries = 0;
   #timer: TimerHandle | undefined;
   #silenceTimer: TimerHandle | undefined;
@@ -55,6 +63,8 @@
     this.call = start.call;
     this.route = start.route;
     this.pool = start.pool;
+    const { requestId, program } = this.call;
+    this.record = new CallRecord(requestId, program?.id, this.route.name, start.configurationVersion);
     const timeMs = Math.min(this.call.deadlineMs ?? this.route.timeoutMs, this.route.timeoutMs);
     this.deadlineAtMs = this.exchange.arrivedAtMs + timeMs;
   }
@@ -108,6 +118,7 @@
     const patienceMs = Math.max(MIN_PATIENCE_MS, this.route.targetLatencyMs * PATIENCE_FACTOR);
     const streaming = this.route.kind === "streaming";
     const request = { exchange, call, body, deadlineMs: leftMs, lastEventId, streaming, patienceMs };
+    this.#noteTry(runner);
     this.attempt = new RunnerAttempt(this.parts, runner, request, listener);
     if (this.mayMove(runner)) this.#watchSilence(this.attempt, patienceMs);
     return true;
@@ -117,8 +128,27 @@
   protected noteFailure(runner: RunnerEntry, failure: AttemptFailure): void {
     if (failure.type === "broken") this.mayHaveRun.add(runner.id);
     else this.excluded.add(runner.id);
-    const { requestId } = this.call;
-    this.parts.context.log.info({ request: requestId, runner: runner.id, failure }, "try failed");
+    const last = this.record.tries.at(-1);
+    if (last) last.failure = failure.type === "notRun" ? `not run, status ${failure.status}` : failure.detail;
+    this.#endTry();
+  }
+
+  #noteTry(runner: RunnerEntry): void {
+    const { board, context } = this.parts;
+    const load = board.load(runner.id);
+    const failureRate =
+      Math.round(PERCENT * board.failureRate(runner.id, context.clock.monotonicMs())) / PERCENT;
+    this.record.tries.push({ runner: runner.id, load, failureRate, atMs: this.elapsedMs });
+  }
+
+  #endTry(): void {
+    const last = this.record.tries.at(-1);
+    if (last) last.elapsedMs ??= this.elapsedMs - last.atMs;
+  }
+
+  /** Time since the call arrived, in whole ms. */
+  protected get elapsedMs(): number {
+    return Math.round(this.parts.context.clock.monotonicMs() - this.exchange.arrivedAtMs);
   }
 
   /** Ends the call: no runner has run it, and none will. */
@@ -135,23 +165,20 @@
   /** Ends the call with an answer of the system's own, or by breaking off one that has begun. */
   protected fail(status: number, kind: string, detail: string, retryAfterMs?: number): void {
     if (this.#over) return;
-    const { requestId } = this.call;
-    const route = this.route.name;
-    const elapsedMs = Math.round(this.parts.context.clock.monotonicMs() - this.exchange.arrivedAtMs);
-    this.parts.context.log.info(
-      { request: requestId, route, status, kind, detail, elapsedMs },
-      "call failed",
-    );
     if (this.exchange.started) this.exchange.breakOff();
     else
       this.exchange.refuse({ status, kind, detail, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) });
-    this.finish();
+    this.finish({ status: this.exchange.started ? 0 : status, kind, detail: detail.slice(0, MAX_DETAIL) });
   }
 
   /** The call is over. */
-  protected finish(): void {
+  protected finish(end: CallEnd): void {
     if (this.#over) return;
     this.#over = true;
+    this.#endTry();
+    const { elapsedMs, record } = this;
+    this.parts.callLog.ended(record, end, elapsedMs);
+    this.parts.context.metrics.callEnded(record.route, end, elapsedMs, record.firstByteMs);
     if (this.#timer) this.parts.context.clock.cancel(this.#timer);
     this.#cancelSilenceTimer();
     this.attempt?.abort();
@@ -184,8 +211,6 @@
   }
 
   #onGone(): void {
-    const { requestId } = this.call;
-    this.parts.context.log.debug({ request: requestId }, "caller gone");
-    this.finish();
+    this.finish({ status: 0, kind: "caller-gone" });
   }
 }
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -13,6 +13,7 @@
 import type { GatewayContext } from "../gateway-context.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { RunnerConnections } from "../runners/runner-connections.ts";
+import type { CallLog } from "../telemetry/call-log.ts";
 
 /** Why a try gave no answer. */
 export type AttemptFailure =
@@ -36,6 +37,7 @@
   readonly context: GatewayContext;
   readonly board: RunnerBoard;
   readonly connections: RunnerConnections;
+  readonly callLog: CallLog;
 }
 
 /** What one try sends. */
@@ -157,7 +159,9 @@
 
   #finish(outcome: RequestOutcome): void {
     this.#over = true;
-    this.#parts.board.ended(this.#pending, outcome, this.#nowMs);
+    const nowMs = this.#nowMs;
+    this.#parts.board.ended(this.#pending, outcome, nowMs);
+    this.#parts.context.metrics.tryEnded(outcome, nowMs - this.#pending.startedAtMs);
   }
 
   /** Events of a stream come as they are made; another answer is one step. */
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -89,12 +89,21 @@
       history: this.route.retainsTurns ? { previousTurn: program.previousTurn } : undefined,
     };
     const patienceAtMs = Math.min(this.deadlineAtMs, clock.monotonicMs() + settings.timing.ownerWaitMs);
+    const askedMs = this.elapsedMs;
     const answer = await this.#partitions.admit(request, patienceAtMs, () => this.over);
+    this.#noteAdmission(request.partition, answer, this.elapsedMs - askedMs);
     this.#admitted = answer.type === "granted" || answer.type === "unavailable";
     if (!this.over) this.#onAdmission(answer);
     else if (this.#admitted) this.onOver();
   }
 
+  #noteAdmission(partition: number, answer: AdmitTurnResponse, elapsedMs: number): void {
+    const spent = answer.type === "exhausted" ? { spentTokens: answer.spent } : {};
+    const owner = this.#partitions.ownerOf(partition);
+    this.record.admission = { partition, owner, answer: answer.type, ...spent, elapsedMs };
+    this.parts.context.metrics.admitted(answer.type, elapsedMs);
+  }
+
   #onAdmission(answer: AdmitTurnResponse): void {
     switch (answer.type) {
       case "granted":
@@ -171,6 +180,7 @@
   #start(head: HttpAnswerHead | undefined): void {
     if (this.#startedHead || !head) return;
     this.#startedHead = head;
+    this.record.firstByteMs = this.elapsedMs;
     const { calls } = this.parts.context.platform;
     this.exchange.start(head.status, calls.headersForCaller(head.rawHeaders));
   }
@@ -183,7 +193,7 @@
     }
     const { calls } = this.parts.context.platform;
     this.exchange.answer(head.status, calls.headersForCaller(head.rawHeaders), body);
-    this.finish();
+    this.finish({ status: head.status, kind: "runner-failed" });
   }
 
   async #complete(head: HttpAnswerHead | undefined): Promise<void> {
@@ -193,7 +203,7 @@
     if (rest.length > 0) this.exchange.write(rest);
     if (this.#admitted && this.route.retainsTurns && !(await this.#retain())) return;
     this.exchange.end();
-    this.finish();
+    this.finish({ status: this.#startedHead?.status ?? 0, kind: "answered" });
   }
 
   /** Has the turn kept before its answer ends. */
--- a/src/gateway/gateway-context.ts
+++ b/src/gateway/gateway-context.ts
@@ -6,6 +6,7 @@
 import type { RandomSource } from "../runtime/random-source.ts";
 import type { TextHash } from "../runtime/text-hash.ts";
 import type { GatewaySettings } from "./gateway-settings.ts";
+import type { GatewayMetrics } from "./telemetry/gateway-metrics.ts";
 
 /** How the platform around a gateway speaks. */
 export interface GatewayPlatform {
@@ -24,5 +25,6 @@
   readonly random: RandomSource;
   readonly hash: TextHash;
   readonly log: Logger;
+  readonly metrics: GatewayMetrics;
   readonly platform: GatewayPlatform;
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -17,8 +17,11 @@
 import { RunnerConnections } from "./runners/runner-connections.ts";
 import { RunnerWatch } from "./runners/runner-watch.ts";
 import { StoreHealth } from "./store-health.ts";
+import { CallLog } from "./telemetry/call-log.ts";
 
 const STOP_POLL_MS = 50;
+/** Longest time that a stop waits for the log to be written, in ms. */
+const LOG_FLUSH_MS = 500;
 
 /** See the module's comment. */
 export class GatewayDaemon {
@@ -34,6 +37,8 @@
   readonly #connections: RunnerConnections;
   readonly #ingress: IngressServer;
   readonly #entry: EntryServer;
+  readonly #callLog: CallLog;
+  readonly #health: StoreHealth;
   #stopping: Promise<void> | undefined;
 
   constructor(context: GatewayContext, transport: TcpTransport<GatewayMessage>) {
@@ -50,7 +55,9 @@
     this.#ingress = new IngressServer(context);
     this.#entry = new EntryServer(context, this.#members, () => this.state === "ready");
     const client = new PartitionClient(context, this.#members, this.#partitions, this.#rpc, health);
-    const parts = { context, board: this.#board, connections: this.#connections };
+    this.#callLog = new CallLog(context.log, context.clock);
+    this.#health = health;
+    const parts = { context, board: this.#board, connections: this.#connections, callLog: this.#callLog };
     const calls = new CallService(parts, client, () => (this.#canServe ? this.#routing.routes : undefined));
     this.#ingress.onRequest = (exchange) => calls.handle(exchange);
     this.#routing.onChanged = (routes) => this.#ingress.setLimits(routes.configuration.limits);
@@ -78,6 +85,7 @@
     this.#partitions.start();
     await this.#entry.listen([listen.readiness, listen.directory]);
     await this.#ingress.listen(listen.callers);
+    await this.#serveMetrics();
   }
 
   /** A planned stop: leaves the directory, lets requests in flight end, and hands its partitions over. */
@@ -102,6 +110,18 @@
     return this.#routing.routes !== undefined && this.#runners.ready;
   }
 
+  #serveMetrics(): Promise<void> {
+    const gauges = {
+      members: () => this.#members.aliveCount,
+      partitions: () => this.#partitions.owned.length,
+      requestsInProgress: () => this.#ingress.active,
+      linesLeftOut: () => this.#callLog.leftOutTotal,
+      configurationVersion: () => this.#routing.routes?.configuration.version ?? 0,
+      storeReachable: () => this.#health.reachable,
+    };
+    return this.#context.metrics.serve(gauges, () => this.state === "ready");
+  }
+
   #wireMembers(): void {
     this.#members.onHeard = (member) => this.#partitions.learn(member);
     this.#members.onLoads = (source, report) =>
@@ -144,6 +164,10 @@
     const deadlineMs = startedMs + settings.timing.stopMs;
     while (this.#ingress.active > 0 && clock.monotonicMs() < deadlineMs) await delay(clock, STOP_POLL_MS);
     log.info({ active: this.#ingress.active, connections: this.#ingress.connections }, "stopped");
+    this.#context.metrics.close();
     await this.#transport.close();
+    // Lines are written in batches; a reader of standard output that stalls must not hold up the stop.
+    const written = new Promise<void>((resolve) => log.flush(() => resolve()));
+    await Promise.race([written, delay(clock, LOG_FLUSH_MS)]);
   }
 }
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -159,6 +159,11 @@
     return 2 * (this.#view.alive().length + 1) >= this.#known.size + 1;
   }
 
+  /** How many other gateways are alive. */
+  get aliveCount(): number {
+    return this.#view.alive().length;
+  }
+
   /** The address of a live incarnation. */
   addressOf(instance: string): string | undefined {
     if (instance === this.#context.instance) return this.#transport.self.address;
--- a/src/gateway/partitions/partition-client.ts
+++ b/src/gateway/partitions/partition-client.ts
@@ -49,6 +49,11 @@
     return this.#context.hash.hash32(program) % this.#context.settings.partitions;
   }
 
+  /** The incarnation that owns a partition, as far as this gateway knows. */
+  ownerOf(partition: number): string | undefined {
+    return this.#host.ownerOf(partition);
+  }
+
   /** Asks whether a turn may run, until `deadlineAtMs` of the clock or `cancelled`. */
   admit(
     request: AdmitTurnRequest,
--- a/src/gateway/partitions/partition-writer.ts
+++ b/src/gateway/partitions/partition-writer.ts
@@ -185,6 +185,7 @@
     const outcome = await platform.store.transact(transaction, writeTimeout.currentMs);
     if (outcome.type === "unknown") writeTimeout.expired();
     else writeTimeout.answered(clock.monotonicMs() - startedMs);
+    this.#context.metrics.storeWritten(outcome.type, clock.monotonicMs() - startedMs);
     this.#health.note(outcome);
     return outcome;
   }
--- /dev/null
+++ b/src/gateway/telemetry/gateway-metrics.ts
@@ -0,0 +1,27 @@
+import type { CallEnd } from "./call-record.ts";
+
+/** Numbers of the whole process, read when the metrics are. */
+export interface GatewayGauges {
+  readonly members: () => number;
+  readonly partitions: () => number;
+  readonly requestsInProgress: () => number;
+  readonly linesLeftOut: () => number;
+  readonly configurationVersion: () => number;
+  readonly storeReachable: () => boolean;
+}
+
+/** Counts what a gateway does. */
+export abstract class GatewayMetrics {
+  /** A call is over; times in ms. */
+  abstract callEnded(route: string, end: CallEnd, elapsedMs: number, firstByteMs: number | undefined): void;
+  /** A try at a runner is over. */
+  abstract tryEnded(outcome: string, elapsedMs: number): void;
+  /** An owner answered, or could not be asked. */
+  abstract admitted(answer: string, elapsedMs: number): void;
+  /** A write of a partition was answered, or not. */
+  abstract storeWritten(outcome: string, elapsedMs: number): void;
+  /** Serves what was counted; returns the address. */
+  abstract serve(gauges: GatewayGauges, isReady: () => boolean): Promise<void>;
+  /** Serves no more. */
+  abstract close(): void;
+}
--- /dev/null
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -0,0 +1,100 @@
+/** Counters and latency histograms as Prometheus text, at the metrics address of the settings. */
+import { Counter, Histogram } from "prom-client";
+import { ProcessMetrics } from "../../telemetry/metrics.ts";
+import { MetricsServer } from "../../telemetry/metrics-server.ts";
+import type { CallEnd } from "./call-record.ts";
+import { type GatewayGauges, GatewayMetrics } from "./gateway-metrics.ts";
+
+const MS_PER_S = 1_000;
+const CALL_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10];
+const STORE_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1];
+
+/** See the module's comment. */
+export class PrometheusMetrics extends GatewayMetrics {
+  readonly #address: string;
+  readonly #calls = new Counter({
+    name: "tulipwheel_gateway_calls_total",
+    help: "Calls that are over, by route, status and kind",
+    labelNames: ["route", "status", "kind"],
+    registers: [],
+  });
+  readonly #callTimes = histogram("call_seconds", "Time from a call's arrival to its end", CALL_BUCKETS_S);
+  readonly #firstBytes = histogram("first_byte_seconds", "Time to the first byte handed on", CALL_BUCKETS_S);
+  readonly #tries = histogram("try_seconds", "Time of a try at a runner", CALL_BUCKETS_S, "outcome");
+  readonly #admissions = histogram(
+    "admission_seconds",
+    "Time until the owner's answer",
+    CALL_BUCKETS_S,
+    "answer",
+  );
+  readonly #writes = histogram(
+    "store_write_seconds",
+    "Time of a write of a partition",
+    STORE_BUCKETS_S,
+    "outcome",
+  );
+  #server: MetricsServer | undefined;
+
+  /** @param address where to serve, IP:port */
+  constructor(address: string) {
+    super();
+    this.#address = address;
+  }
+
+  override callEnded(route: string, end: CallEnd, elapsedMs: number, firstByteMs: number | undefined): void {
+    this.#calls.inc({ route, status: String(end.status), kind: end.kind });
+    this.#callTimes.observe(elapsedMs / MS_PER_S);
+    if (firstByteMs !== undefined) this.#firstBytes.observe(firstByteMs / MS_PER_S);
+  }
+
+  override tryEnded(outcome: string, elapsedMs: number): void {
+    this.#tries.observe({ outcome }, elapsedMs / MS_PER_S);
+  }
+
+  override admitted(answer: string, elapsedMs: number): void {
+    this.#admissions.observe({ answer }, elapsedMs / MS_PER_S);
+  }
+
+  override storeWritten(outcome: string, elapsedMs: number): void {
+    this.#writes.observe({ outcome }, elapsedMs / MS_PER_S);
+  }
+
+  override async serve(gauges: GatewayGauges, isReady: () => boolean): Promise<void> {
+    const gauge = (name: string, help: string, read: () => number) => {
+      return { name: `gateway_${name}`, help, type: "gauge" as const, read };
+    };
+    const metrics = new ProcessMetrics([
+      gauge("members", "Other gateways that are alive", gauges.members),
+      gauge("partitions", "Partitions owned here", gauges.partitions),
+      gauge("requests_in_progress", "Callers' requests without a whole answer", gauges.requestsInProgress),
+      gauge("lines_left_out", "Lines of calls that were not written", gauges.linesLeftOut),
+      gauge("configuration_version", "Version in force", gauges.configurationVersion),
+      gauge("store_reachable", "1 while the store answers", () => (gauges.storeReachable() ? 1 : 0)),
+    ]);
+    for (const metric of [
+      this.#calls,
+      this.#callTimes,
+      this.#firstBytes,
+      this.#tries,
+      this.#admissions,
+      this.#writes,
+    ])
+      metrics.register(metric);
+    this.#server = new MetricsServer(metrics, isReady);
+    await this.#server.listen(this.#address);
+  }
+
+  override close(): void {
+    this.#server?.close();
+  }
+}
+
+function histogram(name: string, help: string, buckets: number[], label?: string): Histogram<string> {
+  return new Histogram({
+    name: `tulipwheel_gateway_${name}`,
+    help,
+    buckets,
+    labelNames: label === undefined ? [] : [label],
+    registers: [],
+  });
+}
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -1,4 +1,4 @@
-import { Counter, collectDefaultMetrics, Gauge, Registry } from "prom-client";
+import { Counter, collectDefaultMetrics, Gauge, type Metric, Registry } from "prom-client";
 
 /** Anything whose metrics can be read as Prometheus text. */
 export interface MetricsSource {
@@ -20,14 +20,19 @@
 
   constructor(definitions: readonly MetricDefinition[]) {
     collectDefaultMetrics({ register: this.#registry });
-    for (const definition of definitions) this.#register(definition);
+    for (const definition of definitions) this.#define(definition);
+  }
+
+  /** Adds a metric that keeps its own numbers. */
+  register(metric: Metric): void {
+    this.#registry.registerMetric(metric);
   }
 
   async render(): Promise<{ contentType: string; text: string }> {
     return { contentType: this.#registry.contentType, text: await this.#registry.metrics() };
   }
 
-  #register({ name, help, type, read }: MetricDefinition): void {
+  #define({ name, help, type, read }: MetricDefinition): void {
     const common = { name: `tulipwheel_${name}`, help, registers: [this.#registry] };
     if (type === "gauge") {
       new Gauge({
--- /dev/null
+++ b/test/contract/call-log.test.ts
@@ -0,0 +1,65 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { pino } from "pino";
+import { SimulatedProcess, VirtualTime } from "../../bench/simulation/virtual-time.ts";
+import { CallLog } from "../../src/gateway/telemetry/call-log.ts";
+import { type CallEnd, CallRecord } from "../../src/gateway/telemetry/call-record.ts";
+
+const ANSWERED: CallEnd = { status: 200, kind: "answered" };
+const REFUSED: CallEnd = { status: 503, kind: "overloaded", detail: "no runner can take the call" };
+
+interface LogLine {
+  readonly msg: string;
+  readonly lines?: number;
+  readonly request?: string;
+  readonly program?: string;
+  readonly admission?: object;
+}
+
+function start(): { time: VirtualTime; log: CallLog; lines: LogLine[] } {
+  const time = new VirtualTime();
+  const lines: LogLine[] = [];
+  const sink = { write: (text: string) => void lines.push(JSON.parse(text) as LogLine) };
+  return { time, log: new CallLog(pino({}, sink), new SimulatedProcess("p", "z", time)), lines };
+}
+
+function end(log: CallLog, count: number, how: CallEnd): void {
+  for (let index = 0; index < count; index += 1)
+    log.ended(new CallRecord(`request-${index}`, "program", "route", 7), how, 12);
+}
+
+describe("log of calls", () => {
+  it("tells of a call its identifiers, the grounds of its decisions, and its end", () => {
+    const { log, lines } = start();
+    const record = new CallRecord("request", "program", "route", 7);
+    record.admission = { partition: 3, owner: "gateway#1", answer: "granted", elapsedMs: 2 };
+    record.tries.push({ runner: "runner", load: 2, failureRate: 0.1, atMs: 3, elapsedMs: 30 });
+    log.ended(record, ANSWERED, 40);
+    expect(lines[0]).toLooseEqual({
+      ...lines[0],
+      request: "request",
+      program: "program",
+      route: "route",
+      configuration: 7,
+      status: 200,
+      kind: "answered",
+      elapsedMs: 40,
+      admission: { partition: 3, owner: "gateway#1", answer: "granted", elapsedMs: 2 },
+      tries: [{ runner: "runner", load: 2, failureRate: 0.1, atMs: 3, elapsedMs: 30 }],
+      msg: "call answered",
+    });
+  });
+
+  it("keeps to a bound, failures before answers, and says what it left out", async () => {
+    const { time, log, lines } = start();
+    end(log, 1_000, ANSWERED);
+    end(log, 1_000, REFUSED);
+    expect(lines.filter(({ msg }) => msg === "call answered").length).toEqual(150);
+    expect(lines.filter(({ msg }) => msg === "call failed").length).toEqual(150);
+    expect(log.leftOutTotal).toEqual(1_700);
+    await time.runUntil(1_001);
+    end(log, 1, ANSWERED);
+    expect(lines.find(({ msg }) => msg === "lines of calls left out")?.lines).toEqual(1_700);
+    expect(lines.at(-1)?.msg).toEqual("call answered");
+  });
+});
--- a/test/contract/member-directory.test.ts
+++ b/test/contract/member-directory.test.ts
@@ -9,6 +9,7 @@
 import { gatewaySettingsSchema } from "../../src/gateway/gateway-settings.ts";
 import { MemberDirectory } from "../../src/gateway/members/member-directory.ts";
 import { StoreHealth } from "../../src/gateway/store-health.ts";
+import { NoMetrics } from "../../src/gateway/telemetry/no-metrics.ts";
 import { SeededRandomSource } from "../../src/runtime/random-source.ts";
 import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
 import { RunnerBoard } from "../../src/scheduling/runner-board/runner-board.ts";
@@ -65,6 +66,7 @@
       random: new SeededRandomSource(index),
       hash: this.#hash,
       log: pino({ level: "silent" }),
+      metrics: new NoMetrics(),
       platform: {} as GatewayPlatform,
     };
     const transport = this.network.attach(process, { instance, address: peers });
--- a/test/contract/support/gateway-parts.ts
+++ b/test/contract/support/gateway-parts.ts
@@ -6,6 +6,7 @@
 import { platformRecords } from "../../../platform/rows.ts";
 import type { GatewayContext } from "../../../src/gateway/gateway-context.ts";
 import { gatewaySettingsSchema } from "../../../src/gateway/gateway-settings.ts";
+import { NoMetrics } from "../../../src/gateway/telemetry/no-metrics.ts";
 import { openPool } from "../../../src/ports/http/connection-pool.ts";
 import { SystemClock } from "../../../src/runtime/clock.ts";
 import { SeededRandomSource } from "../../../src/runtime/random-source.ts";
@@ -46,6 +47,7 @@
     random: new SeededRandomSource(1),
     hash: await loadTextHash(),
     log: pino({ level: "silent" }),
+    metrics: new NoMetrics(),
     platform: {
       store: storeClient(storeAddress, storeTimeoutMs),
       calls: callProtocol,
--- a/test/process/gateway.test.ts
+++ b/test/process/gateway.test.ts
@@ -298,6 +298,56 @@
     expect(performance.now() - startedMs < 4_000).toEqual(true);
   });
 
+  it("answer on while nobody reads what they log", async () => {
+    cluster = await GatewayCluster.start(1, 0, 1);
+    const [service] = cluster.services;
+    if (service) service.fault = "full";
+    gateway(0).process.stallOutput();
+    const PIPE_BYTES = 65_536;
+    const LEAST_LINE_BYTES = 100;
+    let answered = 0;
+    for (let round = 0; round < 12; round += 1) {
+      const ids = Array.from({ length: PIPE_BYTES / LEAST_LINE_BYTES / 4 }, () => newRequestId());
+      const answers = await Promise.all(ids.map((id) => call(gateway(0), PATHS.safe, id)));
+      answered += answers.filter(({ status }) => status === 503).length;
+      expect(answers.every(({ status }) => status === 503)).toEqual(true);
+    }
+    expect(answered * LEAST_LINE_BYTES > 2 * PIPE_BYTES).toEqual(true);
+  });
+
+  it("serve counters and latency histograms at the metrics address of their settings", async () => {
+    cluster = await GatewayCluster.start(1, 1, 1);
+    await turn(gateway(0), PATHS.turn, newRequestId(), { program: "p" });
+    await call(gateway(0), PATHS.unsafe, newRequestId());
+    const { body } = await request(`http://${gateway(0).addresses.metrics}/metrics`);
+    const text = await body.text();
+    expect(text).toMatchRegex(/gateway_calls_total\{route="turn",status="200",kind="answered"\} 1/);
+    expect(text).toMatchRegex(/gateway_admission_seconds_count\{answer="granted"\} 1/);
+    expect(text).toMatchRegex(/gateway_store_write_seconds_count\{outcome="committed"\} [1-9]/);
+    expect(text).toMatchRegex(/gateway_first_byte_seconds_bucket/);
+    expect(text).toMatchRegex(/gateway_partitions 4/);
+  });
+
+  it("write one line for a call that names the grounds of its decisions", async () => {
+    cluster = await GatewayCluster.start(1, 1, 0);
+    const id = newRequestId();
+    await turn(gateway(0), PATHS.turn, id, { program: "p" });
+    await pause(500);
+    const lines = gateway(0)
+      .process.written.split("\n")
+      .filter((line) => line.includes(`"${id}"`));
+    expect(lines.length).toEqual(1);
+    expect(JSON.parse(lines[0] ?? "{}")).toLooseEqual({
+      ...JSON.parse(lines[0] ?? "{}"),
+      msg: "call answered",
+      program: "p",
+      status: 200,
+      configuration: 1,
+    });
+    expect(lines[0]).toMatchRegex(/"admission":\{"partition":\d+,"owner":"gateway-1#\w+","answer":"granted"/);
+    expect(lines[0]).toMatchRegex(/"tries":\[\{"runner":"engine-0","load":\d+,"failureRate":0/);
+  });
+
   it("leave nothing behind when a cluster of a test does not come up", async () => {
     const taken = createServer();
     const first = new TestAddresses().next();
--- a/test/process/support/child-process.ts
+++ b/test/process/support/child-process.ts
@@ -37,6 +37,12 @@
     return this;
   }
 
+  /** Reads no more of what the process writes, as a reader that stalls. */
+  stallOutput(): void {
+    this.#child.stdout?.removeAllListeners("data");
+    this.#child.stdout?.pause();
+  }
+
   /** What was collected of standard output, and what the process wrote to standard error. */
   get written(): string {
     return this.#written.join("") + this.log;
--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -36,7 +36,13 @@
 /** One gateway of a cluster. */
 export interface TestGateway {
   readonly name: string;
-  readonly addresses: { callers: string; readiness: string; directory: string; peers: string };
+  readonly addresses: {
+    callers: string;
+    readiness: string;
+    directory: string;
+    peers: string;
+    metrics: string;
+  };
   readonly settingsFile: string;
   process: StartedProcess;
 }
@@ -159,6 +165,7 @@
       readiness: this.#addresses.next(),
       directory: this.#addresses.next(),
       peers: this.#addresses.next(),
+      metrics: this.#addresses.next(),
     };
     const settings = {
       name,
