--- a/src/gateway/start-gateway.ts
+++ b/src/gateway/start-gateway.ts
@@ -8,15 +8,11 @@
 import type { GatewayMessage } from "./gateway-messages.ts";
 import type { GatewaySettings } from "./gateway-settings.ts";
 import type { GatewayMetrics } from "./telemetry/gateway-metrics.ts";
+import { LogSink } from "./telemetry/log-sink.ts";
 import { NoMetrics } from "./telemetry/no-metrics.ts";
 
 const INSTANCE_TOKEN_LENGTH = 8;
 const STANDARD_OUTPUT = 1;
-/** Lines are written together, so many bytes or after so long at the latest. */
-const LOG_BATCH_BYTES = 4_096;
-const LOG_FLUSH_MS = 250;
-/** Bytes that may wait for a reader of standard output that stalls; what comes beyond is dropped. */
-const LOG_MAX_BYTES = 4 * 1024 * 1024;
 
 /** Starts a gateway in this process, on the real clock and network. */
 export async function startGateway(
@@ -25,14 +21,8 @@
 ): Promise<GatewayDaemon> {
   const random = systemRandom();
   const instance = `${settings.name}#${random.token(INSTANCE_TOKEN_LENGTH)}`;
-  const destination = pino.destination({
-    fd: STANDARD_OUTPUT,
-    sync: false,
-    minLength: LOG_BATCH_BYTES,
-    maxLength: LOG_MAX_BYTES,
-  });
-  setInterval(() => destination.flush(), LOG_FLUSH_MS).unref();
-  const log = pino({ level: settings.logging.level, base: { node: settings.name } }, destination);
+  const sink = new LogSink(STANDARD_OUTPUT);
+  const log = pino({ level: settings.logging.level, base: { node: settings.name } }, sink);
   const address = settings.listen.peers;
   const transport = await TcpTransport.listen<GatewayMessage>({ instance, address });
   const hash = await loadTextHash();
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -34,6 +34,8 @@
 const OUTLIER_MARGIN = 0.25;
 /** How long a report counts, in ms. */
 const REPORT_TTL_MS = 3_000;
+/** How long the usual pace of a pool counts, in ms. */
+const PACE_TTL_MS = 200;
 const REPORT_DIGITS = 10;
 
 interface RunnerState {
@@ -50,6 +52,12 @@
   readonly atMs: number;
 }
 
+/** How long runners of a pool usually take for a step, as of a moment. */
+interface UsualPace {
+  readonly atMs: number;
+  readonly paceMs: number;
+}
+
 /** What a choice depends on. */
 export interface RunnerChoice {
   readonly pool: string;
@@ -68,6 +76,8 @@
 export class RunnerBoard {
   readonly #runners = new Map<string, RunnerState>();
   readonly #reports = new Map<string, ReportOfNode>();
+  /** By pool. */
+  readonly #usualPaces = new Map<string, UsualPace>();
 
   /** Takes in a new or changed entry of the list. */
   upsert(entry: RunnerEntry): void {
@@ -110,7 +120,7 @@
     let best: RunnerState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     const candidates = this.#candidates(choice);
-    const usualMs = usualPaceMs(candidates, choice.nowMs);
+    const usualMs = this.#usualPaceMs(candidates, choice);
     const start = Math.floor(choice.sample * candidates.length);
     for (let index = 0; index < candidates.length; index += 1) {
       const state = candidates[(start + index) % candidates.length] as RunnerState;
@@ -202,6 +212,15 @@
     this.#reports.delete(node);
   }
 
+  /** The median pace of the candidates, looked at only now and then: it changes slowly. */
+  #usualPaceMs(candidates: readonly RunnerState[], { pool, nowMs }: RunnerChoice): number | undefined {
+    const known = this.#usualPaces.get(pool);
+    if (known && nowMs - known.atMs < PACE_TTL_MS) return known.paceMs;
+    const paceMs = usualPaceMs(candidates, nowMs);
+    if (paceMs !== undefined) this.#usualPaces.set(pool, { atMs: nowMs, paceMs });
+    return paceMs;
+  }
+
   #dropStaleReports(nowMs: number): void {
     for (const [node, { atMs }] of this.#reports)
       if (nowMs - atMs > REPORT_TTL_MS) this.#reports.delete(node);
