--- a/bench/mutations/gateway-mutations.ts
+++ b/bench/mutations/gateway-mutations.ts
@@ -95,4 +95,48 @@
     script,
     args: ["--faults", "lost-answers,store-silent"],
   },
+  {
+    promise: "recovery",
+    name: "gateway: what a relay of the own zone says is passed on as firsthand",
+    edits: [
+      {
+        file: "src/gateway/members/member-directory.ts",
+        from: "member.address !== address && this.#view.isFirsthand(member)",
+        to: "member.address !== address",
+      },
+      {
+        file: "src/gateway/members/vouchers.ts",
+        from: "nowMs - digestAtMs < this.#validMs && instances.has(instance)",
+        to: "instances.has(instance)",
+      },
+    ],
+    script,
+    args: ["--relays", "--faults", "kill,freeze"],
+  },
+  {
+    promise: "recovery",
+    name: "gateway: owners that relays name are not named again",
+    edits: [
+      {
+        file: "src/gateway/members/member-directory.ts",
+        from: "    this.#repeatRelayed();\n",
+        to: "",
+      },
+    ],
+    script,
+    args: ["--relays", "--faults", "planned-stop,kill-all"],
+  },
+  {
+    promise: "recovery",
+    name: "gateway: a status that a relay passes on is dropped while its gateway is heard",
+    edits: [
+      {
+        file: "src/gateway/members/member-view.ts",
+        from: "if (known && known.instance !== instance && this.isHeard(address)) continue;",
+        to: "if (known && this.isHeard(address)) continue;",
+      },
+    ],
+    script,
+    args: ["--relays", "--faults", "store-slow,store-slow"],
+  },
 ];
--- a/bench/mutations/mutation.ts
+++ b/bench/mutations/mutation.ts
@@ -12,8 +12,8 @@
   readonly promise: string;
   readonly name: string;
   readonly edits: readonly Edit[];
-  /** The simulation that should notice. */
-  readonly script: "bench/simulate.ts" | "bench/simulate-gateways.ts";
+  /** The simulation, or the soak, that should notice. */
+  readonly script: "bench/simulate.ts" | "bench/simulate-gateways.ts" | "test/soak/main.ts";
   /** Arguments of the simulation under which the break should show. */
   readonly args: readonly string[];
 }
--- /dev/null
+++ b/bench/mutations/soak-mutations.ts
@@ -0,0 +1,72 @@
+/** Deliberate breaks of gateways that the soak must notice, from what callers and runners see. */
+import type { Mutation } from "./mutation.ts";
+
+const script = "test/soak/main.ts";
+
+export const SOAK_MUTATIONS: readonly Mutation[] = [
+  {
+    promise: "budget",
+    name: "soak: a grant leaves before the store knows of it",
+    edits: [
+      {
+        file: "src/gateway/partitions/owned-partition.ts",
+        from: "if (account.holds(grant.revision)) return Promise.resolve(true);",
+        to: 'if (grant.type === "granted") return Promise.resolve(true);',
+      },
+    ],
+    script,
+    args: ["--faults", "killed,store"],
+  },
+  {
+    promise: "at most once",
+    name: "soak: what may not be repeated is run again",
+    edits: [
+      {
+        file: "src/gateway/calls/plain-call.ts",
+        from: 'const mayRepeat = this.route.kind === "safe" && this.mayHaveRun.size < this.route.maxAttempts;',
+        to: "const mayRepeat = this.mayHaveRun.size < 2;",
+      },
+    ],
+    script,
+    args: ["--faults", "runner"],
+  },
+  {
+    promise: "true refusals",
+    name: "soak: a call without an answer is refused as not run",
+    edits: [
+      {
+        file: "src/gateway/calls/plain-call.ts",
+        from: "if (!mayRepeat) return this.failUnknown(",
+        to: 'if (!mayRepeat) return this.refuse("overloaded", ',
+      },
+    ],
+    script,
+    args: ["--faults", "runner"],
+  },
+  {
+    promise: "whole answers",
+    name: "soak: an answer is taken whichever request it names",
+    edits: [
+      {
+        file: "src/gateway/calls/runner-attempt.ts",
+        from: "if (answer.requestId !== this.#request.call.requestId) {",
+        to: "if (answer.requestId === undefined) {",
+      },
+    ],
+    script,
+    args: ["--faults", "runner"],
+  },
+  {
+    promise: "history",
+    name: "soak: an answer ends before its turn is in the store",
+    edits: [
+      {
+        file: "src/gateway/partitions/owned-partition.ts",
+        from: "if (!(await this.#writer.writeTurn(turn, retained, request.program, account))) return MOVED;",
+        to: "void this.#writer.writeTurn(turn, retained, request.program, account);",
+      },
+    ],
+    script,
+    args: ["--faults", "killed,store"],
+  },
+];
--- /dev/null
+++ b/src/cli/commands/explain-logs-command.ts
@@ -0,0 +1,51 @@
+import { readFile } from "node:fs/promises";
+import { Command, Option } from "clipanion";
+import { requestError } from "../../errors/tulipwheel-error.ts";
+import { EXIT_CODES } from "../exit-codes.ts";
+import { formatTable } from "../format-table.ts";
+import { parseLog } from "../logs/parse-log.ts";
+import { tellStory } from "../logs/tell-story.ts";
+import { TulipwheelCommand } from "../tulipwheel-command.ts";
+
+/** `tulipwheel explain ID --logs FILE` */
+export class ExplainLogsCommand extends TulipwheelCommand {
+  static override paths = [["explain"]];
+  static override usage = Command.Usage({
+    category: "Programs",
+    description: "Tells the story of a request or a program from collected logs of gateways",
+    examples: [
+      [
+        "A request, from the logs of all machines",
+        "tulipwheel explain 4e95dfc65adce2e3 --logs a.log --logs b.log",
+      ],
+    ],
+  });
+  subject = Option.String({ name: "REQUEST_OR_PROGRAM" });
+  logs = Option.Array("--logs", { required: true, description: "A file of JSON lines; may be given often" });
+
+  protected override async run(): Promise<number> {
+    const texts = await Promise.all(this.logs.map(readLog));
+    const story = tellStory(texts.flatMap(parseLog), this.subject);
+    if (story.length === 0)
+      throw requestError(
+        "not-found",
+        `No line of these logs names ${this.subject}. Collect those of all gateways.`,
+      );
+    const first = story[0]?.time ?? 0;
+    const rows = story.map(({ time, node, text }) => [
+      `${((time - first) / 1_000).toFixed(3)} s`,
+      node,
+      text,
+    ]);
+    this.print(story, formatTable(["time", "machine", "what"], rows));
+    return EXIT_CODES.done;
+  }
+}
+
+async function readLog(file: string): Promise<string> {
+  try {
+    return await readFile(file, "utf8");
+  } catch {
+    throw requestError("not-found", `${file} cannot be read. Name files of collected logs after --logs.`);
+  }
+}
--- /dev/null
+++ b/src/cli/logs/story-line.ts
@@ -0,0 +1,7 @@
+/** One step of a story that logs tell. */
+export interface StoryLine {
+  /** Wall clock of the machine, in ms since 1970. */
+  readonly time: number;
+  readonly node: string;
+  readonly text: string;
+}
--- /dev/null
+++ b/src/cli/logs/tell-story.ts
@@ -0,0 +1,101 @@
+/** Puts the story of a request or a program together from the collected logs of all gateways. Pure. */
+import type { AdmissionRecord, TryRecord } from "../../gateway/telemetry/call-record.ts";
+import type { LogEntry } from "./log-entry.ts";
+import type { StoryLine } from "./story-line.ts";
+
+/** How long before the first call beliefs matter, in ms. */
+const BEFORE_MS = 5_000;
+/** Messages of beliefs about a partition. */
+const OF_PARTITION = ["partition taken over", "partition let go"];
+/** Messages of beliefs that touch every call of a machine. */
+const OF_MACHINE = [
+  "gateway started",
+  "stops",
+  "stopped",
+  "store out of reach",
+  "store reachable",
+  "configuration in force",
+  "lines of calls left out",
+  "unexpected error",
+];
+
+interface CallEntry extends LogEntry {
+  readonly request: string;
+  readonly program?: string;
+  readonly route: string;
+  readonly configuration: number;
+  readonly status: number;
+  readonly kind: string;
+  readonly detail?: string;
+  readonly elapsedMs: number;
+  readonly firstByteMs?: number;
+  readonly admission?: AdmissionRecord;
+  readonly tries?: readonly TryRecord[];
+}
+
+/**
+ * The story of `subject`, a request's or a program's identifier, in order: its calls with the grounds of each decision,
+ * and what the machines that decided came to believe shortly before or meanwhile. Empty when no line names it.
+ */
+export function tellStory(entries: readonly LogEntry[], subject: string): StoryLine[] {
+  const calls = entries.filter((entry): entry is CallEntry => isCallOf(entry, subject));
+  if (calls.length === 0) return [];
+  const fromMs = Math.min(...calls.map((call) => call.time - call.elapsedMs)) - BEFORE_MS;
+  const untilMs = Math.max(...calls.map((call) => call.time));
+  const partitions = new Set(calls.flatMap(({ admission }) => admission?.partition ?? []));
+  const owners = new Set(calls.flatMap(({ admission }) => admission?.owner ?? []));
+  const nodes = new Set([...calls.map(({ node }) => node), ...[...owners].map(nodeOf)]);
+  const beliefs = entries.filter((entry) => {
+    if (entry.time < fromMs || entry.time > untilMs) return false;
+    if (OF_PARTITION.includes(entry.msg)) return partitions.has(entry["partition"] as number);
+    if (OF_MACHINE.includes(entry.msg)) return nodes.has(entry.node);
+    return entry.msg === "peer lost" && nodes.has(entry.node) && owners.has(entry["instance"] as string);
+  });
+  const lines = [...calls.flatMap(linesOfCall), ...beliefs.map(lineOfBelief)];
+  return lines.sort((left, right) => left.time - right.time);
+}
+
+function isCallOf(entry: LogEntry, subject: string): boolean {
+  if (entry.msg !== "call answered" && entry.msg !== "call failed") return false;
+  return entry["request"] === subject || entry["program"] === subject;
+}
+
+function linesOfCall(call: CallEntry): StoryLine[] {
+  const { node, request, route, configuration, admission, tries = [] } = call;
+  const arrivedMs = call.time - call.elapsedMs;
+  const at = (sinceMs: number, text: string): StoryLine => ({ time: arrivedMs + sinceMs, node, text });
+  const program = call.program === undefined ? "" : ` of program ${call.program}`;
+  const lines = [at(0, `${request}${program} arrives on route ${route}, configuration ${configuration}`)];
+  if (admission) lines.push(at(admission.elapsedMs, admissionText(request, admission)));
+  for (const one of tries) {
+    const grounds = `${one.load} in flight, ${Math.round(100 * one.failureRate)}% failing`;
+    lines.push(at(one.atMs, `${request} is sent to ${one.runner} (${grounds})`));
+    if (one.failure !== undefined)
+      lines.push(
+        at(one.atMs + (one.elapsedMs ?? 0), `${request} gets nothing from ${one.runner}: ${one.failure}`),
+      );
+  }
+  if (call.firstByteMs !== undefined) lines.push(at(call.firstByteMs, `${request}: first byte handed on`));
+  const why = call.detail === undefined ? "" : `: ${call.detail}`;
+  lines.push(
+    at(call.elapsedMs, `${request} ends after ${call.elapsedMs} ms, ${call.status} ${call.kind}${why}`),
+  );
+  return lines;
+}
+
+function admissionText(request: string, admission: AdmissionRecord): string {
+  const { partition, owner, answer, spentTokens, elapsedMs } = admission;
+  const spent = spentTokens === undefined ? "" : `, ${spentTokens} tokens spent or promised`;
+  const whose = owner === undefined ? "nobody that is known" : owner;
+  return `${request}: partition ${partition}, owned by ${whose}, says ${answer}${spent} after ${elapsedMs} ms`;
+}
+
+function lineOfBelief({ time, node, msg, ...fields }: LogEntry): StoryLine {
+  const { level: _level, ...rest } = fields;
+  return { time, node, text: `(${msg} ${JSON.stringify(rest)})` };
+}
+
+/** The machine of an incarnation. */
+function nodeOf(instance: string): string {
+  return instance.split("#", 1)[0] ?? instance;
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,7 @@
   StatusCommand,
 } from "./commands/cluster-commands.ts";
 import { NodeCommand, SidecarCommand } from "./commands/daemon-commands.ts";
+import { ExplainLogsCommand } from "./commands/explain-logs-command.ts";
 import {
   BudgetShowCommand,
   ExplainCommand,
@@ -36,6 +37,7 @@
   TemplateHistoryCommand,
   TemplateListCommand,
   ExplainCommand,
+  ExplainLogsCommand,
   ProgramShowCommand,
   ProgramEndCommand,
   BudgetShowCommand,
--- /dev/null
+++ b/test/soak/regressions.test.ts
@@ -0,0 +1,24 @@
+/** Short soaks in CI: each seed that ever broke a promise, with its cause, and one that draws every kind of fault. */
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { SOAK_FAULTS } from "./faults/soak-faults.ts";
+import { runSoak } from "./run-soak.ts";
+
+const DURATION_MS = 10_000;
+const LEAST_TRIES = 200;
+
+/** Seeds that broke a promise. */
+const REGRESSIONS: [seed: number, faults: string[], cause: string][] = [];
+
+async function expectKept(seed: number, faults: readonly string[]): Promise<void> {
+  const { ledger } = await runSoak({ seed, faults, durationMs: DURATION_MS });
+  expect(ledger.broken).toEqual([]);
+  expect(ledger.tries.length > LEAST_TRIES).toEqual(true);
+}
+
+describe("soak", () => {
+  it("holds under faults of every kind", () => expectKept(1, Object.keys(SOAK_FAULTS)));
+  for (const [seed, faults, cause] of REGRESSIONS) {
+    it(`holds where ${cause} (seed ${seed})`, () => expectKept(seed, faults));
+  }
+});
