--- a/src/cli/logs/tell-story.ts
+++ b/src/cli/logs/tell-story.ts
@@ -47,9 +47,9 @@
   const nodes = new Set([...calls.map(({ node }) => node), ...[...owners].map(nodeOf)]);
   const beliefs = entries.filter((entry) => {
     if (entry.time < fromMs || entry.time > untilMs) return false;
-    if (OF_PARTITION.includes(entry.msg)) return partitions.has(entry["partition"] as number);
+    if (OF_PARTITION.includes(entry.msg)) return partitions.has(entry.partition as number);
     if (OF_MACHINE.includes(entry.msg)) return nodes.has(entry.node);
-    return entry.msg === "peer lost" && nodes.has(entry.node) && owners.has(entry["instance"] as string);
+    return entry.msg === "peer lost" && nodes.has(entry.node) && owners.has(entry.instance as string);
   });
   const lines = [...calls.flatMap(linesOfCall), ...beliefs.map(lineOfBelief)];
   return lines.sort((left, right) => left.time - right.time);
@@ -57,7 +57,7 @@
 
 function isCallOf(entry: LogEntry, subject: string): boolean {
   if (entry.msg !== "call answered" && entry.msg !== "call failed") return false;
-  return entry["request"] === subject || entry["program"] === subject;
+  return entry.request === subject || entry.program === subject;
 }
 
 function linesOfCall(call: CallEntry): StoryLine[] {
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -165,10 +165,11 @@
   /** Ends the call with an answer of the system's own, or by breaking off one that has begun. */
   protected fail(status: number, kind: string, detail: string, retryAfterMs?: number): void {
     if (this.#over) return;
-    if (this.exchange.started) this.exchange.breakOff();
+    const { started } = this.exchange;
+    if (started) this.exchange.breakOff();
     else
       this.exchange.refuse({ status, kind, detail, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) });
-    this.finish({ status: this.exchange.started ? 0 : status, kind, detail: detail.slice(0, MAX_DETAIL) });
+    this.finish({ status: started ? 0 : status, kind, detail: detail.slice(0, MAX_DETAIL) });
   }
 
   /** The call is over. */
--- a/test/process/gateway.test.ts
+++ b/test/process/gateway.test.ts
@@ -345,6 +345,15 @@
       configuration: 1,
     });
     expect(lines[0]).toMatchRegex(/"admission":\{"partition":\d+,"owner":"gateway-1#\w+","answer":"granted"/);
+    const [engine] = cluster.engines;
+    if (engine) engine.fault = "full";
+    const refused = newRequestId();
+    expect((await turn(gateway(0), PATHS.turn, refused, { program: "p" })).status).toEqual(503);
+    await pause(500);
+    const line = gateway(0)
+      .process.written.split("\n")
+      .find((candidate) => candidate.includes(`"${refused}"`));
+    expect(line ?? "").toMatchRegex(/"status":503,"kind":"overloaded".*"failure":"not run, status 503"/);
     expect(lines[0]).toMatchRegex(/"tries":\[\{"runner":"engine-0","load":\d+,"failureRate":0/);
   });
 
