--- /dev/null
+++ b/bench/simulation/gateways/member-fleet.ts
@@ -0,0 +1,120 @@
+/** Gateways reduced to what they tell each other of themselves, on virtual time: for tests, and for slopes by size. */
+import { Encoder } from "cbor-x";
+import { pino } from "pino";
+import type { GatewayContext, GatewayPlatform } from "../../../src/gateway/gateway-context.ts";
+import type { GatewayMessage } from "../../../src/gateway/gateway-messages.ts";
+import { gatewaySettingsSchema } from "../../../src/gateway/gateway-settings.ts";
+import { MemberDirectory } from "../../../src/gateway/members/member-directory.ts";
+import { StoreHealth } from "../../../src/gateway/store-health.ts";
+import { NoMetrics } from "../../../src/gateway/telemetry/no-metrics.ts";
+import { SeededRandomSource } from "../../../src/runtime/random-source.ts";
+import type { TextHash } from "../../../src/runtime/text-hash.ts";
+import { RunnerBoard } from "../../../src/scheduling/runner-board/runner-board.ts";
+import { SimulatedNetwork } from "../simulated-network.ts";
+import { SimulatedProcess, VirtualTime } from "../virtual-time.ts";
+
+/** Zones of a fleet where nothing else is said. */
+export const DEFAULT_ZONES = 4;
+const ADDRESSES_PER_BYTE = 250;
+
+/** One gateway. */
+export interface FleetMember {
+  readonly name: string;
+  readonly process: SimulatedProcess;
+  readonly directory: MemberDirectory;
+  readonly board: RunnerBoard;
+}
+
+/** See the module's comment. */
+export class MemberFleet {
+  readonly time = new VirtualTime();
+  readonly network = new SimulatedNetwork<GatewayMessage>(this.time, new SeededRandomSource(1));
+  readonly members: FleetMember[] = [];
+  readonly #hash: TextHash;
+  readonly #directMost: number;
+  readonly #zones: number;
+  readonly #encoder = new Encoder({ structures: [] });
+  #starts = 0;
+  /** Messages that arrived. */
+  messages = 0;
+  /** Their bytes as the transport would encode them, by the receiver's name; counted only while `weighs`. */
+  readonly bytes = new Map<string, number>();
+  weighs = false;
+
+  constructor(hash: TextHash, count: number, directMost: number, zones = DEFAULT_ZONES) {
+    this.#hash = hash;
+    this.#directMost = directMost;
+    this.#zones = zones;
+    this.network.refusesForDead = true;
+    for (let index = 0; index < count; index += 1) this.start(index);
+  }
+
+  /** Starts a gateway, for the first time or anew. */
+  start(index: number): void {
+    this.#starts += 1;
+    const name = `gateway-${index}`;
+    const zone = `zone-${index % this.#zones}`;
+    const process = new SimulatedProcess(name, zone, this.time);
+    const peers = fleetAddress(index);
+    const settings = gatewaySettingsSchema.parse({
+      name,
+      region: "region",
+      zone,
+      listen: { callers: peers, readiness: peers, directory: peers, peers },
+      seeds: [0, 1, 2].map(fleetAddress),
+      store: peers,
+      membership: { directMost: this.#directMost },
+    });
+    const instance = `${name}#${this.#starts}`;
+    const context: GatewayContext = {
+      settings,
+      instance,
+      clock: process,
+      random: new SeededRandomSource(index),
+      hash: this.#hash,
+      log: pino({ level: "silent" }),
+      metrics: new NoMetrics(),
+      platform: {} as GatewayPlatform,
+    };
+    const transport = this.network.attach(process, { instance, address: peers });
+    const directory = new MemberDirectory(context, transport, new StoreHealth(context));
+    const board = new RunnerBoard();
+    for (const id of ["r1", "r2"])
+      board.upsert({ id, pool: "p", address: "a", zone, slots: 8, state: "ready" });
+    directory.selfReport = () => ({
+      state: "ready",
+      owned: [],
+      runners: board.ownReport(process.monotonicMs()),
+    });
+    directory.onLoads = (source, report) => board.report(source, report, process.monotonicMs());
+    directory.sumLoads = (sources) => board.sumReports(sources);
+    directory.onLost = (member) => board.dropReport(member.instance);
+    transport.onDisconnected((address, refused) => directory.onDisconnected(address, refused));
+    transport.onMessage((message, from) => {
+      this.messages += 1;
+      if (this.weighs)
+        this.bytes.set(name, (this.bytes.get(name) ?? 0) + this.#encoder.encode(message).length);
+      if (message.type === "heartbeat") directory.onHeartbeat(message, from);
+      if (message.type === "memberDigest") directory.onDigest(message, from);
+    });
+    this.members[index] = { name, process, directory, board };
+    directory.start();
+  }
+
+  /** How many gateways each live gateway's directory names: the least and the most. */
+  named(): [least: number, most: number] {
+    const counts = this.alive().map(({ directory }) => directory.callerAddresses(undefined).length);
+    return [Math.min(...counts), Math.max(...counts)];
+  }
+
+  /** Gateways that run and do not stand still. */
+  alive(): FleetMember[] {
+    return this.members.filter(({ process }) => process.alive && !process.frozen);
+  }
+}
+
+/** Where a gateway of the fleet is reached. */
+export function fleetAddress(index: number): string {
+  const third = Math.floor(index / ADDRESSES_PER_BYTE);
+  return `10.0.${third}.${(index % ADDRESSES_PER_BYTE) + 1}:7000`;
+}
