--- a/test/soak/soak-caller.ts
+++ b/test/soak/soak-caller.ts
@@ -10,13 +10,15 @@
 /** Most tokens of a turn: that of the four events that the engines make. */
 const MOST = 40;
 const MAX_TURNS = 8;
+/** Most pairs of calls at once, a safe one and one that may not be repeated. */
+const MAX_CALLS = 3;
 const TRIES = 5;
 const TIMEOUT_MS = 3_000;
 const RETRY_MS = 100;
 const MAX_RETRY_MS = 1_000;
 /** Part of the programs that loop until their budget is spent. */
 const LOOPING_PART = 0.3;
-const CALL_PART = 0.5;
+const CALL_PART = 0.8;
 const OK = 200;
 const SPENT = 402;
 const MISSING = 404;
@@ -111,6 +113,11 @@
   }
 
   async #callServices(): Promise<void> {
+    const calls = 1 + this.#random.below(MAX_CALLS);
+    await Promise.all(Array.from({ length: calls }, () => this.#callPair()));
+  }
+
+  async #callPair(): Promise<void> {
     const safe = this.#newId();
     const answer = await this.#send("safe", PATHS.safe, safe, { "X-Request-Id": safe }, `input of ${safe}`);
     this.#checkPlain(safe, answer);
@@ -146,6 +153,8 @@
     const answer = await soakRequest(this.#cluster.forCallers(gateway), path, headers, body, TIMEOUT_MS);
     const { status, whole } = answer;
     this.#ledger.note({ id, kind, gateway: gateway.name, status, whole });
+    if (answer.answersTo !== undefined && answer.answersTo !== id)
+      this.#ledger.breaks("whole answers", `${id} got the answer to ${answer.answersTo}`);
     return answer;
   }
 
--- a/test/soak/soak-request.ts
+++ b/test/soak/soak-request.ts
@@ -10,6 +10,8 @@
   readonly body: string;
   readonly whole: boolean;
   readonly retryAfterMs: number | undefined;
+  /** The request that the answer names, if it names one. */
+  readonly answersTo: string | undefined;
 }
 
 const MS_PER_S = 1_000;
@@ -25,6 +27,7 @@
   let status = 0;
   let text = "";
   let retryAfterMs: number | undefined;
+  let answersTo: string | undefined;
   try {
     const answer = await request(`http://${gateway.addresses.callers}${path}`, {
       method: "POST",
@@ -34,10 +37,12 @@
     });
     status = answer.statusCode;
     const after = answer.headers["retry-after"];
+    const named = answer.headers["x-request-id"];
+    answersTo = named === undefined ? undefined : String(named);
     if (after !== undefined) retryAfterMs = Number(after) * MS_PER_S;
     for await (const chunk of answer.body) text += String(chunk);
-    return { status, body: text, whole: true, retryAfterMs };
+    return { status, body: text, whole: true, retryAfterMs, answersTo };
   } catch {
-    return { status, body: text, whole: false, retryAfterMs };
+    return { status, body: text, whole: false, retryAfterMs, answersTo };
   }
 }
