--- a/src/cli/logs/tell-story.ts
+++ b/src/cli/logs/tell-story.ts
@@ -1,5 +1,6 @@
 /** Puts the story of a request or a program together from the collected logs of all gateways. Pure. */
-import type { AdmissionRecord, TryRecord } from "../../gateway/telemetry/call-record.ts";
+import type { AdmissionRecord } from "../../gateway/telemetry/admission-record.ts";
+import type { TryRecord } from "../../gateway/telemetry/try-record.ts";
 import type { LogEntry } from "./log-entry.ts";
 import type { StoryLine } from "./story-line.ts";
 
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -4,7 +4,8 @@
 import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
-import { type CallEnd, CallRecord } from "../telemetry/call-record.ts";
+import type { CallEnd } from "../telemetry/call-end.ts";
+import { CallRecord } from "../telemetry/call-record.ts";
 import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
 import { RunnerAttempt } from "./runner-attempt.ts";
 
--- a/src/gateway/members/heartbeat-plan.ts
+++ b/src/gateway/members/heartbeat-plan.ts
@@ -3,35 +3,13 @@
  * per zone: a gateway sends its heartbeats to the relays of its zone; relays send theirs, with a digest, to each other
  * and to the gateways of their zone. Messages grow with the gateways, not with their square.
  */
-import { type RelayCandidate, selectRelays } from "../../coordination/relay-selection/index.ts";
+import { selectRelays } from "../../coordination/relay-selection/index.ts";
+import type { HeartbeatPlanInput } from "./heartbeat-plan-input.ts";
+import type { HeartbeatPlan } from "./heartbeat-targets.ts";
 
 /** Relays per zone: while one is lost, another one goes on. */
 const RELAYS_PER_ZONE = 2;
 
-/** Where heartbeats and digests go; addresses. */
-export interface HeartbeatPlan {
-  /** Whether heartbeats travel by relays. */
-  readonly relayed: boolean;
-  /** Whether this gateway is a relay. */
-  readonly relay: boolean;
-  readonly heartbeatsTo: readonly string[];
-  /** Relays of other zones: they are told of this zone. */
-  readonly zoneDigestsTo: readonly string[];
-  /** Gateways of this zone that send their heartbeats here: they are told of all. */
-  readonly fullDigestsTo: readonly string[];
-}
-
-/** What a plan depends on. */
-export interface HeartbeatPlanInput {
-  readonly self: RelayCandidate;
-  /** Other gateways that are alive. */
-  readonly others: readonly RelayCandidate[];
-  /** Whether a gateway is heard itself, not only through relays. */
-  readonly isHeard: (address: string) => boolean;
-  /** Most gateways that send heartbeats to all others. */
-  readonly directMost: number;
-}
-
 /** See the module's comment. Pure. */
 export function planHeartbeats({ self, others, isHeard, directMost }: HeartbeatPlanInput): HeartbeatPlan {
   if (others.length + 1 <= directMost) {
--- /dev/null
+++ b/src/gateway/members/heartbeat-targets.ts
@@ -0,0 +1,12 @@
+/** Where heartbeats and digests go; addresses. */
+export interface HeartbeatPlan {
+  /** Whether heartbeats travel by relays. */
+  readonly relayed: boolean;
+  /** Whether this gateway is a relay. */
+  readonly relay: boolean;
+  readonly heartbeatsTo: readonly string[];
+  /** Relays of other zones: they are told of this zone. */
+  readonly zoneDigestsTo: readonly string[];
+  /** Gateways of this zone that send their heartbeats here: they are told of all. */
+  readonly fullDigestsTo: readonly string[];
+}
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -18,7 +18,8 @@
 import type { StoreHealth } from "../store-health.ts";
 import { DigestLog } from "./digest-log.ts";
 import { DigestSequences } from "./digest-sequences.ts";
-import { type HeartbeatPlan, planHeartbeats } from "./heartbeat-plan.ts";
+import { planHeartbeats } from "./heartbeat-plan.ts";
+import type { HeartbeatPlan } from "./heartbeat-targets.ts";
 import type { Member } from "./member.ts";
 import { MemberView } from "./member-view.ts";
 import { sameStatus } from "./same-status.ts";
--- /dev/null
+++ b/src/gateway/telemetry/admission-record.ts
@@ -0,0 +1,10 @@
+/** What the owner of the program's partition said, or why it could not be asked. */
+export interface AdmissionRecord {
+  readonly partition: number;
+  readonly owner: string | undefined;
+  readonly answer: string;
+  /** Tokens that count as spent, where they exhaust the budget. */
+  readonly spentTokens?: number;
+  /** How long the answer took, in ms. */
+  readonly elapsedMs: number;
+}
--- a/src/gateway/telemetry/call-log.ts
+++ b/src/gateway/telemetry/call-log.ts
@@ -4,7 +4,8 @@
  */
 import type { Logger } from "pino";
 import type { Clock } from "../../runtime/clock.ts";
-import type { CallEnd, CallRecord } from "./call-record.ts";
+import type { CallEnd } from "./call-end.ts";
+import type { CallRecord } from "./call-record.ts";
 
 /** Most lines a second. */
 const MAX_LINES = 300;
--- a/src/gateway/telemetry/call-record.ts
+++ b/src/gateway/telemetry/call-record.ts
@@ -1,38 +1,7 @@
 /** What was decided about one call, on which grounds, and what came of it: the content of its line in the log. */
-
-/** One try at a runner. */
-export interface TryRecord {
-  readonly runner: string;
-  /** Requests in flight at the runner when it was chosen, as far as known. */
-  readonly load: number;
-  /** Part of the requests of the last seconds that failed there, 0 to 1. */
-  readonly failureRate: number;
-  /** Since the call arrived, in ms. */
-  readonly atMs: number;
-  /** How long the try took, in ms; undefined while it goes on. */
-  elapsedMs?: number;
-  /** Why it gave no answer. */
-  failure?: string;
-}
-
-/** What the owner of the program's partition said, or why it could not be asked. */
-export interface AdmissionRecord {
-  readonly partition: number;
-  readonly owner: string | undefined;
-  readonly answer: string;
-  /** Tokens that count as spent, where they exhaust the budget. */
-  readonly spentTokens?: number;
-  /** How long the answer took, in ms. */
-  readonly elapsedMs: number;
-}
-
-/** How a call ended, from the caller's side. */
-export interface CallEnd {
-  /** 0 when the connection ended without an answer of its own. */
-  readonly status: number;
-  readonly kind: string;
-  readonly detail?: string;
-}
+import type { AdmissionRecord } from "./admission-record.ts";
+import type { CallEnd } from "./call-end.ts";
+import type { TryRecord } from "./try-record.ts";
 
 /** See the module's comment. */
 export class CallRecord {
--- /dev/null
+++ b/src/gateway/telemetry/gateway-gauges.ts
@@ -0,0 +1,9 @@
+/** Numbers of the whole process, read when the metrics are. */
+export interface GatewayGauges {
+  readonly members: () => number;
+  readonly partitions: () => number;
+  readonly requestsInProgress: () => number;
+  readonly linesLeftOut: () => number;
+  readonly configurationVersion: () => number;
+  readonly storeReachable: () => boolean;
+}
--- a/src/gateway/telemetry/gateway-metrics.ts
+++ b/src/gateway/telemetry/gateway-metrics.ts
@@ -1,14 +1,5 @@
-import type { CallEnd } from "./call-record.ts";
-
-/** Numbers of the whole process, read when the metrics are. */
-export interface GatewayGauges {
-  readonly members: () => number;
-  readonly partitions: () => number;
-  readonly requestsInProgress: () => number;
-  readonly linesLeftOut: () => number;
-  readonly configurationVersion: () => number;
-  readonly storeReachable: () => boolean;
-}
+import type { CallEnd } from "./call-end.ts";
+import type { GatewayGauges } from "./gateway-gauges.ts";
 
 /** Counts what a gateway does. */
 export abstract class GatewayMetrics {
--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -2,8 +2,9 @@
 import { Counter, Histogram } from "prom-client";
 import { ProcessMetrics } from "../../telemetry/metrics.ts";
 import { MetricsServer } from "../../telemetry/metrics-server.ts";
-import type { CallEnd } from "./call-record.ts";
-import { type GatewayGauges, GatewayMetrics } from "./gateway-metrics.ts";
+import type { CallEnd } from "./call-end.ts";
+import type { GatewayGauges } from "./gateway-gauges.ts";
+import { GatewayMetrics } from "./gateway-metrics.ts";
 
 const MS_PER_S = 1_000;
 const CALL_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10];
--- /dev/null
+++ b/src/gateway/telemetry/try-record.ts
@@ -0,0 +1,14 @@
+/** One try at a runner. */
+export interface TryRecord {
+  readonly runner: string;
+  /** Requests in flight at the runner when it was chosen, as far as known. */
+  readonly load: number;
+  /** Part of the requests of the last seconds that failed there, 0 to 1. */
+  readonly failureRate: number;
+  /** Since the call arrived, in ms. */
+  readonly atMs: number;
+  /** How long the try took, in ms; undefined while it goes on. */
+  elapsedMs?: number;
+  /** Why it gave no answer. */
+  failure?: string;
+}
--- a/test/contract/call-log.test.ts
+++ b/test/contract/call-log.test.ts
@@ -2,8 +2,9 @@
 import { expect } from "earl";
 import { pino } from "pino";
 import { SimulatedProcess, VirtualTime } from "../../bench/simulation/virtual-time.ts";
+import type { CallEnd } from "../../src/gateway/telemetry/call-end.ts";
 import { CallLog } from "../../src/gateway/telemetry/call-log.ts";
-import { type CallEnd, CallRecord } from "../../src/gateway/telemetry/call-record.ts";
+import { CallRecord } from "../../src/gateway/telemetry/call-record.ts";
 
 const ANSWERED: CallEnd = { status: 200, kind: "answered" };
 const REFUSED: CallEnd = { status: 503, kind: "overloaded", detail: "no runner can take the call" };
--- /dev/null
+++ b/test/contract/log-story.test.ts
@@ -0,0 +1,84 @@
+/** The story of a request or a program from collected logs. */
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { parseLog } from "../../src/cli/logs/parse-log.ts";
+import { tellStory } from "../../src/cli/logs/tell-story.ts";
+
+const START = 1_000_000;
+
+function line(node: string, atMs: number, fields: object): string {
+  return JSON.stringify({ level: 30, time: START + atMs, node, ...fields });
+}
+
+const REFUSED = {
+  msg: "call failed",
+  request: "r1",
+  program: "p",
+  route: "turn",
+  configuration: 4,
+  status: 503,
+  kind: "unavailable",
+  detail: "the store does not answer",
+  elapsedMs: 4,
+  admission: { partition: 9, owner: "gateway-b#1", answer: "unavailable", elapsedMs: 4 },
+  tries: [],
+};
+
+const ANSWERED = {
+  msg: "call answered",
+  request: "r2",
+  program: "p",
+  route: "turn",
+  configuration: 4,
+  status: 200,
+  kind: "answered",
+  elapsedMs: 100,
+  firstByteMs: 60,
+  admission: { partition: 9, owner: "gateway-c#1", answer: "granted", elapsedMs: 20 },
+  tries: [
+    { runner: "x", load: 2, failureRate: 0.5, atMs: 21, elapsedMs: 9, failure: "not run, status 503" },
+    { runner: "y", load: 1, failureRate: 0, atMs: 30, elapsedMs: 70 },
+  ],
+};
+
+const TEXT = [
+  "a line that is none",
+  `  12.3 gateway-a ${line("gateway-a", 104, REFUSED)}`,
+  line("gateway-b", 50, { msg: "store out of reach", reason: "status 429" }),
+  line("gateway-c", 300, { msg: "partition taken over", partition: 9, epoch: 7 }),
+  line("gateway-c", 301, { msg: "partition taken over", partition: 8, epoch: 7 }),
+  line("gateway-z", 302, { msg: "store out of reach", reason: "elsewhere" }),
+  line("gateway-a", 500, ANSWERED),
+  line("gateway-c", 9_000, { msg: "partition let go", partition: 9, epoch: 7 }),
+  '{"broken": ',
+].join("\n");
+
+describe("story from logs", () => {
+  it("tells of a request what was decided where, and what the owner believed before", () => {
+    const story = tellStory(parseLog(TEXT), "r1");
+    expect(story.map(({ time, node, text }) => `${time - START} ${node} ${text}`)).toEqual([
+      '50 gateway-b (store out of reach {"reason":"status 429"})',
+      "100 gateway-a r1 of program p arrives on route turn, configuration 4",
+      "104 gateway-a r1: partition 9, owned by gateway-b#1, says unavailable after 4 ms",
+      "104 gateway-a r1 ends after 4 ms, 503 unavailable: the store does not answer",
+    ]);
+  });
+
+  it("tells of a program all its requests, and where its partition went meanwhile", () => {
+    const story = tellStory(parseLog(TEXT), "p").slice(4);
+    expect(story.map(({ time, text }) => `${time - START} ${text}`)).toEqual([
+      '300 (partition taken over {"partition":9,"epoch":7})',
+      "400 r2 of program p arrives on route turn, configuration 4",
+      "420 r2: partition 9, owned by gateway-c#1, says granted after 20 ms",
+      "421 r2 is sent to x (2 in flight, 50% failing)",
+      "430 r2 gets nothing from x: not run, status 503",
+      "430 r2 is sent to y (1 in flight, 0% failing)",
+      "460 r2: first byte handed on",
+      "500 r2 ends after 100 ms, 200 answered",
+    ]);
+  });
+
+  it("tells nothing of what no line names", () => {
+    expect(tellStory(parseLog(TEXT), "r3")).toEqual([]);
+  });
+});
