--- a/src/cli/commands/settings-commands.ts
+++ b/src/cli/commands/settings-commands.ts
@@ -65,6 +65,8 @@
 
 interface SchemaNode {
   readonly properties?: Record<string, SchemaNode>;
+  /** Names of the properties that must be given. */
+  readonly required?: readonly string[];
   readonly default?: unknown;
   readonly description?: string;
 }
@@ -73,7 +75,12 @@
   return Object.entries(node.properties ?? {}).flatMap(([key, child]) => {
     const childPath = [...path, key];
     if (child.properties) return describe(child, childPath);
-    const initial = child.default === undefined ? "(required)" : JSON.stringify(child.default);
-    return [[childPath.join("."), initial, child.description ?? ""]];
+    return [[childPath.join("."), initialOf(key, child, node), child.description ?? ""]];
   });
 }
+
+/** What a setting is when it is left out. */
+function initialOf(key: string, child: SchemaNode, parent: SchemaNode): string {
+  if (child.default !== undefined) return JSON.stringify(child.default);
+  return parent.required?.includes(key) ? "(required)" : "(none)";
+}
--- a/test/process/commands.test.ts
+++ b/test/process/commands.test.ts
@@ -125,6 +125,11 @@
     expect([checked.code, checked.value.cluster.replicas]).toEqual([0, 5]);
     const shown = await json("settings", "show", "sidecar");
     expect(shown.value.some((row: { key: string }) => row.key === "timing.callPatienceMs")).toEqual(true);
+    const gateway = await json("settings", "show", "gateway");
+    const initial = new Map(
+      gateway.value.map((row: { key: string; default: string }) => [row.key, row.default]),
+    );
+    expect([initial.get("listen.callers"), initial.get("listen.metrics")]).toEqual(["(required)", "(none)"]);
     expect((await cluster.operate("log-level", "debug")).code).toEqual(0);
     expect((await cluster.operate("log-level", "loud")).code).toEqual(2);
   });
