Send slow transactions again beside the first try; write turns beside them; keep runners through outages

Calls to tools were spread over split routes by program: with few programs a pool's share may miss its weight. They are now spread one by one; turns stay with their program.

Ruled out: copies of turns or grants at peers while the store is out. The death of all gateways in an outage would lose turns that were answered whole, and budgets would be handed out twice; the gateway simulation (kill-all with store-silent) checks just that. Grants ahead of the store's write are strict for the same reason.

--- a/bench/simulation/gateways/simulated-row-store.ts
+++ b/bench/simulation/gateways/simulated-row-store.ts
@@ -63,16 +63,16 @@
     this.#process = process;
   }
 
-  async transact(transaction: RowTransaction, timeoutMs = TIMEOUT_MS): Promise<TransactionOutcome> {
+  async transact(transaction: RowTransaction): Promise<TransactionOutcome> {
     const { conditions, random, time } = this.#shared;
-    const trouble = await this.#travel(timeoutMs);
+    const trouble = await this.#travel();
     if (trouble) return trouble;
     const lost = random.unit() < conditions.lostAnswers;
     if (lost && conditions.lateWrites) {
       time.after(LATE_MIN_MS + random.unit() * (LATE_MAX_MS - LATE_MIN_MS), () => this.#apply(transaction));
     }
     const outcome = lost && conditions.lateWrites ? undefined : this.#apply(transaction);
-    if (lost || !outcome || this.path === "answersLost") return this.#silence(timeoutMs);
+    if (lost || !outcome || this.path === "answersLost") return this.#silence();
     await delay(this.#process, CALL_MS / 2);
     return outcome;
   }
@@ -105,21 +105,21 @@
   }
 
   /** The way of a call to the store; an outcome when it does not get there. */
-  async #travel(
-    timeoutMs = TIMEOUT_MS,
-  ): Promise<{ type: "refused"; detail: string } | { type: "unknown"; detail: string } | undefined> {
+  async #travel(): Promise<
+    { type: "refused"; detail: string } | { type: "unknown"; detail: string } | undefined
+  > {
     const { conditions } = this.#shared;
     const wayMs = (CALL_MS / 2) * conditions.slowness;
-    await delay(this.#process, Math.min(wayMs, timeoutMs));
+    await delay(this.#process, Math.min(wayMs, TIMEOUT_MS));
     // Whoever has given up does not hear the answer; that the store does the call all the same is another fault.
-    if (wayMs > timeoutMs) return { type: "unknown", detail: "no answer" };
+    if (wayMs > TIMEOUT_MS) return { type: "unknown", detail: "no answer" };
     if (conditions.outage === "busy") return { type: "refused", detail: "busy" };
-    if (conditions.outage === "silent" || this.path === "cut") return this.#silence(timeoutMs);
+    if (conditions.outage === "silent" || this.path === "cut") return this.#silence();
     return undefined;
   }
 
-  async #silence(timeoutMs = TIMEOUT_MS): Promise<{ type: "unknown"; detail: string }> {
-    await delay(this.#process, timeoutMs);
+  async #silence(): Promise<{ type: "unknown"; detail: string }> {
+    await delay(this.#process, TIMEOUT_MS);
     return { type: "unknown", detail: "no answer" };
   }
 
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -1,6 +1,6 @@
 /** Takes each caller's request to its route, and has it carried out. */
-import type { RouteTable } from "../../scheduling/routing/route-table.ts";
-import { choosePool } from "../../scheduling/routing/route-table.ts";
+import { choosePool, type RouteTable } from "../../scheduling/routing/route-table.ts";
+import { spreadKey } from "../../scheduling/routing/spread-key.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { PartitionClient } from "../partitions/partition-client.ts";
 import { PlainCall } from "./plain-call.ts";
@@ -44,8 +44,8 @@
       return;
     }
     const route = routes.find(exchange.host, exchange.path);
-    const spreadBy = call.program?.id ?? call.affinityKey ?? call.requestId;
-    const poolName = route && choosePool(route, this.#parts.context.hash.hash32(spreadBy) / HASH_RANGE);
+    const poolName =
+      route && choosePool(route, this.#parts.context.hash.hash32(spreadKey(route.kind, call)) / HASH_RANGE);
     const pool = poolName === undefined ? undefined : routes.pool(poolName);
     if (!route || !pool) {
       exchange.refuse({ status: NOT_FOUND, kind: "no-route", detail: "No route leads there." });
--- a/src/gateway/partitions/partition-writer.ts
+++ b/src/gateway/partitions/partition-writer.ts
@@ -1,10 +1,11 @@
 /**
  * Writes a partition's changes to the store, many at a time, one transaction after the other. Each transaction is
  * fenced by the one before: it changes the owner's row and demands the version that the last one left. A transaction
- * without an answer is sent again as it was; if it had been done, the owner's row says so.
+ * without an answer is sent again as it was; if it had been done, the owner's row says so. Turns that end while a
+ * transaction is under way need no fence and go beside it (turn-writer.ts).
  */
 import type { AccountSnapshot } from "../../coordination/token-account/index.ts";
-import type { RowKey, RowTransaction, StoredRow, TransactionOutcome } from "../../ports/store/row-store.ts";
+import type { RowKey, StoredRow } from "../../ports/store/row-store.ts";
 import { delay } from "../../runtime/clock.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { RetainedTurnContent } from "../gateway-messages.ts";
@@ -18,6 +19,8 @@
   ownerKey,
   turnKey,
 } from "./partition-rows.ts";
+import { TransactionSender } from "./transaction-sender.ts";
+import { TurnWriter } from "./turn-writer.ts";
 
 /** Rows in one transaction; the store takes 100 entries, the owner's row and its condition included. */
 const MAX_ROWS = 90;
@@ -49,7 +52,8 @@
   readonly #context: GatewayContext;
   readonly #partition: number;
   readonly #onLost: () => void;
-  readonly #health: StoreHealth;
+  readonly #sender: TransactionSender;
+  readonly #turns: TurnWriter;
   readonly #batches: Batch[] = [];
   #version: number;
   #commit = 0;
@@ -71,7 +75,8 @@
     this.#partition = partition;
     this.#version = version;
     this.#onLost = onLost;
-    this.#health = health;
+    this.#sender = new TransactionSender(context, health);
+    this.#turns = new TurnWriter(context, partition, this.#sender);
   }
 
   /** Resolves with true once the account, as it is when the transaction leaves, is in the store. */
@@ -81,13 +86,20 @@
     return this.#schedule(batch);
   }
 
-  /** Resolves with true once the turn is in the store, along with the account. */
+  /**
+   * Resolves with true once the turn is in the store. The account goes along when no transaction is under way; behind
+   * one, the turn does not wait for it.
+   */
   writeTurn(
     turn: string,
     content: RetainedTurnContent,
     program: string,
     account: WritableAccount | undefined,
   ): Promise<boolean> {
+    if (this.#running) {
+      if (account) void this.writeAccount(program, account);
+      return this.#turns.write(turn, content);
+    }
     const batch = this.#openBatch(content.input.length + content.output.length);
     batch.turns.set(turn, content);
     if (account) batch.accounts.set(program, account);
@@ -166,7 +178,7 @@
     const puts = [...write.puts, { ...key, value: encodeOwner(owner) }];
     while (!this.#lost) {
       const conditions = [{ ...key, version: this.#version }];
-      const outcome = await this.#send({ conditions, puts, removes: [] });
+      const outcome = await this.#sender.transact({ conditions, puts, removes: [] });
       if (outcome.type === "committed") {
         this.#version = outcome.version;
         return !this.#lost;
@@ -177,19 +189,6 @@
     return false;
   }
 
-  /** Sends a transaction once; its answer is waited for no longer than answers take. */
-  async #send(transaction: RowTransaction): Promise<TransactionOutcome> {
-    const { clock, platform } = this.#context;
-    const { writeTimeout } = this.#health;
-    const startedMs = clock.monotonicMs();
-    const outcome = await platform.store.transact(transaction, writeTimeout.currentMs);
-    if (outcome.type === "unknown") writeTimeout.expired();
-    else writeTimeout.answered(clock.monotonicMs() - startedMs);
-    this.#context.metrics.storeWritten(outcome.type, clock.monotonicMs() - startedMs);
-    this.#health.note(outcome);
-    return outcome;
-  }
-
   /** The owner's row has changed: by an unanswered try of the same transaction, or by another owner. */
   #afterConflict(rows: readonly StoredRow[], instance: string): boolean {
     const row = rows.find((candidate) => candidate.table === ownerKey(this.#partition).table);
@@ -205,6 +204,7 @@
   #lose(): void {
     if (this.#lost) return;
     this.#lost = true;
+    this.#turns.stop();
     for (const batch of this.#batches.splice(0)) batch.settle(false);
     this.#onLost();
   }
--- a/src/gateway/runners/runner-watch.ts
+++ b/src/gateway/runners/runner-watch.ts
@@ -7,24 +7,37 @@
 
 /** Runners write their entries all the time; a change is seen this much later at most, in ms. */
 const PAUSE_MS = 500;
+/**
+ * Entries may lapse while the store is out of reach, because runners cannot renew them. Those of runners that live are
+ * back within about two seconds of the store's return; one that is missing after this time, in ms, is gone.
+ */
+const RETURN_GRACE_MS = 2_500;
 
 /** See the module's comment. */
 export class RunnerWatch {
   readonly #context: GatewayContext;
+  readonly #health: StoreHealth;
+  readonly #board: RunnerBoard;
   readonly #follower: TableFollower;
+  /** Runners whose entries went missing in an outage of the store. */
+  readonly #lapsed = new Set<string>();
   #read = false;
 
   constructor(context: GatewayContext, health: StoreHealth, board: RunnerBoard) {
     this.#context = context;
+    this.#health = health;
+    this.#board = board;
     const listener: TableListener = {
       onTable: (rows) => {
-        board.replace(rows.flatMap((row) => this.#parse(row.key, row.value)));
+        const listed = new Set(rows.map((row) => row.key));
+        for (const { id } of board.entries()) if (!listed.has(id)) this.#removed(id);
+        for (const row of rows) this.#written(row.key, row.value);
         this.#read = true;
       },
       onChanges: (changes) => {
         for (const { key, value } of changes) {
-          if (value === undefined) board.remove(key);
-          else for (const entry of this.#parse(key, value)) board.upsert(entry);
+          if (value === undefined) this.#removed(key);
+          else this.#written(key, value);
         }
       },
     };
@@ -45,6 +58,26 @@
     this.#follower.stop();
   }
 
+  #written(id: string, value: Buffer): void {
+    this.#lapsed.delete(id);
+    for (const entry of this.#parse(id, value)) this.#board.upsert(entry);
+  }
+
+  /** An entry is gone: at once, or, when the store has only just come back, unless it returns soon. */
+  #removed(id: string): void {
+    const graceMs = RETURN_GRACE_MS - this.#health.reachableForMs;
+    if (graceMs <= 0) return this.#board.remove(id);
+    if (this.#lapsed.has(id)) return;
+    this.#lapsed.add(id);
+    this.#context.log.info(
+      { runner: id, graceMs: Math.round(graceMs) },
+      "runner's entry lapsed in an outage",
+    );
+    this.#context.clock.schedule(graceMs, () => {
+      if (this.#lapsed.delete(id)) this.#board.remove(id);
+    });
+  }
+
   /** The entry of a row, or nothing when the row is not one. */
   #parse(id: string, value: Buffer): RunnerEntry[] {
     try {
--- a/src/gateway/store-health.ts
+++ b/src/gateway/store-health.ts
@@ -28,7 +28,7 @@
     return this.#reachable;
   }
 
-  /** For how long the store has been answering, in ms; 0 while it does not. */
+  /** For how long the store has been answering without a gap, in ms; 0 while it does not. */
   get reachableForMs(): number {
     return Math.max(0, this.#context.clock.monotonicMs() - this.#reachableSinceMs);
   }
@@ -46,8 +46,11 @@
       return;
     }
     if ("version" in outcome) this.#newestVersion = Math.max(this.#newestVersion, outcome.version);
+    const wasSilent = nowMs - this.#lastAnswerMs >= LOST_AFTER_MS;
     this.#lastAnswerMs = nowMs;
     this.#set(true, "answers");
+    // An outage may end before any call of this gateway has failed.
+    if (wasSilent) this.#reachableSinceMs = nowMs;
   }
 
   #set(reachable: boolean, reason: string): void {
--- a/src/ports/store/row-store.ts
+++ b/src/ports/store/row-store.ts
@@ -81,8 +81,7 @@
 
 /** The platform's transactional store of rows. No method throws. */
 export interface RowStore {
-  /** @param timeoutMs longest time for the answer, in ms; the store's own bound when left out */
-  transact(transaction: RowTransaction, timeoutMs?: number): Promise<TransactionOutcome>;
+  transact(transaction: RowTransaction): Promise<TransactionOutcome>;
   read(range: RowRange): Promise<ReadOutcome>;
   /** Changes of a table after a version; waits up to `waitMs` for the first. */
   watch(table: string, afterVersion: number, waitMs: number): Promise<WatchOutcome>;
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -91,13 +91,6 @@
     this.#runners.delete(id);
   }
 
-  /** Replaces the whole list. */
-  replace(entries: readonly RunnerEntry[]): void {
-    const kept = new Set(entries.map((entry) => entry.id));
-    for (const id of [...this.#runners.keys()]) if (!kept.has(id)) this.#runners.delete(id);
-    for (const entry of entries) this.upsert(entry);
-  }
-
   /** Whether a runner is in the list, ready or not. */
   listed(id: string): boolean {
     return this.#runners.has(id);
--- a/test/contract/gateway-parts.test.ts
+++ b/test/contract/gateway-parts.test.ts
@@ -6,6 +6,7 @@
 import { EventSplitter } from "../../src/gateway/calls/event-splitter.ts";
 import { choosePool, RouteTable } from "../../src/scheduling/routing/route-table.ts";
 import type { Route } from "../../src/scheduling/routing/routing-configuration.ts";
+import { spreadKey } from "../../src/scheduling/routing/spread-key.ts";
 import { RunnerBoard } from "../../src/scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../src/scheduling/runner-board/runner-entry.ts";
 
@@ -138,6 +139,19 @@
     }
     expect(first).toEqual(900);
   });
+
+  it("keeps turns of a program together, and spreads its other calls", () => {
+    const calls = ["1", "2", "3"].map((requestId) => ({
+      requestId,
+      affinityKey: undefined,
+      program: { id: "program" },
+    }));
+    expect(calls.map((call) => spreadKey("streaming", call))).toEqual(["program", "program", "program"]);
+    expect(calls.map((call) => spreadKey("unsafe", call))).toEqual(["1", "2", "3"]);
+    expect(calls.map((call) => spreadKey("safe", { ...call, affinityKey: "object" }))).toEqual(
+      calls.map(() => "object"),
+    );
+  });
 });
 
 describe("runner board", () => {
