Give retained turns parts of their own in the store; grant what is set aside while the store is told of more

Change: a turn's part follows from its identifier alone (64 parts, turn-rows.ts), so that it needs one read wherever it is, is written beside the accounts, grouped per part, and may be larger than a row; 64 partitions in place of 16; a turn is granted when the store already counts its most as spent, also while it is being told of more; what turns left unused is granted again once the store knows of their ends; four turns are set aside in place of two, never more than half of what is left. A transaction without an answer is sent up to four times, each try left open.

Tests: token account grants while the store is told of more, and not what a turn left unused before its end is stored (fails when that term is left out); turns through six faults of the store, larger than a row, grouped, not behind another part.

--- a/src/coordination/token-account/token-account.ts
+++ b/src/coordination/token-account/token-account.ts
@@ -16,10 +16,15 @@
   readonly open: readonly (readonly [turn: string, most: number])[];
 }
 
-/** What the store must hold, and its place in the order of the account's changes. */
+/** What the store must hold. Give it back to {@link TokenAccount.stored} once the store holds it. */
 export interface AccountSnapshot {
+  /** Its place in the order of the account's changes. */
   readonly revision: number;
   readonly account: StoredAccount;
+  /** All tokens that count as spent by it. Never less than in a snapshot before. */
+  readonly total: number;
+  /** Tokens that turns which it no longer names as under way have left unused, since the account began. */
+  readonly unused: number;
 }
 
 /** Whether a turn may run. */
@@ -31,17 +36,22 @@
 /** See the module's comment. */
 export class TokenAccount {
   #settled: number;
-  /** Tokens that are set aside and that no turn uses. */
-  #ahead = 0;
   readonly #open: Map<string, number>;
+  /** Tokens that turns have left unused, in all. */
+  #unused = 0;
   /** Counts the changes that the store must know of before anything more is granted. */
   #revision = 0;
-  #storedRevision = 0;
+  /** Tokens that count as spent by the next snapshot. */
+  #total: number;
+  /** The newest snapshot that the store holds, without its content. */
+  #stored: Pick<AccountSnapshot, "revision" | "total" | "unused">;
 
   constructor(stored?: StoredAccount) {
     // What a lost owner had set aside may have been granted by it: it counts as spent.
     this.#settled = (stored?.settled ?? 0) + (stored?.ahead ?? 0);
     this.#open = new Map(stored?.open ?? []);
+    this.#total = this.committed;
+    this.#stored = { revision: 0, total: this.#total, unused: 0 };
   }
 
   /** Tokens that count as spent: settled ones, and the most of every turn under way. */
@@ -53,22 +63,12 @@
 
   /** Whether tokens are set aside that no turn uses. */
   get holdsAhead(): boolean {
-    return this.#ahead > 0;
-  }
-
-  /** Whether the program has turns under way. */
-  get busy(): boolean {
-    return this.#open.size > 0;
+    return this.#total > this.committed;
   }
 
   /** Whether the store holds a snapshot of at least this revision. */
   holds(revision: number): boolean {
-    return this.#storedRevision >= revision;
-  }
-
-  /** Whether the store lacks a change that grants wait for. */
-  get behind(): boolean {
-    return this.#storedRevision < this.#revision;
+    return this.#stored.revision >= revision;
   }
 
   /**
@@ -82,13 +82,10 @@
     if (this.#open.has(turn)) return { type: "granted", revision: this.#revision };
     const committed = this.committed;
     if (committed + most > budget) return { type: "exhausted", spent: committed };
+    const isSetAside = this.#available >= most;
     this.#open.set(turn, most);
-    if (this.#ahead >= most && !this.behind) {
-      this.#ahead -= most;
-      return { type: "granted", revision: this.#storedRevision };
-    }
-    this.#ahead = tokensAhead(most, aheadTurns, budget - committed - most);
-    this.#revision += 1;
+    if (isSetAside) return { type: "granted", revision: this.#stored.revision };
+    this.#raise(tokensAhead(most, aheadTurns, budget - committed - most));
     return { type: "granted", revision: this.#revision };
   }
 
@@ -96,33 +93,62 @@
    * Ends a turn with what its caller was handed; a turn that is not known is passed over. Returns whether it was known.
    */
   settle(turn: string, tokens: number): boolean {
-    if (!this.#open.delete(turn)) return false;
+    const most = this.#open.get(turn);
+    if (most === undefined) return false;
+    this.#open.delete(turn);
     this.#settled += tokens;
+    this.#unused += Math.max(0, most - tokens);
     return true;
   }
 
-  /** Sets tokens aside for the next turns when too few are left. Returns whether the store must be told. */
+  /**
+   * Sets tokens aside for the next turns when few are left, and gives those that turns have left unused back. Returns
+   * whether the store must be told.
+   */
   replenish(most: number, budget: number, aheadTurns: number): boolean {
-    if (this.behind || this.#ahead >= most) return false;
-    const wanted = tokensAhead(most, aheadTurns, budget - this.committed);
-    if (wanted <= this.#ahead) return false;
-    this.#ahead = wanted;
-    this.#revision += 1;
+    const isWritten = this.#stored.revision < this.#revision;
+    if (isWritten || this.#available >= (aheadTurns / 2) * most) return false;
+    const ahead = tokensAhead(most, aheadTurns, budget - this.committed);
+    const gain = Math.max(0, this.committed + ahead - this.#total) + this.#unusedNotStored;
+    if (gain < most) return false;
+    this.#raise(ahead);
     return true;
   }
 
   /** What the store must hold; with `releaseAhead`, nothing stays set aside for turns to come. */
   snapshot(releaseAhead = false): AccountSnapshot {
-    const ahead = releaseAhead ? 0 : this.#ahead;
+    const { committed } = this;
+    const ahead = releaseAhead ? 0 : this.#total - committed;
     return {
       revision: this.#revision,
       account: { settled: this.#settled, ahead, open: [...this.#open] },
+      total: committed + ahead,
+      unused: this.#unused,
     };
   }
 
-  /** The store holds a snapshot of this revision. */
-  stored(revision: number): void {
-    this.#storedRevision = Math.max(this.#storedRevision, revision);
+  /** The store holds a snapshot. */
+  stored({ revision, total, unused }: AccountSnapshot): void {
+    if (unused >= this.#stored.unused && revision >= this.#stored.revision)
+      this.#stored = { revision, total, unused };
+  }
+
+  /**
+   * Tokens that the store counts as spent and that may be granted. What a turn left unused may not, until the store
+   * knows that the turn has ended: a new owner that finds it under way gives it back when it is told of the end again.
+   */
+  get #available(): number {
+    return this.#stored.total - this.committed - this.#unusedNotStored;
+  }
+
+  get #unusedNotStored(): number {
+    return this.#unused - this.#stored.unused;
+  }
+
+  /** The store must be told that at least `ahead` tokens beyond the committed ones count as spent. */
+  #raise(ahead: number): void {
+    this.#total = Math.max(this.#total, this.committed + ahead);
+    this.#revision += 1;
   }
 }
 
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -48,7 +48,7 @@
     .number()
     .min(0)
     .max(16)
-    .default(2)
+    .default(4)
     .describe("Turns for which tokens are set aside in the store along with the present one"),
 });
 
@@ -64,8 +64,14 @@
     .int()
     .min(1)
     .max(65_536)
-    .default(16)
+    .default(64)
     .describe("Number of partitions of programs; fixed once the system has started"),
+  turnParts: z
+    .int()
+    .min(1)
+    .max(65_536)
+    .default(64)
+    .describe("Number of the store's parts that retained turns lie in; fixed once the system has started"),
   timing: timingSchema.prefault({}),
   membership: membershipSchema.prefault({}),
   budget: budgetSchema.prefault({}),
--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -10,6 +10,7 @@
 import type { StoreHealth } from "../store-health.ts";
 import { PartitionWriter, type WritableAccount } from "./partition-writer.ts";
 import { type HistoryOutcome, RetainedTurns } from "./retained-turns.ts";
+import type { TurnWriter } from "./turn-writer.ts";
 
 /** What this gateway remembers of a program, beside its account. */
 interface ProgramState {
@@ -31,6 +32,7 @@
   readonly #health: StoreHealth;
   readonly #programs = new Map<string, ProgramState>();
   readonly #turns: RetainedTurns;
+  readonly #turnWriter: TurnWriter;
   readonly #writer: PartitionWriter;
   #releasing = false;
 
@@ -40,6 +42,7 @@
     epoch: number,
     accounts: ReadonlyMap<string, StoredAccount>,
     health: StoreHealth,
+    turnWriter: TurnWriter,
     onLost: () => void,
   ) {
     this.#context = context;
@@ -49,7 +52,8 @@
       this.#programs.set(program, { account: new TokenAccount(stored), runners: new Map() });
     }
     this.#health = health;
-    this.#turns = new RetainedTurns(context, partition, () => health.newestVersion);
+    this.#turnWriter = turnWriter;
+    this.#turns = new RetainedTurns(context, () => health.newestVersion);
     this.#writer = new PartitionWriter(context, partition, epoch, onLost, health);
   }
 
@@ -81,15 +85,12 @@
       program.runners.set(request.session ?? WHOLE_PROGRAM, runner);
       program.runners.set(WHOLE_PROGRAM, runner);
     }
-    if (retained) {
-      const account = settled ? program.account : undefined;
-      if (settled)
-        program.account.replenish(budget.most, budget.tokens, this.#context.settings.budget.aheadTurns);
-      if (!(await this.#writer.writeTurn(turn, retained, request.program, account))) return MOVED;
-      this.#turns.add(turn, retained);
-      return { type: "ended" };
-    }
     if (settled) this.#replenish(program.account, request.program, budget);
+    if (!retained) return { type: "ended" };
+    if (!(await this.#turnWriter.write(turn, retained))) {
+      return { type: "unavailable", detail: "the store does not take the turn" };
+    }
+    this.#turns.add(turn, retained);
     return { type: "ended" };
   }
 
@@ -101,7 +102,7 @@
       if (!account.holdsAhead) continue;
       accounts.set(program, {
         snapshot: () => account.snapshot(true),
-        stored: (revision) => account.stored(revision),
+        stored: (snapshot) => account.stored(snapshot),
       });
     }
     await this.#writer.release(accounts);
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -14,6 +14,8 @@
 import type { StoreHealth } from "../store-health.ts";
 import { MOVED, OwnedPartition } from "./owned-partition.ts";
 import { decodeAccount, decodeOwner, encodeOwner, ownerKey, partOf, TABLES } from "./partition-rows.ts";
+import { TransactionSender } from "./transaction-sender.ts";
+import { TurnWriter } from "./turn-writer.ts";
 
 const FIRST_COMMIT = 0;
 
@@ -25,6 +27,7 @@
   readonly #health: StoreHealth;
   readonly #owned = new Map<number, OwnedPartition>();
   readonly #claiming = new Set<number>();
+  readonly #turnWriter: TurnWriter;
   #claimAfterMs = 0;
   #stop: () => void = () => undefined;
   #stopping = false;
@@ -38,6 +41,7 @@
     this.#context = context;
     this.#members = members;
     this.#health = health;
+    this.#turnWriter = new TurnWriter(context, new TransactionSender(context, health));
     rpc.handle("admitTurn", async (request) => {
       const answer = await this.#require(request.partition).admit(request);
       return answer === MOVED ? this.#redirect(request.partition) : answer;
@@ -204,6 +208,7 @@
       epoch,
       accounts,
       this.#health,
+      this.#turnWriter,
       () => this.#onLost(owned),
     );
     this.#owned.set(partition, owned);
--- a/src/gateway/partitions/partition-rows.ts
+++ b/src/gateway/partitions/partition-rows.ts
@@ -1,13 +1,12 @@
-/** How partitions lie in the store: a part each, with the owner, the accounts and the retained turns. */
+/** How partitions lie in the store: a part each, with the owner and the accounts. */
 import { decode, encode } from "cbor-x";
 import type { StoredAccount } from "../../coordination/token-account/index.ts";
 import type { RowKey } from "../../ports/store/row-store.ts";
-import type { RetainedTurnContent } from "../gateway-messages.ts";
 
 const OWNER_KEY = "owner";
 
 /** Tables of the store. */
-export const TABLES = { owners: "owners", accounts: "accounts", turns: "turns" } as const;
+export const TABLES = { owners: "owners", accounts: "accounts" } as const;
 
 /** Who owns a partition. Every write of the owner changes this row, so each write is fenced by the one before. */
 export interface OwnerRow {
@@ -32,16 +31,6 @@
   return { table: TABLES.accounts, part: partOf(partition), key: program };
 }
 
-/** The row of a retained turn. */
-export function turnKey(partition: number, turn: string): RowKey {
-  return { table: TABLES.turns, part: partOf(partition), key: turn };
-}
-
-/** The first key after `key`, for reads of one row. */
-export function keyAfter(key: string): string {
-  return `${key}\u0000`;
-}
-
 export function encodeOwner(row: OwnerRow): Buffer {
   return encode(row);
 }
@@ -57,11 +46,3 @@
 export function decodeAccount(value: Buffer): StoredAccount {
   return decode(value) as StoredAccount;
 }
-
-export function encodeTurn(turn: RetainedTurnContent): Buffer {
-  return encode(turn);
-}
-
-export function decodeTurn(value: Buffer): RetainedTurnContent {
-  return decode(value) as RetainedTurnContent;
-}
--- a/src/gateway/partitions/partition-writer.ts
+++ b/src/gateway/partitions/partition-writer.ts
@@ -1,50 +1,35 @@
 /**
- * Writes a partition's changes to the store, many at a time, one transaction after the other. Each transaction is
+ * Writes a partition's accounts to the store, many at a time, one transaction after the other. Each transaction is
  * fenced by the one before: it changes the owner's row and demands the version that the last one left. A transaction
- * without an answer is sent again as it was; if it had been done, the owner's row says so. Turns that end while a
- * transaction is under way need no fence and go beside it (turn-writer.ts).
+ * without an answer is sent again as it was; if it had been done, the owner's row says so.
  */
 import type { AccountSnapshot } from "../../coordination/token-account/index.ts";
 import type { RowKey, StoredRow } from "../../ports/store/row-store.ts";
 import { delay } from "../../runtime/clock.ts";
 import type { GatewayContext } from "../gateway-context.ts";
-import type { RetainedTurnContent } from "../gateway-messages.ts";
 import type { StoreHealth } from "../store-health.ts";
-import {
-  accountKey,
-  decodeOwner,
-  encodeAccount,
-  encodeOwner,
-  encodeTurn,
-  ownerKey,
-  turnKey,
-} from "./partition-rows.ts";
+import { accountKey, decodeOwner, encodeAccount, encodeOwner, ownerKey } from "./partition-rows.ts";
 import { TransactionSender } from "./transaction-sender.ts";
-import { TurnWriter } from "./turn-writer.ts";
 
 /** Rows in one transaction; the store takes 100 entries, the owner's row and its condition included. */
 const MAX_ROWS = 90;
-/** Bytes of retained turns in one transaction; the store takes 1 MB of text in base 64. */
-const MAX_BYTES = 600_000;
 const RETRY_MS = 40;
 
 /** What the writer needs of a program's account. */
 export interface WritableAccount {
   snapshot(releaseAhead: boolean): AccountSnapshot;
-  stored(revision: number): void;
+  stored(snapshot: AccountSnapshot): void;
 }
 
 interface Batch {
   readonly accounts: Map<string, WritableAccount>;
-  readonly turns: Map<string, RetainedTurnContent>;
-  bytes: number;
   readonly done: Promise<boolean>;
   readonly settle: (committed: boolean) => void;
 }
 
 interface BatchWrite {
   readonly puts: (RowKey & { readonly value: Buffer })[];
-  readonly revisions: (readonly [WritableAccount, number])[];
+  readonly snapshots: (readonly [WritableAccount, AccountSnapshot])[];
 }
 
 /** See the module's comment. */
@@ -53,7 +38,6 @@
   readonly #partition: number;
   readonly #onLost: () => void;
   readonly #sender: TransactionSender;
-  readonly #turns: TurnWriter;
   readonly #batches: Batch[] = [];
   #version: number;
   #commit = 0;
@@ -76,36 +60,15 @@
     this.#version = version;
     this.#onLost = onLost;
     this.#sender = new TransactionSender(context, health);
-    this.#turns = new TurnWriter(context, partition, this.#sender);
   }
 
   /** Resolves with true once the account, as it is when the transaction leaves, is in the store. */
   writeAccount(program: string, account: WritableAccount): Promise<boolean> {
-    const batch = this.#openBatch(0);
+    const batch = this.#openBatch();
     batch.accounts.set(program, account);
     return this.#schedule(batch);
   }
 
-  /**
-   * Resolves with true once the turn is in the store. The account goes along when no transaction is under way; behind
-   * one, the turn does not wait for it.
-   */
-  writeTurn(
-    turn: string,
-    content: RetainedTurnContent,
-    program: string,
-    account: WritableAccount | undefined,
-  ): Promise<boolean> {
-    if (this.#running) {
-      if (account) void this.writeAccount(program, account);
-      return this.#turns.write(turn, content);
-    }
-    const batch = this.#openBatch(content.input.length + content.output.length);
-    batch.turns.set(turn, content);
-    if (account) batch.accounts.set(program, account);
-    return this.#schedule(batch);
-  }
-
   /** Writes what is left, with nothing set aside any more, and lets go of the partition. */
   async release(accounts: ReadonlyMap<string, WritableAccount>): Promise<void> {
     let pending: Promise<boolean> = Promise.resolve(true);
@@ -113,7 +76,7 @@
     await pending;
     while (this.#running) await delay(this.#context.clock, 1);
     if (this.#lost) return;
-    await this.#transact({ puts: [], revisions: [] }, "");
+    await this.#transact({ puts: [], snapshots: [] }, "");
     this.#lose();
   }
 
@@ -122,18 +85,14 @@
     this.#lose();
   }
 
-  #openBatch(bytes: number): Batch {
+  #openBatch(): Batch {
     const last = this.#batches.at(-1);
-    const rows = last ? last.accounts.size + last.turns.size : 0;
-    if (last && rows + 2 <= MAX_ROWS && last.bytes + bytes <= MAX_BYTES) {
-      last.bytes += bytes;
-      return last;
-    }
+    if (last && last.accounts.size < MAX_ROWS) return last;
     let settle: (committed: boolean) => void = () => undefined;
     const done = new Promise<boolean>((resolve) => {
       settle = resolve;
     });
-    const batch: Batch = { accounts: new Map(), turns: new Map(), bytes, done, settle };
+    const batch: Batch = { accounts: new Map(), done, settle };
     this.#batches.push(batch);
     return batch;
   }
@@ -151,21 +110,18 @@
     for (let batch = this.#batches.shift(); batch && !this.#lost; batch = this.#batches.shift()) {
       const write = this.#writeOf(batch);
       const committed = await this.#transact(write, this.#context.instance);
-      if (committed) for (const [account, revision] of write.revisions) account.stored(revision);
+      if (committed) for (const [account, snapshot] of write.snapshots) account.stored(snapshot);
       batch.settle(committed);
     }
     this.#running = false;
   }
 
   #writeOf(batch: Batch): BatchWrite {
-    const write: BatchWrite = { puts: [], revisions: [] };
+    const write: BatchWrite = { puts: [], snapshots: [] };
     for (const [program, account] of batch.accounts) {
-      const { revision, account: stored } = account.snapshot(false);
-      write.puts.push({ ...accountKey(this.#partition, program), value: encodeAccount(stored) });
-      write.revisions.push([account, revision]);
-    }
-    for (const [turn, content] of batch.turns) {
-      write.puts.push({ ...turnKey(this.#partition, turn), value: encodeTurn(content) });
+      const snapshot = account.snapshot(false);
+      write.puts.push({ ...accountKey(this.#partition, program), value: encodeAccount(snapshot.account) });
+      write.snapshots.push([account, snapshot]);
     }
     return write;
   }
@@ -204,7 +160,6 @@
   #lose(): void {
     if (this.#lost) return;
     this.#lost = true;
-    this.#turns.stop();
     for (const batch of this.#batches.splice(0)) batch.settle(false);
     this.#onLost();
   }
--- a/src/gateway/partitions/retained-turns.ts
+++ b/src/gateway/partitions/retained-turns.ts
@@ -1,13 +1,12 @@
-/** The turns of one partition that are kept: recent ones in memory, all in the store. */
-import type { ReadOutcome } from "../../ports/store/row-store.ts";
+/** The turns that are kept: recent ones of one partition's programs in memory, all in the store. */
 import type { GatewayContext } from "../gateway-context.ts";
 import type { RetainedTurnContent } from "../gateway-messages.ts";
-import { decodeTurn, keyAfter, turnKey } from "./partition-rows.ts";
+import { turnOf, turnPart, turnRange } from "./turn-rows.ts";
 
 /** Longest chain of turns that is put together. */
 const MAX_CHAIN = 1_000;
 
-/** Bytes of turns that one partition keeps in memory; older ones are read from the store again. */
+/** Bytes of turns that the owner of a partition keeps in memory; older ones are read from the store again. */
 const MAX_CACHED_BYTES = 8 * 1024 * 1024;
 
 /** What was said before a turn. */
@@ -24,18 +23,14 @@
 /** See the module's comment. */
 export class RetainedTurns {
   readonly #context: GatewayContext;
-  readonly #partition: number;
-  readonly #partitionCount: number;
   /** In the order in which they were added. */
   readonly #turns = new Map<string, RetainedTurnContent>();
   #cachedBytes = 0;
   /** Newest version of the store that was seen: an answer that is older cannot say that a turn is not there. */
   readonly #newestVersion: () => number;
 
-  constructor(context: GatewayContext, partition: number, newestVersion: () => number) {
+  constructor(context: GatewayContext, newestVersion: () => number) {
     this.#context = context;
-    this.#partition = partition;
-    this.#partitionCount = context.settings.partitions;
     this.#newestVersion = newestVersion;
   }
 
@@ -69,37 +64,21 @@
   async #find(turn: string): Promise<TurnLookup> {
     const known = this.#turns.get(turn);
     if (known) return { type: "found", content: known };
-    const own = await this.#read(this.#partition, turn);
-    if (own.type === "unavailable") return own;
-    const lookup = own.type === "found" ? own : await this.#findElsewhere(turn);
+    const lookup = await this.#read(turn);
     if (lookup.type === "found") this.add(turn, lookup.content);
     return lookup;
   }
 
-  /** A program may go on from a turn of another program, whose partition its name does not tell. */
-  async #findElsewhere(turn: string): Promise<TurnLookup> {
-    const reads: Promise<TurnLookup>[] = [];
-    for (let partition = 0; partition < this.#partitionCount; partition += 1) {
-      if (partition !== this.#partition) reads.push(this.#read(partition, turn));
-    }
-    const lookups = await Promise.all(reads);
-    return (
-      lookups.find((lookup) => lookup.type === "found") ??
-      lookups.find((lookup) => lookup.type === "unavailable") ?? { type: "noSuchTurn" }
-    );
-  }
-
-  async #read(partition: number, turn: string): Promise<TurnLookup> {
-    const key = turnKey(partition, turn);
-    const newest = this.#newestVersion();
-    const outcome = await this.#context.platform.store.read({
-      table: key.table,
-      part: key.part,
-      from: turn,
-      until: keyAfter(turn),
-      limit: 1,
-    });
-    return lookupOf(outcome, newest);
+  async #read(turn: string): Promise<TurnLookup> {
+    const { hash, platform, settings } = this.#context;
+    const newestVersion = this.#newestVersion();
+    const part = turnPart(turn, settings.turnParts, hash);
+    const outcome = await platform.store.read(turnRange(turn, part));
+    if (outcome.type !== "rows") return unavailable(outcome.detail);
+    const content = turnOf(turn, outcome.rows);
+    if (content) return { type: "found", content };
+    if (outcome.version < newestVersion) return unavailable("the store's answer is old");
+    return { type: "noSuchTurn" };
   }
 }
 
@@ -107,14 +86,6 @@
   return input.length + output.length;
 }
 
-function lookupOf(outcome: ReadOutcome, newestVersion: number): TurnLookup {
-  if (outcome.type !== "rows") return unavailable(outcome.detail);
-  const [row] = outcome.rows;
-  if (row) return { type: "found", content: decodeTurn(row.value) };
-  if (outcome.version < newestVersion) return unavailable("the store's answer is old");
-  return { type: "noSuchTurn" };
-}
-
 function unavailable(detail: string): { type: "unavailable"; detail: string } {
   return { type: "unavailable", detail };
 }
--- a/src/gateway/partitions/transaction-sender.ts
+++ b/src/gateway/partitions/transaction-sender.ts
@@ -8,7 +8,7 @@
 import type { StoreHealth } from "../store-health.ts";
 
 /** Tries of one transaction that wait for their answers at the same time. */
-const MAX_TRIES = 3;
+const MAX_TRIES = 4;
 
 /** See the module's comment. */
 export class TransactionSender {
--- /dev/null
+++ b/src/gateway/partitions/turn-rows.ts
@@ -0,0 +1,63 @@
+/**
+ * How retained turns lie in the store. A turn's part follows from its identifier alone, so that whoever knows the
+ * identifier finds it with one read, and turns of one partition do not queue behind each other or behind its accounts.
+ * A turn is one row, or several when it is large.
+ */
+import { decode, encode } from "cbor-x";
+import type { RowRange, StoredRow } from "../../ports/store/row-store.ts";
+import type { TextHash } from "../../runtime/text-hash.ts";
+import type { RetainedTurnContent } from "../gateway-messages.ts";
+
+const TABLE = "turns";
+/** Most bytes of a row's value; the store takes 65,536 in base 64. */
+const MAX_ROW_BYTES = 48_000;
+/** Stands between a turn's identifier and the number of a further row. */
+const SEPARATOR = "/";
+/** The character after the separator. */
+const AFTER_SEPARATOR = "0";
+
+/** A row of a turn, to be written. */
+export interface TurnRow {
+  readonly table: string;
+  readonly part: string;
+  readonly key: string;
+  readonly value: Buffer;
+}
+
+/** The part of the store that holds a turn. */
+export function turnPart(turn: string, partCount: number, hash: TextHash): string {
+  return `t${hash.hash32(turn) % partCount}`;
+}
+
+/** The rows of a turn; all of them go into one transaction. */
+export function turnRows(turn: string, content: RetainedTurnContent, part: string): TurnRow[] {
+  const bytes = encode(content);
+  const rows: TurnRow[] = [];
+  for (let start = 0; start < bytes.length; start += MAX_ROW_BYTES) {
+    const key = rows.length === 0 ? turn : `${turn}${SEPARATOR}${rows.length}`;
+    rows.push({ table: TABLE, part, key, value: bytes.subarray(start, start + MAX_ROW_BYTES) });
+  }
+  return rows;
+}
+
+/** Where the rows of a turn lie; some rows of others may lie there too. */
+export function turnRange(turn: string, part: string): RowRange {
+  return { table: TABLE, part, from: turn, until: `${turn}${AFTER_SEPARATOR}` };
+}
+
+/** The turn that rows of its range hold; undefined when they hold none. */
+export function turnOf(turn: string, rows: readonly StoredRow[]): RetainedTurnContent | undefined {
+  const numbered = rows.flatMap((row) => {
+    const number = rowNumber(turn, row.key);
+    return number === undefined ? [] : [{ number, value: row.value }];
+  });
+  if (numbered.length === 0) return undefined;
+  numbered.sort((left, right) => left.number - right.number);
+  return decode(Buffer.concat(numbered.map(({ value }) => value))) as RetainedTurnContent;
+}
+
+function rowNumber(turn: string, key: string): number | undefined {
+  if (key === turn) return 0;
+  const prefix = `${turn}${SEPARATOR}`;
+  return key.startsWith(prefix) ? Number(key.slice(prefix.length)) : undefined;
+}
