Take callers' requests on every node; the process beside each caller goes

Cause: the users' callers cannot run a process of ours, and no balancer stands before us. The product's own interface still asked for a sidecar beside each caller, and named no addresses to callers that have none.

Change: what the sidecar did is a node's side towards callers (src/node/ingress): it shares the node's connections and its knowledge of leaders, and knows the shards from the node's settings, so that asking for the cluster's shape went. GET /v1/addresses names nodes that are there and stay, those of the caller's zone first; nodes list where callers reach them. A planned stop leaves that list first, then lets callers' requests end, then hands its shards over. One daemon command, one settings file a node. dependency-cruiser holds the ingress apart from the other parts of a node, as it held the sidecar apart from the node.

New: callers are told of nodes by zone, and of none that leaves; a node without an address for callers is refused. In the simulation the fault kill-sidecar is kill-ingress.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -25,14 +25,16 @@
     {
       name: "daemons-do-not-know-the-command-line",
       severity: "error",
-      from: { path: "^src/(node|sidecar|gateway|runtime|ports|messages|settings|telemetry|errors)" },
+      from: { path: "^src/(node|gateway|runtime|ports|messages|settings|telemetry|errors)" },
       to: { path: "^src/cli" },
     },
     {
-      name: "sidecar-and-node-are-apart",
+      name: "ingress-stands-alone",
+      comment:
+        "The side towards callers reaches programs through messages, also on the node that leads them.",
       severity: "error",
-      from: { path: "^src/(sidecar|node)/" },
-      to: { path: "^src/(sidecar|node)/", pathNot: "^src/$1/" },
+      from: { path: "^src/node/ingress/" },
+      to: { path: "^src/node/", pathNot: "^src/node/ingress/" },
     },
     {
       name: "product-does-not-know-stand-ins",
--- a/bench/capacity/hollow-cluster.ts
+++ b/bench/capacity/hollow-cluster.ts
@@ -86,6 +86,7 @@
       region: "hollow",
       zone,
       address,
+      callers: unused,
       metrics: unused,
       platform: { table: unused, objects: unused, machineList: unused },
       cluster: {
--- a/bench/load.ts
+++ b/bench/load.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run load`: what sidecar and node add to the bare stand-in engine, in one run on one machine: first-token latency
+ * `npm run load`: what a node adds to the bare stand-in engine, in one run on one machine: first-token latency
  * and streamed tokens a second, closed loop. Processes are separate; everything is on loopback.
  */
 import { Cli, Command, Option } from "clipanion";
@@ -49,24 +49,24 @@
     const cluster = await Cluster.start({ nodes: 3, engines: [engine], shards: 4 });
     try {
       await cluster.operate("template", "apply", "examples/magnolia/templates.yaml");
-      const sidecar = await cluster.startSidecar();
+      const { callers: node } = cluster.nodes[0];
       // An engine of its own: requests past the scheduler would carry tokens that the scheduler's engine must refuse.
       const bare = await cluster.startBareEngine(engine);
       for (const callers of this.concurrency.split(",").map(Number)) {
-        await this.#compare(callers, bare.address, sidecar.address);
+        await this.#compare(callers, bare.address, node);
       }
-      await this.#memory(cluster, sidecar.address);
+      await this.#memory(cluster, node);
     } finally {
       await cluster.stop();
     }
     return 0;
   }
 
-  async #compare(callers: number, engine: string, sidecar: string): Promise<void> {
+  async #compare(callers: number, engine: string, node: string): Promise<void> {
     const bare = await drive(callers, Number(this.seconds), async () => askEngine(engine));
-    const through = await drive(callers, Number(this.seconds), async () => programOf(sidecar));
+    const through = await drive(callers, Number(this.seconds), async () => programOf(node));
     this.context.stdout.write(
-      `${callers} callers\n  bare engine   ${describe(bare)}\n  through both  ${describe(through)}\n`,
+      `${callers} callers\n  bare engine   ${describe(bare)}\n  through a node ${describe(through)}\n`,
     );
     const added = [50, 95, 99].map((percentile) => {
       const difference = valueAt(through, percentile) - valueAt(bare, percentile);
@@ -79,10 +79,10 @@
   }
 
   /** Heap of the nodes before and after opening programs that then do nothing. */
-  async #memory(cluster: Cluster, sidecar: string): Promise<void> {
+  async #memory(cluster: Cluster, node: string): Promise<void> {
     const programs = 3_000;
     const before = await heapBytes(cluster);
-    const caller = new Caller(sidecar);
+    const caller = new Caller(node);
     for (let batch = 0; batch < programs / 50; batch++) {
       await Promise.all(Array.from({ length: 50 }, () => caller.open("pay-run")));
     }
--- a/bench/mutations/node-mutations.ts
+++ b/bench/mutations/node-mutations.ts
@@ -1,4 +1,4 @@
-/** Deliberate breaks of nodes and sidecars. */
+/** Deliberate breaks of nodes. */
 import type { Mutation } from "./mutation.ts";
 
 export const NODE_MUTATIONS: readonly Mutation[] = [
@@ -79,12 +79,12 @@
     name: "pieces that were seen before are not cut off",
     edits: [
       {
-        file: "src/sidecar/calls/call-session.ts",
+        file: "src/node/ingress/call-session.ts",
         from: "text.slice(this.#received.length - offset)",
         to: "text",
       },
       {
-        file: "src/sidecar/calls/call-session.ts",
+        file: "src/node/ingress/call-session.ts",
         from: "if (offset + text.length <= this.#received.length) return;",
         to: "",
       },
--- a/bench/simulation/checkers.ts
+++ b/bench/simulation/checkers.ts
@@ -61,7 +61,7 @@
   return differs ? [`${program} holds another answer to "${turn.question}" than its caller saw`] : [];
 }
 
-/** Faults that may part a sidecar from the node that carries its call out. */
+/** Faults that may part an ingress from the node that carries its call out. */
 const PARTING_FAULTS = /^(kill|freeze|cut|isolate|drain|network-loss)/;
 
 function checkAnswers({ observations, plan }: CheckInput): string[] {
--- a/bench/simulation/faults.ts
+++ b/bench/simulation/faults.ts
@@ -12,7 +12,7 @@
   "kill-engine",
   "freeze-engine",
   "engine-leaves",
-  "kill-sidecar",
+  "kill-ingress",
   "table-outage",
   "table-slow",
   "table-loses-answers",
@@ -86,7 +86,7 @@
 function bringAbout(world: World, { kind, target }: Fault): () => void {
   const node = world.nodes[target % world.nodes.length];
   const engine = world.engines[target % world.engines.length];
-  const sidecar = world.sidecars[target % world.sidecars.length];
+  const ingress = world.ingresses[target % world.ingresses.length];
   const service = world.services[target % world.services.length];
   const { table, machineList, objects } = world.platform;
   const { network } = world;
@@ -134,9 +134,9 @@
         engine.leavingSinceMs = undefined;
         world.listEngine(engine, "live");
       };
-    case "kill-sidecar":
-      sidecar.process.kill();
-      return () => world.restartSidecar(sidecar);
+    case "kill-ingress":
+      ingress.process.kill();
+      return () => world.restartIngress(ingress);
     case "table-outage":
       return setFor(table.conditions, "outage", true);
     case "table-slow":
--- a/bench/simulation/operators.ts
+++ b/bench/simulation/operators.ts
@@ -69,17 +69,17 @@
   }
 
   async #probe(): Promise<void> {
-    const slot = this.#world.sidecars.find((sidecar) => sidecar.process.alive);
+    const slot = this.#world.ingresses.find((ingress) => ingress.process.alive);
     const startedMs = this.#world.time.nowMs;
     if (!slot) return;
     const served = new Promise<boolean>((resolve) => {
       this.#world.time.after(PROBE_PATIENCE_MS, () => resolve(false));
-      this.#callWithdrawn(slot.core).then(resolve, () => resolve(false));
+      this.#callWithdrawn(slot.ingress).then(resolve, () => resolve(false));
     });
     this.#observations.probes.push({ startedMs, served: await served });
   }
 
-  async #callWithdrawn(core: World["sidecars"][number]["core"]): Promise<boolean> {
+  async #callWithdrawn(core: World["ingresses"][number]["ingress"]): Promise<boolean> {
     const parameters = { tenant: TENANT, template: TEMPLATE, parent: undefined, deadlineMs: undefined };
     const { id } = await core.openProgram(parameters);
     const request = {
--- a/src/cli/commands/settings-commands.ts
+++ b/src/cli/commands/settings-commands.ts
@@ -5,7 +5,6 @@
 import { gatewaySettingsSchema } from "../../gateway/gateway-settings.ts";
 import { loadSettings, parseOverride } from "../../settings/load-settings.ts";
 import { nodeSettingsSchema } from "../../settings/node-settings.ts";
-import { sidecarSettingsSchema } from "../../settings/sidecar-settings.ts";
 import { EXIT_CODES } from "../exit-codes.ts";
 import { formatTable } from "../format-table.ts";
 import { TulipwheelCommand } from "../tulipwheel-command.ts";
@@ -14,7 +13,6 @@
 const SCHEMAS: Record<string, z.ZodObject> = {
   gateway: gatewaySettingsSchema,
   node: nodeSettingsSchema,
-  sidecar: sidecarSettingsSchema,
 };
 
 function schemaOf(daemon: string): z.ZodObject {
--- a/src/cli/demo/demo-command.ts
+++ b/src/cli/demo/demo-command.ts
@@ -19,21 +19,21 @@
     category: "Daemons",
     description: "Runs a whole system in this process, with a pay run and checkouts, and takes machines away",
     details: `
-      Starts the platform's stand-ins, three nodes in three zones and a sidecar on loopback. In the middle one node
-      and one engine are taken away. Ends by itself within 30 s, with code 0 only if every answer was whole.
+      Starts the platform's stand-ins and three nodes in three zones on loopback. In the middle one node and one
+      engine are taken away. Ends by itself within 30 s, with code 0 only if every answer was whole.
       With --keep the system stays up afterwards, for curl.
     `,
   });
   keep = Option.Boolean("--keep", false, { description: "Leaves the system up until Ctrl-C" });
-  port = Option.String("--port", "0", { description: "Port of the sidecar; 0 takes a free one" });
+  port = Option.String("--port", "0", { description: "Port for callers; 0 takes a free one" });
   logLevel = Option.String("--log-level", "silent", { description: "Log level of the daemons" });
 
   protected override async run(): Promise<number> {
     const startMs = performance.now();
     const say = (line: string) => this.#say(startMs, line);
-    say("starting stand-ins, three nodes in three zones and a sidecar");
-    const system = await DemoSystem.start({ sidecar: Number(this.port), firstNode: 0 }, this.logLevel);
-    say(`callers reach the sidecar at http://${system.address}`);
+    say("starting stand-ins, and three nodes in three zones");
+    const system = await DemoSystem.start({ callers: Number(this.port), firstNode: 0 }, this.logLevel);
+    say(`callers reach the system at http://${system.address}`);
     const workload = new DemoWorkload(system.address, say);
     const failures = this.#takeMachinesAway(system, say);
     await withinTime(workload.run());
--- a/src/cli/demo/demo-system.ts
+++ b/src/cli/demo/demo-system.ts
@@ -13,14 +13,13 @@
 import { loadTextHash } from "../../runtime/text-hash.ts";
 import { nodeSettingsSchema } from "../../settings/node-settings.ts";
 import { parseYaml } from "../../settings/parse-yaml.ts";
-import { sidecarSettingsSchema } from "../../settings/sidecar-settings.ts";
 import { configurationDocumentSchema, keyOfDocument } from "../../settings/templates/template-schema.ts";
-import { type RunningSidecar, startSidecar } from "../../sidecar/start-sidecar.ts";
 import { OperatorClient } from "../operator-client.ts";
 
 /** Ports of the demo; 0 takes free ones. */
 export interface DemoPorts {
-  readonly sidecar: number;
+  /** Where callers reach the first node. */
+  readonly callers: number;
   readonly firstNode: number;
 }
 
@@ -35,7 +34,7 @@
   "../../../examples/rateora/templates.yaml",
 ];
 
-/** A whole system in one process on loopback: stand-ins, three nodes in three zones, and a sidecar. */
+/** A whole system in one process on loopback: stand-ins, and three nodes in three zones. */
 export class DemoSystem {
   readonly service = new ServiceModel();
   readonly engines = new Map<string, EngineStandin>();
@@ -44,7 +43,6 @@
   readonly #platform: { table: string; objects: string; machineList: string };
   readonly #ports: DemoPorts;
   readonly #logLevel: string;
-  #sidecar!: RunningSidecar;
 
   private constructor(platform: DemoSystem["platform"], ports: DemoPorts, logLevel: string) {
     this.#platform = platform;
@@ -57,9 +55,9 @@
     return this.#platform;
   }
 
-  /** Where callers reach the system. */
+  /** Where callers reach the system: its first node. */
   get address(): string {
-    return this.#sidecar.address;
+    return this.nodes[0].callersAddress;
   }
 
   /** Starts everything and applies the example templates. */
@@ -78,7 +76,6 @@
     await system.#startBackEnds(put);
     system.nodes.push(...(await Promise.all(ZONES.map((zone, index) => system.#startNode(zone, index)))));
     await system.#untilReady();
-    await system.#startSidecar();
     await system.#applyTemplates();
     return system;
   }
@@ -95,7 +92,6 @@
 
   /** Ends everything. */
   async stop(): Promise<void> {
-    await this.#sidecar.drain();
     await Promise.all(this.nodes.map((node) => node.kill()));
     for (const engine of this.engines.values()) await engine.close();
     await Promise.all(this.#standins.map((standin) => standin.close()));
@@ -139,6 +135,7 @@
         region: "dixie-east",
         zone,
         address: `${LOOPBACK}:${port}`,
+        callers: `${LOOPBACK}:${index === 0 ? this.#ports.callers : 0}`,
         metrics: `${LOOPBACK}:0`,
         platform: this.#platform,
         logging: { level: this.#logLevel },
@@ -154,20 +151,6 @@
     }
   }
 
-  async #startSidecar(): Promise<void> {
-    this.#sidecar = await startSidecar(
-      sidecarSettingsSchema.parse({
-        name: "sidecar",
-        region: "dixie-east",
-        zone: ZONES[0],
-        listen: `${LOOPBACK}:${this.#ports.sidecar}`,
-        address: `${LOOPBACK}:0`,
-        nodes: this.nodes.map((node) => node.address),
-        logging: { level: this.#logLevel },
-      }),
-    );
-  }
-
   async #applyTemplates(): Promise<void> {
     const client = await OperatorClient.connect(this.nodes[0].address);
     for (const file of TEMPLATE_FILES) {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,7 +9,7 @@
   ShardRecoverCommand,
   StatusCommand,
 } from "./commands/cluster-commands.ts";
-import { NodeCommand, SidecarCommand } from "./commands/daemon-commands.ts";
+import { NodeCommand } from "./commands/daemon-commands.ts";
 import { ExplainLogsCommand } from "./commands/explain-logs-command.ts";
 import {
   BudgetShowCommand,
@@ -30,7 +30,6 @@
 const COMMANDS = [
   DemoCommand,
   NodeCommand,
-  SidecarCommand,
   TemplateCheckCommand,
   TemplateApplyCommand,
   TemplateDiffCommand,
--- a/src/errors/error-kinds.ts
+++ b/src/errors/error-kinds.ts
@@ -23,21 +23,22 @@
     status: 413,
     outcome: "not-run",
     retriable: false,
-    remedy: "Send only the new messages of the turn, or raise `limits.bodyBytes` in the sidecar's settings.",
+    remedy:
+      "Send only the new messages of the turn, or raise `ingress.limits.bodyBytes` in the node's settings.",
   },
   "headers-too-large": {
     title: "The request head is too large",
     status: 431,
     outcome: "not-run",
     retriable: false,
-    remedy: "Send fewer or shorter headers, or raise `limits.headerBytes` in the sidecar's settings.",
+    remedy: "Send fewer or shorter headers, or raise `ingress.limits.headerBytes` in the node's settings.",
   },
   "request-timeout": {
     title: "The request arrived too slowly",
     status: 408,
     outcome: "not-run",
     retriable: true,
-    remedy: "Send the whole request within the sidecar's `limits.requestMs`.",
+    remedy: "Send the whole request within the node's `ingress.limits.requestMs`.",
   },
   "not-found": {
     title: "There is nothing under this name",
--- a/src/messages/call-messages.ts
+++ b/src/messages/call-messages.ts
@@ -1,7 +1,7 @@
 import type { Problem } from "../errors/problem.ts";
 import type { CallAnswer, CallRequest } from "../scheduling/program/records.ts";
 
-/** A sidecar hands a call to the leader of the program's shard; sent again until an answer comes. */
+/** The node that a caller speaks to hands a call to the leader of the program's shard; sent again until an answer comes. */
 export interface SubmitCall {
   readonly type: "submitCall";
   readonly program: string;
@@ -60,5 +60,5 @@
   readonly problem: Problem;
 }
 
-/** Messages from a leader to a sidecar about one call. */
+/** Messages from a leader to the node that the caller speaks to about one call. */
 export type CallEvent = CallAccepted | CallRedirected | CallChunk | CallFinished | CallFailed;
--- a/src/node/calls/active-call.ts
+++ b/src/node/calls/active-call.ts
@@ -11,7 +11,7 @@
 
   /**
    * @param receivedText what a caller has already seen of an earlier attempt; the answer begins with it
-   * @param send sends an event to a sidecar
+   * @param send sends an event to the node that the caller speaks to
    */
   constructor(id: string, receivedText: string, send: (address: string, event: CallEvent) => void) {
     this.id = id;
@@ -29,7 +29,7 @@
     return this.#subscribers.size > 0;
   }
 
-  /** Adds a sidecar, and sends it what it has not seen. */
+  /** Adds a node that a caller speaks to, and sends it what it has not seen. */
   subscribe(address: string, receivedText: string): void {
     this.#subscribers.add(address);
     this.#send(address, { type: "callAccepted", call: this.id });
@@ -38,7 +38,7 @@
       this.#sendChunk(address, receivedText.length, missing);
   }
 
-  /** Takes a sidecar out. */
+  /** Takes one out. */
   unsubscribe(address: string): void {
     this.#subscribers.delete(address);
   }
--- a/src/node/calls/call-service.ts
+++ b/src/node/calls/call-service.ts
@@ -62,7 +62,7 @@
     this.#admitting = false;
   }
 
-  /** A sidecar hands in a call, for the first time or again. */
+  /** A node hands in a call, for the first time or again. */
   onSubmit(submit: SubmitCall, from: string): void {
     const { shards, configuration } = this.#parts;
     const active = this.#execution.get(submit.call);
--- a/src/node/calls/call-takeover.ts
+++ b/src/node/calls/call-takeover.ts
@@ -20,7 +20,7 @@
 
 /**
  * What a new leader does with calls that an earlier one began: leaves them to the earlier one while it lives and
- * carries them on, and takes them over otherwise. Sidecars are given some time first to say what callers have seen,
+ * carries them on, and takes them over otherwise. Nodes that callers speak to are given some time first to say what callers have seen,
  * so that the answer goes on from there.
  */
 export class CallTakeover {
@@ -48,7 +48,7 @@
     });
   }
 
-  /** A sidecar hands in a call that an earlier leader began. */
+  /** A node hands in a call that an earlier leader began. */
   onSubmit(replica: ShardReplica, program: ProgramRecord, record: CallRecord, entry: LaneEntry): void {
     this.#waiting.set(record.id, entry);
     void this.#resumeOrLeave(replica, program, record);
@@ -56,7 +56,7 @@
 
   async #resumeOrLeave(replica: ShardReplica, program: ProgramRecord, record: CallRecord): Promise<void> {
     const elsewhere = await this.#runsElsewhere(record);
-    // What a sidecar said meanwhile counts, whoever began to look first.
+    // What a node said meanwhile counts, whoever began to look first.
     const entry = this.#waiting.get(record.id);
     this.#waiting.delete(record.id);
     if (elsewhere) return this.#leave(replica, program, record, entry);
--- a/src/sidecar/calls/call-session.ts
+++ b/src/node/ingress/call-session.ts
@@ -5,7 +5,7 @@
 import type { ShardRouter } from "../../runtime/shard-router.ts";
 import type { Transport } from "../../runtime/transport.ts";
 import type { CallAnswer, CallRequest } from "../../scheduling/program/records.ts";
-import type { SidecarSettings } from "../../settings/sidecar-settings.ts";
+import type { IngressSettings } from "../../settings/ingress-settings.ts";
 
 /** A call to be made. */
 export interface CallParameters {
@@ -28,9 +28,9 @@
 /** What a session needs. */
 export interface CallSessionPort {
   readonly clock: Clock;
-  readonly transport: Transport;
+  readonly transport: Pick<Transport, "send">;
   readonly router: ShardRouter;
-  readonly settings: SidecarSettings;
+  readonly settings: IngressSettings;
 }
 
 const UNAVAILABLE_RETRY_AFTER_MS = 2_000;
@@ -43,7 +43,7 @@
 }
 
 /**
- * One call as the sidecar sees it: hands it to whoever leads the program's shard, hands it in again after silence,
+ * One call as the node that its caller speaks to sees it: hands it to whoever leads the program's shard, hands it in again after silence,
  * and puts the answer together from its pieces, each exactly once and in order, whoever sends them.
  */
 export class CallSession {
--- a/src/sidecar/http/chat-completions.ts
+++ b/src/node/ingress/chat-completions.ts
@@ -1,8 +1,8 @@
 import { problemOf, requestError } from "../../errors/tulipwheel-error.ts";
 import type { CompletionAnswer, CompletionRequest } from "../../scheduling/program/records.ts";
-import type { CallResult, CallSession } from "../calls/call-session.ts";
-import type { MakeCallParameters, SidecarCore } from "../sidecar-core.ts";
+import type { CallResult, CallSession } from "./call-session.ts";
 import { type HttpExchange, problemDocument } from "./http-exchange.ts";
+import type { Ingress, MakeCallParameters } from "./ingress.ts";
 import { type ChatCompletionBody, chatCompletionSchema, checkBody } from "./request-schemas.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -15,7 +15,7 @@
 
 /** Answers `POST /v1/chat/completions`, streamed or whole, as OpenAI clients expect. */
 export async function chatCompletions(
-  core: SidecarCore,
+  ingress: Ingress,
   exchange: HttpExchange,
   headers: CallHeaders,
   defaultMaxTokens: number,
@@ -23,7 +23,7 @@
   const body = checkBody(chatCompletionSchema, await exchange.json());
   const request = completionRequestOf(body, defaultMaxTokens);
   const writer = new CompletionWriter(exchange, body);
-  const session = await core.makeCall({ ...headers, request, streamed: body.stream ?? false }, (text) =>
+  const session = await ingress.makeCall({ ...headers, request, streamed: body.stream ?? false }, (text) =>
     writer.onText(text),
   );
   writer.start(session);
--- a/src/sidecar/http/http-exchange.ts
+++ b/src/node/ingress/http-exchange.ts
@@ -131,8 +131,8 @@
 
 function parseUrl(path: string | undefined): URL {
   try {
-    return new URL(path ?? "/", "http://sidecar");
+    return new URL(path ?? "/", "http://node");
   } catch {
-    return new URL("http://sidecar/");
+    return new URL("http://node/");
   }
 }
--- a/src/sidecar/http/sidecar-server.ts
+++ b/src/node/ingress/ingress-server.ts
@@ -2,11 +2,10 @@
 import type { Socket } from "node:net";
 import { problemOf, requestError } from "../../errors/tulipwheel-error.ts";
 import type { ProgramRecord } from "../../scheduling/program/records.ts";
-import type { SidecarSettings } from "../../settings/sidecar-settings.ts";
-import type { MetricsSource } from "../../telemetry/metrics.ts";
-import type { SidecarCore } from "../sidecar-core.ts";
+import type { IngressSettings } from "../../settings/ingress-settings.ts";
 import { type CallHeaders, chatCompletions, requireProgram } from "./chat-completions.ts";
 import { HttpExchange, problemDocument } from "./http-exchange.ts";
+import type { Ingress } from "./ingress.ts";
 import { checkBody, checkPositiveInteger, openProgramSchema } from "./request-schemas.ts";
 import { serviceCalls } from "./service-calls.ts";
 
@@ -16,19 +15,27 @@
 const NOT_READY = 503;
 const RETRY_AFTER_MS = 1_000;
 
+/** What the server asks of its node. */
+export interface IngressNode {
+  /** Whether the node can serve. */
+  readonly ready: boolean;
+  /** Where callers of a zone may go, nearest first. */
+  callerAddresses(zone: string | undefined): readonly string[];
+}
+
 /** The HTTP interface for callers; docs/API.md describes it. */
-export class SidecarServer {
-  readonly #core: SidecarCore;
-  readonly #settings: SidecarSettings;
-  readonly #metrics: MetricsSource;
+export class IngressServer {
+  readonly #ingress: Ingress;
+  readonly #settings: IngressSettings;
+  readonly #node: IngressNode;
   readonly #server: Server;
   #active = 0;
   #draining = false;
 
-  constructor(core: SidecarCore, settings: SidecarSettings, metrics: MetricsSource) {
-    this.#core = core;
+  constructor(ingress: Ingress, settings: IngressSettings, node: IngressNode) {
+    this.#ingress = ingress;
     this.#settings = settings;
-    this.#metrics = metrics;
+    this.#node = node;
     const { headerBytes, requestMs } = settings.limits;
     this.#server = createServer({
       maxHeaderSize: headerBytes,
@@ -46,8 +53,8 @@
   }
 
   /** Listens; returns the address, with the port that was taken for port 0. */
-  listen(): Promise<string> {
-    const [host, port] = this.#settings.listen.split(":");
+  listen(address: string): Promise<string> {
+    const [host, port] = address.split(":");
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
       this.#server.listen(Number(port), host, () => {
@@ -69,6 +76,12 @@
     clearTimeout(timer);
   }
 
+  /** Ends at once. */
+  close(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const exchange = new HttpExchange(request, response, this.#settings.limits.bodyBytes);
     if (this.#draining) response.setHeader("connection", "close");
@@ -89,38 +102,40 @@
   #route(exchange: HttpExchange): Promise<void> | void {
     const { pathname } = exchange.url;
     if (pathname === "/healthz") return this.#health(exchange);
-    if (pathname === "/metrics") return this.#sendMetrics(exchange);
+    if (pathname === "/v1/addresses" && exchange.method === "GET") return this.#sendAddresses(exchange);
     if (pathname === "/v1/chat/completions" && exchange.method === "POST") return this.#chat(exchange);
     if (pathname === "/v1/programs" && exchange.method === "POST") return this.#openProgram(exchange);
     if (pathname.startsWith("/v1/programs/")) return this.#program(exchange);
     if (pathname.startsWith("/v1/services/")) {
-      return serviceCalls(this.#core, exchange, this.#callHeaders(exchange));
+      return serviceCalls(this.#ingress, exchange, this.#callHeaders(exchange));
     }
     if (pathname.startsWith("/v1/decisions/")) return this.#decision(exchange);
     throw requestError("not-found", `There is nothing at ${exchange.method} ${pathname}.`);
   }
 
   #health(exchange: HttpExchange): void {
-    const ready = this.#core.ready && !this.#draining;
+    const ready = this.#node.ready && !this.#draining;
     exchange.sendJson(ready ? OK : NOT_READY, { ready, draining: this.#draining });
   }
 
-  async #sendMetrics(exchange: HttpExchange): Promise<void> {
-    const { contentType, text } = await this.#metrics.render();
-    exchange.response.writeHead(OK, { "content-type": contentType });
-    exchange.response.end(text);
+  #sendAddresses(exchange: HttpExchange): void {
+    const addresses = this.#node.callerAddresses(exchange.url.searchParams.get("zone") ?? undefined);
+    if (addresses.length === 0) {
+      throw requestError("unavailable", "No node is known yet.", { retryAfterMs: RETRY_AFTER_MS });
+    }
+    exchange.sendJson(OK, { addresses, ttlSeconds: this.#settings.timing.addressesTtlS });
   }
 
   #chat(exchange: HttpExchange): Promise<void> {
     const headers = this.#callHeaders(exchange);
-    return chatCompletions(this.#core, exchange, headers, this.#settings.limits.defaultMaxTokens);
+    return chatCompletions(this.#ingress, exchange, headers, this.#settings.limits.defaultMaxTokens);
   }
 
   async #openProgram(exchange: HttpExchange): Promise<void> {
     const body = checkBody(openProgramSchema, await exchange.json());
     const tenant = body.tenant ?? this.#tenant(exchange);
     const { template, parent, deadlineMs } = body;
-    const program = await this.#core.openProgram({ tenant, template, parent, deadlineMs });
+    const program = await this.#ingress.openProgram({ tenant, template, parent, deadlineMs });
     exchange.sendJson(CREATED, programView(program), { location: `/v1/programs/${program.id}` });
   }
 
@@ -128,10 +143,10 @@
     const [, , , id, part, ...rest] = exchange.url.pathname.split("/");
     const tenant = this.#tenant(exchange);
     if (exchange.method === "DELETE" && part === undefined) {
-      return exchange.sendJson(OK, programView(await this.#core.endProgram(id, tenant)));
+      return exchange.sendJson(OK, programView(await this.#ingress.endProgram(id, tenant)));
     }
     if (exchange.method === "GET" && rest.length === 0 && (part === undefined || part === "history")) {
-      const program = await this.#core.readProgram(id, tenant);
+      const program = await this.#ingress.readProgram(id, tenant);
       return exchange.sendJson(OK, part === "history" ? historyView(program) : programView(program));
     }
     throw requestError("not-found", `There is nothing at ${exchange.method} ${exchange.url.pathname}.`);
@@ -139,7 +154,7 @@
 
   async #decision(exchange: HttpExchange): Promise<void> {
     const subject = decodeURIComponent(exchange.url.pathname.slice("/v1/decisions/".length));
-    exchange.sendJson(OK, await this.#core.readDecision(subject, this.#tenant(exchange)));
+    exchange.sendJson(OK, await this.#ingress.readDecision(subject, this.#tenant(exchange)));
   }
 
   #tenant(exchange: HttpExchange): string {
--- a/src/sidecar/sidecar-core.ts
+++ b/src/node/ingress/ingress.ts
@@ -1,18 +1,15 @@
 /**
- * The sidecar without its HTTP side: opens programs, makes calls and asks questions for callers.
- * The simulation drives this class directly.
+ * A node's side towards callers, without HTTP: opens programs, makes calls and asks questions for them, wherever the
+ * programs' shards are led. The simulation drives this class directly.
  */
-
-import { requestError } from "../errors/tulipwheel-error.ts";
-import type { CallEvent } from "../messages/call-messages.ts";
-import type { Message } from "../messages/message.ts";
-import type { DecisionView, RpcName, RpcSchema } from "../messages/rpc-messages.ts";
-import type { Clock } from "../runtime/clock.ts";
-import type { RandomSource } from "../runtime/random-source.ts";
-import { RpcEndpoint } from "../runtime/rpc.ts";
-import { ShardRouter } from "../runtime/shard-router.ts";
-import type { TextHash } from "../runtime/text-hash.ts";
-import type { Sender, Transport } from "../runtime/transport.ts";
+import { requestError } from "../../errors/tulipwheel-error.ts";
+import type { CallEvent } from "../../messages/call-messages.ts";
+import type { DecisionView, RpcName, RpcSchema } from "../../messages/rpc-messages.ts";
+import type { Clock } from "../../runtime/clock.ts";
+import type { RandomSource } from "../../runtime/random-source.ts";
+import type { ShardRouter } from "../../runtime/shard-router.ts";
+import type { TextHash } from "../../runtime/text-hash.ts";
+import type { Transport } from "../../runtime/transport.ts";
 import {
   callId,
   childProgramId,
@@ -21,18 +18,21 @@
   programOfCall,
   rootOfProgram,
   rootProgramId,
-} from "../scheduling/program/program-id.ts";
-import type { CallRequest, ForkPoint, ProgramRecord } from "../scheduling/program/records.ts";
-import type { SidecarSettings } from "../settings/sidecar-settings.ts";
-import { CallSession } from "./calls/call-session.ts";
-
-/** What a sidecar is given. */
-export interface SidecarPorts {
-  readonly settings: SidecarSettings;
+} from "../../scheduling/program/program-id.ts";
+import type { CallRequest, ForkPoint, ProgramRecord } from "../../scheduling/program/records.ts";
+import type { IngressSettings } from "../../settings/ingress-settings.ts";
+import { CallSession } from "./call-session.ts";
+
+/** What an ingress is given. */
+export interface IngressPorts {
+  readonly settings: IngressSettings;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly hash: TextHash;
-  readonly transport: Transport;
+  readonly transport: Pick<Transport, "send">;
+  readonly router: ShardRouter;
+  /** Number of shards that programs are spread over. */
+  readonly shardCount: number;
 }
 
 /** A program to be opened. */
@@ -59,29 +59,14 @@
 const ROOT_TOKEN_LENGTH = 16;
 const CHILD_TOKEN_LENGTH = 6;
 const CALL_TOKEN_LENGTH = 12;
-const CLUSTER_TIMEOUT_MS = 1_000;
 
 /** See the module's comment. */
-export class SidecarCore {
-  readonly #ports: SidecarPorts;
-  readonly #rpc: RpcEndpoint;
-  readonly #router: ShardRouter;
+export class Ingress {
+  readonly #ports: IngressPorts;
   readonly #sessions = new Map<string, Set<CallSession>>();
-  #nodes: readonly string[];
-  #shardCount: number | undefined;
 
-  constructor(ports: SidecarPorts) {
-    const { transport, clock, random, settings } = ports;
+  constructor(ports: IngressPorts) {
     this.#ports = ports;
-    this.#nodes = settings.nodes;
-    this.#rpc = new RpcEndpoint(transport, clock, random);
-    this.#router = new ShardRouter(this.#rpc, clock, random, () => this.#nodes);
-    transport.onMessage((message, from) => this.#onMessage(message, from));
-  }
-
-  /** Whether the cluster was reached. */
-  get ready(): boolean {
-    return this.#shardCount !== undefined;
   }
 
   /** Calls in progress. */
@@ -89,16 +74,9 @@
     return this.#sessions.size;
   }
 
-  /** Asks the nodes how the cluster looks, until one answers. */
-  async refreshCluster(): Promise<void> {
-    for (const address of [...this.#nodes, ...this.#ports.settings.nodes]) {
-      const reply = await this.#rpc.ask(address, "readCluster", {}, CLUSTER_TIMEOUT_MS);
-      if (reply.type !== "done") continue;
-      this.#shardCount = reply.body.shardCount;
-      const nodes = reply.body.nodes.filter((node) => !node.leaving).map((node) => node.address);
-      if (nodes.length > 0) this.#nodes = nodes;
-      return;
-    }
+  /** A leader tells of a call. */
+  onCallEvent(event: CallEvent, from: string): void {
+    for (const session of [...(this.#sessions.get(event.call) ?? [])]) session.onEvent(event, from);
   }
 
   /** Opens a program. */
@@ -131,13 +109,11 @@
   async makeCall(parameters: MakeCallParameters, onText: (text: string) => void): Promise<CallSession> {
     const { program, tenant, number, request, idempotencyKey, streamed } = parameters;
     requireProgramId(program);
-    const shard = await this.#shardOf(program);
+    const shard = this.#shardOf(program);
     const call = callId(program, this.#callToken(idempotencyKey));
     const patienceMs = parameters.patienceMs ?? this.#ports.settings.timing.callPatienceMs;
-    const { clock, transport, settings } = this.#ports;
-    const port = { clock, transport, settings, router: this.#router };
     const session = new CallSession(
-      port,
+      this.#ports,
       { program, call, tenant, shard, number, request, patienceMs, streamed },
       onText,
     );
@@ -168,37 +144,12 @@
     body: RpcSchema[Name]["request"],
   ): Promise<RpcSchema[Name]["response"]> {
     requireProgramId(program);
-    const shard = await this.#shardOf(program);
-    return this.#router.ask(shard, name, body, this.#ports.settings.timing.unavailableAfterMs);
+    const { router, settings } = this.#ports;
+    return router.ask(this.#shardOf(program), name, body, settings.timing.unavailableAfterMs);
   }
 
-  async #shardOf(program: string): Promise<number> {
-    if (this.#shardCount === undefined) await this.refreshCluster();
-    if (this.#shardCount === undefined) {
-      throw requestError("unavailable", "No node of the cluster answers.", {
-        retryAfterMs: CLUSTER_TIMEOUT_MS,
-      });
-    }
-    return this.#ports.hash.hash32(rootOfProgram(program)) % this.#shardCount;
-  }
-
-  #onMessage(message: Message, from: Sender): void {
-    switch (message.type) {
-      case "rpcRequest":
-        return void this.#rpc.onRequest(message, from);
-      case "rpcResponse":
-        return this.#rpc.onResponse(message);
-      case "callAccepted":
-      case "callRedirected":
-      case "callChunk":
-      case "callFinished":
-      case "callFailed":
-        return this.#onCallEvent(message, from.address);
-    }
-  }
-
-  #onCallEvent(event: CallEvent, from: string): void {
-    for (const session of [...(this.#sessions.get(event.call) ?? [])]) session.onEvent(event, from);
+  #shardOf(program: string): number {
+    return this.#ports.hash.hash32(rootOfProgram(program)) % this.#ports.shardCount;
   }
 }
 
--- a/src/sidecar/http/service-calls.ts
+++ b/src/node/ingress/service-calls.ts
@@ -1,20 +1,20 @@
 import { problemOf, requestError } from "../../errors/tulipwheel-error.ts";
 import type { ServiceRequest } from "../../scheduling/program/records.ts";
-import type { SidecarCore } from "../sidecar-core.ts";
 import { CALL_ID_HEADER, type CallHeaders } from "./chat-completions.ts";
 import type { HttpExchange } from "./http-exchange.ts";
+import type { Ingress } from "./ingress.ts";
 
 const PATH_PATTERN = /^\/v1\/services\/([a-z0-9-]{1,63})(\/.*)$/;
 const METHODS = new Set(["GET", "POST", "PUT", "PATCH", "DELETE"]);
 
 /** Answers `ANY /v1/services/{service}/{path}`: a call to a tool or application service. */
 export async function serviceCalls(
-  core: SidecarCore,
+  ingress: Ingress,
   exchange: HttpExchange,
   headers: CallHeaders,
 ): Promise<void> {
   const request = await serviceRequestOf(exchange, headers.idempotencyKey);
-  const session = await core.makeCall({ ...headers, request, streamed: false }, () => undefined);
+  const session = await ingress.makeCall({ ...headers, request, streamed: false }, () => undefined);
   const result = await session.result;
   if (result.type === "failed") return exchange.sendProblem(result.problem);
   if (result.answer.type !== "service") {
--- a/src/node/node-daemon.ts
+++ b/src/node/node-daemon.ts
@@ -1,5 +1,5 @@
 /**
- * One node: leads or follows shards, is home of runners, and answers sidecars and operators. The daemon only puts
+ * One node: takes callers' requests, leads or follows shards, is home of runners, and answers operators. The daemon only puts
  * the parts together and hands each message to the part that it is for; the same code runs in the simulation.
  */
 
@@ -20,6 +20,7 @@
 import { SlotBroker } from "./calls/slot-broker.ts";
 import { ConfigurationService } from "./configuration/configuration-service.ts";
 import { ConfigurationTable } from "./configuration/configuration-table.ts";
+import { Ingress } from "./ingress/ingress.ts";
 import type { NodeContext } from "./node-context.ts";
 import type { NodePlatform } from "./node-platform.ts";
 import { ProgramService } from "./programs/program-service.ts";
@@ -42,6 +43,7 @@
   readonly configuration: ConfigurationService;
   readonly calls: CallService;
   readonly homes: RunnerHomes;
+  readonly ingress: Ingress;
   readonly #rpc: RpcEndpoint;
   readonly #machines: MachineDirectory;
   readonly #budgets: BudgetService;
@@ -104,6 +106,15 @@
     this.#broker = broker;
     this.homes = homes;
     this.calls = new CallService(parts);
+    this.ingress = new Ingress({
+      settings: context.settings.ingress,
+      clock,
+      random,
+      hash: context.hash,
+      transport,
+      router,
+      shardCount: context.settings.cluster.shards,
+    });
     this.#programs = new ProgramService(context, shards, configuration, decisions, directory, rpc);
     this.#steward = new ShardSteward(context, shards, machines, platform.table);
     const archive = new ShardArchive(platform.objects, context.hash.hash64);
@@ -128,9 +139,19 @@
     return this.configuration.ready && this.#steward.ready;
   }
 
-  /** Starts all parts. */
-  start(): void {
+  /** Where callers of a zone may go, nearest first. */
+  callerAddresses(zone: string | undefined): string[] {
+    return this.#machines.callerAddresses(zone);
+  }
+
+  /**
+   * Starts all parts.
+   *
+   * @param callersAddress where callers reach the node; left out where they cannot
+   */
+  start(callersAddress = ""): void {
     const { clock, settings } = this.context;
+    this.#machines.callersAddress = callersAddress;
     this.#machines.start();
     this.configuration.start();
     this.#steward.start();
@@ -157,6 +178,11 @@
     this.#archiver.stop();
   }
 
+  /** Says that the node is leaving, so that callers and other nodes look for others. */
+  announceLeaving(): Promise<void> {
+    return this.#machines.announceLeaving();
+  }
+
   /** A planned stop: hands its work over, lets calls in flight end, and leaves. */
   drain(): Promise<void> {
     this.#drained ??= this.#drain();
@@ -211,6 +237,12 @@
         return this.calls.onSubmit(message, from.address);
       case "abandonCall":
         return this.calls.onAbandon(message, from.address);
+      case "callAccepted":
+      case "callRedirected":
+      case "callChunk":
+      case "callFinished":
+      case "callFailed":
+        return this.ingress.onCallEvent(message, from.address);
       case "requestSlot":
         return this.homes.onRequestSlot(message, from.address);
       case "releaseSlot":
--- a/src/node/node-metrics.ts
+++ b/src/node/node-metrics.ts
@@ -1,9 +1,14 @@
 import type { TcpTransport } from "../runtime/tcp-transport.ts";
 import { type MetricDefinition, ProcessMetrics } from "../telemetry/metrics.ts";
+import type { IngressServer } from "./ingress/ingress-server.ts";
 import type { NodeDaemon } from "./node-daemon.ts";
 
 /** The metrics of a node. */
-export function nodeMetrics(daemon: NodeDaemon, transport: TcpTransport): ProcessMetrics {
+export function nodeMetrics(
+  daemon: NodeDaemon,
+  ingress: IngressServer,
+  transport: TcpTransport,
+): ProcessMetrics {
   const replicas = () => [...daemon.shards.all()];
   const homes = () => [...daemon.homes.all()];
   const definitions: MetricDefinition[] = [
@@ -21,6 +26,8 @@
     ),
     gauge("runner_homes", "Runners that have their home here", () => homes().length),
     gauge("active_calls", "Calls being carried out here", () => daemon.calls.activeCalls),
+    gauge("callers_calls", "Calls of this node's own callers in progress", () => daemon.ingress.activeCalls),
+    gauge("callers_requests", "HTTP requests of callers in progress", () => ingress.activeRequests),
     gauge("configuration_version", "Configuration version in force here", () => daemon.configuration.version),
     counter("calls_answered_total", "Calls that ended with an answer", () => daemon.calls.counters.answered),
     counter("calls_failed_total", "Calls that ended without an answer", () => daemon.calls.counters.failed),
--- a/src/node/runners/machine-directory.ts
+++ b/src/node/runners/machine-directory.ts
@@ -19,6 +19,8 @@
 /** Earlier contents that are kept, to answer with differences. */
 const KEPT_CONTENTS = 8;
 const FETCH_TIMEOUT_MS = 1_000;
+/** Most addresses that a caller is given. */
+const MAX_ADDRESSES = 64;
 /** Mean time between two reports of nodes to the platform, by whichever node, in ms. */
 const REPORT_MS = 10;
 
@@ -35,6 +37,8 @@
   #leaving = false;
   #fetching = false;
   #nextReportMs = 0;
+  /** Where callers reach this node; empty while they cannot. */
+  callersAddress = "";
   #stop: () => void = () => undefined;
   /** Called after each fresher reading. */
   onRead: () => void = () => undefined;
@@ -91,6 +95,14 @@
       .map(({ incarnation, address, zone }) => ({ instance: incarnation, address, zone }));
   }
 
+  /** Where callers of a zone may go: nodes that stay, those of the zone first. */
+  callerAddresses(zone: string | undefined): string[] {
+    const open = this.#nodes.filter((node) => node.state === "live" && node.callers);
+    const near = open.filter((node) => node.zone === zone);
+    const far = open.filter((node) => node.zone !== zone);
+    return [...near, ...far].slice(0, MAX_ADDRESSES).map((node) => node.callers ?? "");
+  }
+
   /** Addresses of up to `count` other nodes, drawn at random. */
   randomOthers(count: number): string[] {
     const { random, self } = this.#context;
@@ -139,6 +151,7 @@
         pool: "",
         zone: settings.zone,
         address: self.address,
+        callers: this.callersAddress,
         incarnation: self.instance,
         state: this.#leaving ? "leaving" : "live",
         models: [],
--- a/src/node/start-node.ts
+++ b/src/node/start-node.ts
@@ -11,6 +11,7 @@
 import type { NodeSettings } from "../settings/node-settings.ts";
 import { createLogger } from "../telemetry/create-logger.ts";
 import { MetricsServer } from "../telemetry/metrics-server.ts";
+import { IngressServer } from "./ingress/ingress-server.ts";
 import { NodeDaemon } from "./node-daemon.ts";
 import { nodeMetrics } from "./node-metrics.ts";
 
@@ -20,6 +21,8 @@
 export interface RunningNode {
   readonly daemon: NodeDaemon;
   readonly address: string;
+  /** Where callers reach it. */
+  readonly callersAddress: string;
   readonly metricsAddress: string;
   /** A planned stop; resolves when the node has left. */
   drain(): Promise<void>;
@@ -54,21 +57,32 @@
       service: new HttpServiceClient(pools),
     },
   );
-  const metrics = new MetricsServer(nodeMetrics(daemon, transport), () => daemon.ready);
+  const ingress = new IngressServer(daemon.ingress, settings.ingress, daemon);
+  const callersAddress = await ingress.listen(settings.callers);
+  const metrics = new MetricsServer(nodeMetrics(daemon, ingress, transport), () => daemon.ready);
   const metricsAddress = await metrics.listen(settings.metrics);
-  daemon.start();
-  log.info({ instance, address, metrics: metricsAddress }, "node started");
+  daemon.start(callersAddress);
+  log.info({ instance, address, callers: callersAddress, metrics: metricsAddress }, "node started");
   const close = async () => {
     metrics.close();
     await pools.close();
   };
+  const drain = async () => {
+    await daemon.announceLeaving();
+    // Callers' requests need the node's connections to the leaders of their programs until they have ended.
+    await ingress.drain();
+    await daemon.drain();
+    await close();
+  };
   return {
     daemon,
     address,
+    callersAddress,
     metricsAddress,
-    drain: () => daemon.drain().then(close),
+    drain,
     kill: async () => {
       daemon.halt();
+      ingress.close();
       await transport.close();
       await close();
     },
--- a/src/ports/machine-list/machine-list.ts
+++ b/src/ports/machine-list/machine-list.ts
@@ -10,6 +10,8 @@
   readonly zone: string;
   /** IP address and port. */
   readonly address: string;
+  /** For nodes: where callers reach it, IP address and port. */
+  readonly callers?: string;
   /** Changes whenever another machine takes the name or address. */
   readonly incarnation: string;
   readonly state: "live" | "leaving";
--- a/src/settings/sidecar-settings.ts
+++ b/src/settings/ingress-settings.ts
@@ -1,5 +1,5 @@
 import * as z from "zod";
-import { addressSchema, durationSchema, loggingSchema, nameSchema } from "./common-schemas.ts";
+import { durationSchema, nameSchema } from "./common-schemas.ts";
 
 const limitsSchema = z.strictObject({
   bodyBytes: z
@@ -32,22 +32,18 @@
   unavailableAfterMs: durationSchema
     .default(15_000)
     .describe("Time without any leader after which a request is given up, ms"),
-  drainMs: durationSchema.default(30_000).describe("Longest time that a planned stop waits for requests, ms"),
+  drainMs: durationSchema
+    .default(30_000)
+    .describe("Longest time that a planned stop waits for callers' requests, ms"),
+  addressesTtlS: z.number().min(0.1).max(60).default(2).describe("How long callers keep addresses, s"),
 });
 
-/** Settings of a sidecar process. */
-export const sidecarSettingsSchema = z.strictObject({
-  name: nameSchema.describe("Name of the sidecar"),
-  region: nameSchema.describe("Region that the sidecar is in"),
-  zone: nameSchema.describe("Zone that the sidecar is in"),
-  listen: addressSchema.describe("Where callers reach the sidecar, IP:port"),
-  address: addressSchema.describe("Where nodes reach the sidecar, IP:port"),
-  nodes: z.array(addressSchema).min(1).describe("Nodes to start from, IP:port"),
+/** Settings of a node's side towards callers. */
+export const ingressSettingsSchema = z.strictObject({
   defaultTenant: nameSchema.optional().describe("Tenant of requests that name none"),
   limits: limitsSchema.prefault({}),
   timing: timingSchema.prefault({}),
-  logging: loggingSchema.prefault({}),
 });
 
-/** Settings of a sidecar process. */
-export type SidecarSettings = z.infer<typeof sidecarSettingsSchema>;
+/** Settings of a node's side towards callers. */
+export type IngressSettings = z.infer<typeof ingressSettingsSchema>;
--- a/src/settings/node-settings.ts
+++ b/src/settings/node-settings.ts
@@ -1,5 +1,6 @@
 import * as z from "zod";
 import { addressSchema, durationSchema, loggingSchema, nameSchema } from "./common-schemas.ts";
+import { ingressSettingsSchema } from "./ingress-settings.ts";
 
 const shardGroupTimingSchema = z.strictObject({
   electionTimeoutMs: durationSchema
@@ -23,7 +24,7 @@
   callAliveMs: durationSchema.default(400).describe("Time between a leader's signs of life for a call, ms"),
   takeoverGraceMs: durationSchema
     .default(1_500)
-    .describe("Time that a new leader leaves sidecars to say what callers have seen of a call, ms"),
+    .describe("Time that a new leader leaves other nodes to say what callers have seen of a call, ms"),
   orphanPatienceMs: durationSchema
     .default(60_000)
     .describe("How long a call taken over from another leader may take when nobody waits for it, ms"),
@@ -90,11 +91,13 @@
   region: nameSchema.describe("Region that the node is in"),
   zone: nameSchema.describe("Zone that the node is in"),
   address: addressSchema.describe("Where other processes reach the node, IP:port"),
+  callers: addressSchema.describe("Where callers send requests, IP:port"),
   metrics: addressSchema.describe("Where metrics and health are served, IP:port"),
   platform: platformSchema,
   cluster: clusterSchema.prefault({}),
   timing: timingSchema.prefault({}),
   retention: retentionSchema.prefault({}),
+  ingress: ingressSettingsSchema.prefault({}),
   logging: loggingSchema.prefault({}),
 });
 
