--- a/bench/mutations/node-mutations.ts
+++ b/bench/mutations/node-mutations.ts
@@ -30,13 +30,13 @@
     name: "commit on one replica, the others later",
     edits: [
       {
-        file: "src/coordination/shard-group/shard-group.ts",
-        from: "held[majoritySize(this.membership) - 1] ?? 0",
+        file: "src/coordination/shard-group/leadership.ts",
+        from: "held[majoritySize(this.#state.membership.current) - 1] ?? 0",
         to: "held[0] ?? 0",
       },
       {
-        file: "src/coordination/shard-group/shard-group.ts",
-        from: "for (const progress of this.#followers.values()) this.#sendEntries(progress, nowMs);\n    this.#advanceCommit",
+        file: "src/coordination/shard-group/leadership.ts",
+        from: "for (const progress of this.#state.followers.values()) this.#sendEntries(progress, nowMs);\n    this.#advanceCommit",
         to: "this.#advanceCommit",
       },
     ],
--- /dev/null
+++ b/src/coordination/shard-group/election.ts
@@ -0,0 +1,125 @@
+import { majoritySize } from "./member.ts";
+import type { VoteRequest, VoteResponse } from "./messages.ts";
+import type { ReplicaState } from "./replica-state.ts";
+
+/**
+ * One replica's part in elections: pre-votes, so that a replica that was cut off does not disturb the others when it is
+ * back; votes, one a term; and elections that the leader itself asks for when it hands over.
+ */
+export class Election<Command> {
+  readonly #state: ReplicaState<Command>;
+  readonly #onElected: (nowMs: number) => void;
+  readonly #hasMajority: (nowMs: number) => boolean;
+  #votes = new Set<string>();
+  #preVoteRound = false;
+
+  /**
+   * @param onElected called when this replica has won
+   * @param hasMajority whether this replica leads and a majority answered it lately
+   */
+  constructor(
+    state: ReplicaState<Command>,
+    onElected: (nowMs: number) => void,
+    hasMajority: (nowMs: number) => boolean,
+  ) {
+    this.#state = state;
+    this.#onElected = onElected;
+    this.#hasMajority = hasMajority;
+  }
+
+  /** Asks whether an election would be won; the term stays as it is until then. */
+  startPreVote(nowMs: number): void {
+    this.#state.postponeElection(nowMs);
+    if (!this.#state.isVoter) return;
+    if (this.#state.role !== "candidate" || this.#state.leader) this.#state.setRole("candidate", undefined);
+    this.#preVoteRound = true;
+    this.#votes = new Set([this.#state.self.instance]);
+    this.#requestVotes(this.#state.term + 1, true, false);
+    this.#countVotes(nowMs);
+  }
+
+  #startElection(nowMs: number, transfer: boolean): void {
+    this.#state.term += 1;
+    this.#state.votedFor = this.#state.self.instance;
+    this.#preVoteRound = false;
+    this.#votes = new Set([this.#state.self.instance]);
+    this.#state.postponeElection(nowMs);
+    this.#state.setRole("candidate", undefined);
+    this.#requestVotes(this.#state.term, false, transfer);
+    this.#countVotes(nowMs);
+  }
+
+  #requestVotes(term: number, preVote: boolean, transfer: boolean): void {
+    for (const voter of this.#state.membership.current.voters) {
+      if (voter.instance === this.#state.self.instance) continue;
+      this.#state.send(voter, {
+        type: "voteRequest",
+        term,
+        candidate: this.#state.self,
+        lastIndex: this.#state.log.lastIndex,
+        lastTerm: this.#state.log.lastTerm,
+        preVote,
+        transfer,
+      });
+    }
+  }
+
+  /** Another replica asks for this one's vote. */
+  onVoteRequest(request: VoteRequest, nowMs: number): void {
+    if (!request.transfer && this.#hearsLiveLeader(nowMs)) return;
+    if (request.term > this.#state.term && !request.preVote)
+      this.#state.becomeFollower(request.term, undefined, nowMs);
+    const granted = this.#mayVoteFor(request);
+    if (granted && !request.preVote) {
+      this.#state.votedFor = request.candidate.instance;
+      this.#state.postponeElection(nowMs);
+    }
+    this.#state.send(request.candidate, {
+      type: "voteResponse",
+      term: granted && request.preVote ? request.term : this.#state.term,
+      voter: this.#state.self.instance,
+      granted,
+      preVote: request.preVote,
+    });
+  }
+
+  #mayVoteFor(request: VoteRequest): boolean {
+    if (request.term < this.#state.term) return false;
+    const free = this.#state.votedFor === undefined || this.#state.votedFor === request.candidate.instance;
+    if (!request.preVote && !free) return false;
+    if (request.preVote && request.term === this.#state.term) return false;
+    if (request.lastTerm !== this.#state.log.lastTerm) return request.lastTerm > this.#state.log.lastTerm;
+    return request.lastIndex >= this.#state.log.lastIndex;
+  }
+
+  /** A voter that hears its leader, and a leader that hears its majority, ignore candidates. */
+  #hearsLiveLeader(nowMs: number): boolean {
+    if (this.#state.role === "leader") return this.#hasMajority(nowMs);
+    return nowMs - this.#state.lastLeaderContactMs < this.#state.options.electionTimeoutMs;
+  }
+
+  /** Another replica has answered. */
+  onVoteResponse(response: VoteResponse, nowMs: number): void {
+    if (this.#state.role !== "candidate" || !response.granted) return;
+    if (response.preVote !== this.#preVoteRound) return;
+    const expectedTerm = this.#preVoteRound ? this.#state.term + 1 : this.#state.term;
+    if (response.term !== expectedTerm) return;
+    this.#votes.add(response.voter);
+    this.#countVotes(nowMs);
+  }
+
+  #countVotes(nowMs: number): void {
+    const given = this.#state.membership.current.voters.filter((voter) =>
+      this.#votes.has(voter.instance),
+    ).length;
+    if (given < majoritySize(this.#state.membership.current)) return;
+    if (this.#preVoteRound) this.#startElection(nowMs, false);
+    else this.#onElected(nowMs);
+  }
+
+  /** The leader asks this replica to take over. */
+  onTransferRequest(term: number, nowMs: number): void {
+    if (term !== this.#state.term || this.#state.role === "leader") return;
+    if (this.#state.isVoter) this.#startElection(nowMs, true);
+  }
+}
--- /dev/null
+++ b/src/coordination/shard-group/following.ts
@@ -0,0 +1,68 @@
+import type { Member } from "./member.ts";
+import type { AppendRequest, SnapshotRequest } from "./messages.ts";
+import type { ReplicaState } from "./replica-state.ts";
+
+/** The follower's side of replication: takes in what a leader sends, and answers how far its journal agrees. */
+export class Following<Command> {
+  readonly #state: ReplicaState<Command>;
+
+  constructor(state: ReplicaState<Command>) {
+    this.#state = state;
+  }
+
+  /** The leader sends entries, or a sign of life. */
+  onAppendRequest(request: AppendRequest<Command>, nowMs: number): void {
+    if (request.term < this.#state.term) return this.#answerAppend(request.leader, false, 0);
+    this.#followLeader(request.leader, nowMs);
+    const heldTerm = this.#state.log.termAt(request.previousIndex);
+    const behindTruncation = request.previousIndex < this.#state.log.truncatedIndex;
+    if (!behindTruncation && heldTerm !== request.previousTerm) {
+      return this.#answerAppend(request.leader, false, this.#matchHint(request.previousIndex));
+    }
+    if (this.#state.log.merge(request.entries)) this.#state.membership.refresh();
+    else this.#state.membership.observe(request.entries);
+    const matchIndex = request.previousIndex + request.entries.length;
+    this.#state.commitTo(Math.min(request.commitIndex, matchIndex));
+    this.#answerAppend(request.leader, true, matchIndex);
+  }
+
+  /** The last index that could match: never an uncommitted one that has just been found to differ. */
+  #matchHint(previousIndex: number): number {
+    if (previousIndex > this.#state.log.lastIndex) return this.#state.log.lastIndex;
+    return Math.max(this.#state.commitIndex, previousIndex - 1 - this.#state.options.maxEntriesPerAppend, 0);
+  }
+
+  #followLeader(leader: Member, nowMs: number): void {
+    this.#state.lastLeaderContactMs = nowMs;
+    if (this.#state.role !== "follower" || this.#state.leader?.instance !== leader.instance) {
+      this.#state.becomeFollower(this.#state.term, leader, nowMs);
+    }
+    this.#state.postponeElection(nowMs);
+  }
+
+  #answerAppend(leader: Member, success: boolean, matchIndex: number): void {
+    this.#state.send(leader, {
+      type: "appendResponse",
+      term: this.#state.term,
+      follower: this.#state.self.instance,
+      success,
+      matchIndex,
+    });
+  }
+
+  /** The leader sends a whole state, because this replica is too far behind its journal. */
+  onSnapshotRequest(request: SnapshotRequest, nowMs: number): void {
+    if (request.term < this.#state.term) return this.#answerAppend(request.leader, false, 0);
+    this.#followLeader(request.leader, nowMs);
+    if (this.#state.log.termAt(request.lastIndex) === request.lastTerm) {
+      // A late duplicate: entries after it may already be acknowledged, so nothing may be dropped.
+      this.#state.commitTo(request.lastIndex);
+    } else if (request.lastIndex > this.#state.commitIndex) {
+      this.#state.log.reset(request.lastIndex, request.lastTerm);
+      this.#state.membership.reset(request.membership);
+      this.#state.commitIndex = request.lastIndex;
+      this.#state.emit({ type: "restore", state: request.state, lastIndex: request.lastIndex });
+    }
+    this.#answerAppend(request.leader, true, request.lastIndex);
+  }
+}
--- /dev/null
+++ b/src/coordination/shard-group/leadership.ts
@@ -0,0 +1,227 @@
+import { FollowerProgress } from "./follower-progress.ts";
+import type { EntryPayload } from "./log-entry.ts";
+import { allMembers, isVoter, type Member, majoritySize } from "./member.ts";
+import type { AppendResponse } from "./messages.ts";
+import type { ProposedAt } from "./proposed-at.ts";
+import type { ReplicaState } from "./replica-state.ts";
+
+/** Election time-outs for which a removed replica is still told of its removal. */
+const REMOVED_PATIENCE = 5;
+
+/** The leader's side of replication: sends entries and heartbeats, and commits what a majority holds. */
+export class Leadership<Command> {
+  readonly #state: ReplicaState<Command>;
+  #nextHeartbeatMs = 0;
+  #termStartIndex = 0;
+
+  constructor(state: ReplicaState<Command>) {
+    this.#state = state;
+  }
+
+  /**
+   * Whether this replica leads and has committed an entry of its own term: only then does its applied state
+   * hold everything that earlier leaders committed.
+   */
+  get isReady(): boolean {
+    return this.#state.role === "leader" && this.#state.commitIndex >= this.#termStartIndex;
+  }
+
+  /** Whether a change of membership may be proposed now. */
+  get canChangeMembership(): boolean {
+    return this.isReady && this.#state.membership.currentIndex <= this.#state.commitIndex;
+  }
+
+  /** How far behind the journal's end a replica is, in entries; undefined when not leading or not a replica. */
+  lagOf(instance: string): number | undefined {
+    const progress = this.#state.followers.get(instance);
+    return progress && this.#state.log.lastIndex - progress.matchIndex;
+  }
+
+  /** Milliseconds since a replica last answered this leader; undefined when not leading or not a replica. */
+  silenceOf(instance: string, nowMs: number): number | undefined {
+    const progress = this.#state.followers.get(instance);
+    return progress && nowMs - progress.lastResponseMs;
+  }
+
+  /** Sends proposed entries to the followers. */
+  flush(nowMs: number): void {
+    if (this.#state.role !== "leader") return;
+    for (const progress of this.#state.followers.values()) this.#sendEntries(progress, nowMs);
+    this.#advanceCommit(nowMs);
+  }
+
+  /** Asks the follower that is furthest ahead to take over. It is asked only when it holds the whole journal. */
+  transfer(preferred?: string): Member | undefined {
+    if (this.#state.role !== "leader") return undefined;
+    const caughtUp = [...this.#state.followers.values()].filter(
+      (progress) =>
+        progress.matchIndex === this.#state.log.lastIndex &&
+        isVoter(this.#state.membership.current, progress.member.instance),
+    );
+    const target = caughtUp.find((progress) => progress.member.instance === preferred) ?? caughtUp[0];
+    if (!target) return undefined;
+    this.#state.send(target.member, { type: "transferRequest", term: this.#state.term });
+    return target.member;
+  }
+
+  /** Answers a `snapshotNeeded` effect. `lastIndex` is the last index that `state` includes. */
+  provideSnapshot(to: Member, lastIndex: number, state: unknown): void {
+    const lastTerm = this.#state.log.termAt(lastIndex);
+    if (this.#state.role !== "leader" || lastTerm === undefined) return;
+    const membership = this.#state.membership.at(lastIndex);
+    this.#state.send(to, {
+      type: "snapshotRequest",
+      term: this.#state.term,
+      leader: this.#state.self,
+      lastIndex,
+      lastTerm,
+      membership,
+      state,
+    });
+  }
+
+  /** This replica has been elected. */
+  begin(nowMs: number): void {
+    this.#state.followers.clear();
+    this.#state.setRole("leader", this.#state.self);
+    this.syncFollowers(nowMs);
+    this.#termStartIndex = this.append({ type: "leaderStart" }).index;
+    this.#nextHeartbeatMs = this.#heartbeatAfter(nowMs);
+    this.flush(nowMs);
+  }
+
+  /** Sends heartbeats when they are due; steps down without a majority. */
+  tick(nowMs: number): void {
+    if (!this.hasMajority(nowMs)) return this.#state.becomeFollower(this.#state.term, undefined, nowMs);
+    if (nowMs < this.#nextHeartbeatMs) return;
+    this.#nextHeartbeatMs = this.#heartbeatAfter(nowMs);
+    this.#forgetRemoved(nowMs);
+    for (const progress of this.#state.followers.values()) {
+      if (!this.#sendEntries(progress, nowMs)) this.#sendAppend(progress, nowMs, 0);
+    }
+  }
+
+  /** See `ShardGroup.hasMajority`. */
+  hasMajority(nowMs: number): boolean {
+    if (this.#state.role !== "leader") return false;
+    const self = this.#state.self.instance;
+    const heard = this.#state.membership.current.voters.filter((voter) => {
+      if (voter.instance === self) return true;
+      const silence = this.silenceOf(voter.instance, nowMs);
+      return silence !== undefined && silence < this.#state.options.electionTimeoutMs;
+    });
+    return heard.length >= majoritySize(this.#state.membership.current);
+  }
+
+  /** Adds an entry to the journal; nothing is sent before {@link flush}. */
+  append(payload: EntryPayload<Command>): ProposedAt {
+    const entry = this.#state.log.append(this.#state.term, payload);
+    this.#state.membership.observe([entry]);
+    return { index: entry.index, term: entry.term };
+  }
+
+  /** A replica that was removed is told so before it is forgotten, unless it stays silent. */
+  #forgetRemoved(nowMs: number): void {
+    const members = allMembers(this.#state.membership.current);
+    for (const [instance, progress] of this.#state.followers) {
+      if (members.some((member) => member.instance === instance)) continue;
+      const told = progress.matchIndex >= this.#state.membership.currentIndex;
+      const silent =
+        nowMs - progress.lastResponseMs > REMOVED_PATIENCE * this.#state.options.electionTimeoutMs;
+      if (told || silent) this.#state.followers.delete(instance);
+    }
+  }
+
+  /** Begins to follow the progress of replicas that are new. */
+  syncFollowers(nowMs: number): void {
+    const wanted = allMembers(this.#state.membership.current).filter(
+      (member) => member.instance !== this.#state.self.instance,
+    );
+    for (const member of wanted) {
+      if (this.#state.followers.has(member.instance)) continue;
+      this.#state.followers.set(
+        member.instance,
+        new FollowerProgress(member, this.#state.log.lastIndex + 1, nowMs),
+      );
+    }
+  }
+
+  /** Sends what the follower lacks, within the bound on entries in flight. Returns whether anything was sent. */
+  #sendEntries(progress: FollowerProgress, nowMs: number): boolean {
+    let sent = false;
+    const limit = progress.matchIndex + this.#state.options.maxEntriesInFlight;
+    while (progress.nextIndex <= Math.min(this.#state.log.lastIndex, limit)) {
+      const count = this.#sendAppend(progress, nowMs, this.#state.options.maxEntriesPerAppend);
+      if (count === 0) break;
+      sent = true;
+    }
+    return sent;
+  }
+
+  #sendAppend(progress: FollowerProgress, nowMs: number, maxEntries: number): number {
+    const previousIndex = progress.nextIndex - 1;
+    const previousTerm = this.#state.log.termAt(previousIndex);
+    if (previousTerm === undefined) {
+      this.#requestSnapshot(progress, nowMs);
+      return 0;
+    }
+    const entries = this.#state.log.slice(progress.nextIndex, maxEntries);
+    progress.nextIndex += entries.length;
+    this.#state.send(progress.member, {
+      type: "appendRequest",
+      term: this.#state.term,
+      leader: this.#state.self,
+      previousIndex,
+      previousTerm,
+      entries,
+      commitIndex: this.#state.commitIndex,
+    });
+    return entries.length;
+  }
+
+  #requestSnapshot(progress: FollowerProgress, nowMs: number): void {
+    if (nowMs - progress.snapshotRequestedMs < this.#state.options.electionTimeoutMs) return;
+    progress.snapshotRequestedMs = nowMs;
+    this.#state.emit({ type: "snapshotNeeded", to: progress.member });
+  }
+
+  /** A follower has answered. */
+  onAppendResponse(response: AppendResponse, nowMs: number): void {
+    const progress = this.#state.followers.get(response.follower);
+    if (this.#state.role !== "leader" || response.term !== this.#state.term || !progress) return;
+    progress.lastResponseMs = nowMs;
+    if (response.success) progress.acknowledge(response.matchIndex);
+    else progress.reject(response.matchIndex);
+    this.#advanceCommit(nowMs);
+    if (this.#state.role === "leader") this.#sendEntries(progress, nowMs);
+  }
+
+  /** Commits what a majority of the voters holds. Only entries of this term are counted (Raft, section 5.4.2). */
+  #advanceCommit(nowMs: number): void {
+    if (this.#state.role !== "leader") return;
+    const held = this.#state.membership.current.voters.map((voter) =>
+      voter.instance === this.#state.self.instance
+        ? this.#state.log.lastIndex
+        : (this.#state.followers.get(voter.instance)?.matchIndex ?? 0),
+    );
+    held.sort((left, right) => right - left);
+    const candidate = held[majoritySize(this.#state.membership.current) - 1] ?? 0;
+    if (candidate <= this.#state.commitIndex || this.#state.log.termAt(candidate) !== this.#state.term)
+      return;
+    this.#state.commitTo(candidate);
+    this.#stepDownIfRemoved(nowMs);
+  }
+
+  #stepDownIfRemoved(nowMs: number): void {
+    const removed = !this.#state.isVoter;
+    if (removed && this.#state.membership.currentIndex <= this.#state.commitIndex) {
+      this.#state.becomeFollower(this.#state.term, undefined, nowMs);
+    }
+  }
+
+  /** All groups on a clock send their heartbeats at the same moments, so that a driver can gather them. */
+  #heartbeatAfter(nowMs: number): number {
+    const { heartbeatIntervalMs } = this.#state.options;
+    return (Math.floor(nowMs / heartbeatIntervalMs) + 1) * heartbeatIntervalMs;
+  }
+}
