--- a/bench/heartbeats.ts
+++ b/bench/heartbeats.ts
@@ -4,7 +4,7 @@
  */
 import { parseArgs } from "node:util";
 import { loadTextHash } from "../src/runtime/text-hash.ts";
-import { MemberFleet } from "./simulation/gateways/member-fleet.ts";
+import { FLEET_RUNNERS, MemberFleet } from "./simulation/gateways/member-fleet.ts";
 
 const SETTLE_MS = 8_000;
 const MEASURED_MS = 10_000;
@@ -22,7 +22,7 @@
 for (const size of values.sizes.split(",").map(Number)) {
   const fleet = new MemberFleet(hash, size, DIRECT_MOST, Number(values.zones));
   for (const [index, { board, process: member }] of fleet.members.entries())
-    board.started(index % 2 === 0 ? "r1" : "r2", member.monotonicMs(), 10 * SETTLE_MS);
+    board.started(FLEET_RUNNERS[index % 2] ?? FLEET_RUNNERS[0], member.monotonicMs(), 10 * SETTLE_MS);
   await fleet.time.runUntil(SETTLE_MS);
   fleet.messages = 0;
   fleet.weighs = true;
--- a/bench/simulation/gateways/gateway-workload.ts
+++ b/bench/simulation/gateways/gateway-workload.ts
@@ -1,11 +1,14 @@
 /** Programs that take turns through whichever gateway, and what was seen of them from outside. */
+
 import type { EndTurnRequest } from "../../../src/gateway/gateway-messages.ts";
+import type { ProgramId } from "../../../src/scheduling/ids/program-id.ts";
+import type { RequestId } from "../../../src/scheduling/ids/request-id.ts";
 import type { GatewayWorld } from "./gateway-world.ts";
 import type { SimulatedGateway } from "./simulated-gateway.ts";
 
 /** What callers have seen of one program. */
 export interface ProgramObservation {
-  readonly name: string;
+  readonly name: ProgramId;
   readonly budget: number;
   /** Tokens that callers were handed, those of turns that broke off included. */
   handed: number;
@@ -13,7 +16,7 @@
 
 /** A turn whose answer was whole. */
 export interface WholeTurn {
-  readonly turn: string;
+  readonly turn: RequestId;
   /** Everything that was said up to its end. */
   readonly said: string;
 }
@@ -48,7 +51,7 @@
   untilMs: number,
 ): Promise<void> {
   while (world.time.nowMs < untilMs) {
-    const name = `program-${observations.programs.length}`;
+    const name = `program-${observations.programs.length}` as ProgramId;
     const program = { name, budget: MOST * BUDGET_TURNS, handed: 0 };
     observations.programs.push(program);
     await runProgram(world, observations, program, untilMs);
@@ -65,7 +68,13 @@
   for (let count = 0; world.time.nowMs < untilMs; count += 1) {
     const { whole } = observations;
     if (count % FOREIGN_EVERY === 1 && whole.length > 0) last = whole[world.random.below(whole.length)];
-    const outcome = await takeTurn(world, observations, program, `${program.name}/${count}`, last);
+    const outcome = await takeTurn(
+      world,
+      observations,
+      program,
+      `${program.name}/${count}` as RequestId,
+      last,
+    );
     if (outcome === "exhausted") return;
     if (outcome !== "failed") last = outcome;
     else await pause(world, RETRY_MS);
@@ -76,7 +85,7 @@
   world: GatewayWorld,
   observations: GatewayObservations,
   program: ProgramObservation,
-  turn: string,
+  turn: RequestId,
   last: WholeTurn | undefined,
 ): Promise<WholeTurn | "exhausted" | "failed"> {
   const gateway = world.drawServing();
--- a/bench/simulation/gateways/member-fleet.ts
+++ b/bench/simulation/gateways/member-fleet.ts
@@ -1,4 +1,5 @@
 /** Gateways reduced to what they tell each other of themselves, on virtual time: for tests, and for slopes by size. */
+
 import { Encoder } from "cbor-x";
 import { pino } from "pino";
 import type { GatewayContext, GatewayPlatform } from "../../../src/gateway/gateway-context.ts";
@@ -9,6 +10,7 @@
 import { NoMetrics } from "../../../src/gateway/telemetry/no-metrics.ts";
 import { SeededRandomSource } from "../../../src/runtime/random-source.ts";
 import type { TextHash } from "../../../src/runtime/text-hash.ts";
+import type { RunnerId } from "../../../src/scheduling/ids/runner-id.ts";
 import { RunnerBoard } from "../../../src/scheduling/runner-board/runner-board.ts";
 import { SimulatedNetwork } from "../simulated-network.ts";
 import { SimulatedProcess, VirtualTime } from "../virtual-time.ts";
@@ -25,6 +27,9 @@
   readonly board: RunnerBoard;
 }
 
+/** Runners that every member knows. */
+export const FLEET_RUNNERS = ["r1", "r2"] as [RunnerId, RunnerId];
+
 /** See the module's comment. */
 export class MemberFleet {
   readonly time = new VirtualTime();
@@ -79,7 +84,7 @@
     const transport = this.network.attach(process, { instance, address: peers });
     const directory = new MemberDirectory(context, transport, new StoreHealth(context));
     const board = new RunnerBoard();
-    for (const id of ["r1", "r2"])
+    for (const id of FLEET_RUNNERS)
       board.upsert({ id, pool: "p", address: "a", zone, slots: 8, state: "ready" });
     directory.selfReport = () => ({
       state: "ready",
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -1,6 +1,8 @@
 /** What plain calls and turns have in common: the time they have, the runners they met, and how they end early. */
+
 import type { CallContext } from "../../ports/call-protocol.ts";
 import type { TimerHandle } from "../../runtime/clock.ts";
+import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
@@ -45,11 +47,11 @@
   /** Of the monotonic clock: when the route's or the caller's time is over. */
   protected readonly deadlineAtMs: number;
   /** Runners that refused the call, or could not be reached. */
-  protected readonly excluded = new Set<string>();
+  protected readonly excluded = new Set<RunnerId>();
   /** Runners that were silent for too long; what may run twice goes to others. */
-  protected readonly silent = new Set<string>();
+  protected readonly silent = new Set<RunnerId>();
   /** Runners that may have run it. */
-  protected readonly mayHaveRun = new Set<string>();
+  protected readonly mayHaveRun = new Set<RunnerId>();
   protected attempt: RunnerAttempt | undefined;
   /** What goes into the log when the call is over. */
   protected readonly record: CallRecord;
@@ -94,7 +96,7 @@
     return this.deadlineAtMs - this.parts.context.clock.monotonicMs();
   }
 
-  protected chooseRunner(preferred: string | undefined): RunnerEntry | undefined {
+  protected chooseRunner(preferred: RunnerId | undefined): RunnerEntry | undefined {
     const { board, context } = this.parts;
     return board.choose({
       pool: this.pool.name,
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -4,6 +4,8 @@
  */
 
 import type { HttpAnswerHead } from "../../ports/http/http-exchange.ts";
+import type { ProgramId } from "../../scheduling/ids/program-id.ts";
+import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import type { AdmitTurnResponse, EndTurnRequest } from "../gateway-messages.ts";
 import type { PartitionClient } from "../partitions/partition-client.ts";
@@ -25,12 +27,12 @@
   readonly #splitter = new EventSplitter();
   readonly #output: string[] = [];
   #history: readonly Uint8Array[] = [];
-  #preferred: string | undefined;
+  #preferred: RunnerId | undefined;
   #admitted = false;
   #startedHead: HttpAnswerHead | undefined;
   #events = 0;
   #lastEventId: number | undefined;
-  #lastRunner: string | undefined;
+  #lastRunner: RunnerId | undefined;
 
   constructor(parts: AttemptParts, partitions: PartitionClient, start: CallStart) {
     super(parts, start);
@@ -219,7 +221,7 @@
 
   #endRequest(whole: boolean): EndTurnRequest {
     const { program, requestId } = this.call;
-    const name = program?.id ?? "";
+    const name = program?.id ?? ("" as ProgramId);
     const content = {
       previousTurn: program?.previousTurn,
       input: this.exchange.body,
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -1,5 +1,9 @@
 /** What gateways say to each other. */
+
 import type { RpcRequest, RpcResponse } from "../messages/rpc-messages.ts";
+import type { ProgramId } from "../scheduling/ids/program-id.ts";
+import type { RequestId } from "../scheduling/ids/request-id.ts";
+import type { RunnerId } from "../scheduling/ids/runner-id.ts";
 import type { NodeReport } from "../scheduling/runner-board/node-report.ts";
 
 /** Where a gateway is in its life. Only ready ones are given to callers; only they own partitions. */
@@ -55,13 +59,13 @@
 /** Asks the owner of a program's partition whether a turn may run. Repeating it changes nothing. */
 export interface AdmitTurnRequest {
   readonly partition: number;
-  readonly program: string;
+  readonly program: ProgramId;
   readonly session: string | undefined;
-  readonly turn: string;
+  readonly turn: RequestId;
   /** Undefined where the program has no budget. */
   readonly budget: { readonly tokens: number; readonly most: number } | undefined;
   /** Undefined where the caller sends the whole prompt itself. */
-  readonly history: { readonly previousTurn: string | undefined } | undefined;
+  readonly history: { readonly previousTurn: RequestId | undefined } | undefined;
 }
 
 /** The owner's answer. */
@@ -71,7 +75,7 @@
       /** Input and output of every turn before, oldest first. */
       readonly history: readonly Uint8Array[];
       /** The runner that ran the turn before, and holds its prompt. */
-      readonly runner: string | undefined;
+      readonly runner: RunnerId | undefined;
     }
   | { readonly type: "exhausted"; readonly spent: number }
   | { readonly type: "noSuchTurn" }
@@ -80,7 +84,7 @@
 
 /** A turn that has ended and is kept. */
 export interface RetainedTurnContent {
-  readonly previousTurn: string | undefined;
+  readonly previousTurn: RequestId | undefined;
   readonly input: Uint8Array;
   readonly output: Uint8Array;
 }
@@ -88,13 +92,13 @@
 /** Tells the owner how a turn ended. Repeating it changes nothing. */
 export interface EndTurnRequest {
   readonly partition: number;
-  readonly program: string;
+  readonly program: ProgramId;
   readonly session: string | undefined;
-  readonly turn: string;
+  readonly turn: RequestId;
   readonly budget: { readonly tokens: number; readonly most: number } | undefined;
   /** Tokens that the caller was handed. */
   readonly tokens: number;
-  readonly runner: string | undefined;
+  readonly runner: RunnerId | undefined;
   /** Set when the turn ended whole and its route retains turns. */
   readonly retained: RetainedTurnContent | undefined;
 }
--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -1,5 +1,8 @@
 /** One partition that this gateway owns: the accounts of its programs, and their retained turns. */
+
 import { type StoredAccount, TokenAccount } from "../../coordination/token-account/index.ts";
+import type { ProgramId } from "../../scheduling/ids/program-id.ts";
+import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type {
   AdmitTurnRequest,
@@ -16,7 +19,7 @@
 interface ProgramState {
   readonly account: TokenAccount;
   /** The runner of the last turn, by session; the empty text stands for the whole program. */
-  readonly runners: Map<string, string>;
+  readonly runners: Map<string, RunnerId>;
 }
 
 const WHOLE_PROGRAM = "";
@@ -30,7 +33,7 @@
   readonly epoch: number;
   readonly #context: GatewayContext;
   readonly #health: StoreHealth;
-  readonly #programs = new Map<string, ProgramState>();
+  readonly #programs = new Map<ProgramId, ProgramState>();
   readonly #turns: RetainedTurns;
   readonly #turnWriter: TurnWriter;
   readonly #writer: PartitionWriter;
@@ -40,7 +43,7 @@
     context: GatewayContext,
     partition: number,
     epoch: number,
-    accounts: ReadonlyMap<string, StoredAccount>,
+    accounts: ReadonlyMap<ProgramId, StoredAccount>,
     health: StoreHealth,
     turnWriter: TurnWriter,
     onLost: () => void,
@@ -97,7 +100,7 @@
   /** Writes everything and lets go of the partition. */
   async release(): Promise<void> {
     this.#releasing = true;
-    const accounts = new Map<string, WritableAccount>();
+    const accounts = new Map<ProgramId, WritableAccount>();
     for (const [program, { account }] of this.#programs) {
       if (!account.holdsAhead) continue;
       accounts.set(program, {
@@ -113,7 +116,7 @@
     this.#writer.stop();
   }
 
-  #program(name: string): ProgramState {
+  #program(name: ProgramId): ProgramState {
     const known = this.#programs.get(name);
     if (known) return known;
     const program: ProgramState = { account: new TokenAccount(), runners: new Map() };
@@ -135,7 +138,7 @@
     return "unavailable";
   }
 
-  #replenish(account: TokenAccount, program: string, budget: { tokens: number; most: number }): void {
+  #replenish(account: TokenAccount, program: ProgramId, budget: { tokens: number; most: number }): void {
     const { aheadTurns } = this.#context.settings.budget;
     if (!account.replenish(budget.most, budget.tokens, aheadTurns)) return;
     void this.#writer.writeAccount(program, account);
--- a/src/gateway/partitions/partition-client.ts
+++ b/src/gateway/partitions/partition-client.ts
@@ -2,8 +2,10 @@
  * Asks the owners of partitions, wherever they are: every gateway takes callers' requests, and one of them owns the
  * partition of a program.
  */
+
 import { delay } from "../../runtime/clock.ts";
 import type { RpcEndpoint } from "../../runtime/rpc.ts";
+import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type {
   AdmitTurnRequest,
@@ -45,7 +47,7 @@
   }
 
   /** The partition of a program. */
-  partitionOf(program: string): number {
+  partitionOf(program: ProgramId): number {
     return this.#context.hash.hash32(program) % this.#context.settings.partitions;
   }
 
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -2,11 +2,13 @@
  * The partitions that this gateway owns. A gateway takes over a partition whose owner is gone when rendezvous hashing
  * prefers it; the store's condition on the owner's row decides between several.
  */
+
 import { OwnershipMap, preferredOwner } from "../../coordination/partition-ownership/index.ts";
 import type { StoredAccount } from "../../coordination/token-account/index.ts";
 import type { StoredRow } from "../../ports/store/row-store.ts";
 import { delay, repeat } from "../../runtime/clock.ts";
 import { RedirectSignal, type RpcEndpoint } from "../../runtime/rpc.ts";
+import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { GatewayRpcSchema } from "../gateway-messages.ts";
 import type { Member } from "../members/member.ts";
@@ -181,8 +183,8 @@
     return owner !== undefined && this.#members.mayOwn(owner);
   }
 
-  async #readAccounts(partition: number, epoch: number): Promise<Map<string, StoredAccount> | undefined> {
-    const accounts = new Map<string, StoredAccount>();
+  async #readAccounts(partition: number, epoch: number): Promise<Map<ProgramId, StoredAccount> | undefined> {
+    const accounts = new Map<ProgramId, StoredAccount>();
     let from: string | undefined;
     for (;;) {
       const range = {
@@ -193,14 +195,14 @@
       const read = await this.#context.platform.store.read(range);
       this.#health.note(read);
       if (read.type !== "rows" || read.version < epoch) return undefined;
-      for (const row of read.rows) accounts.set(row.key, decodeAccount(row.value));
+      for (const row of read.rows) accounts.set(row.key as ProgramId, decodeAccount(row.value));
       const last = read.rows.at(-1);
       if (!read.more || !last) return accounts;
       from = `${last.key}\u0000`;
     }
   }
 
-  #adopt(partition: number, epoch: number, accounts: ReadonlyMap<string, StoredAccount>): void {
+  #adopt(partition: number, epoch: number, accounts: ReadonlyMap<ProgramId, StoredAccount>): void {
     const { log, instance } = this.#context;
     const owned: OwnedPartition = new OwnedPartition(
       this.#context,
--- a/src/gateway/partitions/partition-rows.ts
+++ b/src/gateway/partitions/partition-rows.ts
@@ -1,7 +1,9 @@
 /** How partitions lie in the store: a part each, with the owner and the accounts. */
+
 import { decode, encode } from "cbor-x";
 import type { StoredAccount } from "../../coordination/token-account/index.ts";
 import type { RowKey } from "../../ports/store/row-store.ts";
+import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 
 const OWNER_KEY = "owner";
 
@@ -27,7 +29,7 @@
 }
 
 /** The row of a program's account. */
-export function accountKey(partition: number, program: string): RowKey {
+export function accountKey(partition: number, program: ProgramId): RowKey {
   return { table: TABLES.accounts, part: partOf(partition), key: program };
 }
 
--- a/src/gateway/partitions/partition-writer.ts
+++ b/src/gateway/partitions/partition-writer.ts
@@ -3,9 +3,11 @@
  * fenced by the one before: it changes the owner's row and demands the version that the last one left. A transaction
  * without an answer is sent again as it was; if it had been done, the owner's row says so.
  */
+
 import type { AccountSnapshot } from "../../coordination/token-account/index.ts";
 import type { RowKey, StoredRow } from "../../ports/store/row-store.ts";
 import { delay } from "../../runtime/clock.ts";
+import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { StoreHealth } from "../store-health.ts";
 import { accountKey, decodeOwner, encodeAccount, encodeOwner, ownerKey } from "./partition-rows.ts";
@@ -22,7 +24,7 @@
 }
 
 interface Batch {
-  readonly accounts: Map<string, WritableAccount>;
+  readonly accounts: Map<ProgramId, WritableAccount>;
   readonly done: Promise<boolean>;
   readonly settle: (committed: boolean) => void;
 }
@@ -63,14 +65,14 @@
   }
 
   /** Resolves with true once the account, as it is when the transaction leaves, is in the store. */
-  writeAccount(program: string, account: WritableAccount): Promise<boolean> {
+  writeAccount(program: ProgramId, account: WritableAccount): Promise<boolean> {
     const batch = this.#openBatch();
     batch.accounts.set(program, account);
     return this.#schedule(batch);
   }
 
   /** Writes what is left, with nothing set aside any more, and lets go of the partition. */
-  async release(accounts: ReadonlyMap<string, WritableAccount>): Promise<void> {
+  async release(accounts: ReadonlyMap<ProgramId, WritableAccount>): Promise<void> {
     let pending: Promise<boolean> = Promise.resolve(true);
     for (const [program, account] of accounts) pending = this.writeAccount(program, account);
     await pending;
--- a/src/gateway/partitions/retained-turns.ts
+++ b/src/gateway/partitions/retained-turns.ts
@@ -1,4 +1,5 @@
 /** The turns that are kept: recent ones of one partition's programs in memory, all in the store. */
+import type { RequestId } from "../../scheduling/ids/request-id.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { RetainedTurnContent } from "../gateway-messages.ts";
 import { turnOf, turnPart, turnRange } from "./turn-rows.ts";
@@ -24,7 +25,7 @@
 export class RetainedTurns {
   readonly #context: GatewayContext;
   /** In the order in which they were added. */
-  readonly #turns = new Map<string, RetainedTurnContent>();
+  readonly #turns = new Map<RequestId, RetainedTurnContent>();
   #cachedBytes = 0;
   /** Newest version of the store that was seen: an answer that is older cannot say that a turn is not there. */
   readonly #newestVersion: () => number;
@@ -35,7 +36,7 @@
   }
 
   /** Keeps a turn, which is in the store, in memory as well; the oldest ones give way. */
-  add(turn: string, content: RetainedTurnContent): void {
+  add(turn: RequestId, content: RetainedTurnContent): void {
     if (this.#turns.has(turn)) return;
     this.#turns.set(turn, content);
     this.#cachedBytes += sizeOf(content);
@@ -47,9 +48,9 @@
   }
 
   /** Input and output of a turn and of all before it, oldest first. */
-  async history(turn: string): Promise<HistoryOutcome> {
+  async history(turn: RequestId): Promise<HistoryOutcome> {
     const contents: RetainedTurnContent[] = [];
-    for (let next: string | undefined = turn; next !== undefined; ) {
+    for (let next: RequestId | undefined = turn; next !== undefined; ) {
       const lookup = await this.#find(next);
       if (lookup.type === "unavailable") return lookup;
       // A turn that is there has all before it: they were kept first.
@@ -61,7 +62,7 @@
     return { type: "history", parts };
   }
 
-  async #find(turn: string): Promise<TurnLookup> {
+  async #find(turn: RequestId): Promise<TurnLookup> {
     const known = this.#turns.get(turn);
     if (known) return { type: "found", content: known };
     const lookup = await this.#read(turn);
@@ -69,7 +70,7 @@
     return lookup;
   }
 
-  async #read(turn: string): Promise<TurnLookup> {
+  async #read(turn: RequestId): Promise<TurnLookup> {
     const { hash, platform, settings } = this.#context;
     const newestVersion = this.#newestVersion();
     const part = turnPart(turn, settings.turnParts, hash);
--- a/src/gateway/partitions/turn-rows.ts
+++ b/src/gateway/partitions/turn-rows.ts
@@ -3,9 +3,11 @@
  * identifier finds it with one read, and turns of one partition do not queue behind each other or behind its accounts.
  * A turn is one row, or several when it is large.
  */
+
 import { decode, encode } from "cbor-x";
 import type { RowRange, StoredRow } from "../../ports/store/row-store.ts";
 import type { TextHash } from "../../runtime/text-hash.ts";
+import type { RequestId } from "../../scheduling/ids/request-id.ts";
 import type { RetainedTurnContent } from "../gateway-messages.ts";
 
 const TABLE = "turns";
@@ -25,12 +27,12 @@
 }
 
 /** The part of the store that holds a turn. */
-export function turnPart(turn: string, partCount: number, hash: TextHash): string {
+export function turnPart(turn: RequestId, partCount: number, hash: TextHash): string {
   return `t${hash.hash32(turn) % partCount}`;
 }
 
 /** The rows of a turn; all of them go into one transaction. */
-export function turnRows(turn: string, content: RetainedTurnContent, part: string): TurnRow[] {
+export function turnRows(turn: RequestId, content: RetainedTurnContent, part: string): TurnRow[] {
   const bytes = encode(content);
   const rows: TurnRow[] = [];
   for (let start = 0; start < bytes.length; start += MAX_ROW_BYTES) {
@@ -41,12 +43,12 @@
 }
 
 /** Where the rows of a turn lie; some rows of others may lie there too. */
-export function turnRange(turn: string, part: string): RowRange {
+export function turnRange(turn: RequestId, part: string): RowRange {
   return { table: TABLE, part, from: turn, until: `${turn}${AFTER_SEPARATOR}` };
 }
 
 /** The turn that rows of its range hold; undefined when they hold none. */
-export function turnOf(turn: string, rows: readonly StoredRow[]): RetainedTurnContent | undefined {
+export function turnOf(turn: RequestId, rows: readonly StoredRow[]): RetainedTurnContent | undefined {
   const numbered = rows.flatMap((row) => {
     const number = rowNumber(turn, row.key);
     return number === undefined ? [] : [{ number, value: row.value }];
@@ -56,7 +58,7 @@
   return decode(Buffer.concat(numbered.map(({ value }) => value))) as RetainedTurnContent;
 }
 
-function rowNumber(turn: string, key: string): number | undefined {
+function rowNumber(turn: RequestId, key: string): number | undefined {
   if (key === turn) return 0;
   const prefix = `${turn}${SEPARATOR}`;
   return key.startsWith(prefix) ? Number(key.slice(prefix.length)) : undefined;
--- a/src/gateway/partitions/turn-writer.ts
+++ b/src/gateway/partitions/turn-writer.ts
@@ -3,7 +3,9 @@
  * rows never change once they are there, so that they need no fence: whoever writes them, and however late, writes the
  * same.
  */
+
 import { delay } from "../../runtime/clock.ts";
+import type { RequestId } from "../../scheduling/ids/request-id.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { RetainedTurnContent } from "../gateway-messages.ts";
 import type { TransactionSender } from "./transaction-sender.ts";
@@ -37,7 +39,7 @@
   }
 
   /** Resolves with true once the turn is in the store; with false when that took too long. */
-  write(turn: string, content: RetainedTurnContent): Promise<boolean> {
+  write(turn: RequestId, content: RetainedTurnContent): Promise<boolean> {
     const { clock, hash, settings } = this.#context;
     const part = turnPart(turn, settings.turnParts, hash);
     const rows = turnRows(turn, content, part);
--- a/src/gateway/runners/runner-connections.ts
+++ b/src/gateway/runners/runner-connections.ts
@@ -1,6 +1,8 @@
 /** Connections to runners: a pool for each incarnation, closed when it is gone. */
+
 import type { Pool } from "undici";
 import { openPool } from "../../ports/http/connection-pool.ts";
+import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 
@@ -16,7 +18,7 @@
 /** See the module's comment. */
 export class RunnerConnections {
   readonly #board: RunnerBoard;
-  readonly #pools = new Map<string, Pool>();
+  readonly #pools = new Map<RunnerId, Pool>();
 
   constructor(board: RunnerBoard) {
     this.#board = board;
--- a/src/gateway/runners/runner-watch.ts
+++ b/src/gateway/runners/runner-watch.ts
@@ -1,4 +1,5 @@
 /** Keeps the board of runners in line with the platform's list. */
+import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import { TableFollower, type TableListener } from "../configuration/table-follower.ts";
@@ -20,7 +21,7 @@
   readonly #board: RunnerBoard;
   readonly #follower: TableFollower;
   /** Runners whose entries went missing in an outage of the store. */
-  readonly #lapsed = new Set<string>();
+  readonly #lapsed = new Set<RunnerId>();
   #read = false;
 
   constructor(context: GatewayContext, health: StoreHealth, board: RunnerBoard) {
@@ -29,15 +30,15 @@
     this.#board = board;
     const listener: TableListener = {
       onTable: (rows) => {
-        const listed = new Set(rows.map((row) => row.key));
+        const listed = new Set<string>(rows.map((row) => row.key));
         for (const { id } of board.entries()) if (!listed.has(id)) this.#removed(id);
-        for (const row of rows) this.#written(row.key, row.value);
+        for (const row of rows) this.#written(row.key as RunnerId, row.value);
         this.#read = true;
       },
       onChanges: (changes) => {
         for (const { key, value } of changes) {
-          if (value === undefined) this.#removed(key);
-          else this.#written(key, value);
+          if (value === undefined) this.#removed(key as RunnerId);
+          else this.#written(key as RunnerId, value);
         }
       },
     };
@@ -58,13 +59,13 @@
     this.#follower.stop();
   }
 
-  #written(id: string, value: Buffer): void {
+  #written(id: RunnerId, value: Buffer): void {
     this.#lapsed.delete(id);
     for (const entry of this.#parse(id, value)) this.#board.upsert(entry);
   }
 
   /** An entry is gone: at once, or, when the store has only just come back, unless it returns soon. */
-  #removed(id: string): void {
+  #removed(id: RunnerId): void {
     const graceMs = RETURN_GRACE_MS - this.#health.reachableForMs;
     if (graceMs <= 0) return this.#board.remove(id);
     if (this.#lapsed.has(id)) return;
@@ -79,7 +80,7 @@
   }
 
   /** The entry of a row, or nothing when the row is not one. */
-  #parse(id: string, value: Buffer): RunnerEntry[] {
+  #parse(id: RunnerId, value: Buffer): RunnerEntry[] {
     try {
       return [this.#context.platform.records.parseRunner(id, value)];
     } catch (error) {
--- a/src/ports/call-protocol.ts
+++ b/src/ports/call-protocol.ts
@@ -1,8 +1,11 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { ProgramId } from "../scheduling/ids/program-id.ts";
+import type { RequestId } from "../scheduling/ids/request-id.ts";
+import type { RunnerId } from "../scheduling/ids/runner-id.ts";
 
 /** What a program says of itself with each of its requests. */
 export interface ProgramContext {
-  readonly id: string;
+  readonly id: ProgramId;
   /** One line of turns of the program. */
   readonly session: string | undefined;
   /** Time that is left until the program should be over, in ms. */
@@ -10,12 +13,12 @@
   /** Tokens that all turns of the program may generate. */
   readonly tokenBudget: number | undefined;
   /** The request whose answer this turn goes on from. */
-  readonly previousTurn: string | undefined;
+  readonly previousTurn: RequestId | undefined;
 }
 
 /** What a caller's request says of itself. */
 export interface CallContext {
-  readonly requestId: string;
+  readonly requestId: RequestId;
   /** How long the caller will wait, in ms. */
   readonly deadlineMs: number | undefined;
   /** Events up to this one need not be sent again. */
@@ -34,7 +37,7 @@
   /** Time that is left for the runner, in ms. */
   readonly deadlineMs: number;
   /** Only this incarnation of a runner may run the request. */
-  readonly expectedRunner: string;
+  readonly expectedRunner: RunnerId;
   /** The runner goes on after this event; undefined for a run from the start, whatever the caller said. */
   readonly lastEventId: number | undefined;
 }
--- a/src/ports/platform-records.ts
+++ b/src/ports/platform-records.ts
@@ -1,3 +1,4 @@
+import type { RunnerId } from "../scheduling/ids/runner-id.ts";
 import type { RoutingConfiguration } from "../scheduling/routing/routing-configuration.ts";
 import type { RunnerEntry } from "../scheduling/runner-board/runner-entry.ts";
 
@@ -12,5 +13,5 @@
   /** Throws when the row is not a configuration. */
   parseConfiguration(value: Buffer): RoutingConfiguration;
   /** Throws when the row is not a runner. */
-  parseRunner(id: string, value: Buffer): RunnerEntry;
+  parseRunner(id: RunnerId, value: Buffer): RunnerEntry;
 }
--- a/src/scheduling/runner-board/node-report.ts
+++ b/src/scheduling/runner-board/node-report.ts
@@ -1,7 +1,9 @@
+import type { RunnerId } from "../ids/runner-id.ts";
+
 /** What a node tells the others of its requests at runners. */
 export interface NodeReport {
   /** Requests in flight. */
-  readonly inFlight: readonly (readonly [runner: string, count: number])[];
+  readonly inFlight: readonly (readonly [runner: RunnerId, count: number])[];
   /** Outcomes of the last seconds, of runners at which some requests failed. */
-  readonly failing: readonly (readonly [runner: string, successes: number, failures: number])[];
+  readonly failing: readonly (readonly [runner: RunnerId, successes: number, failures: number])[];
 }
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -2,6 +2,7 @@
  * What one node believes of the runners: the platform's list, requests in flight from here and, from heartbeats,
  * from the other nodes, and what this node has met itself. Pure: time comes in as a value.
  */
+import type { RunnerId } from "../ids/runner-id.ts";
 import type { NodeReport } from "./node-report.ts";
 import type { OutcomeCounts } from "./outcome-counts.ts";
 import type { PendingRequest } from "./pending-request.ts";
@@ -47,8 +48,8 @@
 
 /** A report of another node, by runner. */
 interface ReportOfNode {
-  readonly inFlight: ReadonlyMap<string, number>;
-  readonly outcomes: ReadonlyMap<string, OutcomeCounts>;
+  readonly inFlight: ReadonlyMap<RunnerId, number>;
+  readonly outcomes: ReadonlyMap<RunnerId, OutcomeCounts>;
   readonly atMs: number;
 }
 
@@ -64,9 +65,9 @@
   /** The zone of this node. */
   readonly zone: string;
   /** Runners that this request has met already. */
-  readonly excluded: ReadonlySet<string>;
+  readonly excluded: ReadonlySet<RunnerId>;
   /** Runner that holds most of the prompt, if any is known to. */
-  readonly preferred: string | undefined;
+  readonly preferred: RunnerId | undefined;
   readonly nowMs: number;
   /** Breaks ties: a number in [0, 1). */
   readonly sample: number;
@@ -74,7 +75,7 @@
 
 /** See the module's comment. */
 export class RunnerBoard {
-  readonly #runners = new Map<string, RunnerState>();
+  readonly #runners = new Map<RunnerId, RunnerState>();
   readonly #reports = new Map<string, ReportOfNode>();
   /** By pool. */
   readonly #usualPaces = new Map<string, UsualPace>();
@@ -87,17 +88,17 @@
   }
 
   /** Takes out an entry that is gone from the list. */
-  remove(id: string): void {
+  remove(id: RunnerId): void {
     this.#runners.delete(id);
   }
 
   /** Whether a runner is in the list, ready or not. */
-  listed(id: string): boolean {
+  listed(id: RunnerId): boolean {
     return this.#runners.has(id);
   }
 
   /** The entry of a runner that may take new work. */
-  ready(id: string): RunnerEntry | undefined {
+  ready(id: RunnerId): RunnerEntry | undefined {
     const state = this.#runners.get(id);
     return state && isReady(state) ? state.entry : undefined;
   }
@@ -127,7 +128,7 @@
   }
 
   /** Requests under way at a runner, as far as known. */
-  load(id: string): number {
+  load(id: RunnerId): number {
     let sum = this.#runners.get(id)?.health.inFlight ?? 0;
     for (const report of this.#reports.values()) sum += report.inFlight.get(id) ?? 0;
     return sum;
@@ -138,14 +139,14 @@
    *
    * @param patienceMs silence after which the request speaks against the runner, in ms
    */
-  started(runner: string, nowMs: number, patienceMs: number): PendingRequest {
+  started(runner: RunnerId, nowMs: number, patienceMs: number): PendingRequest {
     const pending = { runner, startedAtMs: nowMs, patienceMs, answered: false };
     this.#runners.get(runner)?.health.begin(pending);
     return pending;
   }
 
   /** Takes in how long a runner took for one step of its work, in ms. */
-  paced(runner: string, stepMs: number, nowMs: number): void {
+  paced(runner: RunnerId, stepMs: number, nowMs: number): void {
     this.#runners.get(runner)?.health.pace(stepMs, nowMs);
   }
 
@@ -155,21 +156,21 @@
   }
 
   /** Passes over a runner for a while, after it refused a connection or was full. */
-  avoid(id: string, nowMs: number): void {
+  avoid(id: RunnerId, nowMs: number): void {
     const state = this.#runners.get(id);
     if (state) state.avoidUntilMs = nowMs + AVOID_MS;
   }
 
   /** A runner turned out to be another one, or is on its way out: it takes no new work any more. */
-  markLeaving(id: string): void {
+  markLeaving(id: RunnerId): void {
     const state = this.#runners.get(id);
     if (state) state.leaving = true;
   }
 
   /** What this node tells the others, for the heartbeat. */
   ownReport(nowMs: number): NodeReport {
-    const inFlight: [string, number][] = [];
-    const failing: [string, number, number][] = [];
+    const inFlight: [RunnerId, number][] = [];
+    const failing: [RunnerId, number, number][] = [];
     for (const [id, { health }] of this.#runners) {
       if (health.inFlight > 0) inFlight.push([id, health.inFlight]);
       const { successes, failures } = health.counts(nowMs);
@@ -186,8 +187,8 @@
 
   /** The reports of some nodes, as one. */
   sumReports(nodes: readonly string[]): NodeReport {
-    const inFlight = new Map<string, number>();
-    const failing = new Map<string, [successes: number, failures: number]>();
+    const inFlight = new Map<RunnerId, number>();
+    const failing = new Map<RunnerId, [successes: number, failures: number]>();
     for (const node of nodes) {
       const report = this.#reports.get(node);
       if (!report) continue;
@@ -230,7 +231,7 @@
   }
 
   /** Part of the requests of the last seconds that failed at a runner, as all nodes see it: 0 to 1. */
-  failureRate(id: string, nowMs: number): number {
+  failureRate(id: RunnerId, nowMs: number): number {
     const own = this.#runners.get(id)?.health.counts(nowMs);
     let successes = own?.successes ?? 0;
     let failures = own?.failures ?? 0;
@@ -243,7 +244,7 @@
   }
 
   /** Whether requests fail at a runner while they go well at most others of its pool. */
-  isOutlier(id: string, nowMs: number): boolean {
+  isOutlier(id: RunnerId, nowMs: number): boolean {
     const pool = this.#runners.get(id)?.entry.pool;
     const others = [...this.#runners.values()].filter(
       (state) => state.entry.pool === pool && state.entry.id !== id && isReady(state),
--- a/src/scheduling/runner-board/runner-entry.ts
+++ b/src/scheduling/runner-board/runner-entry.ts
@@ -1,7 +1,9 @@
+import type { RunnerId } from "../ids/runner-id.ts";
+
 /** What the platform's list says of one incarnation of a runner. */
 export interface RunnerEntry {
   /** Unique per start of the runner. */
-  readonly id: string;
+  readonly id: RunnerId;
   readonly pool: string;
   /** IP address and port. */
   readonly address: string;
--- a/test/contract/gateway-parts.test.ts
+++ b/test/contract/gateway-parts.test.ts
@@ -7,8 +7,6 @@
 import { choosePool, RouteTable } from "../../src/scheduling/routing/route-table.ts";
 import type { Route } from "../../src/scheduling/routing/routing-configuration.ts";
 import { spreadKey } from "../../src/scheduling/routing/spread-key.ts";
-import { RunnerBoard } from "../../src/scheduling/runner-board/runner-board.ts";
-import type { RunnerEntry } from "../../src/scheduling/runner-board/runner-entry.ts";
 
 const CANDIDATES = ["a", "b", "c", "d"].map((name, index) => ({ name, hash: 0x9e3779b9 * (index + 1) }));
 
@@ -154,122 +152,6 @@
   });
 });
 
-describe("runner board", () => {
-  const entry = (id: string, more: Partial<RunnerEntry> = {}): RunnerEntry => ({
-    id,
-    pool: "p",
-    address: "127.0.0.1:1",
-    zone: "z",
-    slots: 4,
-    state: "ready",
-    ...more,
-  });
-  const choice = {
-    pool: "p",
-    zone: "z",
-    excluded: new Set<string>(),
-    preferred: undefined,
-    nowMs: 0,
-    sample: 0,
-  };
-
-  const PATIENCE_MS = 400;
-
-  it("takes the runner with least in flight, as all nodes see it", () => {
-    const board = new RunnerBoard();
-    for (const id of ["a", "b"]) board.upsert(entry(id));
-    board.report("other node", { inFlight: [["a", 2]], failing: [] }, 0);
-    board.started("b", 0, PATIENCE_MS);
-    expect(board.choose(choice)?.id).toEqual("b");
-    board.dropReport("other node");
-    expect(board.choose(choice)?.id).toEqual("a");
-  });
-
-  it("goes back to the runner that holds the prompt while it has room", () => {
-    const board = new RunnerBoard();
-    for (const id of ["a", "b"]) board.upsert(entry(id));
-    board.started("a", 0, PATIENCE_MS);
-    expect(board.choose({ ...choice, preferred: "a" })?.id).toEqual("a");
-    for (let count = 0; count < 6; count += 1) board.started("a", 0, PATIENCE_MS);
-    expect(board.choose({ ...choice, preferred: "a" })?.id).toEqual("b");
-  });
-
-  it("gives nothing new to runners that drain, left, or refused the request", () => {
-    const board = new RunnerBoard();
-    board.upsert(entry("a", { state: "draining" }));
-    expect(board.choose(choice)).toEqual(undefined);
-    board.upsert(entry("b"));
-    expect(board.choose({ ...choice, excluded: new Set(["b"]) })).toEqual(undefined);
-    board.markLeaving("b");
-    expect(board.choose(choice)).toEqual(undefined);
-    board.remove("b");
-    expect(board.ready("b")).toEqual(undefined);
-  });
-
-  const EVIDENCE: [name: string, against: (board: RunnerBoard) => void][] = [
-    ["answers badly", (board) => board.ended(board.started("a", 0, PATIENCE_MS), "failure", 10)],
-    ["does not answer at all", (board) => void board.started("a", -2 * PATIENCE_MS, PATIENCE_MS)],
-    ["was silent until its caller left", (board) => abandon(board, -2 * PATIENCE_MS)],
-    [
-      "fails requests of other nodes",
-      (board) => board.report("n", { inFlight: [], failing: [["a", 1, 2]] }, 0),
-    ],
-    ["takes far longer than the others", (board) => pace(board)],
-  ];
-  function abandon(board: RunnerBoard, startedMs: number): void {
-    board.ended(board.started("a", startedMs, PATIENCE_MS), "abandoned", 10);
-  }
-  function pace(board: RunnerBoard): void {
-    for (const [id, stepMs] of [
-      ["a", 200],
-      ["b", 25],
-      ["c", 25],
-    ] as const)
-      board.paced(id, stepMs, 10);
-  }
-  for (const [name, against] of EVIDENCE) {
-    it(`passes over a runner that ${name}, until that is long ago`, () => {
-      const board = new RunnerBoard();
-      for (const id of ["a", "b", "c"]) board.upsert(entry(id, id === "a" ? {} : { zone: "far" }));
-      expect(board.choose({ ...choice, nowMs: 20 })?.id).toEqual("a");
-      against(board);
-      expect(board.choose({ ...choice, nowMs: 20 })?.id).toEqual("b");
-    });
-  }
-
-  it("tells a runner that fails from a pool in which all do", () => {
-    const board = new RunnerBoard();
-    const ids = ["a", "b", "c"];
-    for (const id of ids) board.upsert(entry(id));
-    for (let count = 0; count < 3; count += 1) board.started("a", 0, PATIENCE_MS);
-    expect(board.isOutlier("a", PATIENCE_MS)).toEqual(false);
-    expect(ids.map((id) => board.isOutlier(id, 2 * PATIENCE_MS))).toEqual([true, false, false]);
-    for (const id of ["b", "c"]) {
-      for (let count = 0; count < 3; count += 1) board.started(id, 0, PATIENCE_MS);
-    }
-    expect(ids.map((id) => board.isOutlier(id, 2 * PATIENCE_MS))).toEqual([false, false, false]);
-  });
-
-  it("thinks well again of a runner that failed long ago, and of one whose caller left early", () => {
-    const board = new RunnerBoard();
-    for (const id of ["a", "b"]) board.upsert(entry(id, id === "a" ? {} : { zone: "far" }));
-    board.ended(board.started("a", 0, PATIENCE_MS), "failure", 10);
-    expect(board.choose({ ...choice, nowMs: 20_000 })?.id).toEqual("a");
-    abandon(board, 20_000);
-    expect(board.choose({ ...choice, nowMs: 20_020 })?.id).toEqual("a");
-    expect(board.ownReport(20_020)).toEqual({ inFlight: [], failing: [] });
-  });
-
-  it("passes over a runner that refused connections, but takes it when nothing else is left", () => {
-    const board = new RunnerBoard();
-    for (const id of ["a", "b"]) board.upsert(entry(id));
-    board.avoid("a", 0);
-    for (let count = 0; count < 4; count += 1) board.started("b", 0, PATIENCE_MS);
-    expect(board.choose({ ...choice, nowMs: 10 })?.id).toEqual("b");
-    expect(board.choose({ ...choice, excluded: new Set(["b"]) })?.id).toEqual("a");
-  });
-});
-
 describe("event splitter", () => {
   const text = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\nda";
 
--- a/test/contract/member-directory.test.ts
+++ b/test/contract/member-directory.test.ts
@@ -1,7 +1,12 @@
 /** How gateways find each other and notice who is gone, directly and through relays, on virtual time. */
 import { before, describe, it } from "node:test";
 import { expect } from "earl";
-import { DEFAULT_ZONES, fleetAddress, MemberFleet } from "../../bench/simulation/gateways/member-fleet.ts";
+import {
+  DEFAULT_ZONES,
+  FLEET_RUNNERS,
+  fleetAddress,
+  MemberFleet,
+} from "../../bench/simulation/gateways/member-fleet.ts";
 import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
 
 const SETTLE_MS = 6_000;
@@ -75,9 +80,10 @@
     it(`tells everybody once of the requests of all, ${name}`, async () => {
       const fleet = new MemberFleet(hash, count, directMost);
       await fleet.time.runUntil(SETTLE_MS);
-      for (const { board, process } of fleet.members) board.started("r1", process.monotonicMs(), 60_000);
+      for (const { board, process } of fleet.members)
+        board.started(FLEET_RUNNERS[0], process.monotonicMs(), 60_000);
       await fleet.time.runUntil(fleet.time.nowMs + 2_500);
-      const loads = fleet.members.map(({ board }) => board.load("r1"));
+      const loads = fleet.members.map(({ board }) => board.load(FLEET_RUNNERS[0]));
       expect([Math.min(...loads), Math.max(...loads)]).toEqual([count, count]);
     });
   }
--- a/test/contract/partition-writer.test.ts
+++ b/test/contract/partition-writer.test.ts
@@ -1,4 +1,5 @@
 /** Writes of a partition's owner, through each fault of the store and against another owner. */
+
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { expect } from "earl";
 import { TokenAccount } from "../../src/coordination/token-account/index.ts";
@@ -11,11 +12,12 @@
 } from "../../src/gateway/partitions/partition-rows.ts";
 import { PartitionWriter } from "../../src/gateway/partitions/partition-writer.ts";
 import { StoreHealth } from "../../src/gateway/store-health.ts";
+import type { ProgramId } from "../../src/scheduling/ids/program-id.ts";
 import { RowStoreStandin, type StoreFault } from "../../standins/platform/row-store-standin.ts";
 import { gatewayContext } from "./support/gateway-parts.ts";
 
 const PARTITION = 1;
-const PROGRAM = "program";
+const PROGRAM = "program" as ProgramId;
 /** How long calls of the store wait where nothing else is said, in ms. */
 const PATIENT_STORE_MS = 1_000;
 
@@ -113,7 +115,7 @@
     const writer = await takeOver(context, 0);
     const before = standin.counts.writes;
     const writes = Array.from({ length: 20 }, (_, index) =>
-      writer.writeAccount(`program-${index}`, spend(new TokenAccount(), "turn")),
+      writer.writeAccount(`program-${index}` as ProgramId, spend(new TokenAccount(), "turn")),
     );
     expect(await Promise.all(writes)).toEqual(writes.map(() => true));
     expect(standin.counts.writes - before).toEqual(1);
@@ -122,7 +124,7 @@
   it("splits what is more than a transaction takes", async () => {
     const writer = await takeOver(context, 0);
     const writes = Array.from({ length: 250 }, (_, index) =>
-      writer.writeAccount(`program-${index}`, spend(new TokenAccount(), "turn")),
+      writer.writeAccount(`program-${index}` as ProgramId, spend(new TokenAccount(), "turn")),
     );
     expect(await Promise.all(writes)).toEqual(writes.map(() => true));
   });
--- a/test/contract/runner-watch.test.ts
+++ b/test/contract/runner-watch.test.ts
@@ -1,4 +1,5 @@
 /** The list of runners through outages of the store: what lapsed meanwhile, and what is gone. */
+
 import { beforeEach, describe, it } from "node:test";
 import { expect } from "earl";
 import { SharedStore, SimulatedRowStore } from "../../bench/simulation/gateways/simulated-row-store.ts";
@@ -6,11 +7,12 @@
 import { RunnerWatch } from "../../src/gateway/runners/runner-watch.ts";
 import { StoreHealth } from "../../src/gateway/store-health.ts";
 import { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
 import { RunnerBoard } from "../../src/scheduling/runner-board/runner-board.ts";
 import { gatewayContext } from "./support/gateway-parts.ts";
 
-const RUNNER = "runner-1";
-const OTHER = "runner-2";
+const RUNNER = "runner-1" as RunnerId;
+const OTHER = "runner-2" as RunnerId;
 const UNUSED = "127.0.0.1:1";
 const TABLE = "servers";
 /** Runners renew their entries this often, in ms. */
--- a/test/contract/turn-writer.test.ts
+++ b/test/contract/turn-writer.test.ts
@@ -1,4 +1,5 @@
 /** Retained turns in the store: written once and whole through each fault, found by their identifiers alone. */
+
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { expect } from "earl";
 import type { GatewayContext } from "../../src/gateway/gateway-context.ts";
@@ -8,38 +9,43 @@
 import { turnOf, turnPart, turnRows } from "../../src/gateway/partitions/turn-rows.ts";
 import { TurnWriter } from "../../src/gateway/partitions/turn-writer.ts";
 import { StoreHealth } from "../../src/gateway/store-health.ts";
+import type { RequestId } from "../../src/scheduling/ids/request-id.ts";
 import { RowStoreStandin, type StoreFault } from "../../standins/platform/row-store-standin.ts";
 import { gatewayContext } from "./support/gateway-parts.ts";
 
 const PATIENT_STORE_MS = 1_000;
 const PARTS = 64;
+const [TURN_0, TURN_1, TURN_2, TURN_3] = ["turn-0", "turn-1", "turn-2", "turn-3"] as RequestId[];
+const [LARGE, AFTER_LARGE] = ["large", "after-large"] as RequestId[];
+/** The second begins with the first. */
+const [NAMED_A, NAMED_A_B] = ["a", "a.b"] as RequestId[];
 
 let standin: RowStoreStandin;
 let context: GatewayContext;
 let writer: TurnWriter;
 
-function content(text: string, previousTurn?: string): RetainedTurnContent {
+function content(text: string, previousTurn?: RequestId): RetainedTurnContent {
   return { previousTurn, input: Buffer.from(`in ${text}`), output: Buffer.from(`out ${text}`) };
 }
 
 /** What another gateway, which has nothing in memory, finds of a turn and those before it. */
-async function said(turn: string): Promise<string> {
+async function said(turn: RequestId): Promise<string> {
   const outcome = await new RetainedTurns(context, () => 0).history(turn);
   return outcome.type === "history" ? Buffer.concat(outcome.parts).toString() : outcome.type;
 }
 
 /** Turns that lie in the same part of the store as each other. */
-function turnsOfOnePart(count: number): string[] {
-  const names = Array.from({ length: 10_000 }, (_, index) => `turn-${index}`);
-  const first = turnPart("turn-0", PARTS, context.hash);
+function turnsOfOnePart(count: number): RequestId[] {
+  const names = Array.from({ length: 10_000 }, (_, index) => `turn-${index}` as RequestId);
+  const first = turnPart(TURN_0, PARTS, context.hash);
   return names.filter((name) => turnPart(name, PARTS, context.hash) === first).slice(0, count);
 }
 
 /** A turn that lies in another part than `turn`. */
-function turnElsewhere(turn: string): string {
+function turnElsewhere(turn: RequestId): RequestId {
   const part = turnPart(turn, PARTS, context.hash);
   for (let index = 0; ; index += 1) {
-    const name = `other-${index}`;
+    const name = `other-${index}` as RequestId;
     if (turnPart(name, PARTS, context.hash) !== part) return name;
   }
 }
@@ -56,20 +62,20 @@
   for (const fault of FAULTS) {
     it(`are there once they are said to be written, after ${fault}`, async () => {
       standin.fault = fault;
-      const written = writer.write("turn-1", content("1"));
+      const written = writer.write(TURN_1, content("1"));
       setTimeout(() => {
         standin.fault = "none";
       }, 100);
       expect(await written).toEqual(true);
-      expect(await said("turn-1")).toEqual("in 1out 1");
+      expect(await said(TURN_1)).toEqual("in 1out 1");
     });
   }
 
   it("are found with all before them, whichever program they are of", async () => {
-    await writer.write("turn-1", content("1"));
-    await writer.write("turn-2", content("2", "turn-1"));
-    expect(await said("turn-2")).toEqual("in 1out 1in 2out 2");
-    expect(await said("turn-3")).toEqual("noSuchTurn");
+    await writer.write(TURN_1, content("1"));
+    await writer.write(TURN_2, content("2", TURN_1));
+    expect(await said(TURN_2)).toEqual("in 1out 1in 2out 2");
+    expect(await said(TURN_3)).toEqual("noSuchTurn");
   });
 
   it("may be larger than a row of the store", async () => {
@@ -78,20 +84,20 @@
       input: Buffer.alloc(150_000, "i"),
       output: Buffer.alloc(50_000, "o"),
     };
-    expect(await writer.write("large", large)).toEqual(true);
-    expect(await writer.write("large-2", content("next", "large"))).toEqual(true);
-    const text = await said("large-2");
+    expect(await writer.write(LARGE, large)).toEqual(true);
+    expect(await writer.write(AFTER_LARGE, content("next", LARGE))).toEqual(true);
+    const text = await said(AFTER_LARGE);
     expect([text.length, text.endsWith("oin nextout next")]).toEqual([200_015, true]);
   });
 
   it("are put together from the turn's own rows alone, in their order", () => {
     const large = { previousTurn: undefined, input: Buffer.alloc(600_000, "x"), output: Buffer.from("end") };
-    const rows = turnRows("a", large, "t0").map((row) => ({ ...row, version: 1 }));
-    const stranger = turnRows("a.b", content("stranger"), "t0").map((row) => ({ ...row, version: 1 }));
+    const rows = turnRows(NAMED_A, large, "t0").map((row) => ({ ...row, version: 1 }));
+    const stranger = turnRows(NAMED_A_B, content("stranger"), "t0").map((row) => ({ ...row, version: 1 }));
     expect(rows.length > 10).toEqual(true);
     const byKey = [...rows, ...stranger].sort((left, right) => (left.key < right.key ? -1 : 1));
-    expect(turnOf("a", byKey)?.input.length).toEqual(600_000);
-    expect(turnOf("a", stranger)).toEqual(undefined);
+    expect(turnOf(NAMED_A, byKey)?.input.length).toEqual(600_000);
+    expect(turnOf(NAMED_A, stranger)).toEqual(undefined);
   });
 
   it("go into one transaction when they end at the same time in one part", async () => {
@@ -104,10 +110,10 @@
 
   it("do not wait for a transaction of another part that is not answered", async () => {
     standin.fault = "silent";
-    const first = writer.write("turn-1", content("1"));
+    const first = writer.write(TURN_1, content("1"));
     await new Promise((resolve) => setTimeout(resolve, 50));
     standin.fault = "none";
-    const other = turnElsewhere("turn-1");
+    const other = turnElsewhere(TURN_1);
     const startedMs = performance.now();
     expect(await writer.write(other, content("2"))).toEqual(true);
     expect(performance.now() - startedMs < 150).toEqual(true);
--- a/test/simulation/gateway-relays.test.ts
+++ b/test/simulation/gateway-relays.test.ts
@@ -1,13 +1,9 @@
 /** The promises of gateways.test.ts where gateways are so many that relays carry their heartbeats. */
 import { before, describe, it } from "node:test";
-import { expect } from "earl";
 import type { GatewayFault } from "../../bench/simulation/gateways/gateway-faults.ts";
 import { RELAYED_FLEET } from "../../bench/simulation/gateways/gateway-world.ts";
-import { runGatewaySimulation } from "../../bench/simulation/gateways/run-gateway-simulation.ts";
 import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
-
-const DURATION_MS = 20_000;
-const LEAST_GRANTED = 100;
+import { expectGatewaysKeep } from "./support/expect-gateways-keep.ts";
 
 /** Seeds that once broke a promise, with the cause. */
 const REGRESSIONS: [seed: number, faults: GatewayFault[], cause: string][] = [
@@ -33,11 +29,8 @@
     hash = await loadTextHash();
   });
 
-  async function expectKept(seed: number, faults: readonly GatewayFault[]): Promise<void> {
-    const options = { seed, faults, durationMs: DURATION_MS, fleet: RELAYED_FLEET };
-    const result = await runGatewaySimulation(options, hash);
-    expect(result.broken).toEqual([]);
-    expect(result.granted > LEAST_GRANTED).toEqual(true);
+  function expectKept(seed: number, faults: readonly GatewayFault[]): Promise<void> {
+    return expectGatewaysKeep(hash, seed, faults, RELAYED_FLEET);
   }
 
   for (const [index, faults] of FAULTS.entries()) {
--- a/test/simulation/gateways.test.ts
+++ b/test/simulation/gateways.test.ts
@@ -4,9 +4,7 @@
 import { GATEWAY_FAULTS, type GatewayFault } from "../../bench/simulation/gateways/gateway-faults.ts";
 import { runGatewaySimulation } from "../../bench/simulation/gateways/run-gateway-simulation.ts";
 import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
-
-const DURATION_MS = 20_000;
-const LEAST_GRANTED = 100;
+import { DURATION_MS, expectGatewaysKeep } from "./support/expect-gateways-keep.ts";
 
 /** Seeds that once broke a promise, with the cause. */
 const REGRESSIONS: [seed: number, faults: GatewayFault[], cause: string][] = [
@@ -32,10 +30,8 @@
     hash = await loadTextHash();
   });
 
-  async function expectKept(seed: number, faults: readonly GatewayFault[]): Promise<void> {
-    const result = await runGatewaySimulation({ seed, faults, durationMs: DURATION_MS }, hash);
-    expect(result.broken).toEqual([]);
-    expect(result.granted > LEAST_GRANTED).toEqual(true);
+  function expectKept(seed: number, faults: readonly GatewayFault[]): Promise<void> {
+    return expectGatewaysKeep(hash, seed, faults);
   }
 
   it("holds without faults", () => expectKept(1, []));
--- /dev/null
+++ b/test/simulation/support/expect-gateways-keep.ts
@@ -0,0 +1,22 @@
+import { expect } from "earl";
+import type { GatewayFault } from "../../../bench/simulation/gateways/gateway-faults.ts";
+import { type GatewayFleet, SMALL_FLEET } from "../../../bench/simulation/gateways/gateway-world.ts";
+import { runGatewaySimulation } from "../../../bench/simulation/gateways/run-gateway-simulation.ts";
+import type { TextHash } from "../../../src/runtime/text-hash.ts";
+
+/** Virtual time under faults of one run, in ms. */
+export const DURATION_MS = 20_000;
+/** A run in which fewer turns are granted than this has shown nothing. */
+const LEAST_GRANTED = 100;
+
+/** Runs gateways under faults; fails when a promise is broken, or when too little was done to tell. */
+export async function expectGatewaysKeep(
+  hash: TextHash,
+  seed: number,
+  faults: readonly GatewayFault[],
+  fleet: GatewayFleet = SMALL_FLEET,
+): Promise<void> {
+  const result = await runGatewaySimulation({ seed, faults, durationMs: DURATION_MS, fleet }, hash);
+  expect(result.broken).toEqual([]);
+  expect(result.granted > LEAST_GRANTED).toEqual(true);
+}
