Listen in one place

Cause: the same nine lines that listen and say which port was taken stood in the node's server for callers, in its metrics server and in the stand-ins (found by a search for repeated lines).

Change: src/runtime/listen-at.ts serves the three. The gateway keeps its own until its bundle changes for another reason.

Shown by: demo ends with code 0; contract tests of stand-ins and services pass; gateway.mjs differs in the name of the file of its metrics only, which is loaded where a metrics address is set.

--- a/src/node/ingress/ingress-server.ts
+++ b/src/node/ingress/ingress-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { problemOf, requestError } from "../../errors/tulipwheel-error.ts";
+import { listenAt } from "../../runtime/listen-at.ts";
 import type { ProgramRecord } from "../../scheduling/program/records.ts";
 import type { IngressSettings } from "../../settings/ingress-settings.ts";
 import { type CallHeaders, chatCompletions, requireProgram } from "./chat-completions.ts";
@@ -54,14 +55,7 @@
 
   /** Listens; returns the address, with the port that was taken for port 0. */
   listen(address: string): Promise<string> {
-    const [host, port] = address.split(":");
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(Number(port), host, () => {
-        const bound = this.#server.address();
-        resolve(`${host}:${typeof bound === "object" && bound ? bound.port : port}`);
-      });
-    });
+    return listenAt(this.#server, address);
   }
 
   /** Takes no new connections and lets requests in progress end. */
--- a/src/telemetry/metrics-server.ts
+++ b/src/telemetry/metrics-server.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server } from "node:http";
+import { listenAt } from "../runtime/listen-at.ts";
 import type { MetricsSource } from "./metrics.ts";
 
 /** Serves `GET /metrics` (Prometheus text) and `GET /healthz` of a node. */
@@ -21,14 +22,7 @@
 
   /** Listens; returns the address, with the port that was taken for port 0. */
   listen(address: string): Promise<string> {
-    const [host, port] = address.split(":");
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(Number(port), host, () => {
-        const bound = this.#server.address();
-        resolve(`${host}:${typeof bound === "object" && bound ? bound.port : port}`);
-      });
-    });
+    return listenAt(this.#server, address);
   }
 
   /** Ends at once. */
--- a/standins/http/http-standin.ts
+++ b/standins/http/http-standin.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { listenAt } from "../../src/runtime/listen-at.ts";
 
 /** How a stand-in misbehaves. */
 export interface Faults {
@@ -68,14 +69,7 @@
 
   /** Listens at `IP:port`; port 0 takes a free one. Returns the address. */
   listen(address: string): Promise<string> {
-    const [host, port] = address.split(":");
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(Number(port), host, () => {
-        const bound = this.#server.address();
-        resolve(`${host}:${typeof bound === "object" && bound ? bound.port : port}`);
-      });
-    });
+    return listenAt(this.#server, address);
   }
 
   /** Ends at once, with all connections. */
