--- a/src/cli/commands/explain-logs-command.ts
+++ b/src/cli/commands/explain-logs-command.ts
@@ -1,9 +1,8 @@
-import { readFile } from "node:fs/promises";
 import { Command, Option } from "clipanion";
 import { requestError } from "../../errors/tulipwheel-error.ts";
 import { EXIT_CODES } from "../exit-codes.ts";
 import { formatTable } from "../format-table.ts";
-import { parseLog } from "../logs/parse-log.ts";
+import { readLogs } from "../logs/read-logs.ts";
 import { tellStory } from "../logs/tell-story.ts";
 import { TulipwheelCommand } from "../tulipwheel-command.ts";
 
@@ -24,8 +23,7 @@
   logs = Option.Array("--logs", { required: true, description: "A file of JSON lines; may be given often" });
 
   protected override async run(): Promise<number> {
-    const texts = await Promise.all(this.logs.map(readLog));
-    const story = tellStory(texts.flatMap(parseLog), this.subject);
+    const story = tellStory(await readLogs(this.logs), this.subject);
     if (story.length === 0)
       throw requestError(
         "not-found",
@@ -41,11 +39,3 @@
     return EXIT_CODES.done;
   }
 }
-
-async function readLog(file: string): Promise<string> {
-  try {
-    return await readFile(file, "utf8");
-  } catch {
-    throw requestError("not-found", `${file} cannot be read. Name files of collected logs after --logs.`);
-  }
-}
--- /dev/null
+++ b/src/cli/logs/call-entry.ts
@@ -0,0 +1,23 @@
+import type { AdmissionRecord } from "../../gateway/telemetry/admission-record.ts";
+import type { TryRecord } from "../../gateway/telemetry/try-record.ts";
+import type { LogEntry } from "./log-entry.ts";
+
+/** The line that a gateway writes when a call is over. */
+export interface CallEntry extends LogEntry {
+  readonly request: string;
+  readonly program?: string;
+  readonly route: string;
+  readonly configuration: number;
+  readonly status: number;
+  readonly kind: string;
+  readonly detail?: string;
+  readonly elapsedMs: number;
+  readonly firstByteMs?: number;
+  readonly admission?: AdmissionRecord;
+  readonly tries?: readonly TryRecord[];
+}
+
+/** Whether a line is that of a call. */
+export function isCallEntry(entry: LogEntry): entry is CallEntry {
+  return entry.msg === "call answered" || entry.msg === "call failed";
+}
--- a/src/cli/logs/tell-story.ts
+++ b/src/cli/logs/tell-story.ts
@@ -1,6 +1,6 @@
 /** Puts the story of a request or a program together from the collected logs of all gateways. Pure. */
 import type { AdmissionRecord } from "../../gateway/telemetry/admission-record.ts";
-import type { TryRecord } from "../../gateway/telemetry/try-record.ts";
+import { type CallEntry, isCallEntry } from "./call-entry.ts";
 import type { LogEntry } from "./log-entry.ts";
 import type { StoryLine } from "./story-line.ts";
 
@@ -20,26 +20,12 @@
   "unexpected error",
 ];
 
-interface CallEntry extends LogEntry {
-  readonly request: string;
-  readonly program?: string;
-  readonly route: string;
-  readonly configuration: number;
-  readonly status: number;
-  readonly kind: string;
-  readonly detail?: string;
-  readonly elapsedMs: number;
-  readonly firstByteMs?: number;
-  readonly admission?: AdmissionRecord;
-  readonly tries?: readonly TryRecord[];
-}
-
 /**
  * The story of `subject`, a request's or a program's identifier, in order: its calls with the grounds of each decision,
  * and what the machines that decided came to believe shortly before or meanwhile. Empty when no line names it.
  */
 export function tellStory(entries: readonly LogEntry[], subject: string): StoryLine[] {
-  const calls = entries.filter((entry): entry is CallEntry => isCallOf(entry, subject));
+  const calls = entries.filter(isCallEntry).filter((entry) => isCallOf(entry, subject));
   if (calls.length === 0) return [];
   const fromMs = Math.min(...calls.map((call) => call.time - call.elapsedMs)) - BEFORE_MS;
   const untilMs = Math.max(...calls.map((call) => call.time));
@@ -56,8 +42,7 @@
   return lines.sort((left, right) => left.time - right.time);
 }
 
-function isCallOf(entry: LogEntry, subject: string): boolean {
-  if (entry.msg !== "call answered" && entry.msg !== "call failed") return false;
+function isCallOf(entry: CallEntry, subject: string): boolean {
   return entry.request === subject || entry.program === subject;
 }
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -17,6 +17,7 @@
   ProgramEndCommand,
   ProgramShowCommand,
 } from "./commands/program-commands.ts";
+import { ReportLogsCommand } from "./commands/report-logs-command.ts";
 import { SettingsCheckCommand, SettingsShowCommand } from "./commands/settings-commands.ts";
 import {
   TemplateApplyCommand,
@@ -37,6 +38,7 @@
   TemplateListCommand,
   ExplainCommand,
   ExplainLogsCommand,
+  ReportLogsCommand,
   ProgramShowCommand,
   ProgramEndCommand,
   BudgetShowCommand,
