Stay with the runner that holds the prompt; emulate the users' engines from a settings file

A call left the runner that held its prompt as soon as another had four requests less, or its own was full; each cold prompt holds up a whole batch for 50 to 110 ms, as much of a runner's time as two to four turns take. Under load this feeds itself.

Change: a cold prompt costs 2.5 batches in the choice, before 0.35.

Ruled out: admission of programs, for now: what it refuses costs more than the cause that it treats.

Test: the board stays with a full holder while others are free; fails with 0.35.

--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -1,11 +1,16 @@
-/** `npm run experiment -- SCENARIO --load 0.8 --seeds 10`: compares policies on virtual time. */
+/**
+ * `npm run experiment -- SCENARIO --load 0.8 --seeds 10`: compares policies on virtual time. SCENARIO is a name, or the
+ * path of a workload's settings file.
+ */
 import { execFileSync } from "node:child_process";
 import { mkdir, writeFile } from "node:fs/promises";
 import { Cli, Command, Option } from "clipanion";
+import { formatTable } from "../src/cli/format-table.ts";
 import { loadTextHash, type TextHash } from "../src/runtime/text-hash.ts";
 import { POLICIES, type Policy } from "./experiment/policies.ts";
 import { type ExperimentResult, runExperiment } from "./experiment/run-experiment.ts";
 import { MAGNOLIA, RATEORA, type Scenario } from "./experiment/scenarios.ts";
+import { loadWorkload } from "./experiment/workload-settings.ts";
 
 const SCENARIOS: readonly Scenario[] = [MAGNOLIA, RATEORA];
 const MS_PER_SECOND = 1_000;
@@ -21,6 +26,9 @@
   readonly wastedPercent: number;
   readonly missedPercent: number;
   readonly unfinished: number;
+  readonly refusedPercent: number;
+  /** What programs earned, of what they were worth; 0 where that is not counted. */
+  readonly worthPercent: number;
 }
 
 class ExperimentCommand extends Command {
@@ -30,12 +38,12 @@
   seeds = Option.String("--seeds", "10", { description: "Number of seeds" });
   minutes = Option.String("--minutes", "4", { description: "Virtual minutes in which programs arrive" });
   policy = Option.Array("--policy", [], { description: "Policies to compare; all by default" });
+  compare = Option.Boolean("--compare", false, { description: "Prints the policies side by side" });
   write = Option.Boolean("--write", false, { description: "Keeps the results in bench/results" });
 
   override async execute(): Promise<number> {
-    const scenario = SCENARIOS.find(({ name }) => name === this.scenario);
-    if (!scenario)
-      throw new Error(`Unknown scenario; known are ${SCENARIOS.map(({ name }) => name).join(", ")}.`);
+    const scenario =
+      SCENARIOS.find(({ name }) => name === this.scenario) ?? (await loadWorkload(this.scenario));
     const hash = await loadTextHash();
     const policies = POLICIES.filter(({ name }) => this.policy.length === 0 || this.policy.includes(name));
     const rows = policies.map((policy) => ({
@@ -45,7 +53,8 @@
     this.context.stdout.write(
       `${scenario.name}, load ${this.load}, ${this.seeds} seeds; mean ± 95% interval\n`,
     );
-    for (const row of rows) this.context.stdout.write(`${describe(row)}\n`);
+    if (this.compare) this.context.stdout.write(`${compare(rows)}\n`);
+    else for (const row of rows) this.context.stdout.write(`${describe(row)}\n`);
     if (this.write) await keep(`${scenario.name}-${this.load}`, rows);
     return 0;
   }
@@ -64,6 +73,8 @@
       wastedPercent: of((one) => one.wastedPercent),
       missedPercent: of((one) => one.missedPercent),
       unfinished: of((one) => one.unfinished),
+      refusedPercent: of((one) => one.refusedPercent),
+      worthPercent: of((one) => one.worthPercent),
     };
   }
 }
@@ -74,7 +85,8 @@
   readonly half: number;
 }
 
-function figuresOf({ programs, promptTokens, wastedTokens, unfinished }: ExperimentResult): Figures {
+function figuresOf(result: ExperimentResult): Figures {
+  const { programs, promptTokens, wastedTokens, unfinished, refused } = result;
   const latencies = programs
     .map(({ latencyMs }) => latencyMs / MS_PER_SECOND)
     .sort((left, right) => left - right);
@@ -82,7 +94,11 @@
     .map(({ latencyMs, boundMs }) => latencyMs / boundMs)
     .sort((left, right) => left - right);
   const missed = programs.filter(({ missedDeadline }) => missedDeadline).length;
+  const earned = programs.reduce((sum, program) => sum + program.earned, result.refusedEarned);
+  const owed = programs.reduce((sum, program) => sum + program.owed, result.refusedOwed);
   return {
+    refusedPercent: (100 * refused) / Math.max(1, refused + programs.length),
+    worthPercent: owed === 0 ? 0 : (100 * earned) / owed,
     p50Seconds: quantile(latencies, 0.5),
     p95Seconds: quantile(latencies, 0.95),
     stretch: quantile(stretches, 0.5),
@@ -113,6 +129,28 @@
   );
 }
 
+const COLUMNS: readonly [header: string, figure: keyof Figures, digits: number][] = [
+  ["P50 S", "p50Seconds", 2],
+  ["P95 S", "p95Seconds", 2],
+  ["OVER PATH", "stretch", 2],
+  ["WASTED %", "wastedPercent", 1],
+  ["REFUSED %", "refusedPercent", 1],
+  ["WORTH %", "worthPercent", 1],
+  ["UNFINISHED", "unfinished", 0],
+];
+
+/** The policies side by side. */
+function compare(rows: readonly ({ readonly policy: string } & Record<keyof Figures, Interval>)[]): string {
+  const cells = rows.map((row) => {
+    const figures = COLUMNS.map(([, figure, digits]) => {
+      const { mean, half } = row[figure];
+      return `${mean.toFixed(digits)} ± ${half.toFixed(digits)}`;
+    });
+    return [row.policy, ...figures];
+  });
+  return formatTable(["POLICY", ...COLUMNS.map(([header]) => header)], cells);
+}
+
 async function keep(name: string, rows: readonly object[]): Promise<void> {
   const commit = execFileSync("git", ["rev-parse", "--short", "HEAD"], { encoding: "utf8" }).trim();
   await mkdir("bench/results", { recursive: true });
--- a/bench/experiment/emulated-runner.ts
+++ b/bench/experiment/emulated-runner.ts
@@ -5,6 +5,7 @@
 import type { SlotRequest } from "../../src/scheduling/queue/slot-request.ts";
 import type { RunnerView } from "../../src/scheduling/runner-selection/runner-view.ts";
 import { EngineModel } from "../../standins/engine/engine-model.ts";
+import type { EngineFigures } from "./engine-figures.ts";
 import type { EventQueue } from "./event-queue.ts";
 
 /** A call that wants to run. */
@@ -14,15 +15,6 @@
   readonly onDone: (result: Extract<GenerateResult, { type: "completed" }>, serviceMs: number) => void;
 }
 
-/** Sizes of an emulated engine: 10,000 prompt tokens a second, 12 ms for a step of a full batch. */
-export const ENGINE = {
-  slots: 16,
-  kvTokens: 60_000,
-  stepMs: 10,
-  stepMsPerSequence: 0.125,
-  prefillTokensPerStep: 512,
-  prefillMsPerToken: 0.1,
-};
 /** Slots are the limit here; memory is the engine's own, with eviction. */
 const QUEUE_KV_TOKENS = 10_000_000;
 
@@ -31,14 +23,18 @@
   readonly name: string;
   readonly engine: EngineModel;
   readonly #time: EventQueue;
-  readonly #queue = new RunnerQueue({ slots: ENGINE.slots, kvTokens: QUEUE_KV_TOKENS, maxQueued: 1_000_000 });
+  /** Sequences in a batch. */
+  readonly slots: number;
+  readonly #queue: RunnerQueue;
   readonly #calls = new Map<string, EmulatedCall>();
   #stepping = false;
 
-  constructor(name: string, time: EventQueue, hash: TextHash) {
+  constructor(name: string, figures: EngineFigures, time: EventQueue, hash: TextHash) {
     this.name = name;
+    this.slots = figures.slots;
     this.#time = time;
-    this.engine = new EngineModel({ name, models: ["m"], maxWaiting: 1_000, ...ENGINE }, hash);
+    this.#queue = new RunnerQueue({ slots: this.slots, kvTokens: QUEUE_KV_TOKENS, maxQueued: 1_000_000 });
+    this.engine = new EngineModel({ name, models: ["m"], maxWaiting: 1_000, ...figures }, hash);
   }
 
   /** Calls that wait or run. */
@@ -56,7 +52,7 @@
       home: "home",
       fencingToken: 1,
       leaving: false,
-      slots: ENGINE.slots,
+      slots: this.slots,
       expectedWaitMs: this.#queue.expectedWaitMs(),
     };
   }
--- a/bench/experiment/policies.ts
+++ b/bench/experiment/policies.ts
@@ -1,6 +1,8 @@
 /** Policies that are compared: ours, and baselines. Each sees only what a scheduler can know. */
 import type { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
 import type { SlotRequest } from "../../src/scheduling/queue/slot-request.ts";
+import { RunnerBoard } from "../../src/scheduling/runner-board/runner-board.ts";
 import { chooseRunner } from "../../src/scheduling/runner-selection/choose-runner.ts";
 import type { CachedPrefix } from "../../src/scheduling/runner-selection/runner-view.ts";
 import type { EmulatedRunner } from "./emulated-runner.ts";
@@ -19,6 +21,8 @@
 /** How calls are placed and ordered. */
 export interface Policy {
   readonly name: string;
+  /** Whether a program may begin now; all may where this is left out. */
+  admits?(runners: readonly EmulatedRunner[]): boolean;
   /** Chooses a runner. */
   place(question: PlacementQuestion): EmulatedRunner;
   /** What the queue may know of a call; baselines serve in the order of arrival. */
@@ -31,6 +35,8 @@
 }
 
 const RANDOM_CANDIDATES = 2;
+/** Part of all places from which on no program may begin. */
+const ADMISSION_OCCUPANCY = 0.7;
 
 /** All policies by name. */
 export const POLICIES: readonly Policy[] = [
@@ -65,8 +71,34 @@
     },
     describe: (request) => request,
   },
+  { name: "gateway", place: placeByBoard, describe: firstComeFirstServed },
+  {
+    name: "gateway-admission",
+    admits: (runners) => occupancy(runners) < ADMISSION_OCCUPANCY,
+    place: placeByBoard,
+    describe: firstComeFirstServed,
+  },
 ];
 
+/** The choice that gateways make, with the load of all runners known. */
+function placeByBoard({ runners, cached, random }: PlacementQuestion): EmulatedRunner {
+  const board = new RunnerBoard();
+  const entry = { pool: "p", address: "", zone: "z", state: "ready" } as const;
+  for (const { name, slots } of runners) board.upsert({ ...entry, id: name as RunnerId, slots });
+  const inFlight = runners.map(({ name, outstanding }) => [name as RunnerId, outstanding] as const);
+  board.report("all", { inFlight, failing: [] }, 0);
+  const preferred = cached[0]?.runner as RunnerId | undefined;
+  const choice = { pool: "p", zone: "z", excluded: new Set<RunnerId>(), preferred, nowMs: 0 };
+  const chosen = board.choose({ ...choice, sample: random.unit() });
+  return runners.find(({ name }) => name === chosen?.id) ?? (runners[0] as EmulatedRunner);
+}
+
+/** Calls that wait or run, as a part of all places. */
+function occupancy(runners: readonly EmulatedRunner[]): number {
+  const outstanding = runners.reduce((sum, runner) => sum + runner.outstanding, 0);
+  return outstanding / runners.reduce((sum, { slots }) => sum + slots, 0);
+}
+
 function leastOutstanding(runners: readonly EmulatedRunner[]): EmulatedRunner {
   return runners.reduce((best, runner) => (runner.outstanding < best.outstanding ? runner : best));
 }
--- a/bench/experiment/run-experiment.ts
+++ b/bench/experiment/run-experiment.ts
@@ -3,7 +3,8 @@
 import type { ChatMessage } from "../../src/scheduling/program/records.ts";
 import type { CachedPrefix } from "../../src/scheduling/runner-selection/runner-view.ts";
 import { CHARACTERS_PER_TOKEN } from "../../standins/engine/prefix-cache.ts";
-import { EmulatedRunner, ENGINE } from "./emulated-runner.ts";
+import { EmulatedRunner } from "./emulated-runner.ts";
+import type { EngineFigures } from "./engine-figures.ts";
 import { EventQueue } from "./event-queue.ts";
 import type { Policy } from "./policies.ts";
 import type { ProgramPlan, Scenario, TurnPlan } from "./scenarios.ts";
@@ -15,6 +16,9 @@
   /** Latency with an empty system: the critical path. */
   readonly boundMs: number;
   readonly missedDeadline: boolean;
+  /** What it earned, of what it was worth; both 0 where that is not counted. */
+  readonly earned: number;
+  readonly owed: number;
 }
 
 /** What one run showed. */
@@ -25,6 +29,10 @@
   readonly wastedTokens: number;
   /** Programs that had not ended when the run did. */
   readonly unfinished: number;
+  /** Programs that were refused at their first turn, and what these earned of what they were worth. */
+  readonly refused: number;
+  readonly refusedEarned: number;
+  readonly refusedOwed: number;
 }
 
 /** Options of a run. */
@@ -71,13 +79,16 @@
   #started = 0;
   #promptTokens = 0;
   #wastedTokens = 0;
+  #refused = 0;
+  #refusedEarned = 0;
+  #refusedOwed = 0;
 
   constructor(options: ExperimentOptions, hash: TextHash) {
     this.#options = options;
     this.#random = new SeededRandomSource(options.seed);
     this.#placement = new SeededRandomSource(options.seed + 1_000_003);
     const names = Array.from({ length: options.scenario.runners }, (_, index) => `runner-${index}`);
-    this.#runners = names.map((name) => new EmulatedRunner(name, this.#time, hash));
+    this.#runners = names.map((name) => new EmulatedRunner(name, options.scenario.engine, this.#time, hash));
   }
 
   run(): ExperimentResult {
@@ -89,7 +100,10 @@
       programs: this.#outcomes,
       promptTokens: this.#promptTokens,
       wastedTokens: this.#wastedTokens,
-      unfinished: this.#started - this.#outcomes.length,
+      unfinished: this.#started - this.#outcomes.length - this.#refused,
+      refused: this.#refused,
+      refusedEarned: this.#refusedEarned,
+      refusedOwed: this.#refusedOwed,
     };
   }
 
@@ -101,21 +115,32 @@
       const plan = this.#options.scenario.draw(this.#random);
       const counted = this.#time.nowMs > this.#options.durationMs * WARM_UP_PART;
       if (counted) this.#started += 1;
-      this.#start(plan, undefined, (latencyMs) => {
-        if (counted) this.#record(plan, latencyMs);
-      });
+      if (this.#options.policy.admits?.(this.#runners) ?? true) {
+        this.#start(plan, undefined, (latencyMs) => {
+          if (counted) this.#record(plan, latencyMs);
+        });
+      } else if (counted) this.#refuse(plan);
       this.#arrive(meanGapMs);
     });
   }
 
+  #refuse({ worth }: ProgramPlan): void {
+    this.#refused += 1;
+    this.#refusedEarned += worth?.refused ?? 0;
+    this.#refusedOwed += worth?.inAim ?? 0;
+  }
+
   #record(plan: ProgramPlan, latencyMs: number): void {
     const missedDeadline = plan.deadlineMs !== undefined && latencyMs > plan.deadlineMs;
-    this.#outcomes.push({ kind: plan.kind, latencyMs, boundMs: criticalPathMs(plan), missedDeadline });
+    const boundMs = criticalPathMs(plan, this.#options.scenario.engine);
+    const earned = earnedBy(plan, latencyMs, boundMs);
+    const owed = plan.worth?.inAim ?? 0;
+    this.#outcomes.push({ kind: plan.kind, latencyMs, boundMs, missedDeadline, earned, owed });
   }
 
   #start(plan: ProgramPlan, parent: Running | undefined, onEnd: (latencyMs: number) => void): void {
     this.#nextProgram += 1;
-    const shared = { role: "system", content: textOf(`${plan.kind} rules`, plan.sharedTokens) };
+    const shared = { role: "system", content: textOf(`${plan.beginning} rules`, plan.sharedTokens) };
     const program: Running = {
       id: `program-${this.#nextProgram}`,
       plan,
@@ -205,12 +230,12 @@
 }
 
 /** Engine time that a program needs when nothing that can be cached is prefilled again. */
-function demandMs(plan: ProgramPlan): number {
-  const stepMs = ENGINE.stepMs + ENGINE.stepMsPerSequence * ENGINE.slots;
+function demandMs(plan: ProgramPlan, engine: EngineFigures): number {
+  const stepMs = engine.stepMs + engine.stepMsPerSequence * engine.slots;
   let sum = 0;
   for (const { newTokens, outputTokens, children } of plan.turns) {
-    sum += (outputTokens * stepMs) / ENGINE.slots + newTokens * ENGINE.prefillMsPerToken;
-    for (const child of children) sum += demandMs(child);
+    sum += (outputTokens * stepMs) / engine.slots + newTokens * engine.prefillMsPerToken;
+    for (const child of children) sum += demandMs(child, engine);
   }
   return sum;
 }
@@ -218,17 +243,25 @@
 function meanDemandMs(scenario: Scenario, seed: number): number {
   const random = new SeededRandomSource(seed + 77);
   const plans = Array.from({ length: PLANS_FOR_DEMAND }, () => scenario.draw(random));
-  return plans.reduce((sum, plan) => sum + demandMs(plan), 0) / plans.length;
+  return plans.reduce((sum, plan) => sum + demandMs(plan, scenario.engine), 0) / plans.length;
 }
 
 /** Time of a program that has all engines to itself. */
-function criticalPathMs({ turns }: ProgramPlan): number {
-  const stepMs = ENGINE.stepMs + ENGINE.stepMsPerSequence;
+function criticalPathMs({ turns }: ProgramPlan, engine: EngineFigures): number {
+  const stepMs = engine.stepMs + engine.stepMsPerSequence;
   let sum = 0;
   for (const [index, { newTokens, outputTokens, pauseMs, children }] of turns.entries()) {
     const last = index === turns.length - 1;
-    sum += newTokens * ENGINE.prefillMsPerToken + outputTokens * stepMs + (last ? 0 : pauseMs);
-    sum += children.length === 0 ? 0 : Math.max(...children.map(criticalPathMs));
+    sum += newTokens * engine.prefillMsPerToken + outputTokens * stepMs + (last ? 0 : pauseMs);
+    sum += children.length === 0 ? 0 : Math.max(...children.map((child) => criticalPathMs(child, engine)));
   }
   return sum;
 }
+
+/** What a program earned: all in its time, less within twice that, and nothing later. */
+function earnedBy({ worth }: ProgramPlan, latencyMs: number, boundMs: number): number {
+  if (!worth) return 0;
+  const aimMs = worth.aim.times * boundMs + worth.aim.addedMs;
+  if (latencyMs <= aimMs) return worth.inAim;
+  return latencyMs <= 2 * aimMs ? worth.late : 0;
+}
--- a/bench/experiment/scenarios.ts
+++ b/bench/experiment/scenarios.ts
@@ -1,6 +1,7 @@
 /** The users' workloads: programs as chains of turns with pauses for tools, and sub-agents that fork the history. */
 import type { SeededRandomSource } from "../../src/runtime/random-source.ts";
 import type { PriorityClass } from "../../src/scheduling/policy/effective-policy.ts";
+import { type EngineFigures, SLOW_ENGINE } from "./engine-figures.ts";
 
 /** One turn of a program. */
 export interface TurnPlan {
@@ -21,15 +22,29 @@
   readonly weight: number;
   /** Tokens of a beginning that all programs of the kind share. */
   readonly sharedTokens: number;
+  /** Programs with the same one share their beginning. */
+  readonly beginning: string;
   /** Time until the deadline from the start, in ms. */
   readonly deadlineMs: number | undefined;
+  /** What the program earns; undefined where it is not counted. */
+  readonly worth: ProgramWorth | undefined;
   readonly turns: readonly TurnPlan[];
 }
 
+/** What a program earns: in time, within twice its time, and refused at its first turn. */
+export interface ProgramWorth {
+  /** Its time, as a multiple of the critical path, and what is added to that, in ms. */
+  readonly aim: { readonly times: number; readonly addedMs: number };
+  readonly inAim: number;
+  readonly late: number;
+  readonly refused: number;
+}
+
 /** A workload. */
 export interface Scenario {
   readonly name: string;
   readonly runners: number;
+  readonly engine: EngineFigures;
   /** Draws the next program. */
   draw(random: SeededRandomSource): ProgramPlan;
 }
@@ -42,6 +57,7 @@
 export const MAGNOLIA: Scenario = {
   name: "magnolia",
   runners: 8,
+  engine: SLOW_ENGINE,
   draw: (random) => (random.unit() < 0.25 ? payRun(random) : question(random)),
 };
 
@@ -49,6 +65,7 @@
 export const RATEORA: Scenario = {
   name: "rateora",
   runners: 10,
+  engine: SLOW_ENGINE,
   draw: (random) => (random.unit() < 0.7 ? checkout(random) : reschedule(random)),
 };
 
@@ -56,6 +73,8 @@
   const exceptions = Array.from({ length: 2 + random.below(4) }, () => exceptionCheck(random));
   return {
     kind: "pay-run",
+    beginning: "pay-run",
+    worth: undefined,
     tenant: "magnolia",
     priorityClass: "deadline",
     weight: 3,
@@ -73,6 +92,8 @@
 
 const payRunBase = {
   kind: "exception",
+  beginning: "exception",
+  worth: undefined,
   tenant: "magnolia",
   priorityClass: "deadline",
   weight: 3,
@@ -83,6 +104,8 @@
 function question(random: SeededRandomSource): ProgramPlan {
   return {
     kind: "question",
+    beginning: "question",
+    worth: undefined,
     tenant: "magnolia",
     priorityClass: "interactive",
     weight: 1,
@@ -95,6 +118,8 @@
 function checkout(random: SeededRandomSource): ProgramPlan {
   return {
     kind: "checkout",
+    beginning: "checkout",
+    worth: undefined,
     tenant: "rateora",
     priorityClass: "interactive",
     weight: 4,
@@ -110,6 +135,8 @@
 function reschedule(random: SeededRandomSource): ProgramPlan {
   return {
     kind: "reschedule",
+    beginning: "reschedule",
+    worth: undefined,
     tenant: "rateora",
     priorityClass: "standard",
     weight: 1,
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -16,8 +16,12 @@
 const AVOIDED_COST = 1_000_000;
 /** What distance costs, as a share of a slot. */
 const OTHER_ZONE_COST = 0.3;
-/** What a prompt costs that is not cached yet, as a share of all slots. */
-const COLD_PROMPT_COST = 0.35;
+/**
+ * What a prompt costs that is not cached yet, as a share of all slots. Reading it anew holds up the whole batch, for as
+ * much of the runner's time as several turns take: under load, calls that leave the holder for a free place elsewhere
+ * take more capacity than they find.
+ */
+const COLD_PROMPT_COST = 2.5;
 /** What each request beyond the slots costs, as a share of all slots. */
 const QUEUED_COST = 4;
 /** What a runner costs at which every request fails, as a share of all slots. */
--- a/test/contract/runner-board.test.ts
+++ b/test/contract/runner-board.test.ts
@@ -50,6 +50,14 @@
     expect(board.choose({ ...choice, preferred: A })?.id).toEqual(B);
   });
 
+  it("stays with the runner that holds the prompt when that is full and others are free", () => {
+    const board = new RunnerBoard();
+    for (const id of [A, B]) board.upsert(entry(id));
+    for (let count = 0; count < 4; count += 1) board.started(A, 0, PATIENCE_MS);
+    expect(board.choose({ ...choice, preferred: A })?.id).toEqual(A);
+    expect(board.choose(choice)?.id).toEqual(B);
+  });
+
   it("gives nothing new to runners that drain, left, or refused the request", () => {
     const board = new RunnerBoard();
     board.upsert(entry(A, { state: "draining" }));
