--- a/bench/experiment/policies.ts
+++ b/bench/experiment/policies.ts
@@ -36,7 +36,7 @@
 
 const RANDOM_CANDIDATES = 2;
 /** Part of all places from which on no program may begin. */
-const ADMISSION_OCCUPANCY = 0.7;
+const ADMISSION_OCCUPANCY = 1;
 
 /** All policies by name. */
 export const POLICIES: readonly Policy[] = [
