--- a/src/gateway/partitions/turn-rows.ts
+++ b/src/gateway/partitions/turn-rows.ts
@@ -5,7 +5,7 @@
  */
 
 import { decode, encode } from "cbor-x";
-import type { RowRange, StoredRow } from "../../ports/store/row-store.ts";
+import type { RowKey, RowRange, StoredRow } from "../../ports/store/row-store.ts";
 import type { TextHash } from "../../runtime/text-hash.ts";
 import type { RequestId } from "../../scheduling/ids/request-id.ts";
 import type { RetainedTurnContent } from "../gateway-messages.ts";
@@ -19,10 +19,7 @@
 const AFTER_SEPARATOR = "0";
 
 /** A row of a turn, to be written. */
-export interface TurnRow {
-  readonly table: string;
-  readonly part: string;
-  readonly key: string;
+export interface TurnRow extends RowKey {
   readonly value: Buffer;
 }
 
