--- a/bench/simulation/gateways/member-fleet.ts
+++ b/bench/simulation/gateways/member-fleet.ts
@@ -88,6 +88,7 @@
       board.upsert({ id, pool: "p", address: "a", zone, slots: 8, state: "ready" });
     directory.selfReport = () => ({
       state: "ready",
+      storeDirect: false,
       owned: [],
       runners: board.ownReport(process.monotonicMs()),
     });
--- a/bench/simulation/gateways/simulated-gateway.ts
+++ b/bench/simulation/gateways/simulated-gateway.ts
@@ -12,6 +12,7 @@
 import { MemberRegistry } from "../../../src/gateway/members/member-registry.ts";
 import { PartitionClient } from "../../../src/gateway/partitions/partition-client.ts";
 import { PartitionHost } from "../../../src/gateway/partitions/partition-host.ts";
+import { RelayedRowStore } from "../../../src/gateway/store/relayed-row-store.ts";
 import { StoreHealth } from "../../../src/gateway/store-health.ts";
 import { NoMetrics } from "../../../src/gateway/telemetry/no-metrics.ts";
 import type { PlatformRecords } from "../../../src/ports/platform-records.ts";
@@ -59,6 +60,7 @@
   readonly routing: RoutingWatch;
   readonly #transport: SimulatedTransport<GatewayMessage>;
   readonly #rpc: RpcEndpoint<GatewayRpcSchema>;
+  readonly #relayed: RelayedRowStore;
   readonly #members: MemberDirectory;
   readonly #registry: MemberRegistry;
   readonly #host: PartitionHost;
@@ -67,8 +69,11 @@
   constructor(parts: SimulatedGatewayParts) {
     const { settings, instance, process, store, network, random, hash } = parts;
     const address = settings.listen.peers;
-    const platform = { store, records: RECORDS, ...NO_CALLERS };
     const log = pino({ level: "silent" });
+    this.#transport = network.attach(process, { instance, address });
+    this.#rpc = new RpcEndpoint<GatewayRpcSchema>(this.#transport, process, random);
+    this.#relayed = new RelayedRowStore({ direct: store, clock: process, random, rpc: this.#rpc, log });
+    const platform = { store: this.#relayed, records: RECORDS, ...NO_CALLERS };
     const metrics = new NoMetrics();
     const context: GatewayContext = {
       settings,
@@ -82,9 +87,7 @@
     };
     this.process = process;
     this.store = store;
-    this.#transport = network.attach(process, { instance, address });
     const health = new StoreHealth(context);
-    this.#rpc = new RpcEndpoint<GatewayRpcSchema>(this.#transport, process, random);
     this.#members = new MemberDirectory(context, this.#transport, health);
     this.#registry = new MemberRegistry(context, this.#members, address);
     this.#host = new PartitionHost(context, this.#members, health, this.#rpc);
@@ -92,9 +95,12 @@
     this.client = new PartitionClient(context, this.#members, this.#host, this.#rpc, health);
     this.#members.selfReport = () => ({
       state: this.state,
+      storeDirect: this.#relayed.isDirect,
       owned: this.#host.owned,
       runners: { inFlight: [], failing: [] },
     });
+    this.#relayed.relays = () => this.#members.storeRelays();
+    this.#relayed.patienceMs = () => health.writeTimeout.currentMs;
     this.#wire();
   }
 
@@ -124,9 +130,13 @@
   }
 
   #wire(): void {
-    this.#members.onHeard = (member) => this.#host.learn(member);
+    this.#members.onHeard = (member) => {
+      this.#host.learn(member);
+      this.#relayed.learnRelay(member.instance, member.status.storeDirect);
+    };
     this.#members.onLost = (member) => {
       this.#host.forget(member);
+      this.#relayed.forgetRelay(member.instance);
       this.#rpc.abandon(member.address);
     };
     this.#transport.onDisconnected((address, refused) => {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -16,6 +16,7 @@
 import { PartitionHost } from "./partitions/partition-host.ts";
 import { RunnerConnections } from "./runners/runner-connections.ts";
 import { RunnerWatch } from "./runners/runner-watch.ts";
+import { RelayedRowStore } from "./store/relayed-row-store.ts";
 import { StoreHealth } from "./store-health.ts";
 import { CallLog } from "./telemetry/call-log.ts";
 
@@ -39,13 +40,18 @@
   readonly #entry: EntryServer;
   readonly #callLog: CallLog;
   readonly #health: StoreHealth;
+  readonly #store: RelayedRowStore;
   #stopping: Promise<void> | undefined;
 
-  constructor(context: GatewayContext, transport: TcpTransport<GatewayMessage>) {
-    this.#context = context;
+  /** @param given the context, with the store over this gateway's own connections */
+  constructor(given: GatewayContext, transport: TcpTransport<GatewayMessage>) {
     this.#transport = transport;
+    this.#rpc = new RpcEndpoint<GatewayRpcSchema>(transport, given.clock, given.random);
+    const { clock, random, log, platform } = given;
+    this.#store = new RelayedRowStore({ direct: platform.store, clock, random, rpc: this.#rpc, log });
+    const context = { ...given, platform: { ...given.platform, store: this.#store } };
+    this.#context = context;
     const health = new StoreHealth(context);
-    this.#rpc = new RpcEndpoint<GatewayRpcSchema>(transport, context.clock, context.random);
     this.#members = new MemberDirectory(context, transport, health);
     this.#registry = new MemberRegistry(context, this.#members, transport.self.address);
     this.#partitions = new PartitionHost(context, this.#members, health, this.#rpc);
@@ -63,6 +69,7 @@
     this.#routing.onChanged = (routes) => this.#ingress.setLimits(routes.configuration.limits);
     this.#members.selfReport = () => ({
       state: this.state,
+      storeDirect: this.#store.isDirect,
       owned: this.#partitions.owned,
       runners: this.#board.ownReport(context.clock.monotonicMs()),
     });
@@ -123,13 +130,19 @@
   }
 
   #wireMembers(): void {
-    this.#members.onHeard = (member) => this.#partitions.learn(member);
+    this.#store.relays = () => this.#members.storeRelays();
+    this.#store.patienceMs = () => this.#health.writeTimeout.currentMs;
+    this.#members.onHeard = (member) => {
+      this.#partitions.learn(member);
+      this.#store.learnRelay(member.instance, member.status.storeDirect);
+    };
     this.#members.onLoads = (source, report) =>
       this.#board.report(source, report, this.#context.clock.monotonicMs());
     this.#members.sumLoads = (sources) => this.#board.sumReports(sources);
     this.#members.onLost = (member) => {
       this.#partitions.forget(member);
       this.#board.dropReport(member.instance);
+      this.#store.forgetRelay(member.instance);
       this.#rpc.abandon(member.address);
     };
     this.#transport.onDisconnected((address, refused) => {
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -5,6 +5,7 @@
 import type { RequestId } from "../scheduling/ids/request-id.ts";
 import type { RunnerId } from "../scheduling/ids/runner-id.ts";
 import type { NodeReport } from "../scheduling/runner-board/node-report.ts";
+import type { StoreCall, StoreCallOutcome } from "./store/store-call.ts";
 
 /** Where a gateway is in its life. Only ready ones are given to callers; only they own partitions. */
 export type GatewayState = "starting" | "ready" | "stopping";
@@ -18,7 +19,10 @@
   /** Where callers reach it. */
   readonly callerAddress: string;
   readonly state: GatewayState;
+  /** Whether it reaches the store, over its own connections or through a peer. */
   readonly storeReachable: boolean;
+  /** Whether its own connections to the store work, so that it may carry calls of others. */
+  readonly storeDirect: boolean;
   /** Partitions that it owns, with the epochs of its ownership. */
   readonly owned: readonly (readonly [partition: number, epoch: number])[];
 }
@@ -112,6 +116,8 @@
 export interface GatewayRpcSchema {
   admitTurn: { request: AdmitTurnRequest; response: AdmitTurnResponse };
   endTurn: { request: EndTurnRequest; response: EndTurnResponse };
+  /** Makes a call to the store for a peer that does not reach it itself. */
+  callStore: { request: StoreCall; response: StoreCallOutcome };
 }
 
 /** Every message between gateways. */
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -15,6 +15,7 @@
   MemberDigest,
   MemberStatus,
 } from "../gateway-messages.ts";
+import type { StoreRelay } from "../store/relayed-row-store.ts";
 import type { StoreHealth } from "../store-health.ts";
 import { DigestLog } from "./digest-log.ts";
 import { DigestSequences } from "./digest-sequences.ts";
@@ -38,6 +39,8 @@
 /** What a gateway says of itself. */
 export interface SelfReport {
   readonly state: GatewayState;
+  /** Whether its own connections to the store work. */
+  readonly storeDirect: boolean;
   readonly owned: readonly (readonly [number, number])[];
   readonly runners: NodeReport;
 }
@@ -61,6 +64,7 @@
   /** What this gateway says of itself. */
   selfReport: () => SelfReport = () => ({
     state: "starting",
+    storeDirect: false,
     owned: [],
     runners: { inFlight: [], failing: [] },
   });
@@ -181,6 +185,17 @@
     return status.storeReachable || this.#health.reachableForMs < this.#context.settings.timing.storeSettleMs;
   }
 
+  /** Live gateways whose own connections to the store work: those of this zone first, in an order that varies. */
+  storeRelays(): StoreRelay[] {
+    const { random, settings } = this.#context;
+    const direct = this.#view.alive().filter(({ status }) => status.storeDirect);
+    const start = random.below(Math.max(1, direct.length));
+    const rotated = [...direct.slice(start), ...direct.slice(0, start)];
+    const near = rotated.filter(({ status }) => status.zone === settings.zone);
+    const far = rotated.filter(({ status }) => status.zone !== settings.zone);
+    return [...near, ...far].map(({ instance, address }) => ({ instance, address }));
+  }
+
   /** The gateways that may own partitions, this one included if it may. */
   ownerCandidates(): OwnerCandidate[] {
     const candidates = this.#view
@@ -295,8 +310,8 @@
 
   #status(): MemberStatus {
     const { name, zone, listen } = this.#context.settings;
-    const { state, owned } = this.selfReport();
-    const changing = { state, storeReachable: this.#health.reachable, owned };
+    const { state, storeDirect, owned } = this.selfReport();
+    const changing = { state, storeReachable: this.#health.reachable, storeDirect, owned };
     const last = this.#lastStatus;
     if (last && sameStatus(last, changing)) return last;
     const revision = (last?.revision ?? 0) + 1;
@@ -319,9 +334,10 @@
   callerAddress,
   state,
   storeReachable,
+  storeDirect,
   owned,
 }: Heartbeat): MemberStatus {
-  return { revision, name, zone, callerAddress, state, storeReachable, owned };
+  return { revision, name, zone, callerAddress, state, storeReachable, storeDirect, owned };
 }
 
 function isEligible(status: Pick<MemberStatus, "state" | "storeReachable">): boolean {
--- a/src/gateway/members/same-status.ts
+++ b/src/gateway/members/same-status.ts
@@ -1,13 +1,14 @@
 import type { MemberStatus } from "../gateway-messages.ts";
 
 /** What a gateway may say differently of itself from one moment to the next. */
-export type ChangingStatus = Pick<MemberStatus, "state" | "storeReachable" | "owned">;
+export type ChangingStatus = Pick<MemberStatus, "state" | "storeReachable" | "storeDirect" | "owned">;
 
 /** Whether a gateway says the same of itself as before. */
 export function sameStatus(left: ChangingStatus, right: ChangingStatus): boolean {
   return (
     left.state === right.state &&
     left.storeReachable === right.storeReachable &&
+    left.storeDirect === right.storeDirect &&
     sameOwned(left.owned, right.owned)
   );
 }
--- a/src/gateway/partitions/partition-client.ts
+++ b/src/gateway/partitions/partition-client.ts
@@ -22,6 +22,9 @@
 /** How long the end of a turn is told again and again, in ms; after it, the turn counts at its most. */
 const END_PATIENCE_MS = 30_000;
 
+/** Requests that go to the owner of a partition. */
+type OwnerRequest = "admitTurn" | "endTurn";
+
 type Unavailable = { readonly type: "unavailable"; readonly detail: string };
 
 /** See the module's comment. */
@@ -71,7 +74,7 @@
     return this.#ask("endTurn", request, deadlineAtMs, () => false);
   }
 
-  async #ask<Name extends keyof GatewayRpcSchema>(
+  async #ask<Name extends OwnerRequest>(
     name: Name,
     request: GatewayRpcSchema[Name]["request"],
     deadlineAtMs: number,
--- a/standins/platform/row-store-standin.ts
+++ b/standins/platform/row-store-standin.ts
@@ -44,6 +44,8 @@
   fault: StoreFault = "none";
   /** Calls that were taken, by kind. */
   readonly counts = { writes: 0, reads: 0, watches: 0 };
+  /** Calls that were answered with 503 or 429. */
+  refused = 0;
   readonly #server: Server;
 
   constructor() {
@@ -80,6 +82,7 @@
     if (fault === "reset") return void request.socket.resetAndDestroy();
     if (fault === "silent") return;
     if (this.delayMs > 0) await pause(this.delayMs);
+    if (fault === "busy" || fault === "throttled") this.refused += 1;
     if (fault === "busy") return answer(response, 503, { error: "busy" });
     if (fault === "throttled") return answer(response, 429, { error: "throttled" });
     switch (url.pathname) {
--- /dev/null
+++ b/test/contract/relayed-row-store.test.ts
@@ -0,0 +1,110 @@
+/** Calls to the store that a peer makes for a gateway that does not reach it, before the stand-in of the store. */
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { expect } from "earl";
+import { pino } from "pino";
+import type { GatewayMessage, GatewayRpcSchema } from "../../src/gateway/gateway-messages.ts";
+import { RelayedRowStore } from "../../src/gateway/store/relayed-row-store.ts";
+import type { RowTransaction } from "../../src/ports/store/row-store.ts";
+import { SystemClock } from "../../src/runtime/clock.ts";
+import { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import { RpcEndpoint } from "../../src/runtime/rpc.ts";
+import { TcpTransport } from "../../src/runtime/tcp-transport.ts";
+import { RowStoreStandin } from "../../standins/platform/row-store-standin.ts";
+import { storeClient } from "./support/gateway-parts.ts";
+
+const NOBODY = "127.0.0.1:1";
+const VALUE = Buffer.from("value");
+const KEY = { table: "t", part: "p", key: "k" };
+const PUT: RowTransaction = { conditions: [], puts: [{ ...KEY, value: VALUE }], removes: [] };
+
+interface Gateway {
+  readonly store: RelayedRowStore;
+  readonly transport: TcpTransport<GatewayMessage>;
+}
+
+let standin: RowStoreStandin;
+let gateways: Gateway[];
+
+/** A gateway whose own connections to the store lead to `storeAddress`. */
+async function startGateway(instance: string, storeAddress: string): Promise<Gateway> {
+  const transport = await TcpTransport.listen<GatewayMessage>({ instance, address: "127.0.0.1:0" });
+  const clock = new SystemClock();
+  const random = new SeededRandomSource(1);
+  const rpc = new RpcEndpoint<GatewayRpcSchema>(transport, clock, random);
+  transport.onMessage((message, from) => {
+    if (message.type === "rpcRequest") void rpc.onRequest(message, from);
+    if (message.type === "rpcResponse") rpc.onResponse(message);
+  });
+  const direct = storeClient(storeAddress);
+  const store = new RelayedRowStore({ direct, clock, random, rpc, log: pino({ level: "silent" }) });
+  const gateway = { store, transport };
+  gateways.push(gateway);
+  return gateway;
+}
+
+function relayOf({ transport: { self } }: Gateway) {
+  return { instance: self.instance, address: self.address };
+}
+
+describe("a store that a gateway reaches through peers", () => {
+  let near: Gateway;
+  let cut: Gateway;
+
+  beforeEach(async () => {
+    gateways = [];
+    standin = new RowStoreStandin();
+    near = await startGateway("near#1", await standin.listen());
+    cut = await startGateway("cut#1", NOBODY);
+    cut.store.relays = () => [relayOf(near)];
+  });
+  afterEach(async () => {
+    standin.close();
+    await Promise.all(gateways.map(({ transport }) => transport.close()));
+  });
+
+  it("writes, reads and watches through a peer, whose answers are those of the store", async () => {
+    const written = await cut.store.transact(PUT);
+    expect(written.type).toEqual("committed");
+    const read = await cut.store.read({ table: "t", part: "p" });
+    expect(read.type === "rows" && read.rows.map(({ key, value }) => [key, value])).toEqual([["k", VALUE]]);
+    const watched = await cut.store.watch("t", 0, 100);
+    expect(watched.type === "changes" && watched.changes.map(({ value }) => value)).toEqual([VALUE]);
+  });
+
+  it("gives a conflict with the rows that are there", async () => {
+    await cut.store.transact(PUT);
+    const outcome = await cut.store.transact({ ...PUT, conditions: [{ ...KEY, version: 0 }] });
+    expect(outcome.type === "conflict" && outcome.rows.map(({ value }) => value)).toEqual([VALUE]);
+  });
+
+  it("does not send a peer's calls on to a third", async () => {
+    near.store.relays = () => [relayOf(cut)];
+    standin.fault = "busy";
+    for (let count = 0; count < 5; count += 1)
+      expect((await cut.store.transact(PUT)).type).toEqual("refused");
+  });
+
+  it("asks little of a store that refuses everybody", async () => {
+    standin.fault = "busy";
+    let calls = 0;
+    const untilMs = performance.now() + 1_000;
+    const count = standin.counts;
+    while (performance.now() < untilMs) {
+      await near.store.transact(PUT);
+      calls += 1;
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    expect(calls > 50).toEqual(true);
+    expect(count.writes).toEqual(0);
+    expect(standin.refused < 15).toEqual(true);
+  });
+
+  it("says that its own connections work once the store has answered", async () => {
+    expect(near.store.isDirect).toEqual(false);
+    await near.store.transact(PUT);
+    expect(near.store.isDirect).toEqual(true);
+    standin.fault = "busy";
+    for (let count = 0; count < 2; count += 1) await near.store.transact(PUT);
+    expect(near.store.isDirect).toEqual(false);
+  });
+});
--- a/test/simulation/gateways.test.ts
+++ b/test/simulation/gateways.test.ts
@@ -24,6 +24,9 @@
   ["messages-lost", "store-busy"],
 ];
 
+/** Turns that may go unanswered until a gateway has noticed that it does not reach the store; 13 before relays. */
+const MOST_UNAVAILABLE = 4;
+
 describe("what gateways must always keep", () => {
   let hash: TextHash;
   before(async () => {
@@ -45,6 +48,12 @@
       expect([fault, result.ownerChanges]).toEqual([fault, 0]);
     }
   });
+  it("serves programs of owners that do not reach the store themselves", async () => {
+    for (const fault of ["cut-store", "cut-store-answers"] as const) {
+      const result = await runGatewaySimulation({ seed: 2, faults: [fault], durationMs: DURATION_MS }, hash);
+      expect([fault, result.unavailable <= MOST_UNAVAILABLE]).toEqual([fault, true]);
+    }
+  });
   for (const [seed, faults, cause] of REGRESSIONS) {
     it(`holds where ${cause} (seed ${seed})`, () => expectKept(seed, faults));
   }
