--- a/src/coordination/fenced-copies/fenced-copies.ts
+++ b/src/coordination/fenced-copies/fenced-copies.ts
@@ -13,9 +13,15 @@
   readonly copy: Copy;
 }
 
+/** An owner of a partition; of two, the one with the larger epoch is newer, and only one can hold an epoch. */
+export interface OwnerFence {
+  readonly epoch: number;
+  readonly owner: string;
+}
+
 interface PartitionCopies<Copy> {
-  /** Epoch of the newest owner that is known here: smaller ones are refused. */
-  fence: number;
+  /** The newest owner that is known here: older ones are refused. */
+  fence: OwnerFence;
   /** By the record's key. */
   readonly copies: Map<string, HeldCopy<Copy>>;
 }
@@ -50,25 +56,36 @@
    */
   append(
     partition: number,
-    epoch: number,
+    fence: OwnerFence,
     append: number,
     copies: readonly AppendedCopy<Copy>[],
   ): "kept" | "fenced" | "full" {
-    const held = this.#partition(partition);
-    if (epoch < held.fence) return "fenced";
     const bytes = copies.reduce((sum, copy) => sum + copy.bytes, 0);
+    if (!this.admit(partition, fence)) return "fenced";
     if (this.#bytes + bytes > this.#maxBytes) return "full";
-    held.fence = epoch;
-    for (const copy of copies) this.#keep(held, copy.key, { ...copy, epoch, append });
+    const held = this.#partition(partition);
+    for (const copy of copies) this.#keep(held, copy.key, { ...copy, epoch: fence.epoch, append });
     return "kept";
   }
 
-  /** All copies of a partition, for the owner of `epoch`; undefined when a newer owner is known. */
-  seal(partition: number, epoch: number): Copy[] | undefined {
+  /** Whether an owner is the newest one that is known here; older ones are refused from then on. */
+  admit(partition: number, fence: OwnerFence): boolean {
     const held = this.#partition(partition);
-    if (epoch < held.fence) return undefined;
-    held.fence = epoch;
-    return [...held.copies.values()].map(({ copy }) => copy);
+    if (fence.epoch < held.fence.epoch) return false;
+    if (fence.epoch === held.fence.epoch && fence.owner !== held.fence.owner) return false;
+    held.fence = fence;
+    return true;
+  }
+
+  /** Epoch of the newest owner that is known here. */
+  epochOf(partition: number): number {
+    return this.#partition(partition).fence.epoch;
+  }
+
+  /** All copies of a partition, for a new owner; undefined when a newer one is known. */
+  seal(partition: number, fence: OwnerFence): Copy[] | undefined {
+    if (!this.admit(partition, fence)) return undefined;
+    return [...this.#partition(partition).copies.values()].map(({ copy }) => copy);
   }
 
   /** Everything of epochs before `epoch`, and of `epoch` up to the append `through`, is in the store by now. */
@@ -94,7 +111,7 @@
   #partition(partition: number): PartitionCopies<Copy> {
     const known = this.#partitions.get(partition);
     if (known) return known;
-    const held = { fence: 0, copies: new Map<string, HeldCopy<Copy>>() };
+    const held = { fence: { epoch: 0, owner: "" }, copies: new Map<string, HeldCopy<Copy>>() };
     this.#partitions.set(partition, held);
     return held;
   }
--- a/src/coordination/fenced-copies/index.ts
+++ b/src/coordination/fenced-copies/index.ts
@@ -1,2 +1,2 @@
-export { FencedCopies } from "./fenced-copies.ts";
+export { FencedCopies, type OwnerFence } from "./fenced-copies.ts";
 export { majorityOf } from "./majority-of.ts";
--- a/src/coordination/token-account/token-account.ts
+++ b/src/coordination/token-account/token-account.ts
@@ -93,7 +93,13 @@
   charge(most: number, budget: number): void {
     if (this.#charged) return;
     this.#charged = true;
-    this.#settled += unstoredLimit(most, budget);
+    this.add(unstoredLimit(most, budget));
+  }
+
+  /** Counts tokens as spent that an earlier owner has granted and this one did not know of. */
+  add(tokens: number): void {
+    if (tokens <= 0) return;
+    this.#settled += tokens;
     this.#raise(0);
   }
 
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -11,6 +11,8 @@
   DropCopiesRequest,
   FindTurnRequest,
   FindTurnResponse,
+  MirrorAccountsRequest,
+  MirrorAccountsResponse,
   SealCopiesRequest,
   SealCopiesResponse,
 } from "./replicas/replica-messages.ts";
@@ -127,6 +129,7 @@
   endTurn: { request: EndTurnRequest; response: EndTurnResponse };
   /** Makes a call to the store for a peer that does not reach it itself. */
   callStore: { request: StoreCall; response: StoreCallOutcome };
+  mirrorAccounts: { request: MirrorAccountsRequest; response: MirrorAccountsResponse };
   appendCopies: { request: AppendCopiesRequest; response: AppendCopiesResponse };
   sealCopies: { request: SealCopiesRequest; response: SealCopiesResponse };
   dropCopies: { request: DropCopiesRequest; response: { readonly type: "dropped" } };
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -194,6 +194,22 @@
     }));
   }
 
+  /** Whether this process stood still so lately that others may take it for dead. */
+  get wasPausedLately(): boolean {
+    return this.#view.wasPausedLately;
+  }
+
+  /** Whether an incarnation is alive: this one, or one that is heard. */
+  isAlive(instance: string): boolean {
+    return instance === this.#context.instance || this.#view.live(instance) !== undefined;
+  }
+
+  /** Whether a process is known to have ended: nothing listens at its address, or another process does. */
+  isGone({ instance, address }: Replica): boolean {
+    const there = this.#view.at(address);
+    return this.refuses(address) || (there !== undefined && there.instance !== instance);
+  }
+
   /** Whether an incarnation is alive and stays. */
   mayHoldCopies(instance: string): boolean {
     return this.#view.live(instance)?.status.state === "ready";
--- a/src/gateway/members/member-view.ts
+++ b/src/gateway/members/member-view.ts
@@ -28,6 +28,8 @@
   /** Incarnations that are no longer alive, and since when (monotonic clock, ms). */
   readonly #lost = new Map<string, number>();
   #lastLookMs: number | undefined;
+  /** When this process last went on after it had stood still, in ms of the monotonic clock. */
+  #resumedMs = Number.NEGATIVE_INFINITY;
 
   constructor(context: GatewayContext, listener: MemberViewListener) {
     const { suspectMs } = context.settings.timing;
@@ -109,6 +111,13 @@
     this.noticeSilence();
   }
 
+  /** Whether this process stood still for long enough to be taken for dead, and may not have heard yet what followed. */
+  get wasPausedLately(): boolean {
+    const { suspectMs } = this.#context.settings.timing;
+    const sinceLookMs = this.#nowMs - (this.#lastLookMs ?? this.#nowMs);
+    return sinceLookMs > suspectMs || this.#nowMs - this.#resumedMs < suspectMs;
+  }
+
   /** Looks who has fallen silent; returns the addresses of those that are forgotten now. */
   look(): string[] {
     this.#noticePause();
@@ -164,6 +173,7 @@
       this.#lastLookMs !== undefined &&
       nowMs - this.#lastLookMs > this.#context.settings.timing.suspectMs
     ) {
+      this.#resumedMs = nowMs;
       this.#liveness.resume(nowMs);
       this.#vouchers.resume(nowMs);
     }
--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -17,7 +17,7 @@
 import type { PartitionReplicas } from "../replicas/partition-replicas.ts";
 import type { StoreHealth } from "../store-health.ts";
 import { firstTrue } from "./first-true.ts";
-import type { AccountRow } from "./partition-rows.ts";
+import { type AccountRow, newerAccount } from "./partition-rows.ts";
 import { PartitionWriter, type WritableAccount, type WriteOutcome } from "./partition-writer.ts";
 import { type HistoryOutcome, RetainedTurns } from "./retained-turns.ts";
 import type { TurnLookup } from "./turn-lookup.ts";
@@ -64,6 +64,10 @@
   /** Version of the owner's row, as this owner wrote it. */
   readonly epoch: number;
   readonly replicas: PartitionReplicas;
+  /** See {@link PartitionWriterParts.rowOwner}. */
+  readonly rowOwner?: string | undefined;
+  /** See {@link PartitionWriterParts.onRowTaken}. */
+  readonly onRowTaken?: () => Promise<void>;
   readonly findTurn: (turn: RequestId) => Promise<TurnLookup>;
   /** Called once when another owner has taken over. */
   readonly onLost: () => void;
@@ -76,6 +80,8 @@
   readonly #context: GatewayContext;
   readonly #health: StoreHealth;
   readonly #programs = new Map<ProgramId, ProgramState>();
+  /** Accounts as they were found in copies, until this owner has compared them with the store's. */
+  readonly #takenOver = new Map<ProgramId, AccountRow>();
   readonly #turns: RetainedTurns;
   readonly #turnWriter: TurnWriter;
   readonly #replicas: PartitionReplicas;
@@ -93,11 +99,31 @@
     this.#turnWriter = parts.turnWriter;
     this.#replicas = parts.replicas;
     this.#turns = new RetainedTurns(parts.context, () => parts.health.newestVersion, parts.findTurn);
-    this.#writer = new PartitionWriter(parts);
+    this.#writer = new PartitionWriter({ ...parts, onReplicasChanged: () => this.#mirrorAll() });
     this.#chargeUntilMs = content.grantsMayBeLost ? parts.context.clock.monotonicMs() + CHARGE_MS : 0;
     for (const [program, row] of content.stored) this.#remember(program, new TokenAccount(row));
     for (const [program, row] of content.copied) this.#adoptCopy(program, row);
     for (const [turn, retained] of content.turns) this.#adoptTurn(turn, retained);
+    this.#mirrorAll();
+    if (parts.rowOwner !== undefined) this.#writer.renewRow();
+  }
+
+  /**
+   * Takes accounts that the store had when this owner reached it, after it had taken over without the store. What was
+   * written to the store and not told to the replicas counts as spent.
+   */
+  learnStored(accounts: ReadonlyMap<ProgramId, AccountRow>): void {
+    for (const [name, row] of accounts) {
+      const base = this.#takenOver.get(name);
+      if (!base) {
+        if (!this.#programs.has(name)) this.#remember(name, new TokenAccount(row));
+        else this.#programs.get(name)?.account.add(new TokenAccount(row).committed);
+      } else if (newerAccount(row, base) === row && row.sequence !== base.sequence) {
+        const missed = new TokenAccount(row).committed - new TokenAccount(base).committed;
+        this.#programs.get(name)?.account.add(Math.max(0, missed));
+      }
+    }
+    this.#takenOver.clear();
   }
 
   /** Answers whether a turn may run; see {@link AdmitTurnRequest}. */
@@ -172,7 +198,12 @@
     return program;
   }
 
+  #mirrorAll(): void {
+    this.#writer.mirror([...this.#programs].map(([name, { account }]) => [name, account] as const));
+  }
+
   #adoptCopy(name: ProgramId, row: AccountRow): void {
+    this.#takenOver.set(name, row);
     const { account } = this.#remember(name, new TokenAccount(row));
     this.#replicas.inherit(copyKey("account", name), 0);
     this.#writer.writeLater(name, account);
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -13,6 +13,7 @@
 import type { GatewayRpcSchema, RetainedTurnContent } from "../gateway-messages.ts";
 import type { Member } from "../members/member.ts";
 import type { MemberDirectory } from "../members/member-directory.ts";
+import type { AccountMirror } from "../replicas/account-mirror.ts";
 import { type CollectedCopies, CopyCollector } from "../replicas/copy-collector.ts";
 import { PartitionReplicas } from "../replicas/partition-replicas.ts";
 import type { RecordCopy } from "../replicas/record-copy.ts";
@@ -36,6 +37,13 @@
 import { TurnWriter } from "./turn-writer.ts";
 
 const FIRST_COMMIT = 0;
+/** For how long writes must go unanswered before a replica takes over from a dead owner without the store, in ms. */
+const STORE_AWAY_MS = 600;
+/**
+ * Step from the epoch of an owner to that of one that takes over without the store. Epochs that the store gives are whole
+ * and rise with each of its transactions, so that the next owner by the store is newer than all of these.
+ */
+const EPOCH_STEP = 2 ** -10;
 /** Pause between looks whether partitions need other replicas, in ms: replicas that restart are back by then. */
 const RENEW_REPLICAS_MS = 1_000;
 /** How long a turn that nobody finds may be one whose copies were lost, in ms: as long as turns are kept by default. */
@@ -48,6 +56,8 @@
   readonly replicas: readonly Replica[];
   /** Replicas of earlier owners. */
   readonly inherited: readonly (readonly Replica[])[];
+  /** The process that the owner's row names where the store was away; undefined where it names this one. */
+  readonly rowOwner?: string;
 }
 
 /** See the module's comment. */
@@ -82,7 +92,7 @@
     this.#rpc = rpc;
     this.#turnWriter = new TurnWriter(context, new TransactionSender(context, health));
     this.#collector = new CopyCollector(context, rpc, (address) => members.refuses(address));
-    this.#replicaHost = new ReplicaHost(context, rpc);
+    this.#replicaHost = new ReplicaHost(context, rpc, (instance) => members.isAlive(instance));
     this.#finder = new TurnFinder({
       context,
       rpc,
@@ -162,10 +172,51 @@
     if (this.#stopping || nowMs < this.#claimAfterMs) return;
     const candidates = this.#members.ownerCandidates();
     for (let partition = 0; partition < settings.partitions; partition += 1) {
-      if (this.#owned.has(partition) || this.#claiming.has(partition)) continue;
-      if (this.#hasLiveOwner(partition)) continue;
+      if (!this.#isOrphan(partition)) continue;
       if (preferredOwner(partition, candidates) === settings.name) void this.#claim(partition);
     }
+    if (this.#storeIsAway) this.#succeedOwners();
+  }
+
+  #isOrphan(partition: number): boolean {
+    if (this.#owned.has(partition) || this.#claiming.has(partition)) return false;
+    return !this.#hasLiveOwner(partition);
+  }
+
+  get #storeIsAway(): boolean {
+    return !this.#health.reachable || this.#health.writesUnansweredMs >= STORE_AWAY_MS;
+  }
+
+  /** While the store is away, the first replica that lives takes over from an owner that is dead. */
+  #succeedOwners(): void {
+    for (const mirror of this.#replicaHost.mirrors) {
+      if (!this.#isOrphan(mirror.partition) || this.#members.isAlive(mirror.owner)) continue;
+      const first = mirror.groups[0]?.find(({ instance }) => this.#members.isAlive(instance));
+      if (first?.instance === this.#context.instance) void this.#succeed(mirror);
+    }
+  }
+
+  /** Takes a partition over without the store: with a majority of each group of its replicas. */
+  async #succeed(mirror: AccountMirror): Promise<void> {
+    const { partition, groups, rowOwner } = mirror;
+    this.#claiming.add(partition);
+    const epoch = this.#replicaHost.epochOf(partition) + EPOCH_STEP;
+    const collected = await this.#collector.collect(partition, epoch, groups, true);
+    if (collected.type === "collected" && collected.complete && !this.#stopping) {
+      const [replicas = [], ...inherited] = groups;
+      this.#adopt(partition, { epoch, replicas, inherited, rowOwner }, this.#contentOf(new Map(), collected));
+    }
+    this.#claiming.delete(partition);
+  }
+
+  /** The owner's row names this gateway now, which took over without the store: compares the accounts. */
+  async #learnStored(owned: OwnedPartition): Promise<void> {
+    for (;;) {
+      if (this.#owned.get(owned.partition) !== owned) return;
+      const accounts = await this.#readAccounts(owned.partition, owned.epoch);
+      if (accounts) return owned.learnStored(accounts);
+      await delay(this.#context.clock, this.#context.settings.timing.claimMs);
+    }
   }
 
   async #claim(partition: number): Promise<void> {
@@ -272,7 +323,11 @@
     return { stored, copied, turns, grantsMayBeLost };
   }
 
-  #adopt(partition: number, { epoch, replicas, inherited }: TakenPartition, content: PartitionContent): void {
+  #adopt(
+    partition: number,
+    { epoch, replicas, inherited, rowOwner }: TakenPartition,
+    content: PartitionContent,
+  ): void {
     const { log, instance } = this.#context;
     const parts = { context: this.#context, partition, epoch };
     const group = new PartitionReplicas(
@@ -282,7 +337,10 @@
         candidates: {
           choose: () => this.#members.replicasFor(partition),
           isAlive: (replica) => this.#members.mayHoldCopies(replica.instance),
+          isGone: (replica) => this.#members.isGone(replica),
+          wasPaused: () => this.#members.wasPausedLately,
         },
+        rowOwner: rowOwner ?? instance,
         onFenced: () => owned.stop(),
       },
       replicas,
@@ -294,6 +352,8 @@
         health: this.#health,
         turnWriter: this.#turnWriter,
         replicas: group,
+        rowOwner,
+        onRowTaken: () => this.#learnStored(owned),
         findTurn: (turn) => this.#finder.find(turn),
         onLost: () => this.#onLost(owned),
       },
@@ -310,6 +370,7 @@
         copiedPrograms: copied.size,
         copiedTurns: turns.size,
         grantsMayBeLost,
+        withoutStore: rowOwner !== undefined,
       },
       "partition taken over",
     );
--- a/src/gateway/partitions/partition-writer.ts
+++ b/src/gateway/partitions/partition-writer.ts
@@ -27,6 +27,8 @@
 /** Rows in one transaction; the store takes 100 entries, the owner's row and its condition included. */
 const MAX_ROWS = 90;
 const RETRY_MS = 40;
+/** No row has this version: the store answers with the row as it is. */
+const UNKNOWN_VERSION = 0;
 /** Pause between looks whether everything is written, before a partition is released, in ms. */
 const RELEASE_POLL_MS = 5;
 /** Least time between two appends to replicas when the first was not kept, in ms. */
@@ -79,6 +81,15 @@
   /** Version of the owner's row, as this owner wrote it. */
   readonly epoch: number;
   readonly replicas: PartitionReplicas;
+  /**
+   * The process that the owner's row names, where this owner took the partition over while the store was away; undefined
+   * where the row names this owner.
+   */
+  readonly rowOwner?: string | undefined;
+  /** Called when the owner's row names this owner, after it has named `rowOwner`; accounts are written after it. */
+  readonly onRowTaken?: () => Promise<void>;
+  /** Called when the partition has other replicas than before. */
+  readonly onReplicasChanged?: () => void;
   /** Called once when another owner has taken over. */
   readonly onLost: () => void;
 }
@@ -91,6 +102,7 @@
   readonly #dirty = new Map<ProgramId, WritableAccount>();
   readonly #waiters = new Set<Waiter>();
   #version: number;
+  #rowOwner: string | undefined;
   #commit = 0;
   #sequence = 0;
   #running = false;
@@ -101,7 +113,8 @@
 
   constructor(parts: PartitionWriterParts) {
     this.#parts = parts;
-    this.#version = parts.epoch;
+    this.#rowOwner = parts.rowOwner;
+    this.#version = parts.rowOwner === undefined ? parts.epoch : UNKNOWN_VERSION;
     this.#sender = new TransactionSender(parts.context, parts.health);
   }
 
@@ -134,6 +147,14 @@
     this.#startWriting();
   }
 
+  /** Tells the replicas of accounts that they do not know. */
+  mirror(accounts: Iterable<readonly [ProgramId, WritableAccount]>): void {
+    const rows = [...accounts].map(
+      ([program, account]) => [program, this.#snapshot(program, account).row] as const,
+    );
+    void this.#parts.replicas.mirror(rows, true);
+  }
+
   /** Writes what is left, with nothing set aside any more, and releases the partition. */
   async release(accounts: ReadonlyMap<ProgramId, WritableAccount>): Promise<void> {
     for (const [program, account] of accounts) this.#dirty.set(program, account);
@@ -162,13 +183,12 @@
     // What the same turn of the event loop still brings goes along.
     await Promise.resolve();
     while ((this.#dirty.size > 0 || this.#rowIsDue) && !this.#lost) {
-      const writes = this.#takeDirty();
+      const takesRow = this.#rowOwner !== undefined;
+      const writes = takesRow ? [] : this.#takeDirty();
       this.#rowIsDue = false;
       if (!(await this.#transact(writes, this.#parts.context.instance))) break;
-      for (const { program, account, snapshot, row } of writes) {
-        account.stored(snapshot);
-        this.#parts.replicas.stored(copyKey("account", program), row.sequence);
-      }
+      if (takesRow) await this.#parts.onRowTaken?.();
+      for (const { account, snapshot } of writes) account.stored(snapshot);
       this.#settleRecorded();
     }
     this.#running = false;
@@ -267,30 +287,60 @@
       ...accounts,
       { ...key, value: encodeOwner(owner) },
     ];
+    if (writes.length > 0) void replicas.mirror(mirrored(writes), false);
     while (!this.#lost) {
       const conditions = [{ ...key, version: this.#version }];
       const outcome = await this.#sender.transact({ conditions, puts, removes: [] });
-      if (outcome.type === "committed") return this.#committed(outcome.version);
-      if (outcome.type === "conflict") return this.#afterConflict(outcome.rows, instance);
-      await delay(context.clock, RETRY_MS);
+      if (outcome.type === "committed") return this.#committed(writes, instance, outcome.version);
+      if (outcome.type !== "conflict") await delay(context.clock, RETRY_MS);
+      else if (this.#isOwnRow(outcome.rows, instance))
+        return this.#committed(
+          writes,
+          instance,
+          this.#ownerRowAmong(outcome.rows)?.version ?? UNKNOWN_VERSION,
+        );
+      else if (!this.#takesRow(outcome.rows)) this.#lose();
     }
     return false;
   }
 
-  #committed(version: number): boolean {
+  async #committed(writes: readonly AccountWrite[], instance: string, version: number): Promise<boolean> {
     this.#version = version;
-    this.#parts.replicas.confirm();
+    this.#rowOwner = undefined;
+    const { replicas, onReplicasChanged } = this.#parts;
+    for (const { program, row } of writes) replicas.stored(copyKey("account", program), row.sequence);
+    if (replicas.confirm()) onReplicasChanged?.();
+    return this.#isStillOwner(instance);
+  }
+
+  /** Whether no replica has taken over without the store while this process stood still or was cut off. */
+  async #isStillOwner(instance: string): Promise<boolean> {
+    const { context, replicas } = this.#parts;
+    while (!this.#lost && !replicas.isInTouch && !(await replicas.mirror([], false))) {
+      if (replicas.isStored && replicas.isDegraded) return this.#transact([], instance);
+      await delay(context.clock, RETRY_MS);
+    }
     return !this.#lost;
   }
 
-  /** The owner's row has changed: by an unanswered try of the same transaction, or by another owner. */
-  #afterConflict(rows: readonly StoredRow[], instance: string): boolean {
-    const row = rows.find((candidate) => candidate.table === ownerKey(this.#parts.partition).table);
+  /** Whether the row still names the owner before this one, which took over without the store: it is ours to change. */
+  #takesRow(rows: readonly StoredRow[]): boolean {
+    const row = this.#ownerRowAmong(rows);
+    if (!row || this.#rowOwner === undefined) return false;
+    if (decodeOwner(row.value).instance !== this.#rowOwner) return false;
+    this.#version = row.version;
+    return true;
+  }
+
+  #ownerRowAmong(rows: readonly StoredRow[]): StoredRow | undefined {
+    return rows.find((candidate) => candidate.table === ownerKey(this.#parts.partition).table);
+  }
+
+  /** Whether the owner's row was changed by an unanswered try of the same transaction. */
+  #isOwnRow(rows: readonly StoredRow[], instance: string): boolean {
+    const row = this.#ownerRowAmong(rows);
     const owner = row && decodeOwner(row.value);
-    if (row && owner?.instance === instance && owner.commit === this.#commit)
-      return this.#committed(row.version);
-    this.#lose();
-    return false;
+    return owner?.instance === instance && owner.commit === this.#commit;
   }
 
   #lose(): void {
@@ -302,6 +352,10 @@
   }
 }
 
+function mirrored(writes: readonly AccountWrite[]): (readonly [ProgramId, AccountRow])[] {
+  return writes.map(({ program, row }) => [program, row]);
+}
+
 function copiesOf(writes: readonly AccountWrite[]) {
   const copies = new Map<string, { readonly copy: RecordCopy; readonly sequence: number }>();
   for (const { program, row } of writes)
--- a/src/gateway/replicas/copy-collector.ts
+++ b/src/gateway/replicas/copy-collector.ts
@@ -6,6 +6,7 @@
 import type { GatewayRpcSchema } from "../gateway-messages.ts";
 import type { RecordCopy } from "./record-copy.ts";
 import type { Replica } from "./replica.ts";
+import type { SealCopiesRequest } from "./replica-messages.ts";
 
 /** Longest wait for one answer of a replica, in ms. */
 const SEAL_TIMEOUT_MS = 300;
@@ -44,21 +45,28 @@
     this.#refuses = refuses;
   }
 
-  /** Seals the replicas of earlier owners. Those that give no answer are asked again for a while. */
+  /**
+   * Seals the replicas of earlier owners. Those that give no answer are asked again for a while.
+   *
+   * @param withoutStore whether the partition is taken over without the store: mirrored accounts count as copies then
+   */
   async collect(
     partition: number,
     epoch: number,
     groups: readonly (readonly Replica[])[],
+    withoutStore = false,
   ): Promise<CollectedCopies> {
     const replicas = new Map(groups.flat().map((replica) => [replica.instance, replica]));
     const untilMs = this.#context.clock.monotonicMs() + this.#context.settings.replication.sealWaitMs;
+    const { instance } = this.#context;
     const answers = new Map<string, Answer>();
     const isComplete = () => groups.every((group) => isSealed(group, answers));
     const isOver = () => isComplete() || this.#context.clock.monotonicMs() >= untilMs;
     await new Promise<void>((resolve) => {
       if (isComplete()) resolve();
       for (const replica of replicas.values()) {
-        void this.#seal(replica, partition, epoch, isOver).then((answer) => {
+        const request = { partition, epoch, owner: instance, replica: replica.instance, withoutStore };
+        void this.#seal(replica, request, isOver).then((answer) => {
           answers.set(replica.instance, answer);
           if (isComplete() || answers.size === replicas.size) resolve();
         });
@@ -71,8 +79,7 @@
     return { type: "collected", copies, complete: isComplete(), othersGone };
   }
 
-  async #seal(replica: Replica, partition: number, epoch: number, isOver: () => boolean): Promise<Answer> {
-    const request = { partition, epoch, replica: replica.instance };
+  async #seal(replica: Replica, request: SealCopiesRequest, isOver: () => boolean): Promise<Answer> {
     for (;;) {
       const reply = await this.#rpc.ask(replica.address, "sealCopies", request, SEAL_TIMEOUT_MS);
       if (reply.type === "done") {
--- a/src/gateway/replicas/replica-host.ts
+++ b/src/gateway/replicas/replica-host.ts
@@ -4,11 +4,14 @@
 import type { RequestId } from "../../scheduling/ids/request-id.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { GatewayRpcSchema, RetainedTurnContent } from "../gateway-messages.ts";
+import { AccountMirror } from "./account-mirror.ts";
 import { copyKey } from "./copy-key.ts";
 import type { RecordCopy } from "./record-copy.ts";
 import type {
   AppendCopiesRequest,
   AppendCopiesResponse,
+  MirrorAccountsRequest,
+  MirrorAccountsResponse,
   SealCopiesRequest,
   SealCopiesResponse,
 } from "./replica-messages.ts";
@@ -21,10 +24,19 @@
 export class ReplicaHost {
   readonly #context: GatewayContext;
   readonly #held: FencedCopies<RecordCopy>;
+  readonly #isAlive: (instance: string) => boolean;
+  readonly #mirrors = new Map<number, AccountMirror>();
 
-  constructor(context: GatewayContext, rpc: RpcEndpoint<GatewayRpcSchema>) {
+  /** @param isAlive whether a process is heard here */
+  constructor(
+    context: GatewayContext,
+    rpc: RpcEndpoint<GatewayRpcSchema>,
+    isAlive: (instance: string) => boolean,
+  ) {
+    this.#isAlive = isAlive;
     this.#context = context;
     this.#held = new FencedCopies(context.settings.replication.maxMegabytes * BYTES_PER_MEGABYTE);
+    rpc.handle("mirrorAccounts", async (request) => this.#mirror(request));
     rpc.handle("appendCopies", async (request) => this.#append(request));
     rpc.handle("sealCopies", async (request) => this.#seal(request));
     rpc.handle("dropCopies", async ({ partition, epoch, through }) => {
@@ -33,22 +45,57 @@
     });
   }
 
+  /** The partitions of which this gateway is a replica. */
+  get mirrors(): Iterable<AccountMirror> {
+    return this.#mirrors.values();
+  }
+
+  /** Epoch of the newest owner of a partition that is known here. */
+  epochOf(partition: number): number {
+    return this.#held.epochOf(partition);
+  }
+
   /** A turn of which a copy is held here. */
   turn(turn: RequestId): RetainedTurnContent | undefined {
     const copy = this.#held.find(copyKey("turn", turn));
     return copy?.type === "turn" ? copy.content : undefined;
   }
 
-  #append({ partition, epoch, replica, append, copies }: AppendCopiesRequest): AppendCopiesResponse {
+  #mirror(request: MirrorAccountsRequest): MirrorAccountsResponse {
+    const { partition, owner, replica, groups } = request;
+    const { clock, instance } = this.#context;
+    if (replica !== instance) return { type: "notMeant" };
+    if (!this.#held.admit(partition, request)) return { type: "fenced" };
+    if (!groups.flat().some((member) => member.instance === instance)) {
+      this.#mirrors.delete(partition);
+      return { type: "kept" };
+    }
+    const mirror = this.#mirrors.get(partition) ?? new AccountMirror(partition, owner);
+    mirror.update(request, clock.monotonicMs());
+    this.#mirrors.set(partition, mirror);
+    return { type: "kept" };
+  }
+
+  #append(request: AppendCopiesRequest): AppendCopiesResponse {
+    const { partition, replica, append, copies } = request;
     if (replica !== this.#context.instance) return { type: "notMeant" };
     const appended = copies.map((copy) => ({ key: keyOf(copy), bytes: bytesOf(copy), copy }));
-    return { type: this.#held.append(partition, epoch, append, appended) };
+    return { type: this.#held.append(partition, request, append, appended) };
   }
 
-  #seal({ partition, epoch, replica }: SealCopiesRequest): SealCopiesResponse {
-    if (replica !== this.#context.instance) return { type: "notMeant" };
-    const copies = this.#held.seal(partition, epoch);
-    return copies ? { type: "sealed", copies } : { type: "fenced" };
+  #seal(request: SealCopiesRequest): SealCopiesResponse {
+    const { partition, owner, replica, withoutStore } = request;
+    const mirror = this.#mirrors.get(partition);
+    if (replica !== this.#context.instance || (withoutStore && !mirror)) return { type: "notMeant" };
+    if (withoutStore && mirror && mirror.owner !== owner && this.#isAlive(mirror.owner))
+      return { type: "fenced" };
+    const copies = this.#held.seal(partition, request);
+    if (!copies) return { type: "fenced" };
+    // The new owner has new replicas; this gateway is one of them only when the owner says so.
+    if (!withoutStore) this.#mirrors.delete(partition);
+    const mirrored = withoutStore && mirror ? mirror.accounts : [];
+    const accounts = mirrored.map(([program, row]) => ({ type: "account", program, row }) as const);
+    return { type: "sealed", copies: [...copies, ...accounts] };
   }
 }
 
--- a/src/gateway/store-health.ts
+++ b/src/gateway/store-health.ts
@@ -56,12 +56,16 @@
     this.#writesWaitSinceMs = undefined;
   }
 
+  /** For how long writes have been leaving without any answer, in ms. */
+  get writesUnansweredMs(): number {
+    if (this.#writesWaitSinceMs === undefined) return 0;
+    return this.#context.clock.monotonicMs() - this.#writesWaitSinceMs;
+  }
+
   /** How long a record waits for the store before it is copied, in ms: not at all while no write is answered. */
   get copyDelayMs(): number {
     const { copyAfterMs } = this.#context.settings.replication;
-    if (this.#writesWaitSinceMs === undefined) return copyAfterMs;
-    const waitedMs = this.#context.clock.monotonicMs() - this.#writesWaitSinceMs;
-    return waitedMs >= copyAfterMs ? 0 : copyAfterMs;
+    return this.writesUnansweredMs >= copyAfterMs ? 0 : copyAfterMs;
   }
 
   /** Takes in how a call ended. */
--- a/test/contract/support/replicas-among.ts
+++ b/test/contract/support/replicas-among.ts
@@ -13,9 +13,14 @@
   epoch: number,
   rpc = new RpcEndpoint<GatewayRpcSchema>(NO_TRANSPORT, context.clock, context.random),
 ): PartitionReplicas {
-  const candidates = { choose: () => replicas, isAlive: () => true };
+  const candidates = {
+    choose: () => replicas,
+    isAlive: () => true,
+    isGone: () => false,
+    wasPaused: () => false,
+  };
   return new PartitionReplicas(
-    { context, rpc, candidates, partition: 1, epoch, onFenced: () => undefined },
+    { context, rpc, candidates, partition: 1, epoch, rowOwner: context.instance, onFenced: () => undefined },
     replicas,
     [],
   );
