--- a/src/cli/logs/summarize-logs.ts
+++ b/src/cli/logs/summarize-logs.ts
@@ -9,7 +9,7 @@
 const TELLING = [
   "gateway started",
   "stops",
-  "store out of reach",
+  "store unreachable",
   "store reachable",
   "configuration in force",
   "peer lost",
--- a/src/cli/logs/tell-story.ts
+++ b/src/cli/logs/tell-story.ts
@@ -7,13 +7,13 @@
 /** How long before the first call beliefs matter, in ms. */
 const BEFORE_MS = 5_000;
 /** Messages of beliefs about a partition. */
-const OF_PARTITION = ["partition taken over", "partition let go"];
+const OF_PARTITION = ["partition taken over", "partition released"];
 /** Messages of beliefs that touch every call of a machine. */
 const OF_MACHINE = [
   "gateway started",
   "stops",
   "stopped",
-  "store out of reach",
+  "store unreachable",
   "store reachable",
   "configuration in force",
   "lines of calls left out",
--- a/src/gateway/partitions/partition-client.ts
+++ b/src/gateway/partitions/partition-client.ts
@@ -69,9 +69,12 @@
   }
 
   /** Tells that a turn has ended; keeps on trying. */
-  end(request: EndTurnRequest, patienceMs = END_PATIENCE_MS): Promise<EndTurnResponse> {
+  async end(request: EndTurnRequest, patienceMs = END_PATIENCE_MS): Promise<EndTurnResponse> {
     const deadlineAtMs = this.#context.clock.monotonicMs() + patienceMs;
-    return this.#ask("endTurn", request, deadlineAtMs, () => false);
+    const response = await this.#ask("endTurn", request, deadlineAtMs, () => false);
+    const { turn, retained } = request;
+    if (retained && response.type === "ended") this.#host.rememberAnswered(turn, retained);
+    return response;
   }
 
   async #ask<Name extends OwnerRequest>(
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -33,6 +33,7 @@
   TABLES,
 } from "./partition-rows.ts";
 import { TransactionSender } from "./transaction-sender.ts";
+import { TurnCache } from "./turn-cache.ts";
 import { TurnFinder } from "./turn-finder.ts";
 import { TurnWriter } from "./turn-writer.ts";
 
@@ -44,6 +45,8 @@
  * and rise with each of its transactions, so that the next owner by the store is newer than all of these.
  */
 const EPOCH_STEP = 2 ** -10;
+/** Bytes of turns that a gateway keeps because they were answered through it. */
+const MAX_ANSWERED_BYTES = 4 * 1024 * 1024;
 /** Pause between looks whether partitions need other replicas, in ms: replicas that restart are back by then. */
 const RENEW_REPLICAS_MS = 1_000;
 /** How long a turn that nobody finds may be one whose copies were lost, in ms: as long as turns are kept by default. */
@@ -73,6 +76,8 @@
   readonly #collector: CopyCollector;
   readonly #replicaHost: ReplicaHost;
   readonly #finder: TurnFinder;
+  /** Turns that this gateway answered its callers: a new owner may need them before the store is back. */
+  readonly #answered = new TurnCache(MAX_ANSWERED_BYTES);
   #claimAfterMs = 0;
   /** Until when records may be missing whose copies were lost, in ms of the monotonic clock. */
   #lossMattersUntilMs = 0;
@@ -121,6 +126,11 @@
     this.#owners.forget(partition, instance);
   }
 
+  /** Remembers a turn that was answered through this gateway, whoever owns its partition. */
+  rememberAnswered(turn: RequestId, content: RetainedTurnContent): void {
+    this.#answered.add(turn, content);
+  }
+
   /** Partitions owned here, for the heartbeat. */
   get owned(): [number, number][] {
     return [...this.#owned.values()].map(({ partition, epoch }) => [partition, epoch]);
@@ -394,8 +404,8 @@
       const content = owned.turnInMemory(turn);
       if (content) return { type: "found", content };
     }
-    const copy = this.#replicaHost.turn(turn);
-    if (copy) return { type: "found", content: copy };
+    const inMemory = this.#replicaHost.turn(turn) ?? this.#answered.get(turn);
+    if (inMemory) return { type: "found", content: inMemory };
     return { type: "absent", mayBeLost: this.#context.clock.monotonicMs() < this.#lossMattersUntilMs };
   }
 
--- a/src/gateway/partitions/retained-turns.ts
+++ b/src/gateway/partitions/retained-turns.ts
@@ -2,6 +2,7 @@
 import type { RequestId } from "../../scheduling/ids/request-id.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { RetainedTurnContent } from "../gateway-messages.ts";
+import { TurnCache } from "./turn-cache.ts";
 import type { TurnLookup } from "./turn-lookup.ts";
 import { turnOf, turnPart, turnRange } from "./turn-rows.ts";
 
@@ -20,9 +21,7 @@
 /** See the module's comment. */
 export class RetainedTurns {
   readonly #context: GatewayContext;
-  /** In the order in which they were added. */
-  readonly #turns = new Map<RequestId, RetainedTurnContent>();
-  #cachedBytes = 0;
+  readonly #turns = new TurnCache(MAX_CACHED_BYTES);
   /** Newest version of the store that was seen: an answer that is older cannot say that a turn is not there. */
   readonly #newestVersion: () => number;
   /** Looks for a turn in the memory of the gateways: those that ended lately may not be in the store yet. */
@@ -60,7 +59,7 @@
     const content = this.#unstored.get(turn);
     if (!content) return;
     this.#unstored.delete(turn);
-    this.add(turn, content);
+    this.#turns.add(turn, content);
   }
 
   /** A turn was not kept: its answer was broken off. */
@@ -68,18 +67,6 @@
     this.#unstored.delete(turn);
   }
 
-  /** Keeps a turn, which is in the store, in memory as well; the oldest ones give way. */
-  add(turn: RequestId, content: RetainedTurnContent): void {
-    if (this.#turns.has(turn)) return;
-    this.#turns.set(turn, content);
-    this.#cachedBytes += sizeOf(content);
-    for (const [oldest, gone] of this.#turns) {
-      if (this.#cachedBytes <= MAX_CACHED_BYTES) return;
-      this.#turns.delete(oldest);
-      this.#cachedBytes -= sizeOf(gone);
-    }
-  }
-
   /** Input and output of a turn and of all before it, oldest first. */
   async history(turn: RequestId): Promise<HistoryOutcome> {
     const contents: RetainedTurnContent[] = [];
@@ -99,7 +86,7 @@
     const known = this.inMemory(turn);
     if (known) return { type: "found", content: known };
     const lookup = await this.#read(turn);
-    if (lookup.type === "found") this.add(turn, lookup.content);
+    if (lookup.type === "found") this.#turns.add(turn, lookup.content);
     return lookup;
   }
 
@@ -118,10 +105,6 @@
   }
 }
 
-function sizeOf({ input, output }: RetainedTurnContent): number {
-  return input.length + output.length;
-}
-
 function unavailable(detail: string): { type: "unavailable"; detail: string } {
   return { type: "unavailable", detail };
 }
--- a/src/gateway/store-health.ts
+++ b/src/gateway/store-health.ts
@@ -91,6 +91,6 @@
     this.#reachableSinceMs = reachable ? this.#context.clock.monotonicMs() : Number.POSITIVE_INFINITY;
     const log = this.#context.log;
     if (reachable) log.info({ reason }, "store reachable");
-    else log.warn({ reason, lastAnswerMs: Math.round(this.#lastAnswerMs) }, "store out of reach");
+    else log.warn({ reason, lastAnswerMs: Math.round(this.#lastAnswerMs) }, "store unreachable");
   }
 }
--- a/test/contract/log-report.test.ts
+++ b/test/contract/log-report.test.ts
@@ -26,7 +26,7 @@
   turn(500, 200, 300, ["x", "y"]),
   turn(600, 200, 200, ["x"]),
   tool(1_999, 504, 70),
-  { time: START_MS + 2_500, node: "b", msg: "store out of reach" },
+  { time: START_MS + 2_500, node: "b", msg: "store unreachable" },
   { time: START_MS + 2_600, node: "b", msg: "partition taken over" },
   turn(4_100, 503, 40, []),
   turn(4_200, 0, 900, ["y"]),
@@ -63,7 +63,7 @@
   it("names what gateways came to believe, and nothing of single partitions", () => {
     expect(summary.beliefs).toEqual([
       { startMs: -2_000, belief: "gateway started", count: 2 },
-      { startMs: 2_000, belief: "store out of reach", count: 1 },
+      { startMs: 2_000, belief: "store unreachable", count: 1 },
     ]);
   });
 
--- a/test/contract/log-story.test.ts
+++ b/test/contract/log-story.test.ts
@@ -44,12 +44,12 @@
 const TEXT = [
   "a line that is none",
   `  12.3 gateway-a ${line("gateway-a", 104, REFUSED)}`,
-  line("gateway-b", 50, { msg: "store out of reach", reason: "status 429" }),
+  line("gateway-b", 50, { msg: "store unreachable", reason: "status 429" }),
   line("gateway-c", 300, { msg: "partition taken over", partition: 9, epoch: 7 }),
   line("gateway-c", 301, { msg: "partition taken over", partition: 8, epoch: 7 }),
-  line("gateway-z", 302, { msg: "store out of reach", reason: "elsewhere" }),
+  line("gateway-z", 302, { msg: "store unreachable", reason: "elsewhere" }),
   line("gateway-a", 500, ANSWERED),
-  line("gateway-c", 9_000, { msg: "partition let go", partition: 9, epoch: 7 }),
+  line("gateway-c", 9_000, { msg: "partition released", partition: 9, epoch: 7 }),
   '{"broken": ',
 ].join("\n");
 
@@ -57,7 +57,7 @@
   it("tells of a request what was decided where, and what the owner believed before", () => {
     const story = tellStory(parseLog(TEXT), "r1");
     expect(story.map(({ time, node, text }) => `${time - START} ${node} ${text}`)).toEqual([
-      '50 gateway-b (store out of reach {"reason":"status 429"})',
+      '50 gateway-b (store unreachable {"reason":"status 429"})',
       "100 gateway-a r1 of program p arrives on route turn, configuration 4",
       "104 gateway-a r1: partition 9, owned by gateway-b#1, says unavailable after 4 ms",
       "104 gateway-a r1 ends after 4 ms, 503 unavailable: the store does not answer",
