--- a/bench/mutations/gateway-mutations.ts
+++ b/bench/mutations/gateway-mutations.ts
@@ -10,8 +10,8 @@
     edits: [
       {
         file: "src/gateway/partitions/owned-partition.ts",
-        from: "if (account.holds(grant.revision)) return Promise.resolve(true);",
-        to: 'if (grant.type === "granted") return Promise.resolve(true);',
+        from: 'if (account.holds(grant.revision)) return Promise.resolve("recorded");',
+        to: 'if (grant.type === "granted") return Promise.resolve("recorded");',
       },
     ],
     script,
@@ -58,16 +58,81 @@
   },
   {
     promise: "history",
-    name: "gateway: an answer ends before its turn is in the store",
+    name: "gateway: an answer ends before its turn is in the store or in copies",
     edits: [
       {
         file: "src/gateway/partitions/owned-partition.ts",
-        from: "if (!(await this.#turnWriter.write(turn, retained))) {",
-        to: "if (void this.#turnWriter.write(turn, retained)) {",
+        from: "if (retained && !(await this.#retain(turn, retained)))",
+        to: "if (retained && void this.#retain(turn, retained))",
       },
     ],
     script,
-    args: ["--faults", "store-silent,kill-all"],
+    args: ["--faults", "store-silent,kill"],
+  },
+  {
+    promise: "history",
+    name: "gateway: a new owner does not ask the replicas of the one before",
+    edits: [
+      {
+        file: "src/gateway/partitions/partition-host.ts",
+        from: "this.#collector.collect(partition, taken.epoch, taken.inherited),",
+        to: "this.#collector.collect(partition, taken.epoch, []),",
+      },
+    ],
+    script,
+    args: ["--faults", "store-busy,kill"],
+  },
+  {
+    promise: "budget",
+    name: "gateway: replicas are not told of accounts in calm",
+    edits: [
+      {
+        file: "src/gateway/partitions/partition-writer.ts",
+        from: "if (writes.length > 0) void replicas.mirror(mirrored(writes), false);",
+        to: "",
+      },
+    ],
+    script,
+    args: ["--faults", "store-busy,kill"],
+  },
+  {
+    promise: "budget",
+    name: "gateway: an owner that stood still does not ask its replicas",
+    edits: [
+      {
+        file: "src/gateway/replicas/partition-replicas.ts",
+        from: "if (candidates.wasPaused()) return false;",
+        to: "",
+      },
+    ],
+    script,
+    args: ["--faults", "freeze,store-busy"],
+  },
+  {
+    promise: "budget",
+    name: "gateway: a replica takes over from an owner that it hears",
+    edits: [
+      {
+        file: "src/gateway/replicas/replica-host.ts",
+        from: "if (withoutStore && mirror && mirror.owner !== owner && this.#isAlive(mirror.owner))",
+        to: "if (withoutStore && mirror === undefined)",
+      },
+    ],
+    script,
+    args: ["--faults", "part-peers,store-silent"],
+  },
+  {
+    promise: "budget",
+    name: "gateway: a peer sends a transaction without its conditions",
+    edits: [
+      {
+        file: "src/gateway/store/relayed-row-store.ts",
+        from: "transaction: { ...call.transaction, puts } };",
+        to: "transaction: { ...call.transaction, puts, conditions: [] } };",
+      },
+    ],
+    script,
+    args: ["--faults", "cut-store,freeze"],
   },
   {
     promise: "configuration",
