--- a/bench/mutations/gateway-mutations.ts
+++ b/bench/mutations/gateway-mutations.ts
@@ -132,7 +132,7 @@
       },
     ],
     script,
-    args: ["--faults", "cut-store,freeze"],
+    args: ["--faults", "cut-store,part-peers"],
   },
   {
     promise: "configuration",
--- a/bench/simulate-gateways.ts
+++ b/bench/simulate-gateways.ts
@@ -43,8 +43,8 @@
   process.stdout.write(
     `seed ${seed} ${faults.join(",")}: ${verdict}; ${granted} granted, ${exhausted} exhausted, ${unavailable} unavailable, ${lost} lost\n`,
   );
-  for (const [reason, count] of result.unavailableFor) process.stdout.write(`  ${count} x ${reason}\n`);
   for (const line of result.broken) process.stdout.write(`  ${line}\n`);
+  for (const [reason, count] of result.unavailableFor) process.stdout.write(`    ${count} x ${reason}\n`);
   if (result.broken.length > 0) failed += 1;
 }
 process.stdout.write(`${failed} of ${values.runs} runs broke a promise\n`);
--- a/test/contract/log-report.test.ts
+++ b/test/contract/log-report.test.ts
@@ -75,6 +75,6 @@
     const svg = summarySvg(summary);
     expect(svg.match(/<polyline/g)?.length).toEqual(8);
     expect(/NaN|Infinity|undefined/.test(svg)).toEqual(false);
-    expect(svg.includes("<title>store out of reach (1)</title>")).toEqual(true);
+    expect(svg.includes("<title>store unreachable (1)</title>")).toEqual(true);
   });
 });
--- a/test/contract/standins.test.ts
+++ b/test/contract/standins.test.ts
@@ -224,9 +224,9 @@
   });
 });
 
-/** Resolves once the engine runs a request: under load it takes longer to arrive than any fixed pause. */
-async function untilRunning({ model }: EngineStandin): Promise<void> {
-  while (model.runningCount === 0) await new Promise((resolve) => setTimeout(resolve, 1));
+/** Resolves once the engine runs so many requests: under load they take longer to arrive than any fixed pause. */
+async function untilRunning({ model }: EngineStandin, count = 1): Promise<void> {
+  while (model.runningCount < count) await new Promise((resolve) => setTimeout(resolve, 1));
 }
 
 describe("engine", () => {
@@ -335,7 +335,7 @@
   it("serves the more urgent first when its batch is full", async () => {
     const long = () => generate(requestOf({ messages: [{ role: "user", content: "#tokens=30" }] }));
     const first = [long(), long()];
-    await new Promise((resolve) => setTimeout(resolve, 15));
+    await untilRunning(engine, first.length);
     const order: string[] = [];
     const note = (name: string) => () => order.push(name);
     const lazy = generate(requestOf({ priority: 3 })).then(note("lazy"));
