Keep what is known of members and runners by event, not by tick

Cause: with 195 gateways each tick and each choice of a runner did work that grows with the number of members. Who is alive was found anew for each question (every member, every relay's word), what 194 members own was compared with all partitions twice a second, a choice of a runner summed the reports of all nodes for each runner, and a relay put its digest together anew for each of its receivers.

Change: the set of live members is kept until evidence is withdrawn, added or grows old; ownership is indexed by owner; reports are summed as they come (ReportTotals); a relay's lists are made once a tick, and nothing is compared for a receiver that was told of the same list.

Ruled out: a cache of live members by time alone (detection would be later by its length); fewer heartbeats.

--- /dev/null
+++ b/bench/gateway-cost.ts
@@ -0,0 +1,59 @@
+/**
+ * What a gateway's process costs among many: `npm run gateway-cost -- [--sizes 40,100] [--seconds 10] [--profile FOLDER]`.
+ * Starts that many real processes of the bundle (`npm run build:gateway`) on the loopback, before stand-ins of the store
+ * and of runners in this process, and reports processor time by part: a start, a second at rest, a turn, a plain call.
+ * With `--profile` one gateway writes a CPU profile into a folder.
+ */
+import { parseArgs } from "node:util";
+import { CostCluster } from "./gateway-cost/cost-cluster.ts";
+import { measureCosts } from "./gateway-cost/measure-costs.ts";
+
+const MS_PER_S = 1_000;
+
+const { values } = parseArgs({
+  options: {
+    sizes: { type: "string", default: "40,100" },
+    zones: { type: "string", default: "5" },
+    runners: { type: "string", default: "48" },
+    seconds: { type: "string", default: "10" },
+    turns: { type: "string", default: "2" },
+    calls: { type: "string", default: "2" },
+    bundle: { type: "string", default: "target/gateway.cjs" },
+    profile: { type: "string" },
+    flags: {
+      type: "string",
+      default: "--max-old-space-size=160 --single-threaded-gc --interrupt-budget=2000000",
+    },
+  },
+});
+
+process.stdout.write("gateways  start ms  at rest ms/s  turn ms  call ms  failed  MB each\n");
+for (const gateways of values.sizes.split(",").map(Number)) {
+  const cluster = new CostCluster({
+    gateways,
+    zones: Number(values.zones),
+    runners: Number(values.runners),
+    bundle: values.bundle,
+    flags: values.flags.split(" "),
+    profileFolder: values.profile,
+  });
+  try {
+    const costs = await measureCosts(cluster, {
+      durationMs: Number(values.seconds) * MS_PER_S,
+      turnsPerSecond: Number(values.turns) * gateways,
+      callsPerSecond: Number(values.calls) * gateways,
+    });
+    const columns = [
+      String(gateways).padStart(8),
+      costs.startMs.toFixed(0).padStart(9),
+      costs.restMsPerSecond.toFixed(2).padStart(13),
+      costs.turnMs.toFixed(2).padStart(8),
+      costs.callMs.toFixed(2).padStart(8),
+      String(costs.failed).padStart(7),
+      costs.megabytes.toFixed(1).padStart(8),
+    ];
+    process.stdout.write(`${columns.join(" ")}\n`);
+  } finally {
+    await cluster.stop();
+  }
+}
--- /dev/null
+++ b/bench/gateway-cost/cost-cluster.ts
@@ -0,0 +1,179 @@
+/** Real gateways as separate processes before stand-ins of the store and of runners, and what they cost the machine. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request as httpRequest } from "undici";
+import { RowStoreStandin } from "../../standins/platform/row-store-standin.ts";
+import { RunnerStandin } from "../../standins/platform/runner-standin.ts";
+import { TestAddresses } from "../../test/process/support/test-addresses.ts";
+import { COST_HOST, putConfiguration } from "./cost-configuration.ts";
+
+/** What a cluster consists of. */
+export interface CostClusterOptions {
+  readonly gateways: number;
+  readonly zones: number;
+  readonly runners: number;
+  /** The program that each gateway runs. */
+  readonly bundle: string;
+  /** Flags of the runtime. */
+  readonly flags: readonly string[];
+  /** Where one gateway writes a CPU profile; none when undefined. */
+  readonly profileFolder: string | undefined;
+}
+
+/** One gateway's process. */
+export interface CostGateway {
+  readonly callers: string;
+  readonly directory: string;
+  readonly process: ChildProcess;
+}
+
+/** Part of the runners that serve plain calls. */
+const SERVICE_PART = 0.15;
+/** How often runners write their rows, in ms; as on the users' platform. */
+const RUNNER_HEARTBEAT_MS = 1_200;
+/** How often the platform asks each gateway whether it is ready, in ms. */
+const READINESS_MS = 1_000;
+const READY_TIMEOUT_MS = 60_000;
+const POLL_MS = 250;
+const NANOSECONDS_PER_MS = 1_000_000;
+const KILOBYTES_PER_MEGABYTE = 1_024;
+/** Events of a turn's answer, as on the users' large deployments. */
+const EVENTS = 9;
+
+/** See the module's comment. */
+export class CostCluster {
+  readonly gateways: CostGateway[] = [];
+  readonly #options: CostClusterOptions;
+  readonly #store = new RowStoreStandin();
+  readonly #runners: { readonly standin: RunnerStandin; readonly row: Record<string, unknown> }[] = [];
+  readonly #timers: NodeJS.Timeout[] = [];
+  #folder = "";
+
+  constructor(options: CostClusterOptions) {
+    this.#options = options;
+  }
+
+  /** Starts everything, and waits until the directory of each gateway is full. */
+  async start(): Promise<void> {
+    const storeAddress = await this.#store.listen();
+    this.#folder = await mkdtemp(join(tmpdir(), "tulipwheel-cost-"));
+    putConfiguration(this.#store);
+    for (let index = 0; index < this.#options.runners; index += 1) await this.#addRunner(index);
+    await this.#addGateways(storeAddress);
+    await this.#ready();
+    this.#timers.push(setInterval(() => this.#writeRunners(), RUNNER_HEARTBEAT_MS));
+    this.#timers.push(setInterval(() => this.#checkReadiness(), READINESS_MS));
+  }
+
+  /** Processor time that all gateways have used so far, in ms. */
+  async processorMs(): Promise<number> {
+    const times = await Promise.all(
+      this.gateways.map(async ({ process }) => {
+        const text = await readFile(`/proc/${process.pid}/schedstat`, "utf8");
+        return Number(text.split(" ")[0]) / NANOSECONDS_PER_MS;
+      }),
+    );
+    return times.reduce((sum, time) => sum + time, 0);
+  }
+
+  /** Resident memory of all gateways that is not shared with others, in MB. */
+  async megabytes(): Promise<number> {
+    const sizes = await Promise.all(
+      this.gateways.map(async ({ process }) => {
+        const text = await readFile(`/proc/${process.pid}/status`, "utf8");
+        return Number(/RssAnon:\s+(\d+)/.exec(text)?.[1] ?? 0) / KILOBYTES_PER_MEGABYTE;
+      }),
+    );
+    return sizes.reduce((sum, size) => sum + size, 0);
+  }
+
+  async stop(): Promise<void> {
+    for (const timer of this.#timers) clearInterval(timer);
+    await Promise.all(this.gateways.map(({ process }) => end(process)));
+    this.#store.close();
+    for (const { standin } of this.#runners) standin.close();
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+
+  async #addRunner(index: number): Promise<void> {
+    const { runners, zones } = this.#options;
+    const service = index < runners * SERVICE_PART ? "api" : "engine";
+    const standin = new RunnerStandin(`${service}-${index}`);
+    standin.events = EVENTS;
+    const address = await standin.listen();
+    const row = { service, address, zone: `zone-${index % zones}`, version: "1", slots: 6, state: "ready" };
+    this.#runners.push({ standin, row });
+    this.#store.put("servers", standin.id, { ...row, "cold-remaining-ms": 0, sequence: 1 });
+  }
+
+  async #addGateways(store: string): Promise<void> {
+    const addresses = new TestAddresses();
+    const seeds: string[] = [];
+    const files: string[] = [];
+    const { gateways, zones, bundle, flags, profileFolder } = this.#options;
+    for (let index = 0; index < gateways; index += 1) {
+      const name = `gateway-${index}`;
+      const [callers, readiness, directory, peers] = [0, 1, 2, 3].map(() => addresses.next());
+      if (index < 3) seeds.push(peers as string);
+      const listen = { callers, readiness, directory, peers };
+      const settings = { name, region: "region", zone: `zone-${index % zones}`, listen, seeds, store };
+      const file = join(this.#folder, `${name}.yaml`);
+      await writeFile(file, JSON.stringify(settings));
+      files.push(file);
+      this.gateways.push({ callers: callers as string, directory: directory as string } as CostGateway);
+    }
+    for (const [index, file] of files.entries()) {
+      const isProfiled = profileFolder !== undefined && index === gateways - 1;
+      const profile = isProfiled ? ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`] : [];
+      const child = spawn(process.execPath, [...flags, ...profile, bundle], {
+        stdio: ["ignore", "ignore", "inherit"],
+        env: { ...process.env, TULIPWHEEL_NODE_FILE: file },
+      });
+      this.gateways[index] = { ...(this.gateways[index] as CostGateway), process: child };
+    }
+  }
+
+  async #ready(): Promise<void> {
+    const deadlineMs = performance.now() + READY_TIMEOUT_MS;
+    const [first] = this.gateways;
+    const wanted = Math.ceil(this.gateways.length / this.#options.zones) - 1;
+    while ((await this.#directorySize(first as CostGateway)) < wanted) {
+      if (performance.now() > deadlineMs) throw new Error("The gateways are not ready in time.");
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  async #directorySize({ directory }: CostGateway): Promise<number> {
+    try {
+      const answer = await httpRequest(
+        `http://${directory}/tulipwheel/resolve?name=${COST_HOST}&zone=zone-0`,
+      );
+      const text = await answer.body.text();
+      return answer.statusCode === 200 ? (JSON.parse(text) as { addresses: string[] }).addresses.length : 0;
+    } catch {
+      return 0;
+    }
+  }
+
+  #writeRunners(): void {
+    for (const { standin, row } of this.#runners)
+      this.#store.put("servers", standin.id, { ...row, "cold-remaining-ms": 0, sequence: Date.now() });
+  }
+
+  #checkReadiness(): void {
+    for (const { directory } of this.gateways)
+      httpRequest(`http://${directory}/tulipwheel/readyz`)
+        .then(({ body }) => body.dump())
+        .catch(() => undefined);
+  }
+}
+
+function end(child: ChildProcess): Promise<void> {
+  return new Promise((resolve) => {
+    child.once("exit", () => resolve());
+    child.kill("SIGTERM");
+    setTimeout(() => child.kill("SIGKILL"), 8_000).unref();
+  });
+}
--- a/src/coordination/liveness/peer-liveness.ts
+++ b/src/coordination/liveness/peer-liveness.ts
@@ -30,8 +30,14 @@
 
   /** Whether the peer counts as alive. */
   alive(address: string, nowMs: number): boolean {
+    return nowMs < this.aliveUntilMs(address);
+  }
+
+  /** Until when the peer counts as alive if nothing more is heard of it, in ms; minus infinity if it does not. */
+  aliveUntilMs(address: string): number {
     const peer = this.#peers.get(address);
-    return peer !== undefined && !peer.refused && nowMs - peer.lastHeardMs < this.#suspectAfterMs;
+    if (peer === undefined || peer.refused) return Number.NEGATIVE_INFINITY;
+    return peer.lastHeardMs + this.#suspectAfterMs;
   }
 
   /** This node itself stood still: what peers sent meanwhile has not been read yet, so nobody counts as silent. */
--- a/src/coordination/partition-ownership/ownership-map.ts
+++ b/src/coordination/partition-ownership/ownership-map.ts
@@ -9,6 +9,8 @@
 /** What one node has heard of owners. Hearsay only: the owner's writes are fenced where they land, in the store. */
 export class OwnershipMap {
   readonly #owners = new Map<number, Ownership>();
+  /** Partitions of each owner, so that what one owner says costs nothing for those of the others. */
+  readonly #partitions = new Map<string, Set<number>>();
 
   /** The newest owner that was heard of. */
   owner(partition: number): Ownership | undefined {
@@ -19,28 +21,38 @@
   learn(partition: number, ownership: Ownership): boolean {
     const known = this.#owners.get(partition);
     if (known && known.epoch >= ownership.epoch) return false;
+    if (known) this.#drop(partition, known.instance);
     this.#owners.set(partition, ownership);
+    const partitions = this.#partitions.get(ownership.instance);
+    if (partitions) partitions.add(partition);
+    else this.#partitions.set(ownership.instance, new Set([partition]));
     return true;
   }
 
   /** Forgets an owner that said it has let go, or is gone. */
   forget(partition: number, instance: string): void {
-    if (this.#owners.get(partition)?.instance === instance) this.#owners.delete(partition);
+    if (this.#owners.get(partition)?.instance === instance) this.#drop(partition, instance);
   }
 
   /** Takes in everything that an incarnation says it owns: what it does not name, it has let go. */
   learnAll(instance: string, owned: readonly (readonly [partition: number, epoch: number])[]): void {
-    const named = new Set(owned.map(([partition]) => partition));
-    for (const [partition, owner] of this.#owners) {
-      if (owner.instance === instance && !named.has(partition)) this.#owners.delete(partition);
+    const known = this.#partitions.get(instance);
+    if (known) {
+      const named = new Set(owned.map(([partition]) => partition));
+      for (const partition of [...known]) if (!named.has(partition)) this.#drop(partition, instance);
     }
     for (const [partition, epoch] of owned) this.learn(partition, { instance, epoch });
   }
 
   /** Forgets everything that an incarnation owned. */
   forgetInstance(instance: string): void {
-    for (const [partition, owner] of this.#owners) {
-      if (owner.instance === instance) this.#owners.delete(partition);
-    }
+    for (const partition of [...(this.#partitions.get(instance) ?? [])]) this.#drop(partition, instance);
+  }
+
+  #drop(partition: number, instance: string): void {
+    this.#owners.delete(partition);
+    const partitions = this.#partitions.get(instance);
+    partitions?.delete(partition);
+    if (partitions?.size === 0) this.#partitions.delete(instance);
   }
 }
--- a/src/gateway/members/digest-log.ts
+++ b/src/gateway/members/digest-log.ts
@@ -7,25 +7,36 @@
 
 interface ReceiverState {
   sequence: number;
+  /** The list that it was last told of: while that is the same, there is no news. */
+  toldList: readonly Member[] | undefined;
   /** What it was last told, by incarnation. */
   readonly told: Map<string, MemberStatus>;
 }
 
+const NO_NEWS = { changed: [], lost: [], whole: false };
+
 /** See the module's comment. */
 export class DigestLog {
   /** By address. */
   readonly #receivers = new Map<string, ReceiverState>();
 
-  /** What to tell a receiver, given the gateways that are heard now; it counts as told from now on. */
+  /**
+   * What to tell a receiver of the gateways that are heard now, itself left out; it counts as told from now on.
+   *
+   * @param heard the same array as long as nothing about these gateways has changed
+   */
   news(receiver: string, heard: readonly Member[]): MemberNews {
     const known = this.#receivers.get(receiver);
-    const state = known ?? { sequence: 0, told: new Map<string, MemberStatus>() };
+    const state = known ?? { sequence: 0, toldList: undefined, told: new Map<string, MemberStatus>() };
     this.#receivers.set(receiver, state);
     state.sequence += 1;
+    if (state.toldList === heard) return { sequence: state.sequence, ...NO_NEWS };
+    state.toldList = heard;
     const { sequence, told } = state;
-    const changed = heard.filter((member) => told.get(member.instance) !== member.status);
+    const others = heard.filter(({ address }) => address !== receiver);
+    const changed = others.filter((member) => told.get(member.instance) !== member.status);
     for (const { instance, status } of changed) told.set(instance, status);
-    const instances = new Set(heard.map((member) => member.instance));
+    const instances = new Set(others.map((member) => member.instance));
     const lost = [...told.keys()].filter((instance) => !instances.has(instance));
     for (const instance of lost) told.delete(instance);
     const relayed = changed.map(({ address, instance, status }) => ({ address, instance, status }));
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -8,6 +8,7 @@
 import { repeat } from "../../runtime/clock.ts";
 import type { Sender, Transport } from "../../runtime/transport.ts";
 import type { NodeReport } from "../../scheduling/runner-board/node-report.ts";
+import { withoutReport } from "../../scheduling/runner-board/without-report.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type {
   GatewayMessage,
@@ -35,6 +36,7 @@
 const MAX_ADDRESSES = 64;
 /** With fewer live gateways in a caller's zone than this, it is given all. */
 const MIN_IN_ZONE = 2;
+const NO_LOAD: NodeReport = { inFlight: [], failing: [] };
 /** A relay passes changes on after this time, in ms, together with those that come meanwhile. */
 const FORWARD_MS = 20;
 
@@ -62,6 +64,9 @@
   /** Addresses where nothing listens. */
   readonly #refusing = new Set<string>();
   #lastStatus: MemberStatus | undefined;
+  /** The members of this zone, and all that may be named in it, as digests last told of them. */
+  #zoneMembers: readonly Member[] = [];
+  #firsthandMembers: readonly Member[] = [];
   #ticks = 0;
   #forwarding = false;
   #stop: () => void = () => undefined;
@@ -70,7 +75,7 @@
     state: "starting",
     storeDirect: false,
     owned: [],
-    runners: { inFlight: [], failing: [] },
+    runners: NO_LOAD,
   });
   /** Called when a gateway was heard of. */
   onHeard: (member: Member) => void = () => undefined;
@@ -79,7 +84,7 @@
   /** Called with the requests at runners of a gateway, or of a zone. */
   onLoads: (source: string, report: NodeReport) => void = () => undefined;
   /** Sums the loads that were last given for some sources. */
-  sumLoads: (sources: readonly string[]) => NodeReport = () => ({ inFlight: [], failing: [] });
+  sumLoads: (sources: readonly string[]) => NodeReport = () => NO_LOAD;
 
   constructor(context: GatewayContext, transport: MemberTransport, health: StoreHealth) {
     this.#context = context;
@@ -115,7 +120,7 @@
     if (address === this.#transport.self.address || this.#known.has(address)) return;
     this.#known.add(address);
     if (this.#ticks > 0 && this.#view.size < this.#context.settings.membership.directMost)
-      this.#transport.send(address, this.#heartbeat(address, true));
+      this.#transport.send(address, this.#heartbeat(address, this.selfReport(), true));
   }
 
   /** Sends heartbeats now, and looks who has fallen silent. */
@@ -126,7 +131,8 @@
     const targets = new Set(plan.heartbeatsTo);
     if (this.#ticks % PROBE_EVERY === 1)
       for (const address of this.#addressesToProbe(plan)) targets.add(address);
-    for (const address of targets) this.#transport.send(address, this.#heartbeat(address));
+    const report = this.selfReport();
+    for (const address of targets) this.#transport.send(address, this.#heartbeat(address, report));
     this.#sendDigests(plan);
     this.#repeatRelayed();
   }
@@ -142,7 +148,7 @@
     for (const peer of heartbeat.peers) this.know(peer);
     if (isNew || heartbeat.missedDigest) this.#digests.reset(address);
     if (isNew) {
-      this.#transport.send(address, this.#heartbeat(address, true));
+      this.#transport.send(address, this.#heartbeat(address, this.selfReport(), true));
     }
     this.onHeard(member);
     this.onLoads(instance, heartbeat.runners);
@@ -271,7 +277,7 @@
       .alive()
       .filter(({ status }) => isEligible(status))
       .map(({ status, hash }) => ({ name: status.name, hash }));
-    if (isEligible(this.#status()))
+    if (isEligible(this.#status(this.selfReport())))
       candidates.push({ name: this.#context.settings.name, hash: this.#selfHash });
     return candidates;
   }
@@ -313,10 +319,21 @@
     });
   }
 
-  /** With relays, only they look for gateways that nobody hears, and those that no relay speaks to. */
+  /**
+   * Whether this gateway looks for others that nobody hears. With relays, only they do, and those that no relay speaks
+   * to.
+   */
+  get looksForOthers(): boolean {
+    return this.#looksForOthers(this.#plan());
+  }
+
+  #looksForOthers(plan: HeartbeatPlan): boolean {
+    const isIsolated = !plan.heartbeatsTo.some((address) => this.#view.isHeard(address));
+    return !plan.relayed || plan.relay || isIsolated;
+  }
+
   #addressesToProbe(plan: HeartbeatPlan): string[] {
-    const isolated = !plan.heartbeatsTo.some((address) => this.#view.isHeard(address));
-    if (plan.relayed && !plan.relay && !isolated) return [];
+    if (!this.#looksForOthers(plan)) return [];
     return [...this.#known].filter((address) => {
       const member = this.#view.at(address);
       return !member || !this.#view.isAlive(member);
@@ -336,15 +353,21 @@
   #sendDigests(plan: HeartbeatPlan): void {
     const { zoneDigestsTo, fullDigestsTo } = plan;
     if (zoneDigestsTo.length === 0 && fullDigestsTo.length === 0) return;
+    const { zone } = this.#context.settings;
     const alive = this.#view.alive();
-    const ofZone = alive.filter(({ status, address }) => {
-      return status.zone === this.#context.settings.zone && this.#view.isHeard(address);
-    });
-    for (const address of zoneDigestsTo)
-      this.#sendDigest(address, ofZone, [this.#zoneLoad(ofZone, plan, address)]);
+    const heard = alive.filter(({ address }) => this.#view.isHeard(address));
+    const ofZone = heard.filter(({ status }) => status.zone === zone);
+    const zoneLoad = this.#zoneLoad(ofZone, plan);
+    if (zoneDigestsTo.length > 0) {
+      this.#zoneMembers = sameList(this.#zoneMembers, ofZone);
+      for (const address of zoneDigestsTo) this.#sendDigest(address, this.#zoneMembers, [[zone, zoneLoad]]);
+    }
+    if (fullDigestsTo.length === 0) return;
+    this.#firsthandMembers = sameList(this.#firsthandMembers, this.#view.firsthand());
+    const otherLoads = this.#otherZoneLoads(alive, heard);
     for (const address of fullDigestsTo) {
-      const others = alive.filter((member) => member.address !== address && this.#view.isFirsthand(member));
-      this.#sendDigest(address, others, this.#loads(alive, plan, address));
+      const load = withoutReport(zoneLoad, this.#loadOf(address));
+      this.#sendDigest(address, this.#firsthandMembers, [[zone, load], ...otherLoads]);
     }
   }
 
@@ -352,35 +375,31 @@
     this.#transport.send(address, { type: "memberDigest", ...this.#digests.news(address, heard), loads });
   }
 
-  /** Loads of this zone but of its relays, and of the receiver, which tell theirs themselves. */
-  #zoneLoad(ofZone: readonly Member[], plan: HeartbeatPlan, receiver: string): [string, NodeReport] {
-    const told = new Set([
-      ...plan.heartbeatsTo.filter((address) => !plan.fullDigestsTo.includes(address)),
-      receiver,
-    ]);
+  /** Loads of this zone but of those that tell theirs to the receivers of digests themselves: relays. */
+  #zoneLoad(ofZone: readonly Member[], plan: HeartbeatPlan): NodeReport {
+    const digested = new Set(plan.fullDigestsTo);
+    const told = new Set(plan.heartbeatsTo.filter((address) => !digested.has(address)));
     const sources = ofZone.filter(({ address }) => !told.has(address)).map(({ instance }) => instance);
-    return [this.#context.settings.zone, this.sumLoads(sources)];
+    return this.sumLoads(sources);
+  }
+
+  #loadOf(address: string): NodeReport {
+    const member = this.#view.at(address);
+    return member ? this.sumLoads([member.instance]) : NO_LOAD;
   }
 
-  #loads(alive: readonly Member[], plan: HeartbeatPlan, receiver: string): [string, NodeReport][] {
-    const own = this.#context.settings.zone;
-    const ofZone = alive.filter(({ status, address }) => status.zone === own && this.#view.isHeard(address));
-    const loads = [this.#zoneLoad(ofZone, plan, receiver)];
+  /** Loads of the other zones: what their relays say of them, and those of the relays themselves. */
+  #otherZoneLoads(alive: readonly Member[], heard: readonly Member[]): [string, NodeReport][] {
     const zones = new Set(alive.map(({ status }) => status.zone));
-    zones.delete(own);
-    for (const zone of zones) {
-      const relays = alive.filter(
-        ({ status, address }) => status.zone === zone && this.#view.isHeard(address),
-      );
-      const sources = [loadSourceOf(zone), ...relays.map(({ instance }) => instance)];
-      loads.push([zone, this.sumLoads(sources)]);
-    }
-    return loads;
+    zones.delete(this.#context.settings.zone);
+    return [...zones].map((zone) => {
+      const relays = heard.filter(({ status }) => status.zone === zone);
+      return [zone, this.sumLoads([loadSourceOf(zone), ...relays.map(({ instance }) => instance)])];
+    });
   }
 
-  #status(): MemberStatus {
+  #status({ state, storeDirect, owned }: SelfReport): MemberStatus {
     const { name, zone, listen } = this.#context.settings;
-    const { state, storeDirect, owned } = this.selfReport();
     const changing = { state, storeReachable: this.#health.reachable, storeDirect, owned };
     const last = this.#lastStatus;
     if (last && sameStatus(last, changing)) return last;
@@ -389,11 +408,11 @@
     return this.#lastStatus;
   }
 
-  #heartbeat(receiver: string, withPeers = this.#ticks % PEERS_EVERY === 1): Heartbeat {
-    const { runners } = this.selfReport();
+  #heartbeat(receiver: string, report: SelfReport, withPeers = this.#ticks % PEERS_EVERY === 1): Heartbeat {
+    const { runners } = report;
     const peers = withPeers ? [...this.#known] : [];
     const missedDigest = this.#sequences.missed(receiver);
-    return { type: "heartbeat", ...this.#status(), runners, peers, missedDigest };
+    return { type: "heartbeat", ...this.#status(report), runners, peers, missedDigest };
   }
 }
 
@@ -414,6 +433,12 @@
   return status.state === "ready" && status.storeReachable;
 }
 
+/** The earlier list, if it names the same members: whoever was told of it need not be told again. */
+function sameList(earlier: readonly Member[], now: readonly Member[]): readonly Member[] {
+  const isSame = earlier.length === now.length && now.every((member, index) => member === earlier[index]);
+  return isSame ? earlier : now;
+}
+
 /** Under which name the loads of a zone are known. */
 function loadSourceOf(zone: string): string {
   return `zone ${zone}`;
--- a/src/gateway/members/member-view.ts
+++ b/src/gateway/members/member-view.ts
@@ -6,7 +6,7 @@
 import type { GatewayContext } from "../gateway-context.ts";
 import type { MemberDigest, MemberStatus } from "../gateway-messages.ts";
 import type { Member } from "./member.ts";
-import { Vouchers } from "./vouchers.ts";
+import { type RelayVouchers, Vouchers } from "./vouchers.ts";
 
 /** Told of what changes. */
 export interface MemberViewListener {
@@ -16,6 +16,14 @@
   onLost(member: Member): void;
 }
 
+/** Who is alive, as of the evidence at one moment. */
+interface AliveMembers {
+  readonly members: readonly Member[];
+  readonly byInstance: ReadonlyMap<string, Member>;
+  /** When the first piece of evidence grows old, in ms of the monotonic clock. */
+  readonly untilMs: number;
+}
+
 /** See the module's comment. */
 export class MemberView {
   readonly #context: GatewayContext;
@@ -28,6 +36,8 @@
   /** Incarnations that are no longer alive, and since when (monotonic clock, ms). */
   readonly #lost = new Map<string, number>();
   #lastLookMs: number | undefined;
+  /** Who is alive, until something withdraws or adds evidence of a life, or a piece of evidence grows old. */
+  #aliveNow: AliveMembers | undefined;
   /** When this process last went on after it had stood still, in ms of the monotonic clock. */
   #resumedMs = Number.NEGATIVE_INFINITY;
 
@@ -50,19 +60,18 @@
   }
 
   /** All that are alive. */
-  alive(): Member[] {
-    return [...this.#members.values()].filter((member) => this.isAlive(member));
+  alive(): readonly Member[] {
+    return this.#alive.members;
   }
 
   /** An incarnation, if it is alive. */
   live(instance: string): Member | undefined {
-    const member = this.#byInstance.get(instance);
-    return member && this.isAlive(member) ? member : undefined;
+    return this.#alive.byInstance.get(instance);
   }
 
   /** Whether a gateway is alive: heard here, or by a relay. */
-  isAlive({ address, instance }: Member): boolean {
-    return this.isHeard(address) || this.#relaysFor(instance).length > 0;
+  isAlive({ instance }: Member): boolean {
+    return this.#alive.byInstance.has(instance);
   }
 
   /** Whether a gateway is heard directly. */
@@ -71,25 +80,31 @@
   }
 
   /**
-   * Whether a gateway may be named to others of the zone: it is heard here, or by a relay of another zone. Two gateways
-   * of one zone that take each other for no relay would otherwise name a dead one to each other for ever.
+   * The gateways that may be named to others of the zone: heard here, or by a relay of another zone. Two gateways of one
+   * zone that take each other for no relay would otherwise name a dead one to each other for ever.
    */
-  isFirsthand({ address, instance }: Member): boolean {
-    if (this.isHeard(address)) return true;
-    return this.#relaysFor(instance).some((relay) => {
-      return this.#members.get(relay)?.status.zone !== this.#context.settings.zone;
+  firsthand(): Member[] {
+    const { zone } = this.#context.settings;
+    const relays = this.#vouchers.current(this.#nowMs).filter(({ relay }) => {
+      return this.isHeard(relay) && this.#members.get(relay)?.status.zone !== zone;
+    });
+    return this.alive().filter(({ address, instance }) => {
+      return this.isHeard(address) || relays.some(({ instances }) => instances.has(instance));
     });
   }
 
   /** Takes in a heartbeat. */
   heard(address: string, instance: string, status: MemberStatus): Member {
     const member = this.#remember(address, instance, status);
+    if (!this.isHeard(address)) this.#aliveNow = undefined;
     this.#liveness.heard(address, this.#nowMs);
     return member;
   }
 
   /** Takes in which gateways a relay hears; returns those of whom it says something. */
   relayed(relay: string, digest: MemberDigest): Member[] {
+    const isNews = digest.whole || digest.changed.length > 0 || digest.lost.length > 0;
+    if (isNews || !this.#vouchers.counts(relay, this.#nowMs)) this.#aliveNow = undefined;
     if (digest.whole) this.#vouchers.clear(relay);
     this.#vouchers.refresh(relay, this.#nowMs);
     const members: Member[] = [];
@@ -108,6 +123,7 @@
   /** Nobody listens at an address. */
   refused(address: string): void {
     this.#liveness.refused(address);
+    this.#aliveNow = undefined;
     this.noticeSilence();
   }
 
@@ -144,10 +160,38 @@
     return this.#context.clock.monotonicMs();
   }
 
-  /** The relays that are heard and name a gateway. */
-  #relaysFor(instance: string): string[] {
-    const relays = this.#vouchers.relaysFor(instance, this.#nowMs);
-    return relays.filter((relay) => this.isHeard(relay));
+  get #alive(): AliveMembers {
+    const nowMs = this.#nowMs;
+    if (!this.#aliveNow || nowMs >= this.#aliveNow.untilMs) this.#aliveNow = this.#findAlive(nowMs);
+    return this.#aliveNow;
+  }
+
+  /** Looks at every gateway once: those that are heard here, and those for whom a relay vouches that is heard here. */
+  #findAlive(nowMs: number): AliveMembers {
+    const relays = this.#vouchers.current(nowMs).filter(({ relay }) => this.isHeard(relay));
+    let untilMs = Number.POSITIVE_INFINITY;
+    const byInstance = new Map<string, Member>();
+    const members: Member[] = [];
+    for (const member of this.#members.values()) {
+      const evidenceMs = this.#evidenceUntilMs(member, relays, nowMs);
+      if (evidenceMs <= nowMs) continue;
+      untilMs = Math.min(untilMs, evidenceMs);
+      members.push(member);
+      byInstance.set(member.instance, member);
+    }
+    return { members, byInstance, untilMs };
+  }
+
+  /** Until when what is known now shows that a gateway is alive; not after `nowMs` when nothing does. */
+  #evidenceUntilMs({ address, instance }: Member, relays: readonly RelayVouchers[], nowMs: number): number {
+    const heardUntilMs = this.#liveness.aliveUntilMs(address);
+    if (heardUntilMs > nowMs) return heardUntilMs;
+    let untilMs = Number.NEGATIVE_INFINITY;
+    for (const { relay, instances, untilMs: vouchedUntilMs } of relays) {
+      if (!instances.has(instance)) continue;
+      untilMs = Math.max(untilMs, Math.min(vouchedUntilMs, this.#liveness.aliveUntilMs(relay)));
+    }
+    return untilMs;
   }
 
   #remember(address: string, instance: string, status: MemberStatus): Member {
@@ -162,6 +206,7 @@
     if (earlier) this.#byInstance.delete(earlier.instance);
     this.#members.set(address, member);
     this.#byInstance.set(instance, member);
+    if (!unchanged || isBack) this.#aliveNow = undefined;
     if (!unchanged || isBack) this.#listener.onChanged();
     return member;
   }
@@ -174,6 +219,7 @@
       nowMs - this.#lastLookMs > this.#context.settings.timing.suspectMs
     ) {
       this.#resumedMs = nowMs;
+      this.#aliveNow = undefined;
       this.#liveness.resume(nowMs);
       this.#vouchers.resume(nowMs);
     }
@@ -182,6 +228,7 @@
 
   #lose(member: Member): void {
     if (this.#lost.has(member.instance)) return;
+    this.#aliveNow = undefined;
     this.#lost.set(member.instance, this.#nowMs);
     this.#context.log.info({ peer: member.status.name, instance: member.instance }, "peer lost");
     this.#listener.onChanged();
@@ -189,6 +236,7 @@
   }
 
   #forget({ address, instance }: Member): void {
+    this.#aliveNow = undefined;
     this.#vouchers.clear(address);
     this.#liveness.forget(address);
     this.#members.delete(address);
--- a/src/gateway/members/vouchers.ts
+++ b/src/gateway/members/vouchers.ts
@@ -1,3 +1,13 @@
+/** What one relay says. */
+export interface RelayVouchers {
+  /** The relay's address. */
+  readonly relay: string;
+  /** Incarnations that it hears. */
+  readonly instances: ReadonlySet<string>;
+  /** Until when its word counts if no further digest comes, in ms of the monotonic clock. */
+  readonly untilMs: number;
+}
+
 /**
  * Which relays say that they hear which gateways. A word counts for as long as its relay goes on sending digests: one
  * that has stopped being a relay takes nothing back any more.
@@ -39,13 +49,20 @@
     this.#relays.delete(relay);
   }
 
-  /** The relays whose word for a gateway counts now, by address. */
-  relaysFor(instance: string, nowMs: number): string[] {
-    const relays: string[] = [];
+  /** Whether the word of a relay counts now. */
+  counts(relay: string, nowMs: number): boolean {
+    const word = this.#relays.get(relay);
+    return word !== undefined && nowMs - word.digestAtMs < this.#validMs;
+  }
+
+  /** The relays whose word counts now. */
+  current(nowMs: number): RelayVouchers[] {
+    const current: RelayVouchers[] = [];
     for (const [relay, { digestAtMs, instances }] of this.#relays) {
-      if (nowMs - digestAtMs < this.#validMs && instances.has(instance)) relays.push(relay);
+      const untilMs = digestAtMs + this.#validMs;
+      if (nowMs < untilMs) current.push({ relay, instances, untilMs });
     }
-    return relays;
+    return current;
   }
 }
 
--- /dev/null
+++ b/src/scheduling/runner-board/report-totals.ts
@@ -0,0 +1,116 @@
+/**
+ * What other nodes tell of their requests at runners, summed by runner as reports come: a choice among runners then
+ * costs the same however many nodes there are. Pure.
+ */
+import type { RunnerId } from "../ids/runner-id.ts";
+import type { NodeReport } from "./node-report.ts";
+import type { OutcomeCounts } from "./outcome-counts.ts";
+
+/** Outcomes are told in tenths; whole numbers of them add up without rounding. */
+const TENTHS = 10;
+
+interface RunnerTotal {
+  inFlight: number;
+  successTenths: number;
+  failureTenths: number;
+}
+
+interface ReportOfNode {
+  readonly report: NodeReport;
+  readonly atMs: number;
+}
+
+/** See the module's comment. */
+export class ReportTotals {
+  readonly #ttlMs: number;
+  readonly #reports = new Map<string, ReportOfNode>();
+  readonly #totals = new Map<RunnerId, RunnerTotal>();
+
+  /** @param ttlMs how long a report counts, in ms */
+  constructor(ttlMs: number) {
+    this.#ttlMs = ttlMs;
+  }
+
+  /** Requests in flight at a runner from all other nodes. */
+  inFlight(runner: RunnerId): number {
+    return this.#totals.get(runner)?.inFlight ?? 0;
+  }
+
+  /** Outcomes that other nodes have met at a runner lately. */
+  outcomes(runner: RunnerId): OutcomeCounts {
+    const total = this.#totals.get(runner);
+    if (!total) return { successes: 0, failures: 0 };
+    return { successes: total.successTenths / TENTHS, failures: total.failureTenths / TENTHS };
+  }
+
+  /** A node's report replaces the one before. */
+  set(node: string, report: NodeReport, nowMs: number): void {
+    this.delete(node);
+    this.#reports.set(node, { report, atMs: nowMs });
+    this.#add(report, 1);
+  }
+
+  /** Drops what a node has told. */
+  delete(node: string): void {
+    const known = this.#reports.get(node);
+    if (!known) return;
+    this.#reports.delete(node);
+    this.#add(known.report, -1);
+  }
+
+  /** Drops reports that are too old. They lie in the order in which they came. */
+  dropStale(nowMs: number): void {
+    for (const [node, { atMs }] of this.#reports) {
+      if (nowMs - atMs <= this.#ttlMs) return;
+      this.delete(node);
+    }
+  }
+
+  /** The reports of some nodes, as one. */
+  sum(nodes: readonly string[]): NodeReport {
+    const sum = new ReportTotals(this.#ttlMs);
+    for (const node of nodes) {
+      const known = this.#reports.get(node);
+      if (known) sum.#add(known.report, 1);
+    }
+    return sum.#asReport();
+  }
+
+  #add({ inFlight, failing }: NodeReport, sign: 1 | -1): void {
+    for (const [runner, count] of inFlight) {
+      const total = this.#total(runner);
+      total.inFlight += sign * count;
+      this.#dropIfEmpty(runner, total);
+    }
+    for (const [runner, successes, failures] of failing) {
+      const total = this.#total(runner);
+      total.successTenths += sign * Math.round(successes * TENTHS);
+      total.failureTenths += sign * Math.round(failures * TENTHS);
+      this.#dropIfEmpty(runner, total);
+    }
+  }
+
+  #dropIfEmpty(runner: RunnerId, total: RunnerTotal): void {
+    const isEmpty = total.inFlight === 0 && total.successTenths === 0 && total.failureTenths === 0;
+    if (isEmpty) this.#totals.delete(runner);
+  }
+
+  #total(runner: RunnerId): RunnerTotal {
+    const known = this.#totals.get(runner);
+    if (known) return known;
+    const total = { inFlight: 0, successTenths: 0, failureTenths: 0 };
+    this.#totals.set(runner, total);
+    return total;
+  }
+
+  #asReport(): NodeReport {
+    const inFlight: [RunnerId, number][] = [];
+    const failing: [RunnerId, number, number][] = [];
+    for (const [runner, total] of this.#totals) {
+      if (total.inFlight > 0) inFlight.push([runner, total.inFlight]);
+      if (total.successTenths > 0 || total.failureTenths > 0)
+        failing.push([runner, total.successTenths / TENTHS, total.failureTenths / TENTHS]);
+    }
+    return { inFlight, failing };
+  }
+}
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -4,8 +4,8 @@
  */
 import type { RunnerId } from "../ids/runner-id.ts";
 import type { NodeReport } from "./node-report.ts";
-import type { OutcomeCounts } from "./outcome-counts.ts";
 import type { PendingRequest } from "./pending-request.ts";
+import { ReportTotals } from "./report-totals.ts";
 import type { RequestOutcome } from "./request-outcome.ts";
 import type { RunnerEntry } from "./runner-entry.ts";
 import { RunnerHealth } from "./runner-health.ts";
@@ -50,13 +50,6 @@
   leaving: boolean;
 }
 
-/** A report of another node, by runner. */
-interface ReportOfNode {
-  readonly inFlight: ReadonlyMap<RunnerId, number>;
-  readonly outcomes: ReadonlyMap<RunnerId, OutcomeCounts>;
-  readonly atMs: number;
-}
-
 /** How long runners of a pool usually take for a step, as of a moment. */
 interface UsualPace {
   readonly atMs: number;
@@ -80,7 +73,8 @@
 /** See the module's comment. */
 export class RunnerBoard {
   readonly #runners = new Map<RunnerId, RunnerState>();
-  readonly #reports = new Map<string, ReportOfNode>();
+  /** What other nodes tell. */
+  readonly #reports = new ReportTotals(REPORT_TTL_MS);
   /** By pool. */
   readonly #usualPaces = new Map<string, UsualPace>();
 
@@ -114,7 +108,7 @@
 
   /** The best runner for a request; undefined when none may take it. */
   choose(choice: RunnerChoice): RunnerEntry | undefined {
-    this.#dropStaleReports(choice.nowMs);
+    this.#reports.dropStale(choice.nowMs);
     let best: RunnerState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     const candidates = this.#candidates(choice);
@@ -133,9 +127,7 @@
 
   /** Requests under way at a runner, as far as known. */
   load(id: RunnerId): number {
-    let sum = this.#runners.get(id)?.health.inFlight ?? 0;
-    for (const report of this.#reports.values()) sum += report.inFlight.get(id) ?? 0;
-    return sum;
+    return (this.#runners.get(id)?.health.inFlight ?? 0) + this.#reports.inFlight(id);
   }
 
   /**
@@ -184,25 +176,13 @@
   }
 
   /** Takes in what another node tells. */
-  report(node: string, { inFlight, failing }: NodeReport, nowMs: number): void {
-    const outcomes = failing.map(([id, successes, failures]) => [id, { successes, failures }] as const);
-    this.#reports.set(node, { inFlight: new Map(inFlight), outcomes: new Map(outcomes), atMs: nowMs });
+  report(node: string, report: NodeReport, nowMs: number): void {
+    this.#reports.set(node, report, nowMs);
   }
 
   /** The reports of some nodes, as one. */
   sumReports(nodes: readonly string[]): NodeReport {
-    const inFlight = new Map<RunnerId, number>();
-    const failing = new Map<RunnerId, [successes: number, failures: number]>();
-    for (const node of nodes) {
-      const report = this.#reports.get(node);
-      if (!report) continue;
-      for (const [id, count] of report.inFlight) inFlight.set(id, (inFlight.get(id) ?? 0) + count);
-      for (const [id, { successes, failures }] of report.outcomes) {
-        const sum = failing.get(id) ?? [0, 0];
-        failing.set(id, [rounded(sum[0] + successes), rounded(sum[1] + failures)]);
-      }
-    }
-    return { inFlight: [...inFlight], failing: [...failing].map(([id, sum]) => [id, ...sum] as const) };
+    return this.#reports.sum(nodes);
   }
 
   /** Drops what a node that is gone had in flight. */
@@ -219,11 +199,6 @@
     return paceMs;
   }
 
-  #dropStaleReports(nowMs: number): void {
-    for (const [node, { atMs }] of this.#reports)
-      if (nowMs - atMs > REPORT_TTL_MS) this.#reports.delete(node);
-  }
-
   #candidates(choice: RunnerChoice): RunnerState[] {
     const candidates: RunnerState[] = [];
     for (const state of this.#runners.values()) {
@@ -237,13 +212,9 @@
   /** Part of the requests of the last seconds that failed at a runner, as all nodes see it: 0 to 1. */
   failureRate(id: RunnerId, nowMs: number): number {
     const own = this.#runners.get(id)?.health.counts(nowMs);
-    let successes = own?.successes ?? 0;
-    let failures = own?.failures ?? 0;
-    for (const report of this.#reports.values()) {
-      const outcomes = report.outcomes.get(id);
-      successes += outcomes?.successes ?? 0;
-      failures += outcomes?.failures ?? 0;
-    }
+    const others = this.#reports.outcomes(id);
+    const successes = (own?.successes ?? 0) + others.successes;
+    const failures = (own?.failures ?? 0) + others.failures;
     return failures / (failures + successes + ASSUMED_SUCCESSES);
   }
 
--- a/test/contract/gateway-parts.test.ts
+++ b/test/contract/gateway-parts.test.ts
@@ -56,6 +56,31 @@
     owners.forgetInstance("a");
     expect(owners.owner(1)).toEqual(undefined);
   });
+
+  it("drops what an owner names no more, and nothing of the others", () => {
+    const owners = new OwnershipMap();
+    owners.learnAll("a", [
+      [1, 1],
+      [2, 2],
+    ]);
+    owners.learnAll("b", [
+      [3, 3],
+      [2, 4],
+    ]);
+    owners.learnAll("a", [
+      [1, 1],
+      [2, 2],
+    ]);
+    expect([1, 2, 3].map((partition) => owners.owner(partition)?.instance)).toEqual(["a", "b", "b"]);
+    owners.learnAll("a", []);
+    expect([1, 2, 3].map((partition) => owners.owner(partition)?.instance)).toEqual([undefined, "b", "b"]);
+    owners.forgetInstance("b");
+    expect([1, 2, 3].map((partition) => owners.owner(partition)?.instance)).toEqual([
+      undefined,
+      undefined,
+      undefined,
+    ]);
+  });
 });
 
 describe("peer liveness", () => {
--- a/test/contract/member-directory.test.ts
+++ b/test/contract/member-directory.test.ts
@@ -112,4 +112,29 @@
     expect(large < 1.1 * small).toEqual(true);
     expect(large < 20).toEqual(true);
   });
+
+  it("costs a gateway no more processor time among many others than among a few", async () => {
+    const perGateway: number[] = [];
+    for (const count of [48, 192]) {
+      const fleet = new MemberFleet(hash, count, 24, 7);
+      await fleet.time.runUntil(SETTLE_MS);
+      const before = process.cpuUsage();
+      await fleet.time.runUntil(2 * SETTLE_MS);
+      const { user, system } = process.cpuUsage(before);
+      perGateway.push((user + system) / count);
+    }
+    const [small = 0, large = 0] = perGateway;
+    // 2.8 times before evidence of life was kept between events and digests were cut to what is news.
+    expect(large < 2 * small).toEqual(true);
+  });
+
+  it("leaves the look for gateways that nobody hears to a few", async () => {
+    const fleet = new MemberFleet(hash, 96, 24);
+    await fleet.time.runUntil(SETTLE_MS);
+    const lookers = fleet.members.filter(({ directory }) => directory.looksForOthers);
+    expect(lookers.length).toEqual(2 * DEFAULT_ZONES);
+    for (const { process } of fleet.members.slice(1)) process.kill();
+    await fleet.time.runUntil(fleet.time.nowMs + DETECTION_MS);
+    expect(fleet.members[0]?.directory.looksForOthers).toEqual(true);
+  });
 });
--- /dev/null
+++ b/test/contract/report-totals.test.ts
@@ -0,0 +1,93 @@
+/** The sums of what nodes tell of their requests at runners, against sums made anew from all reports. */
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import * as fc from "fast-check";
+import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
+import type { NodeReport } from "../../src/scheduling/runner-board/node-report.ts";
+import { ReportTotals } from "../../src/scheduling/runner-board/report-totals.ts";
+import { withoutReport } from "../../src/scheduling/runner-board/without-report.ts";
+
+const TTL_MS = 3_000;
+const RUNNERS = ["r1", "r2", "r3"] as RunnerId[];
+const NODES = ["a", "b", "c", "d"];
+
+const runners = fc.subarray(RUNNERS);
+const tenths = fc.integer({ min: 0, max: 50 }).map((count) => count / 10);
+const report: fc.Arbitrary<NodeReport> = fc.record({
+  inFlight: runners.chain((ids) =>
+    fc.tuple(...ids.map((id) => fc.tuple(fc.constant(id), fc.integer({ min: 1, max: 9 })))),
+  ),
+  failing: runners.chain((ids) =>
+    fc.tuple(
+      ...ids.map((id) =>
+        fc.tuple(
+          fc.constant(id),
+          tenths,
+          fc.integer({ min: 1, max: 50 }).map((n) => n / 10),
+        ),
+      ),
+    ),
+  ),
+});
+const step = fc.record({
+  node: fc.constantFrom(...NODES),
+  report: fc.option(report, { nil: undefined }),
+  passMs: fc.integer({ min: 0, max: TTL_MS }),
+});
+
+function inFlightOf(reports: Iterable<NodeReport>, runner: RunnerId): number {
+  let sum = 0;
+  for (const { inFlight } of reports) for (const [id, count] of inFlight) if (id === runner) sum += count;
+  return sum;
+}
+
+function failuresOf(reports: Iterable<NodeReport>, runner: RunnerId): number {
+  let sum = 0;
+  for (const { failing } of reports) for (const [id, , count] of failing) if (id === runner) sum += count;
+  return Math.round(10 * sum) / 10;
+}
+
+describe("report totals", () => {
+  it("add up what all nodes that were heard lately have told last", () => {
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 30 }), (steps) => {
+        const totals = new ReportTotals(TTL_MS);
+        const last = new Map<string, { report: NodeReport; atMs: number }>();
+        let nowMs = 0;
+        for (const { node, report: told, passMs } of steps) {
+          nowMs += passMs;
+          if (told) {
+            totals.set(node, told, nowMs);
+            last.set(node, { report: told, atMs: nowMs });
+          } else {
+            totals.delete(node);
+            last.delete(node);
+          }
+          totals.dropStale(nowMs);
+          for (const [name, { atMs }] of last) if (nowMs - atMs > TTL_MS) last.delete(name);
+          const reports = [...last.values()].map((entry) => entry.report);
+          for (const runner of RUNNERS) {
+            expect(totals.inFlight(runner)).toEqual(inFlightOf(reports, runner));
+            expect(totals.outcomes(runner).failures).toEqual(failuresOf(reports, runner));
+          }
+        }
+      }),
+    );
+  });
+
+  it("are without one node's part what the others have told", () => {
+    fc.assert(
+      fc.property(report, report, report, (first, second, third) => {
+        const totals = new ReportTotals(TTL_MS);
+        for (const [index, told] of [first, second, third].entries())
+          totals.set(NODES[index] as string, told, 0);
+        const others = withoutReport(totals.sum(["a", "b", "c"]), totals.sum(["b"]));
+        const wanted = totals.sum(["a", "c"]);
+        for (const runner of RUNNERS) {
+          expect(inFlightOf([others], runner)).toEqual(inFlightOf([wanted], runner));
+          expect(failuresOf([others], runner)).toEqual(failuresOf([wanted], runner));
+        }
+      }),
+    );
+  });
+});
