Read the gateways' rows and the runners' list less often

Every gateway also read the list of runners twice a second, whatever time the platform gives for a runner's leave.

Change: only gateways that look for others anyway (relays, those without relays, those that no relay speaks to) read the rows. The list of runners is read at three tenths of the time that leaving runners serve on; the platform's settings say how long that is, and 1,500 ms, the default, gives 450 ms where nothing is said.

--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -28,6 +28,9 @@
       "Time for which the store has answered before owners that do not reach it are replaced, ms; longer than a call that is not answered and a heartbeat",
     ),
   ownerWaitMs: durationSchema.default(1_500).describe("Longest wait for a partition's owner, ms"),
+  runnerDrainMs: durationSchema
+    .default(1_500)
+    .describe("How long a leaving runner goes on serving after its entry says so, ms"),
   stopMs: durationSchema.default(6_500).describe("Longest time that a planned stop takes, ms"),
   lingerMs: durationSchema
     .default(2_500)
--- a/src/gateway/members/member-registry.ts
+++ b/src/gateway/members/member-registry.ts
@@ -47,7 +47,8 @@
     while (!this.#stopped) {
       const nowMs = clock.monotonicMs();
       if (nowMs - registeredMs >= REFRESH_MS && (await this.#register())) registeredMs = nowMs;
-      const read = await this.#readOthers();
+      // The rows grow with the gateways: were all to read them all the time, the store's traffic would with their square.
+      const read = this.#members.looksForOthers ? await this.#readOthers() : true;
       await delay(clock, read ? READ_MS : RETRY_MS);
     }
   }
--- a/src/gateway/runners/runner-watch.ts
+++ b/src/gateway/runners/runner-watch.ts
@@ -6,8 +6,11 @@
 import type { GatewayContext } from "../gateway-context.ts";
 import type { StoreHealth } from "../store-health.ts";
 
-/** Runners write their entries all the time; a change is seen this much later at most, in ms. */
-const PAUSE_MS = 500;
+/**
+ * Runners write their entries all the time, so that a wait for changes ends at once. The list is read only so often that
+ * a leaving runner is noticed well before it stops serving: each time that this part of that span has passed.
+ */
+const PAUSE_PART = 0.3;
 /**
  * Entries may lapse while the store is out of reach, because runners cannot renew them. Those of runners that live are
  * back within about two seconds of the store's return; one that is missing after this time, in ms, is gone.
@@ -46,7 +49,8 @@
       },
     };
     const { runnerTable } = context.platform.records;
-    this.#follower = new TableFollower(context, health, runnerTable, listener, PAUSE_MS);
+    const pauseMs = context.settings.timing.runnerDrainMs * PAUSE_PART;
+    this.#follower = new TableFollower(context, health, runnerTable, listener, pauseMs);
   }
 
   /** Whether the list has been read once. */
--- a/test/contract/platform-settings.test.ts
+++ b/test/contract/platform-settings.test.ts
@@ -17,6 +17,7 @@
   "listen.control": ADDRESS,
   "seeds|json": `["${ADDRESS}"]`,
   "platform.address": ADDRESS,
+  "bounds.drain-ms": "4000",
 };
 
 describe("settings template", () => {
@@ -24,6 +25,7 @@
     const filled = TEMPLATE.replace(/\{\{([^{}]*)\}\}/g, (_, name: string) => VALUES[name] ?? `no ${name}`);
     const [parsed] = parseYaml(filled, "settings", gatewaySettingsSchema, "invalid-settings");
     expect(parsed?.value.seeds).toEqual([ADDRESS]);
+    expect(parsed?.value.timing.runnerDrainMs).toEqual(4_000);
     expect(parsed?.value.name).toEqual("front-hall-a-1");
   });
 });
