Start gateways from compiled code that the build stores

Change: the build lets five gateways serve some requests in one process, and stores the code that was compiled for it beside the bundle. Code for another runtime or other flags is compiled anew, with a line that says so.

--- a/bench/build-gateway.mjs
+++ b/bench/build-gateway.mjs
@@ -1,23 +1,58 @@
-/** Bundles the gateway: a process that starts reads and compiles only what it serves with. */
+/**
+ * Builds what the platform runs, into target/: the gateway as one file, compiled code for it, and the script that starts
+ * it. The compiled code is that of gateways that have served some requests; without it a gateway starts more slowly.
+ */
+import { spawnSync } from "node:child_process";
+import { readFileSync, rmSync } from "node:fs";
 import { build } from "esbuild";
 
-const REQUIRE =
-  "import{createRequire as requireOf}from'node:module';const require=requireOf(import.meta.url);";
+const CODE_CACHE = "target/gateway-bundle.code-cache";
+/** Longest time for the gateways that warm up, in ms. */
+const WARM_UP_TIMEOUT_MS = 60_000;
 
-await build({
-  entryPoints: ["platform/main.ts"],
-  bundle: true,
-  platform: "node",
-  format: "esm",
-  target: "node20",
-  legalComments: "none",
-  logLevel: "warning",
-  outdir: "target",
-  entryNames: "gateway",
-  chunkNames: "gateway-[name]-[hash]",
-  outExtension: { ".js": ".mjs" },
-  // What only some gateways need, such as metrics, is a file of its own and is read only there.
-  splitting: true,
-  // Libraries in the older module format ask for Node.js's own modules with `require`.
-  banner: { js: REQUIRE },
+/** undici loads HTTP/2 where it can, and goes without where it cannot; nothing here speaks it. */
+const withoutHttp2 = {
+  name: "without-http2",
+  setup(build) {
+    build.onResolve({ filter: /^node:http2$/ }, () => ({ path: "http2", namespace: "absent" }));
+    build.onLoad({ filter: /.*/, namespace: "absent" }, () => ({
+      contents: "throw new Error('HTTP/2 is not part of the bundle');",
+      loader: "js",
+    }));
+  },
+};
+
+/** Bundles an entry point into one file. */
+function bundle(entryPoint, outfile) {
+  return build({
+    entryPoints: [entryPoint],
+    outfile,
+    bundle: true,
+    platform: "node",
+    format: "cjs",
+    target: "node20",
+    charset: "ascii",
+    legalComments: "none",
+    logLevel: "warning",
+    plugins: [withoutHttp2],
+  });
+}
+
+/** The flags that gateways run with: compiled code is only good for the same ones. */
+function runtimeFlags() {
+  const [, command] = /^run = "node ([^"]*)"$/m.exec(readFileSync("deploy/system.toml", "utf8")) ?? [];
+  return (command ?? "").split(" ").filter((word) => word.startsWith("--"));
+}
+
+rmSync(CODE_CACHE, { force: true });
+await Promise.all([
+  bundle("platform/main.ts", "target/gateway-bundle.cjs"),
+  bundle("src/launcher/main.ts", "target/gateway.cjs"),
+  bundle("bench/build/write-code-cache.ts", "target/write-code-cache.cjs"),
+]);
+const written = spawnSync(process.execPath, [...runtimeFlags(), "target/write-code-cache.cjs"], {
+  stdio: ["ignore", "ignore", "inherit"],
+  timeout: WARM_UP_TIMEOUT_MS,
 });
+rmSync("target/write-code-cache.cjs");
+if (written.status !== 0) process.stderr.write("No compiled code was stored: gateways start more slowly.\n");
--- /dev/null
+++ b/bench/build/warm-up-back-ends.ts
@@ -0,0 +1,29 @@
+/** Stand-ins of the store and of runners for gateways that warm up. */
+import { RowStoreStandin } from "../../standins/platform/row-store-standin.ts";
+import { RunnerStandin } from "../../standins/platform/runner-standin.ts";
+import { putConfiguration } from "../gateway-cost/cost-configuration.ts";
+
+const RUNNERS = 4;
+
+/** See the module's comment. */
+export class WarmUpBackEnds {
+  readonly storeAddress: string;
+
+  private constructor(storeAddress: string) {
+    this.storeAddress = storeAddress;
+  }
+
+  /** Starts everything. */
+  static async start(): Promise<WarmUpBackEnds> {
+    const store = new RowStoreStandin();
+    const address = await store.listen();
+    putConfiguration(store);
+    for (let index = 0; index < RUNNERS; index += 1) {
+      const service = index === 0 ? "api" : "engine";
+      const runner = new RunnerStandin(`${service}-${index}`);
+      const row = { service, address: await runner.listen(), zone: `zone-${index % 2}`, slots: 6 };
+      store.put("servers", runner.id, { ...row, state: "ready", sequence: 1 });
+    }
+    return new WarmUpBackEnds(address);
+  }
+}
--- /dev/null
+++ b/bench/build/warm-up-requests.ts
@@ -0,0 +1,43 @@
+/** Requests of callers for gateways that warm up: turns of programs and plain calls. */
+import { Pool } from "undici";
+import { callRequest, turnRequest, wait } from "../gateway-cost/cost-requests.ts";
+
+const OK = 200;
+const READY_TIMEOUT_MS = 20_000;
+const POLL_MS = 100;
+/** Requests of each kind to each gateway, one after the other. */
+const REQUESTS = 12;
+/** Time in which heartbeats, digests and claims run beside, in ms. */
+const IDLE_MS = 2_500;
+
+/** Sends requests to each of the gateways; returns whether all were served in time. */
+export async function sendWarmUpRequests(callers: readonly string[]): Promise<boolean> {
+  const deadlineMs = performance.now() + READY_TIMEOUT_MS;
+  const pools = callers.map((address) => new Pool(`http://${address}`, { connections: 2 }));
+  for (const pool of pools) {
+    while (!(await isServed(pool, 0))) {
+      if (performance.now() > deadlineMs) return false;
+      await wait(POLL_MS);
+    }
+  }
+  await wait(IDLE_MS);
+  let isWhole = true;
+  for (let index = 1; index <= REQUESTS; index += 1)
+    for (const [place, pool] of pools.entries())
+      isWhole = (await isServed(pool, index * pools.length + place)) && isWhole;
+  return isWhole;
+}
+
+async function isServed(pool: Pool, index: number): Promise<boolean> {
+  for (const { path, headers, body } of [turnRequest(index), callRequest(index)]) {
+    try {
+      const answer = await pool.request({ path, method: "POST", headers, body });
+      await answer.body.dump();
+      if (answer.statusCode !== OK) return false;
+    } catch {
+      // Not listening yet; the caller asks again, and gives up in time.
+      return false;
+    }
+  }
+  return true;
+}
--- /dev/null
+++ b/bench/build/write-code-cache.ts
@@ -0,0 +1,50 @@
+/** Lets gateways of the bundle serve some requests in this process, and stores the code that was compiled for it. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { dirname, join } from "node:path";
+import { BundleScript } from "../../src/launcher/bundle-script.ts";
+import { freeAddress } from "./free-address.ts";
+import { WarmUpBackEnds } from "./warm-up-back-ends.ts";
+import { sendWarmUpRequests } from "./warm-up-requests.ts";
+
+/** Gateways that talk to each other; with more than `DIRECT_MOST`, through relays. */
+const GATEWAYS = 5;
+const DIRECT_MOST = 2;
+const SETTINGS_VARIABLE = "TULIPWHEEL_NODE_FILE";
+
+/** Returns whether all requests were served; nothing is stored otherwise. */
+async function writeCodeCache(): Promise<boolean> {
+  const folder = dirname(process.argv[1] as string);
+  const settingsFolder = mkdtempSync(join(tmpdir(), "tulipwheel-build-"));
+  const script = new BundleScript(folder);
+  const backEnds = await WarmUpBackEnds.start();
+  const callers: string[] = [];
+  const seeds: string[] = [];
+  for (let index = 0; index < GATEWAYS; index += 1) {
+    const name = `warm-up-${index}`;
+    const addresses = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress()]);
+    const [caller, readiness, directory, peers] = addresses;
+    callers.push(caller);
+    seeds.push(peers);
+    const file = join(settingsFolder, `${name}.yaml`);
+    const settings = {
+      name,
+      region: "region",
+      zone: `zone-${index % 2}`,
+      listen: { callers: caller, readiness, directory, peers },
+      seeds,
+      store: backEnds.storeAddress,
+      partitions: 4,
+      membership: { directMost: DIRECT_MOST },
+    };
+    writeFileSync(file, JSON.stringify(settings));
+    process.env[SETTINGS_VARIABLE] = file;
+    script.run();
+  }
+  const served = await sendWarmUpRequests(callers);
+  rmSync(settingsFolder, { recursive: true, force: true });
+  if (served) writeFileSync(BundleScript.cachePath(folder), script.compiledCode());
+  return served;
+}
+
+void writeCodeCache().then((served) => process.exit(served ? 0 : 1));
--- /dev/null
+++ b/test/contract/bundle-script.test.ts
@@ -0,0 +1,50 @@
+/** The start of the gateway's bundle from compiled code, and without. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, beforeEach, describe, it } from "node:test";
+import { expect } from "earl";
+import { BundleScript } from "../../src/launcher/bundle-script.ts";
+
+const RUNS = "bundleScriptTestRuns";
+const counters = globalThis as unknown as Record<string, number>;
+
+/** Writes a bundle that counts its runs. The runtime keeps scripts by their text, so that each test has another one. */
+function writeBundle(step: number): string {
+  const folder = mkdtempSync(join(tmpdir(), "tulipwheel-bundle-"));
+  folders.push(folder);
+  const source = `const { join } = require("node:path"); globalThis.${RUNS} += ${step} * join("a", "b").length;`;
+  writeFileSync(join(folder, "gateway-bundle.cjs"), source);
+  return folder;
+}
+
+const folders: string[] = [];
+
+describe("bundle script", () => {
+  beforeEach(() => {
+    counters[RUNS] = 0;
+  });
+  after(() => {
+    for (const folder of folders) rmSync(folder, { recursive: true });
+  });
+
+  it("runs the bundle without compiled code, and with it", () => {
+    const folder = writeBundle(1);
+    const first = new BundleScript(folder);
+    first.run();
+    writeFileSync(BundleScript.cachePath(folder), first.compiledCode());
+    const second = new BundleScript(folder);
+    second.run();
+    expect([first.cacheRejected, second.cacheRejected]).toEqual([false, false]);
+    expect(counters[RUNS]).toEqual(6);
+  });
+
+  it("compiles the bundle anew where the compiled code does not fit", () => {
+    const folder = writeBundle(2);
+    writeFileSync(BundleScript.cachePath(folder), "not compiled code");
+    const script = new BundleScript(folder);
+    script.run();
+    expect(script.cacheRejected).toEqual(true);
+    expect(counters[RUNS]).toEqual(6);
+  });
+});
