--- /dev/null
+++ b/bench/shrink-site.ts
@@ -0,0 +1,16 @@
+/**
+ * `npm run --silent shrink-site -- SITE.toml FACTOR > small.toml`: a smaller copy of a site of the users' bench, for
+ * trials that play in a minute. Put the site's wire.json beside it. What copies show are trials, never scores.
+ */
+import { readFileSync } from "node:fs";
+import { shrinkSite } from "./site/shrink-site.ts";
+
+const WRONG_USE = 2;
+
+const [path, by] = process.argv.slice(2);
+const factor = Number(by);
+if (path === undefined || !(factor >= 1)) {
+  process.stderr.write("usage: shrink-site SITE.toml FACTOR, the factor a number of 1 or more\n");
+  process.exit(WRONG_USE);
+}
+process.stdout.write(shrinkSite(readFileSync(path, "utf8"), factor));
