Let gateways that start learn of the others from digests

Cause: a gateway that started sent a heartbeat to every address that it heard of while it knew fewer than 24 gateways. At 195 a list of all addresses came with the first answer, so that nearly everybody opened a connection to everybody: up to 345 descriptors, and most of the processor time of a start.

Change: where many addresses are known, they are only remembered. Seeds hear heartbeats of those that have just started (six ticks), and gateways send digests to all that speak to them and are no relays, whatever their zone. Digests wait a ms more for each receiver. Whether somebody fell silent is looked at only when a relay takes something back.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -108,7 +108,7 @@
 
   /** Takes what may change while the process runs: the seeds. */
   reload(settings: GatewaySettings): void {
-    for (const seed of settings.seeds) this.#members.know(seed);
+    this.#members.knowAll(settings.seeds);
     this.#context.log.info({ seeds: settings.seeds }, "settings read again");
   }
 
--- a/src/gateway/members/heartbeat-plan.ts
+++ b/src/gateway/members/heartbeat-plan.ts
@@ -3,7 +3,7 @@
  * per zone: a gateway sends its heartbeats to the relays of its zone; relays send theirs, with a digest, to each other
  * and to the gateways of their zone. Messages grow with the gateways, not with their square.
  */
-import { selectRelays } from "../../coordination/relay-selection/index.ts";
+import { type RelayCandidate, selectRelays } from "../../coordination/relay-selection/index.ts";
 import type { HeartbeatPlanInput } from "./heartbeat-plan-input.ts";
 import type { HeartbeatPlan } from "./heartbeat-targets.ts";
 
@@ -20,7 +20,13 @@
   const zoneRelays = new Set(relays.get(self.zone) ?? []);
   const relay = zoneRelays.delete(self.address);
   const zonePeers = others.filter(({ zone, address }) => zone === self.zone && !zoneRelays.has(address));
-  const fullDigestsTo = zonePeers.map(({ address }) => address).filter((address) => isHeard(address));
+  const allRelays = new Set([...relays.values()].flat());
+  // A relay of another zone that speaks to one that is none has just started, and does not know the other relays yet.
+  const isToldElsewhere = ({ address, zone }: RelayCandidate) =>
+    allRelays.has(address) && (relay || zone === self.zone);
+  const fullDigestsTo = others
+    .filter((other) => isHeard(other.address) && !isToldElsewhere(other))
+    .map(({ address }) => address);
   if (!relay) {
     return { relayed: true, relay, heartbeatsTo: [...zoneRelays], zoneDigestsTo: [], fullDigestsTo };
   }
--- a/src/gateway/members/heartbeat-targets.ts
+++ b/src/gateway/members/heartbeat-targets.ts
@@ -7,6 +7,6 @@
   readonly heartbeatsTo: readonly string[];
   /** Relays of other zones: they are told of this zone. */
   readonly zoneDigestsTo: readonly string[];
-  /** Gateways of this zone that send their heartbeats here: they are told of all. */
+  /** Gateways other than relays that send their heartbeats here: they are told of all. */
   readonly fullDigestsTo: readonly string[];
 }
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -32,6 +32,11 @@
 const PROBE_EVERY = 4;
 /** Known addresses travel with every so many heartbeats. */
 const PEERS_EVERY = 8;
+/**
+ * So often after its start a gateway sends heartbeats to the seeds as well: they hear of every start, and tell it of all
+ * others before it knows the relays of its zone.
+ */
+const SEEDED_TICKS = 6;
 /** Most addresses in one answer of the directory. */
 const MAX_ADDRESSES = 64;
 /** With fewer live gateways in a caller's zone than this, it is given all. */
@@ -39,6 +44,8 @@
 const NO_LOAD: NodeReport = { inFlight: [], failing: [] };
 /** A relay passes changes on after this time, in ms, together with those that come meanwhile. */
 const FORWARD_MS = 20;
+/** The same by the number of receivers, in ms, so that many changes at once do not keep a relay busy. */
+const FORWARD_MS_PER_RECEIVER = 1;
 
 /** What a gateway says of itself. */
 export interface SelfReport {
@@ -61,6 +68,7 @@
   readonly #digests = new DigestLog();
   readonly #sequences = new DigestSequences();
   readonly #known = new Set<string>();
+  readonly #seeds: readonly string[];
   /** Addresses where nothing listens. */
   readonly #refusing = new Set<string>();
   #lastStatus: MemberStatus | undefined;
@@ -69,6 +77,8 @@
   #firsthandMembers: readonly Member[] = [];
   #ticks = 0;
   #forwarding = false;
+  /** How many gateways the last digests went to. */
+  #digestReceivers = 0;
   #stop: () => void = () => undefined;
   /** What this gateway says of itself. */
   selfReport: () => SelfReport = () => ({
@@ -98,7 +108,8 @@
       },
     });
     this.#selfHash = context.hash.hash32(context.settings.name);
-    for (const seed of context.settings.seeds) this.know(seed);
+    this.#seeds = context.settings.seeds.filter((seed) => seed !== transport.self.address);
+    this.knowAll(this.#seeds);
   }
 
   /** Addresses of gateways that were heard of. */
@@ -117,9 +128,18 @@
 
   /** Remembers an address to send heartbeats to. */
   know(address: string): void {
-    if (address === this.#transport.self.address || this.#known.has(address)) return;
-    this.#known.add(address);
-    if (this.#ticks > 0 && this.#view.size < this.#context.settings.membership.directMost)
+    this.knowAll([address]);
+  }
+
+  /**
+   * Remembers addresses. While few gateways are known, this one makes itself known there at once; where they are many,
+   * digests say more about them in fewer messages.
+   */
+  knowAll(addresses: readonly string[]): void {
+    const added = addresses.filter((address) => this.#remember(address));
+    const { directMost } = this.#context.settings.membership;
+    if (this.#ticks === 0 || this.#known.size >= directMost) return;
+    for (const address of added)
       this.#transport.send(address, this.#heartbeat(address, this.selfReport(), true));
   }
 
@@ -129,6 +149,7 @@
     for (const address of this.#view.look()) this.#forget(address);
     const plan = this.#plan();
     const targets = new Set(plan.heartbeatsTo);
+    if (this.#ticks <= SEEDED_TICKS) for (const seed of this.#seeds) targets.add(seed);
     if (this.#ticks % PROBE_EVERY === 1)
       for (const address of this.#addressesToProbe(plan)) targets.add(address);
     const report = this.selfReport();
@@ -144,8 +165,7 @@
     this.#refusing.delete(address);
     const isNew = this.#view.at(address)?.instance !== instance;
     const member = this.#view.heard(address, instance, statusOf(heartbeat));
-    this.know(address);
-    for (const peer of heartbeat.peers) this.know(peer);
+    this.knowAll([address, ...heartbeat.peers]);
     if (isNew || heartbeat.missedDigest) this.#digests.reset(address);
     if (isNew) {
       this.#transport.send(address, this.#heartbeat(address, this.selfReport(), true));
@@ -159,7 +179,7 @@
     if (!this.#sequences.accept(from.address, digest)) return;
     const self = this.#transport.self.address;
     const changed = digest.changed.filter(({ address }) => address !== self);
-    for (const { address } of changed) this.know(address);
+    for (const { address } of changed) this.#remember(address);
     for (const member of this.#view.relayed(from.address, { ...digest, changed })) this.onHeard(member);
     for (const [zone, report] of digest.loads) this.onLoads(loadSourceOf(zone), report);
   }
@@ -297,6 +317,13 @@
     return chosen.slice(0, MAX_ADDRESSES).map((gateway) => gateway.address);
   }
 
+  /** Returns whether the address is another gateway's and was not known. */
+  #remember(address: string): boolean {
+    if (address === this.#transport.self.address || this.#known.has(address)) return false;
+    this.#known.add(address);
+    return true;
+  }
+
   /** Digests name only what has changed; listeners hear of every gateway again and again, as with heartbeats. */
   #repeatRelayed(): void {
     for (const member of this.#view.alive()) if (!this.#view.isHeard(member.address)) this.onHeard(member);
@@ -344,7 +371,8 @@
   #forwardSoon(): void {
     if (this.#forwarding || this.#ticks === 0) return;
     this.#forwarding = true;
-    this.#context.clock.schedule(FORWARD_MS, () => {
+    const forwardMs = Math.max(FORWARD_MS, this.#digestReceivers * FORWARD_MS_PER_RECEIVER);
+    this.#context.clock.schedule(forwardMs, () => {
       this.#forwarding = false;
       this.#sendDigests(this.#plan());
     });
@@ -352,6 +380,7 @@
 
   #sendDigests(plan: HeartbeatPlan): void {
     const { zoneDigestsTo, fullDigestsTo } = plan;
+    this.#digestReceivers = zoneDigestsTo.length + fullDigestsTo.length;
     if (zoneDigestsTo.length === 0 && fullDigestsTo.length === 0) return;
     const { zone } = this.#context.settings;
     const alive = this.#view.alive();
--- a/src/gateway/members/member-registry.ts
+++ b/src/gateway/members/member-registry.ts
@@ -67,10 +67,9 @@
     const outcome = await this.#context.platform.store.read({ table: TABLE, part: "" });
     if (outcome.type !== "rows") return false;
     const nowMs = this.#context.clock.wallMs();
-    for (const { value } of outcome.rows) {
-      const row = decode(value) as GatewayRow;
-      if (nowMs - row.writtenWallMs < STALE_MS) this.#members.know(row.address);
-    }
+    const rows = outcome.rows.map(({ value }) => decode(value) as GatewayRow);
+    const live = rows.filter(({ writtenWallMs }) => nowMs - writtenWallMs < STALE_MS);
+    this.#members.knowAll(live.map(({ address }) => address));
     return true;
   }
 }
--- a/src/gateway/members/member-view.ts
+++ b/src/gateway/members/member-view.ts
@@ -105,6 +105,7 @@
   relayed(relay: string, digest: MemberDigest): Member[] {
     const isNews = digest.whole || digest.changed.length > 0 || digest.lost.length > 0;
     if (isNews || !this.#vouchers.counts(relay, this.#nowMs)) this.#aliveNow = undefined;
+    const withdraws = digest.lost.length > 0 || (digest.whole && this.#vouchers.knows(relay));
     if (digest.whole) this.#vouchers.clear(relay);
     this.#vouchers.refresh(relay, this.#nowMs);
     const members: Member[] = [];
@@ -116,7 +117,7 @@
       members.push(this.#remember(address, instance, status));
     }
     for (const instance of digest.lost) this.#vouchers.remove(relay, instance);
-    if (digest.lost.length > 0 || digest.whole) this.noticeSilence();
+    if (withdraws) this.noticeSilence();
     return members;
   }
 
@@ -168,7 +169,7 @@
 
   /** Looks at every gateway once: those that are heard here, and those for whom a relay vouches that is heard here. */
   #findAlive(nowMs: number): AliveMembers {
-    const relays = this.#vouchers.current(nowMs).filter(({ relay }) => this.isHeard(relay));
+    const relays = this.#relaysByEvidence(nowMs);
     let untilMs = Number.POSITIVE_INFINITY;
     const byInstance = new Map<string, Member>();
     const members: Member[] = [];
@@ -182,16 +183,21 @@
     return { members, byInstance, untilMs };
   }
 
+  /** Relays that are heard, and until when their words count: those that count for longest first. */
+  #relaysByEvidence(nowMs: number): RelayVouchers[] {
+    const relays = this.#vouchers.current(nowMs).filter(({ relay }) => this.isHeard(relay));
+    const evidence = relays.map(({ relay, instances, untilMs }) => {
+      return { relay, instances, untilMs: Math.min(untilMs, this.#liveness.aliveUntilMs(relay)) };
+    });
+    return evidence.sort((left, right) => right.untilMs - left.untilMs);
+  }
+
   /** Until when what is known now shows that a gateway is alive; not after `nowMs` when nothing does. */
   #evidenceUntilMs({ address, instance }: Member, relays: readonly RelayVouchers[], nowMs: number): number {
     const heardUntilMs = this.#liveness.aliveUntilMs(address);
     if (heardUntilMs > nowMs) return heardUntilMs;
-    let untilMs = Number.NEGATIVE_INFINITY;
-    for (const { relay, instances, untilMs: vouchedUntilMs } of relays) {
-      if (!instances.has(instance)) continue;
-      untilMs = Math.max(untilMs, Math.min(vouchedUntilMs, this.#liveness.aliveUntilMs(relay)));
-    }
-    return untilMs;
+    const best = relays.find(({ instances }) => instances.has(instance));
+    return best?.untilMs ?? Number.NEGATIVE_INFINITY;
   }
 
   #remember(address: string, instance: string, status: MemberStatus): Member {
--- a/src/gateway/members/vouchers.ts
+++ b/src/gateway/members/vouchers.ts
@@ -49,6 +49,11 @@
     this.#relays.delete(relay);
   }
 
+  /** Whether a relay has said anything yet. */
+  knows(relay: string): boolean {
+    return this.#relays.has(relay);
+  }
+
   /** Whether the word of a relay counts now. */
   counts(relay: string, nowMs: number): boolean {
     const word = this.#relays.get(relay);
