Send turns in the order of the time that programs have left, and refuse programs that runners have no place for

Change: turns carry an urgency by the time that their program has left, in classes that double, measured by the route's target for a first piece; late programs go last. A program's first turn is refused at once, with a time to come back, with a probability that rises with the share of the runners' places that are taken, less important routes first; never while half of the places are free. What has begun goes on. The call's line says the share that decided.

What binds: loads are up to a second old, so that a burst is let in before it is seen.

--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -5,6 +5,7 @@
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { CallEnd } from "../telemetry/call-end.ts";
 import { CallRecord } from "../telemetry/call-record.ts";
@@ -88,6 +89,11 @@
   /** Whether the call, once sent to a runner, may be sent to another one although the first may have run it. */
   protected abstract mayMove(runner: RunnerEntry): boolean;
 
+  /** How urgent the call is among those that wait at a runner; undefined where nothing is known of it. */
+  protected get urgency(): Urgency | undefined {
+    return undefined;
+  }
+
   protected get over(): boolean {
     return this.#over;
   }
@@ -120,7 +126,9 @@
     const { exchange, call, leftMs } = this;
     const patienceMs = Math.max(MIN_PATIENCE_MS, this.route.targetLatencyMs * PATIENCE_FACTOR);
     const streaming = this.route.kind === "streaming";
-    const request = { exchange, call, body, deadlineMs: leftMs, lastEventId, streaming, patienceMs };
+    const deadlineMs = leftMs;
+    const { urgency } = this;
+    const request = { exchange, call, body, deadlineMs, lastEventId, streaming, patienceMs, urgency };
     this.#noteTry(runner);
     this.attempt = new RunnerAttempt(this.parts, runner, request, listener);
     if (this.mayMove(runner)) this.#watchSilence(this.attempt, patienceMs);
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -10,6 +10,7 @@
 import type { RequestOutcome } from "../../scheduling/runner-board/request-outcome.ts";
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { RunnerConnections } from "../runners/runner-connections.ts";
@@ -52,6 +53,7 @@
   readonly streaming: boolean;
   /** Silence after which the try speaks against its runner, in ms. */
   readonly patienceMs: number;
+  readonly urgency: Urgency | undefined;
 }
 
 const MISDIRECTED = 421;
@@ -80,11 +82,12 @@
     this.#request = request;
     this.#listener = listener;
     this.#pending = parts.board.started(runner.id, this.#nowMs, request.patienceMs);
-    const { exchange, body, deadlineMs, lastEventId } = request;
+    const { exchange, body, deadlineMs, lastEventId, urgency } = request;
     const headers = parts.context.platform.calls.headersForRunner(exchange.rawHeaders, {
       deadlineMs,
       expectedRunner: runner.id,
       lastEventId,
+      urgency,
     });
     this.#exchange = sendRequest(
       parts.connections.pool(runner),
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -4,9 +4,12 @@
  */
 
 import type { HttpAnswerHead } from "../../ports/http/http-exchange.ts";
+import { mayBegin } from "../../scheduling/admission/program-admission.ts";
 import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+import { turnUrgency } from "../../scheduling/urgency/turn-urgency.ts";
+import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { AdmitTurnResponse, EndTurnRequest } from "../gateway-messages.ts";
 import type { PartitionClient } from "../partitions/partition-client.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
@@ -18,6 +21,12 @@
 const FIRST_FAILURE_STATUS = 300;
 /** When to come back after the owner of a partition, or the store, was out of reach, in ms. */
 const OWNER_RETRY_AFTER_MS = 450;
+/**
+ * When programs should come back that were refused because the runners are full, in ms; up to as much again is added at
+ * random. About the time of a turn: by then some programs have ended, and the decision is made anew.
+ */
+const PROGRAM_RETRY_AFTER_MS = 250;
+const PERCENT = 100;
 /** Output and input bytes are kept as they came. */
 const ENCODING = "latin1";
 
@@ -62,6 +71,15 @@
     return this.route.resumable && ran.size < this.route.maxAttempts;
   }
 
+  protected override get urgency(): Urgency | undefined {
+    const deadlineMs = this.call.program?.deadlineMs;
+    if (deadlineMs === undefined) return undefined;
+    return turnUrgency({
+      timeLeftMs: deadlineMs - this.elapsedMs,
+      targetLatencyMs: this.route.targetLatencyMs,
+    });
+  }
+
   protected override onOver(): void {
     if (this.#admitted) void this.#partitions.end(this.#endRequest(false));
   }
@@ -99,6 +117,19 @@
     else if (this.#admitted) this.onOver();
   }
 
+  /** Whether the turn goes on with a program, or the runners have a place for one more. */
+  #mayBegin(): boolean {
+    if (this.#preferred !== undefined) return true;
+    const { board, context } = this.parts;
+    const occupancy = board.occupancy(this.pool.name);
+    if (this.record.admission)
+      this.record.admission = {
+        ...this.record.admission,
+        occupancy: Math.round(PERCENT * occupancy) / PERCENT,
+      };
+    return mayBegin({ occupancy, rank: this.route.priority, sample: context.random.unit() });
+  }
+
   #noteAdmission(partition: number, answer: AdmitTurnResponse, elapsedMs: number): void {
     const spent = answer.type === "exhausted" ? { spentTokens: answer.spent } : {};
     const owner = this.#partitions.ownerOf(partition);
@@ -111,7 +142,12 @@
       case "granted":
         this.#history = answer.history;
         this.#preferred = answer.runner;
-        return this.next();
+        if (this.#mayBegin()) return this.next();
+        return this.refuse(
+          "overloaded",
+          "the runners have no place for more programs",
+          PROGRAM_RETRY_AFTER_MS,
+        );
       case "exhausted":
         return this.fail(
           PAYMENT_REQUIRED,
--- a/src/gateway/telemetry/admission-record.ts
+++ b/src/gateway/telemetry/admission-record.ts
@@ -5,6 +5,8 @@
   readonly answer: string;
   /** Tokens that count as spent, where they exhaust the budget. */
   readonly spentTokens?: number;
+  /** For a program's first turn: requests at the runners, as a share of their places, when it was let in or refused. */
+  readonly occupancy?: number;
   /** How long the answer took, in ms. */
   readonly elapsedMs: number;
 }
--- a/src/ports/call-protocol.ts
+++ b/src/ports/call-protocol.ts
@@ -2,6 +2,7 @@
 import type { ProgramId } from "../scheduling/ids/program-id.ts";
 import type { RequestId } from "../scheduling/ids/request-id.ts";
 import type { RunnerId } from "../scheduling/ids/runner-id.ts";
+import type { Urgency } from "../scheduling/urgency/urgency.ts";
 
 /** What a program says of itself with each of its requests. */
 export interface ProgramContext {
@@ -40,6 +41,8 @@
   readonly expectedRunner: RunnerId;
   /** The runner goes on after this event; undefined for a run from the start, whatever the caller said. */
   readonly lastEventId: number | undefined;
+  /** Among requests that wait at the runner; undefined where nothing is known of it. */
+  readonly urgency: Urgency | undefined;
 }
 
 /** What a runner's answer says of itself. */
--- /dev/null
+++ b/src/scheduling/admission/program-admission.ts
@@ -0,0 +1,29 @@
+/**
+ * Whether a program may begin. Beyond what the runners can do, every program more makes all of them late: some are refused
+ * before they have begun, so that the others end in time. What has begun goes on. Pure.
+ */
+
+/** Share of the places that are taken from which on some programs are refused, for the most important routes. */
+const FIRST_REFUSED = 0.9;
+/** From so much more on, all of them are. */
+const RAMP = 0.35;
+/** Less important routes are refused this much earlier, for each rank. */
+const RANK_STEP = 0.1;
+/** Ranks beyond this are treated alike: nothing is refused while there are places. */
+const MOST_RANKS = 2;
+
+/** What the decision depends on. */
+export interface ProgramStart {
+  /** Requests at the runners as a share of their places. */
+  readonly occupancy: number;
+  /** Rank of the route among those of the pool: 0 is the most important one. */
+  readonly rank: number;
+  /** A number in [0, 1), drawn at random. */
+  readonly sample: number;
+}
+
+/** See the module's comment. */
+export function mayBegin({ occupancy, rank, sample }: ProgramStart): boolean {
+  const firstRefused = FIRST_REFUSED - RANK_STEP * Math.min(rank, MOST_RANKS);
+  return sample >= (occupancy - firstRefused) / RAMP;
+}
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -130,6 +130,22 @@
     return (this.#runners.get(id)?.health.inFlight ?? 0) + this.#reports.inFlight(id);
   }
 
+  /**
+   * Requests under way at the runners of a pool, as far as known, as a share of the places that they have: beyond 1 some
+   * wait. 0 where the pool has no runner.
+   */
+  occupancy(pool: string): number {
+    let slots = 0;
+    let load = 0;
+    for (const state of this.#runners.values()) {
+      const { entry } = state;
+      if (entry.pool !== pool || !isReady(state)) continue;
+      slots += entry.slots;
+      load += this.load(entry.id);
+    }
+    return slots === 0 ? 0 : load / slots;
+  }
+
   /**
    * Counts a request that leaves for a runner; call {@link ended} when it is over.
    *
--- a/test/contract/member-directory.test.ts
+++ b/test/contract/member-directory.test.ts
@@ -137,4 +137,23 @@
     await fleet.time.runUntil(fleet.time.nowMs + DETECTION_MS);
     expect(fleet.members[0]?.directory.looksForOthers).toEqual(true);
   });
+
+  it("tells gateways that all start at once of each other in few messages", async () => {
+    const fleet = new MemberFleet(hash, 195, 24, 7);
+    await fleet.time.runUntil(1_000);
+    for (const { directory } of fleet.members) expect(directory.aliveCount).toEqual(194);
+    await fleet.time.runUntil(3_000);
+    // 457 when each gateway spoke to every address that it heard of.
+    expect(fleet.messages / 195 < 150).toEqual(true);
+  });
+
+  it("finds all gateways where no seed is up, once one has heard of the others from the store", async () => {
+    const fleet = new MemberFleet(hash, 60, 24, 7);
+    for (const { process } of fleet.members.slice(0, 3)) process.kill();
+    const addresses = fleet.members.slice(3).map((_, index) => fleetAddress(index + 3));
+    for (const { directory } of fleet.members.slice(3))
+      if (directory.looksForOthers) directory.knowAll(addresses);
+    await fleet.time.runUntil(2 * SETTLE_MS);
+    for (const { directory } of fleet.members.slice(3)) expect(directory.aliveCount).toEqual(56);
+  });
 });
