--- a/src/coordination/token-account/token-account.ts
+++ b/src/coordination/token-account/token-account.ts
@@ -6,17 +6,11 @@
 /** Largest part of what is left of a budget that is set aside for turns to come. */
 const AHEAD_PART = 0.5;
 /**
- * What may be granted of a program that the store does not know, while the store does not have it, but only copies at
- * other nodes: so many turns' most, and never more than a part of the budget. Turns use a quarter of their most on
- * average, so that a program goes on for about nine turns. Should all copies be lost, the next owner counts it as spent
- * ({@link TokenAccount.charge}).
+ * What may be granted while the store does not have it, but only copies at other nodes: so many turns' most, and never
+ * more than a part of the budget. Turns use a quarter of their most on average, so that a program goes on for about nine
+ * turns. Should all copies be lost, the next owner counts it as spent ({@link TokenAccount.charge}).
  */
 const UNSTORED_TURNS = 3;
-/**
- * The same for a program that the store knows, and for which tokens are set aside there. Should all copies be lost, and
- * nobody know that the store was away, it is spent beyond the budget: the one turn that the program may be over by.
- */
-const UNSTORED_TURNS_WHEN_KNOWN = 1;
 const UNSTORED_PART = 0.5;
 
 /** What is stored of an account. Everything in it counts as spent until a turn is settled. */
@@ -63,14 +57,8 @@
   /** Tokens that count as spent by the newest snapshot that the store holds. */
   #storedTotal: number;
   #charged = false;
-  /** Whether the store has an account of the program. */
-  #isKnown: boolean;
-  /** Whether the store, or copies, had an account of the program when this owner took over. */
-  readonly wasKnown: boolean;
 
   constructor(stored?: StoredAccount) {
-    this.wasKnown = stored !== undefined;
-    this.#isKnown = this.wasKnown;
     // What a lost owner had set aside may have been granted by it: it counts as spent.
     this.#settled = (stored?.settled ?? 0) + (stored?.ahead ?? 0);
     this.#open = new Map(stored?.open ?? []);
@@ -105,7 +93,7 @@
   charge(most: number, budget: number): void {
     if (this.#charged) return;
     this.#charged = true;
-    this.add(unstoredLimit(most, budget, this.wasKnown));
+    this.add(unstoredLimit(most, budget));
   }
 
   /** Counts tokens as spent that an earlier owner has granted and this one did not know of. */
@@ -173,7 +161,6 @@
 
   /** The store holds a snapshot. */
   stored(snapshot: AccountSnapshot): void {
-    this.#isKnown = true;
     this.#storedTotal = Math.max(this.#storedTotal, snapshot.total);
     this.copied(snapshot);
   }
@@ -197,7 +184,7 @@
   }
 
   #grant(revision: number, most: number, budget: number): TurnGrant {
-    const copyable = this.committed - this.#storedTotal <= unstoredLimit(most, budget, this.#isKnown);
+    const copyable = this.committed - this.#storedTotal <= unstoredLimit(most, budget);
     return { type: "granted", revision, copyable };
   }
 
@@ -219,7 +206,6 @@
 }
 
 /** Tokens that may be granted without the store. */
-function unstoredLimit(most: number, budget: number, isKnown: boolean): number {
-  const turns = isKnown ? UNSTORED_TURNS_WHEN_KNOWN : UNSTORED_TURNS;
-  return Math.floor(Math.min(turns * most, budget * UNSTORED_PART));
+function unstoredLimit(most: number, budget: number): number {
+  return Math.floor(Math.min(UNSTORED_TURNS * most, budget * UNSTORED_PART));
 }
--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -51,13 +51,8 @@
   readonly copied: ReadonlyMap<ProgramId, AccountRow>;
   /** Turns of which only copies are held. */
   readonly turns: ReadonlyMap<RequestId, RetainedTurnContent>;
-  /** Whether earlier owners may have granted tokens to any program of which all copies are lost. */
+  /** Whether earlier owners may have granted tokens of which all copies are lost. */
   readonly grantsMayBeLost: boolean;
-  /**
-   * Whether all copies are lost, so that programs of which nothing is known may have been granted tokens in an outage of
-   * the store that nobody lives to tell of.
-   */
-  readonly copiesLost: boolean;
 }
 
 /** What an owned partition is made of. */
@@ -91,7 +86,6 @@
   readonly #turnWriter: TurnWriter;
   readonly #replicas: PartitionReplicas;
   readonly #writer: PartitionWriter;
-  readonly #grantsMayBeLost: boolean;
   /** Until when programs are charged for grants that may be lost, in ms of the monotonic clock. */
   readonly #chargeUntilMs: number;
   #releasing = false;
@@ -106,10 +100,7 @@
     this.#replicas = parts.replicas;
     this.#turns = new RetainedTurns(parts.context, () => parts.health.newestVersion, parts.findTurn);
     this.#writer = new PartitionWriter({ ...parts, onReplicasChanged: () => this.#mirrorAll() });
-    const { grantsMayBeLost, copiesLost } = content;
-    this.#grantsMayBeLost = grantsMayBeLost;
-    const mayCharge = grantsMayBeLost || copiesLost;
-    this.#chargeUntilMs = mayCharge ? parts.context.clock.monotonicMs() + CHARGE_MS : 0;
+    this.#chargeUntilMs = content.grantsMayBeLost ? parts.context.clock.monotonicMs() + CHARGE_MS : 0;
     for (const [program, row] of content.stored) this.#remember(program, new TokenAccount(row));
     for (const [program, row] of content.copied) this.#adoptCopy(program, row);
     for (const [turn, retained] of content.turns) this.#adoptTurn(turn, retained);
@@ -229,7 +220,7 @@
     const { turn, budget } = request;
     if (!budget) return Promise.resolve("recorded");
     const { account } = program;
-    if (this.#mayHaveLostGrants(account)) account.charge(budget.most, budget.tokens);
+    if (this.#context.clock.monotonicMs() < this.#chargeUntilMs) account.charge(budget.most, budget.tokens);
     const { aheadTurns } = this.#context.settings.budget;
     const grant = account.admit(turn, budget.most, budget.tokens, aheadTurns);
     if (grant.type === "exhausted") return "exhausted";
@@ -238,11 +229,6 @@
     return this.#writer.writeAccount(request.program, account, grant.copyable);
   }
 
-  #mayHaveLostGrants(account: TokenAccount): boolean {
-    const mayCharge = this.#context.clock.monotonicMs() < this.#chargeUntilMs;
-    return mayCharge && (this.#grantsMayBeLost || !account.wasKnown);
-  }
-
   #replenish(account: TokenAccount, program: ProgramId, budget: { tokens: number; most: number }): void {
     const { aheadTurns } = this.#context.settings.budget;
     if (!account.replenish(budget.most, budget.tokens, aheadTurns)) return;
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -330,7 +330,7 @@
     if (!complete) this.#lossMattersUntilMs = this.#context.clock.monotonicMs() + LOSS_MATTERS_MS;
     // Nothing was granted on copies alone while the store answered, unless an owner goes on that nobody reaches.
     const grantsMayBeLost = !complete && (!othersGone || this.#health.wasUnreachable);
-    return { stored, copied, turns, grantsMayBeLost, copiesLost: !complete };
+    return { stored, copied, turns, grantsMayBeLost };
   }
 
   #adopt(
@@ -371,7 +371,7 @@
     );
     this.#owned.set(partition, owned);
     this.#owners.learn(partition, { instance, epoch });
-    const { stored, copied, turns, grantsMayBeLost, copiesLost } = content;
+    const { stored, copied, turns, grantsMayBeLost } = content;
     log.info(
       {
         partition,
@@ -380,7 +380,6 @@
         copiedPrograms: copied.size,
         copiedTurns: turns.size,
         grantsMayBeLost,
-        copiesLost,
         withoutStore: rowOwner !== undefined,
       },
       "partition taken over",
