--- a/test/contract/platform-settings.test.ts
+++ b/test/contract/platform-settings.test.ts
@@ -21,11 +21,32 @@
 };
 
 describe("settings template", () => {
+  /** Fills the gaps, and the parts that stand only where a value is missing. */
+  function fill(values: Record<string, string | undefined>): string {
+    const chosen = TEMPLATE.replace(
+      /\{\{\^([^{}]*)\}\}(.*?)\{\{\/\1\}\}/g,
+      (_, name: string, otherwise: string) => (values[name] === undefined ? otherwise : ""),
+    );
+    return chosen.replace(/\{\{([^{}]*)\}\}/g, (_, name: string) => {
+      return name in values ? (values[name] ?? "") : `no ${name}`;
+    });
+  }
+
   it("becomes valid settings with the platform's values", () => {
-    const filled = TEMPLATE.replace(/\{\{([^{}]*)\}\}/g, (_, name: string) => VALUES[name] ?? `no ${name}`);
+    const filled = fill(VALUES);
     const [parsed] = parseYaml(filled, "settings", gatewaySettingsSchema, "invalid-settings");
     expect(parsed?.value.seeds).toEqual([ADDRESS]);
-    expect(parsed?.value.timing.runnerDrainMs).toEqual(4_000);
     expect(parsed?.value.name).toEqual("front-hall-a-1");
   });
+
+  it("takes the time that leaving runners serve on from the platform, where it says one", () => {
+    for (const [given, expected] of [
+      ["4000", 4_000],
+      [undefined, 1_500],
+    ] as const) {
+      const filled = fill({ ...VALUES, "bounds.drain-ms": given });
+      const [parsed] = parseYaml(filled, "settings", gatewaySettingsSchema, "invalid-settings");
+      expect(parsed?.value.timing.runnerDrainMs).toEqual(expected);
+    }
+  });
 });
