Say in the usual terms what members, relays and reports do

Comments and one private name in the files that this work has touched: requests are handled, peers time out, relays vouch, owners release. No behaviour changes.

--- a/src/coordination/partition-ownership/ownership-map.ts
+++ b/src/coordination/partition-ownership/ownership-map.ts
@@ -6,7 +6,7 @@
   readonly epoch: number;
 }
 
-/** What one node has heard of owners. Hearsay only: the owner's writes are fenced where they land, in the store. */
+/** What one node has heard of owners. Not authoritative: the store fences the writes of each owner. */
 export class OwnershipMap {
   readonly #owners = new Map<number, Ownership>();
   /** Partitions of each owner, so that what one owner says costs nothing for those of the others. */
@@ -17,7 +17,7 @@
     return this.#owners.get(partition);
   }
 
-  /** Takes in what an owner says of itself. Returns whether it is news. */
+  /** Records what an owner says of itself. Returns whether it is news. */
   learn(partition: number, ownership: Ownership): boolean {
     const known = this.#owners.get(partition);
     if (known && known.epoch >= ownership.epoch) return false;
@@ -29,12 +29,12 @@
     return true;
   }
 
-  /** Forgets an owner that said it has let go, or is gone. */
+  /** Forgets an owner that has released the partition, or is gone. */
   forget(partition: number, instance: string): void {
     if (this.#owners.get(partition)?.instance === instance) this.#drop(partition, instance);
   }
 
-  /** Takes in everything that an incarnation says it owns: what it does not name, it has let go. */
+  /** Records all partitions that an incarnation owns: those that it does not name, it has released. */
   learnAll(instance: string, owned: readonly (readonly [partition: number, epoch: number])[]): void {
     const known = this.#partitions.get(instance);
     if (known) {
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -143,7 +143,7 @@
       this.#transport.send(address, this.#heartbeat(address, this.selfReport(), true));
   }
 
-  /** Sends heartbeats now, and looks who has fallen silent. */
+  /** Sends heartbeats and digests now, and detects peers that have timed out. */
   tick(): void {
     this.#ticks += 1;
     for (const address of this.#view.look()) this.#forget(address);
@@ -158,7 +158,7 @@
     this.#repeatRelayed();
   }
 
-  /** Takes in a heartbeat. */
+  /** Handles a heartbeat. */
   onHeartbeat(heartbeat: Heartbeat, from: Sender): void {
     const { address, instance } = from;
     if (address === this.#transport.self.address) return;
@@ -174,7 +174,7 @@
     this.onLoads(instance, heartbeat.runners);
   }
 
-  /** Takes in what a relay passes on. */
+  /** Handles a relay's digest. */
   onDigest(digest: MemberDigest, from: Sender): void {
     if (!this.#sequences.accept(from.address, digest)) return;
     const self = this.#transport.self.address;
--- a/src/gateway/members/member-view.ts
+++ b/src/gateway/members/member-view.ts
@@ -93,7 +93,7 @@
     });
   }
 
-  /** Takes in a heartbeat. */
+  /** Records a heartbeat. */
   heard(address: string, instance: string, status: MemberStatus): Member {
     const member = this.#remember(address, instance, status);
     if (!this.isHeard(address)) this.#aliveNow = undefined;
@@ -101,7 +101,7 @@
     return member;
   }
 
-  /** Takes in which gateways a relay hears; returns those of whom it says something. */
+  /** Applies a relay's digest; returns the gateways that it mentions. */
   relayed(relay: string, digest: MemberDigest): Member[] {
     const isNews = digest.whole || digest.changed.length > 0 || digest.lost.length > 0;
     if (isNews || !this.#vouchers.counts(relay, this.#nowMs)) this.#aliveNow = undefined;
@@ -135,7 +135,7 @@
     return sinceLookMs > suspectMs || this.#nowMs - this.#resumedMs < suspectMs;
   }
 
-  /** Looks who has fallen silent; returns the addresses of those that are forgotten now. */
+  /** Detects gateways that have timed out; returns the addresses of those that are forgotten now. */
   look(): string[] {
     this.#noticePause();
     this.noticeSilence();
@@ -150,7 +150,7 @@
     return forgotten;
   }
 
-  /** Tells of those that are no longer alive. */
+  /** Reports gateways that are no longer alive. */
   noticeSilence(): void {
     for (const member of this.#members.values()) {
       if (!this.#lost.has(member.instance) && !this.isAlive(member)) this.#lose(member);
@@ -183,7 +183,7 @@
     return { members, byInstance, untilMs };
   }
 
-  /** Relays that are heard, and until when their words count: those that count for longest first. */
+  /** Relays that are heard, and until when their digests count: those that count for longest first. */
   #relaysByEvidence(nowMs: number): RelayVouchers[] {
     const relays = this.#vouchers.current(nowMs).filter(({ relay }) => this.isHeard(relay));
     const evidence = relays.map(({ relay, instances, untilMs }) => {
--- a/src/gateway/members/vouchers.ts
+++ b/src/gateway/members/vouchers.ts
@@ -1,37 +1,37 @@
-/** What one relay says. */
+/** The gateways for which one relay vouches. */
 export interface RelayVouchers {
   /** The relay's address. */
   readonly relay: string;
   /** Incarnations that it hears. */
   readonly instances: ReadonlySet<string>;
-  /** Until when its word counts if no further digest comes, in ms of the monotonic clock. */
+  /** Until when that counts if no further digest comes, in ms of the monotonic clock. */
   readonly untilMs: number;
 }
 
 /**
- * Which relays say that they hear which gateways. A word counts for as long as its relay goes on sending digests: one
- * that has stopped being a relay takes nothing back any more.
+ * Which relays vouch for which gateways: they say that they hear them. That counts for as long as a relay goes on sending
+ * digests; one that has stopped being a relay withdraws nothing any more.
  */
 export class Vouchers {
   readonly #validMs: number;
   /** By the relay's address. */
-  readonly #relays = new Map<string, RelayWord>();
+  readonly #relays = new Map<string, RelayRecord>();
 
-  /** @param validMs how long what a relay has said counts after its last digest, in ms */
+  /** @param validMs how long a relay vouches after its last digest, in ms */
   constructor(validMs: number) {
     this.#validMs = validMs;
   }
 
   /** A digest of a relay came. */
   refresh(relay: string, nowMs: number): void {
-    const word = this.#relays.get(relay);
-    if (word) word.digestAtMs = nowMs;
+    const record = this.#relays.get(relay);
+    if (record) record.digestAtMs = nowMs;
     else this.#relays.set(relay, { digestAtMs: nowMs, instances: new Set() });
   }
 
-  /** This process stood still: what relays sent meanwhile is still to be read. */
+  /** This process was paused: what relays sent meanwhile is still to be read. */
   resume(nowMs: number): void {
-    for (const word of this.#relays.values()) word.digestAtMs = nowMs;
+    for (const record of this.#relays.values()) record.digestAtMs = nowMs;
   }
 
   /** A relay says that it hears a gateway. */
@@ -44,23 +44,23 @@
     this.#relays.get(relay)?.instances.delete(instance);
   }
 
-  /** Drops everything that a relay has said. */
+  /** Drops everything that is known from a relay. */
   clear(relay: string): void {
     this.#relays.delete(relay);
   }
 
-  /** Whether a relay has said anything yet. */
+  /** Whether a digest of the relay has come yet. */
   knows(relay: string): boolean {
     return this.#relays.has(relay);
   }
 
-  /** Whether the word of a relay counts now. */
+  /** Whether what a relay vouches for counts now. */
   counts(relay: string, nowMs: number): boolean {
-    const word = this.#relays.get(relay);
-    return word !== undefined && nowMs - word.digestAtMs < this.#validMs;
+    const record = this.#relays.get(relay);
+    return record !== undefined && nowMs - record.digestAtMs < this.#validMs;
   }
 
-  /** The relays whose word counts now. */
+  /** The relays whose digests count now. */
   current(nowMs: number): RelayVouchers[] {
     const current: RelayVouchers[] = [];
     for (const [relay, { digestAtMs, instances }] of this.#relays) {
@@ -71,7 +71,7 @@
   }
 }
 
-interface RelayWord {
+interface RelayRecord {
   digestAtMs: number;
   readonly instances: Set<string>;
 }
--- a/src/scheduling/runner-board/report-totals.ts
+++ b/src/scheduling/runner-board/report-totals.ts
@@ -1,5 +1,5 @@
 /**
- * What other nodes tell of their requests at runners, summed by runner as reports come: a choice among runners then
+ * Reports of other nodes on their requests at runners, summed by runner as they come: a choice among runners then
  * costs the same however many nodes there are. Pure.
  */
 import type { RunnerId } from "../ids/runner-id.ts";
@@ -50,7 +50,7 @@
     this.#add(report, 1);
   }
 
-  /** Drops what a node has told. */
+  /** Drops a node's report. */
   delete(node: string): void {
     const known = this.#reports.get(node);
     if (!known) return;
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -78,14 +78,14 @@
   /** By pool. */
   readonly #usualPaces = new Map<string, UsualPace>();
 
-  /** Takes in a new or changed entry of the list. */
+  /** Adds or updates an entry of the list. */
   upsert(entry: RunnerEntry): void {
     const known = this.#runners.get(entry.id);
     if (known) known.entry = entry;
     else this.#runners.set(entry.id, { entry, health: new RunnerHealth(), avoidUntilMs: 0, leaving: false });
   }
 
-  /** Takes out an entry that is gone from the list. */
+  /** Removes an entry that is gone from the list. */
   remove(id: RunnerId): void {
     this.#runners.delete(id);
   }
@@ -157,7 +157,7 @@
     return pending;
   }
 
-  /** Takes in how long a runner took for one step of its work, in ms. */
+  /** Records how long a runner took for one step of its work, in ms. */
   paced(runner: RunnerId, stepMs: number, nowMs: number): void {
     this.#runners.get(runner)?.health.pace(stepMs, nowMs);
   }
@@ -179,7 +179,7 @@
     if (state) state.leaving = true;
   }
 
-  /** What this node tells the others, for the heartbeat. */
+  /** This node's report to the others, for the heartbeat. */
   ownReport(nowMs: number): NodeReport {
     const inFlight: [RunnerId, number][] = [];
     const failing: [RunnerId, number, number][] = [];
@@ -191,7 +191,7 @@
     return { inFlight, failing };
   }
 
-  /** Takes in what another node tells. */
+  /** Records another node's report. */
   report(node: string, report: NodeReport, nowMs: number): void {
     this.#reports.set(node, report, nowMs);
   }
