--- a/bench/build/warm-up-back-ends.ts
+++ b/bench/build/warm-up-back-ends.ts
@@ -1,7 +1,8 @@
 /** Stand-ins of the store and of runners for gateways that warm up. */
+
+import { putSampleConfiguration } from "../../standins/platform/put-sample-configuration.ts";
 import { RowStoreStandin } from "../../standins/platform/row-store-standin.ts";
 import { RunnerStandin } from "../../standins/platform/runner-standin.ts";
-import { putConfiguration } from "../gateway-cost/cost-configuration.ts";
 
 const RUNNERS = 4;
 
@@ -17,7 +18,7 @@
   static async start(): Promise<WarmUpBackEnds> {
     const store = new RowStoreStandin();
     const address = await store.listen();
-    putConfiguration(store);
+    putSampleConfiguration(store);
     for (let index = 0; index < RUNNERS; index += 1) {
       const service = index === 0 ? "api" : "engine";
       const runner = new RunnerStandin(`${service}-${index}`);
--- a/bench/build/warm-up-requests.ts
+++ b/bench/build/warm-up-requests.ts
@@ -1,6 +1,8 @@
 /** Requests of callers for gateways that warm up: turns of programs and plain calls. */
+import { setTimeout as wait } from "node:timers/promises";
 import { Pool } from "undici";
-import { callRequest, turnRequest, wait } from "../gateway-cost/cost-requests.ts";
+import { sampleCall } from "../../standins/platform/sample-call.ts";
+import { sampleTurn } from "../../standins/platform/sample-turn.ts";
 
 const OK = 200;
 const READY_TIMEOUT_MS = 20_000;
@@ -29,7 +31,7 @@
 }
 
 async function isServed(pool: Pool, index: number): Promise<boolean> {
-  for (const { path, headers, body } of [turnRequest(index), callRequest(index)]) {
+  for (const { path, headers, body } of [sampleTurn(index), sampleCall(index)]) {
     try {
       const answer = await pool.request({ path, method: "POST", headers, body });
       await answer.body.dump();
--- a/bench/build/write-code-cache.ts
+++ b/bench/build/write-code-cache.ts
@@ -2,6 +2,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
+import { SETTINGS_VARIABLE } from "../../platform/settings-variable.ts";
 import { BundleScript } from "../../src/launcher/bundle-script.ts";
 import { freeAddress } from "./free-address.ts";
 import { WarmUpBackEnds } from "./warm-up-back-ends.ts";
@@ -10,7 +11,6 @@
 /** Gateways that talk to each other; with more than `DIRECT_MOST`, through relays. */
 const GATEWAYS = 5;
 const DIRECT_MOST = 2;
-const SETTINGS_VARIABLE = "TULIPWHEEL_NODE_FILE";
 
 /** Returns whether all requests were served; nothing is stored otherwise. */
 async function writeCodeCache(): Promise<boolean> {
--- a/bench/gateway-cost/cost-cluster.ts
+++ b/bench/gateway-cost/cost-cluster.ts
@@ -4,10 +4,12 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request as httpRequest } from "undici";
+import { SETTINGS_VARIABLE } from "../../platform/settings-variable.ts";
+import { putSampleConfiguration } from "../../standins/platform/put-sample-configuration.ts";
 import { RowStoreStandin } from "../../standins/platform/row-store-standin.ts";
 import { RunnerStandin } from "../../standins/platform/runner-standin.ts";
+import { SAMPLE_ROUTES } from "../../standins/platform/sample-routes.ts";
 import { TestAddresses } from "../../test/process/support/test-addresses.ts";
-import { COST_HOST, putConfiguration } from "./cost-configuration.ts";
 
 /** What a cluster consists of. */
 export interface CostClusterOptions {
@@ -59,7 +61,7 @@
   async start(): Promise<void> {
     const storeAddress = await this.#store.listen();
     this.#folder = await mkdtemp(join(tmpdir(), "tulipwheel-cost-"));
-    putConfiguration(this.#store);
+    putSampleConfiguration(this.#store);
     for (let index = 0; index < this.#options.runners; index += 1) await this.#addRunner(index);
     await this.#addGateways(storeAddress);
     await this.#ready();
@@ -129,7 +131,7 @@
       const profile = isProfiled ? ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`] : [];
       const child = spawn(process.execPath, [...flags, ...profile, bundle], {
         stdio: ["ignore", "ignore", "inherit"],
-        env: { ...process.env, TULIPWHEEL_NODE_FILE: file },
+        env: { ...process.env, [SETTINGS_VARIABLE]: file },
       });
       this.gateways[index] = { ...(this.gateways[index] as CostGateway), process: child };
     }
@@ -148,7 +150,7 @@
   async #directorySize({ directory }: CostGateway): Promise<number> {
     try {
       const answer = await httpRequest(
-        `http://${directory}/tulipwheel/resolve?name=${COST_HOST}&zone=zone-0`,
+        `http://${directory}/tulipwheel/resolve?name=${SAMPLE_ROUTES.host}&zone=zone-0`,
       );
       const text = await answer.body.text();
       return answer.statusCode === 200 ? (JSON.parse(text) as { addresses: string[] }).addresses.length : 0;
--- a/bench/gateway-cost/measure-costs.ts
+++ b/bench/gateway-cost/measure-costs.ts
@@ -1,7 +1,10 @@
 /** Measures the parts of a gateway's processor time one after the other: start, rest, turns, plain calls. */
+import { setTimeout as wait } from "node:timers/promises";
 import { Pool } from "undici";
+import { sampleCall } from "../../standins/platform/sample-call.ts";
+import type { SampleRequest } from "../../standins/platform/sample-request.ts";
+import { sampleTurn } from "../../standins/platform/sample-turn.ts";
 import type { CostCluster } from "./cost-cluster.ts";
-import { type CostRequest, callRequest, turnRequest, wait } from "./cost-requests.ts";
 
 /** What is measured, and for how long. */
 export interface CostPlan {
@@ -37,8 +40,8 @@
   const startMs = (await cluster.processorMs()) / gateways;
   const restMsPerSecond = await measureRest(cluster, plan.durationMs);
   const load = new Load(cluster, plan.durationMs, restMsPerSecond);
-  const turnMs = await load.run(plan.turnsPerSecond, (index) => turnRequest(index));
-  const callMs = await load.run(plan.callsPerSecond, (index) => callRequest(index));
+  const turnMs = await load.run(plan.turnsPerSecond, sampleTurn);
+  const callMs = await load.run(plan.callsPerSecond, sampleCall);
   const megabytes = (await cluster.megabytes()) / gateways;
   await load.close();
   return { startMs, restMsPerSecond, turnMs, callMs, failed: load.failed, megabytes };
@@ -67,7 +70,7 @@
   }
 
   /** Processor time per request beyond that of gateways at rest, in ms. */
-  async run(perSecond: number, requestOf: (index: number) => CostRequest): Promise<number> {
+  async run(perSecond: number, requestOf: (index: number) => SampleRequest): Promise<number> {
     const startedMs = performance.now();
     const before = await this.#cluster.processorMs();
     let sent = 0;
@@ -86,7 +89,7 @@
     await Promise.all(this.#pools.map((pool) => pool.destroy()));
   }
 
-  async #send(index: number, { path, headers, body }: CostRequest): Promise<void> {
+  async #send(index: number, { path, headers, body }: SampleRequest): Promise<void> {
     const pool = this.#pools[index % this.#pools.length] as Pool;
     try {
       const answer = await pool.request({ path, method: "POST", headers, body });
--- a/bench/gateway-cost/cost-configuration.ts
+++ b/standins/platform/put-sample-configuration.ts
@@ -1,17 +1,14 @@
-/** The configuration of gateways whose costs are measured: a route of turns and one of plain calls. */
-import type { RowStoreStandin } from "../../standins/platform/row-store-standin.ts";
-
-/** Host and paths of the routes. */
-export const COST_HOST = "cost.example";
-export const COST_PATHS = { turn: "/turn/", call: "/call/" } as const;
+/** A configuration with a route of turns and one of plain calls, for gateways whose costs are measured. */
+import type { RowStoreStandin } from "./row-store-standin.ts";
+import { SAMPLE_ROUTES } from "./sample-routes.ts";
 
 const ROUTE_TIMEOUT_MS = 3_000;
 
 /** Writes the operators' configuration. */
-export function putConfiguration(store: RowStoreStandin): void {
+export function putSampleConfiguration(store: RowStoreStandin): void {
   const route = (name: string, path: string, kind: string, service: string, more: object) => ({
     name,
-    host: COST_HOST,
+    host: SAMPLE_ROUTES.host,
     "path-prefix": path,
     kind,
     "timeout-ms": ROUTE_TIMEOUT_MS,
@@ -24,8 +21,8 @@
   store.put("op", "config", {
     version: 1,
     routes: [
-      route("turn", COST_PATHS.turn, "streaming", "engine", { "max-attempts": 1, resumable: true }),
-      route("call", COST_PATHS.call, "unsafe", "api", {}),
+      route("turn", SAMPLE_ROUTES.turnPath, "streaming", "engine", { "max-attempts": 1, resumable: true }),
+      route("call", SAMPLE_ROUTES.callPath, "unsafe", "api", {}),
     ],
     services: [
       { name: "engine", "max-connections": 1_100, engine },
