--- a/bench/build-gateway.mjs
+++ b/bench/build-gateway.mjs
@@ -3,8 +3,9 @@
  * it. The compiled code is that of gateways that have served some requests; without it a gateway starts more slowly.
  */
 import { spawnSync } from "node:child_process";
-import { readFileSync, rmSync } from "node:fs";
+import { rmSync } from "node:fs";
 import { build } from "esbuild";
+import { runtimeFlags } from "./build/runtime-flags.mjs";
 
 const CODE_CACHE = "target/gateway-bundle.code-cache";
 /** Longest time for the gateways that warm up, in ms. */
@@ -38,12 +39,6 @@
   });
 }
 
-/** The flags that gateways run with: compiled code is only good for the same ones. */
-function runtimeFlags() {
-  const [, command] = /^run = "node ([^"]*)"$/m.exec(readFileSync("deploy/system.toml", "utf8")) ?? [];
-  return (command ?? "").split(" ").filter((word) => word.startsWith("--"));
-}
-
 rmSync(CODE_CACHE, { force: true });
 await Promise.all([
   bundle("platform/main.ts", "target/gateway-bundle.cjs"),
--- a/bench/gateway-cost.ts
+++ b/bench/gateway-cost.ts
@@ -5,6 +5,7 @@
  * With `--profile` one gateway writes a CPU profile into a folder.
  */
 import { parseArgs } from "node:util";
+import { runtimeFlags } from "./build/runtime-flags.mjs";
 import { CostCluster } from "./gateway-cost/cost-cluster.ts";
 import { measureCosts } from "./gateway-cost/measure-costs.ts";
 
@@ -20,10 +21,7 @@
     calls: { type: "string", default: "2" },
     bundle: { type: "string", default: "target/gateway.cjs" },
     profile: { type: "string" },
-    flags: {
-      type: "string",
-      default: "--max-old-space-size=160 --single-threaded-gc --interrupt-budget=2000000",
-    },
+    flags: { type: "string" },
   },
 });
 
@@ -34,7 +32,7 @@
     zones: Number(values.zones),
     runners: Number(values.runners),
     bundle: values.bundle,
-    flags: values.flags.split(" "),
+    flags: values.flags?.split(" ") ?? runtimeFlags(),
     profileFolder: values.profile,
   });
   try {
--- a/bench/simulation/gateways/gateway-faults.ts
+++ b/bench/simulation/gateways/gateway-faults.ts
@@ -1,13 +1,8 @@
 /** What can go wrong in a simulation of gateways, each kind with how it begins and ends. */
 import type { GatewayWorld } from "./gateway-world.ts";
 
-/** Kinds of faults. */
-export const GATEWAY_FAULTS = [
-  "kill",
-  "kill-all",
-  "freeze",
-  "planned-stop",
-  "part-peers",
+/** Faults in which the store does not answer in time. */
+export const STORE_FAULTS = [
   "cut-store",
   "cut-store-answers",
   "store-busy",
@@ -15,6 +10,16 @@
   "store-slow",
   "lost-answers",
   "late-writes",
+] as const;
+
+/** Kinds of faults. */
+export const GATEWAY_FAULTS = [
+  "kill",
+  "kill-all",
+  "freeze",
+  "planned-stop",
+  "part-peers",
+  ...STORE_FAULTS,
   "history-dropped",
   "messages-lost",
 ] as const;
--- a/bench/simulation/gateways/run-gateway-simulation.ts
+++ b/bench/simulation/gateways/run-gateway-simulation.ts
@@ -1,6 +1,6 @@
 /** Runs gateways under faults on virtual time, and checks what must always hold. */
 import type { TextHash } from "../../../src/runtime/text-hash.ts";
-import { type GatewayFault, strike } from "./gateway-faults.ts";
+import { type GatewayFault, STORE_FAULTS, strike } from "./gateway-faults.ts";
 import { type GatewayObservations, MOST, runPrograms } from "./gateway-workload.ts";
 import { type GatewayFleet, GatewayWorld } from "./gateway-world.ts";
 
@@ -13,16 +13,6 @@
   readonly fleet?: GatewayFleet;
 }
 
-/** Faults in which the store does not answer in time. */
-const STORE_FAULTS: readonly GatewayFault[] = [
-  "cut-store",
-  "cut-store-answers",
-  "store-busy",
-  "store-silent",
-  "store-slow",
-  "lost-answers",
-  "late-writes",
-];
 const PROGRAMS_AT_ONCE = 8;
 const QUIET_START_MS = 3_000;
 const FAULT_EVERY_MS = 5_000;
@@ -120,7 +110,7 @@
 }
 
 function mayLoseCopies(faults: readonly GatewayFault[]): boolean {
-  return faults.includes("kill-all") && faults.some((fault) => STORE_FAULTS.includes(fault));
+  return faults.includes("kill-all") && STORE_FAULTS.some((fault) => faults.includes(fault));
 }
 
 /** While the store is out of order, turns are in memory only: they are lost when all gateways die. Never else. */
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -9,6 +9,7 @@
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { CallEnd } from "../telemetry/call-end.ts";
 import { CallRecord } from "../telemetry/call-record.ts";
+import { roundedShare } from "../telemetry/rounded-share.ts";
 import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
 import { RunnerAttempt } from "./runner-attempt.ts";
 
@@ -24,7 +25,6 @@
 
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
-const PERCENT = 100;
 /** Longest detail in a line of the log, in characters. */
 const MAX_DETAIL = 200;
 const GATEWAY_TIMEOUT = 504;
@@ -126,9 +126,16 @@
     const { exchange, call, leftMs } = this;
     const patienceMs = Math.max(MIN_PATIENCE_MS, this.route.targetLatencyMs * PATIENCE_FACTOR);
     const streaming = this.route.kind === "streaming";
-    const deadlineMs = leftMs;
-    const { urgency } = this;
-    const request = { exchange, call, body, deadlineMs, lastEventId, streaming, patienceMs, urgency };
+    const request = {
+      exchange,
+      call,
+      body,
+      deadlineMs: leftMs,
+      lastEventId,
+      streaming,
+      patienceMs,
+      urgency: this.urgency,
+    };
     this.#noteTry(runner);
     this.attempt = new RunnerAttempt(this.parts, runner, request, listener);
     if (this.mayMove(runner)) this.#watchSilence(this.attempt, patienceMs);
@@ -147,8 +154,7 @@
   #noteTry(runner: RunnerEntry): void {
     const { board, context } = this.parts;
     const load = board.load(runner.id);
-    const failureRate =
-      Math.round(PERCENT * board.failureRate(runner.id, context.clock.monotonicMs())) / PERCENT;
+    const failureRate = roundedShare(board.failureRate(runner.id, context.clock.monotonicMs()));
     this.record.tries.push({ runner: runner.id, load, failureRate, atMs: this.elapsedMs });
   }
 
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -53,6 +53,7 @@
   readonly streaming: boolean;
   /** Silence after which the try speaks against its runner, in ms. */
   readonly patienceMs: number;
+  /** Among requests that wait at the runner; undefined where nothing is known of it. */
   readonly urgency: Urgency | undefined;
 }
 
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -12,6 +12,7 @@
 import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { AdmitTurnResponse, EndTurnRequest } from "../gateway-messages.ts";
 import type { PartitionClient } from "../partitions/partition-client.ts";
+import { roundedShare } from "../telemetry/rounded-share.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
 import { type CallStart, RoutedCall } from "./routed-call.ts";
 import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
@@ -26,7 +27,6 @@
  * random. About the time of a turn: by then some programs have ended, and the decision is made anew.
  */
 const PROGRAM_RETRY_AFTER_MS = 250;
-const PERCENT = 100;
 /** Output and input bytes are kept as they came. */
 const ENCODING = "latin1";
 
@@ -122,11 +122,8 @@
     if (this.#preferred !== undefined) return true;
     const { board, context } = this.parts;
     const occupancy = board.occupancy(this.pool.name);
-    if (this.record.admission)
-      this.record.admission = {
-        ...this.record.admission,
-        occupancy: Math.round(PERCENT * occupancy) / PERCENT,
-      };
+    const { admission } = this.record;
+    if (admission) this.record.admission = { ...admission, occupancy: roundedShare(occupancy) };
     return mayBegin({ occupancy, rank: this.route.priority, sample: context.random.unit() });
   }
 
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -8,7 +8,7 @@
 import { repeat } from "../../runtime/clock.ts";
 import type { Sender, Transport } from "../../runtime/transport.ts";
 import type { NodeReport } from "../../scheduling/runner-board/node-report.ts";
-import { withoutReport } from "../../scheduling/runner-board/without-report.ts";
+import { ReportTotals } from "../../scheduling/runner-board/report-totals.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type {
   GatewayMessage,
@@ -126,11 +126,6 @@
     this.#stop();
   }
 
-  /** Remembers an address to send heartbeats to. */
-  know(address: string): void {
-    this.knowAll([address]);
-  }
-
   /**
    * Remembers addresses. While few gateways are known, this one makes itself known there at once; where they are many,
    * digests say more about them in fewer messages.
@@ -395,7 +390,7 @@
     this.#firsthandMembers = sameList(this.#firsthandMembers, this.#view.firsthand());
     const otherLoads = this.#otherZoneLoads(alive, heard);
     for (const address of fullDigestsTo) {
-      const load = withoutReport(zoneLoad, this.#loadOf(address));
+      const load = ReportTotals.difference(zoneLoad, this.#loadOf(address));
       this.#sendDigest(address, this.#firsthandMembers, [[zone, load], ...otherLoads]);
     }
   }
--- a/src/gateway/members/member-view.ts
+++ b/src/gateway/members/member-view.ts
@@ -32,7 +32,6 @@
   readonly #vouchers: Vouchers;
   /** By address. */
   readonly #members = new Map<string, Member>();
-  readonly #byInstance = new Map<string, Member>();
   /** Incarnations that are no longer alive, and since when (monotonic clock, ms). */
   readonly #lost = new Map<string, number>();
   #lastLookMs: number | undefined;
@@ -209,11 +208,11 @@
     const member = unchanged ? earlier : { address, instance, hash, status };
     if (isNew) this.#context.log.info({ peer: status.name, instance, address }, "peer heard");
     const isBack = this.#lost.delete(instance);
-    if (earlier) this.#byInstance.delete(earlier.instance);
     this.#members.set(address, member);
-    this.#byInstance.set(instance, member);
-    if (!unchanged || isBack) this.#aliveNow = undefined;
-    if (!unchanged || isBack) this.#listener.onChanged();
+    if (!unchanged || isBack) {
+      this.#aliveNow = undefined;
+      this.#listener.onChanged();
+    }
     return member;
   }
 
@@ -234,7 +233,6 @@
 
   #lose(member: Member): void {
     if (this.#lost.has(member.instance)) return;
-    this.#aliveNow = undefined;
     this.#lost.set(member.instance, this.#nowMs);
     this.#context.log.info({ peer: member.status.name, instance: member.instance }, "peer lost");
     this.#listener.onChanged();
@@ -246,7 +244,6 @@
     this.#vouchers.clear(address);
     this.#liveness.forget(address);
     this.#members.delete(address);
-    this.#byInstance.delete(instance);
     this.#lost.delete(instance);
   }
 }
--- a/src/scheduling/admission/program-admission.ts
+++ b/src/scheduling/admission/program-admission.ts
@@ -9,14 +9,14 @@
 const RAMP = 0.35;
 /** Less important routes are refused this much earlier, for each rank. */
 const RANK_STEP = 0.1;
-/** Ranks beyond this are treated alike: nothing is refused while there are places. */
+/** Ranks beyond this are treated alike, so that nothing is refused while three in ten places are free. */
 const MOST_RANKS = 2;
 
 /** What the decision depends on. */
 export interface ProgramStart {
   /** Requests at the runners as a share of their places. */
   readonly occupancy: number;
-  /** Rank of the route among those of the pool: 0 is the most important one. */
+  /** The route's priority, as operators give it: 0 is the most important. */
   readonly rank: number;
   /** A number in [0, 1), drawn at random. */
   readonly sample: number;
--- a/src/scheduling/runner-board/report-totals.ts
+++ b/src/scheduling/runner-board/report-totals.ts
@@ -76,6 +76,15 @@
     return sum.#asReport();
   }
 
+  /** A sum of reports without one of its parts. */
+  static difference(sum: NodeReport, part: NodeReport): NodeReport {
+    if (part.inFlight.length === 0 && part.failing.length === 0) return sum;
+    const totals = new ReportTotals(Number.POSITIVE_INFINITY);
+    totals.#add(sum, 1);
+    totals.#add(part, -1);
+    return totals.#asReport();
+  }
+
   #add({ inFlight, failing }: NodeReport, sign: 1 | -1): void {
     for (const [runner, count] of inFlight) {
       const total = this.#total(runner);
@@ -108,7 +117,7 @@
     const failing: [RunnerId, number, number][] = [];
     for (const [runner, total] of this.#totals) {
       if (total.inFlight > 0) inFlight.push([runner, total.inFlight]);
-      if (total.successTenths > 0 || total.failureTenths > 0)
+      if (total.failureTenths > 0)
         failing.push([runner, total.successTenths / TENTHS, total.failureTenths / TENTHS]);
     }
     return { inFlight, failing };
--- a/test/contract/report-totals.test.ts
+++ b/test/contract/report-totals.test.ts
@@ -5,7 +5,6 @@
 import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
 import type { NodeReport } from "../../src/scheduling/runner-board/node-report.ts";
 import { ReportTotals } from "../../src/scheduling/runner-board/report-totals.ts";
-import { withoutReport } from "../../src/scheduling/runner-board/without-report.ts";
 
 const TTL_MS = 3_000;
 const RUNNERS = ["r1", "r2", "r3"] as RunnerId[];
@@ -81,7 +80,7 @@
         const totals = new ReportTotals(TTL_MS);
         for (const [index, told] of [first, second, third].entries())
           totals.set(NODES[index] as string, told, 0);
-        const others = withoutReport(totals.sum(["a", "b", "c"]), totals.sum(["b"]));
+        const others = ReportTotals.difference(totals.sum(["a", "b", "c"]), totals.sum(["b"]));
         const wanted = totals.sum(["a", "c"]);
         for (const runner of RUNNERS) {
           expect(inFlightOf([others], runner)).toEqual(inFlightOf([wanted], runner));
