Keys: a request is run for the tenant whose key it shows, or not at all

Cause: gateways knew no tenants.

A request without a known key gets 401 before its body is read, where the configuration has tenants and its route isn't public. Runners get the tenant's name and neither the key nor what only the system may set (holds, pins, copies).

Measured: test/process/tenants.test.ts, 3 of 3, with clients that claim other tenants.

--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -1,18 +1,47 @@
 /** Takes each caller's request to its route, and has it carried out. */
+import type { CallContext } from "../../ports/call-protocol.ts";
 import { choosePool, type RouteTable } from "../../scheduling/routing/route-table.ts";
+import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import { spreadKey } from "../../scheduling/routing/spread-key.ts";
+import type { Tenant } from "../../scheduling/tenancy/tenant.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
+import type { CallerHead } from "../ingress/caller-head.ts";
+import type { CallerProblem } from "../ingress/caller-problem.ts";
+import type { HeadVerdict } from "../ingress/head-verdict.ts";
 import type { PartitionClient } from "../partitions/partition-client.ts";
+import { CallRecord } from "../telemetry/call-record.ts";
 import { PlainCall } from "./plain-call.ts";
+import type { CallStart } from "./routed-call.ts";
 import type { AttemptParts } from "./runner-attempt.ts";
 import { StreamedCall } from "./streamed-call.ts";
 
-const BAD_REQUEST = 400;
-const NOT_FOUND = 404;
-const UNAVAILABLE = 503;
-const NOT_READY_RETRY_MS = 250;
+const STARTING: CallerProblem = {
+  status: 503,
+  kind: "starting",
+  detail: "This gateway knows no configuration yet.",
+  retryAfterMs: 250,
+};
+const NO_IDENTIFIER: CallerProblem = {
+  status: 400,
+  kind: "invalid-request",
+  detail: "The request has no identifier.",
+};
+const NO_ROUTE: CallerProblem = { status: 404, kind: "no-route", detail: "No route leads there." };
+const UNKNOWN_KEY: CallerProblem = {
+  status: 401,
+  kind: "unknown-key",
+  detail: "The request needs the key of a tenant.",
+};
 const HASH_RANGE = 2 ** 32;
 
+/** Where a request goes, and for whom. */
+interface Destination {
+  readonly call: CallContext;
+  readonly route: Route;
+  readonly pool: RunnerPool;
+  readonly tenant: Tenant | undefined;
+}
+
 /** See the module's comment. */
 export class CallService {
   readonly #parts: AttemptParts;
@@ -26,37 +55,52 @@
     this.#routes = routes;
   }
 
-  /** Carries a request out. */
-  handle(exchange: CallerExchange): void {
+  /** Decides by a request's head whether it is carried out. */
+  decide(head: CallerHead): HeadVerdict {
     const routes = this.#routes();
-    if (!routes) {
-      const detail = "This gateway knows no configuration yet.";
-      exchange.refuse({ status: UNAVAILABLE, kind: "starting", detail, retryAfterMs: NOT_READY_RETRY_MS });
-      return;
-    }
-    const call = this.#parts.context.platform.calls.describeCall(exchange.headers);
-    if (!call) {
-      exchange.refuse({
-        status: BAD_REQUEST,
-        kind: "invalid-request",
-        detail: "The request has no identifier.",
-      });
-      return;
-    }
-    const route = routes.find(exchange.host, exchange.path);
-    const poolName =
-      route && choosePool(route, this.#parts.context.hash.hash32(spreadKey(route.kind, call)) / HASH_RANGE);
-    const pool = poolName === undefined ? undefined : routes.pool(poolName);
-    if (!route || !pool) {
-      exchange.refuse({ status: NOT_FOUND, kind: "no-route", detail: "No route leads there." });
-      return;
-    }
-    const configurationVersion = routes.configuration.version;
-    const start = { exchange, call, route, pool, configurationVersion };
+    if (!routes) return { type: "refuse", problem: STARTING };
+    const call = this.#parts.context.platform.calls.describeCall(head.headers);
+    if (!call) return { type: "refuse", problem: NO_IDENTIFIER };
+    const route = routes.find(head.host, head.path);
+    const pool = route && this.#poolOf(route, routes, call);
+    if (!route || !pool) return this.#refuse(NO_ROUTE, call, undefined, routes);
+    const needsKey = routes.needsKey(route);
+    const tenant = needsKey && call.key !== undefined ? routes.tenantOf(call.key) : undefined;
+    if (needsKey && !tenant) return this.#refuse(UNKNOWN_KEY, call, route, routes);
+    const destination = { call, route, pool, tenant };
+    return { type: "take", run: (exchange) => this.#run(exchange, destination, routes) };
+  }
+
+  #run(exchange: CallerExchange, { call, route, pool, tenant }: Destination, routes: RouteTable): void {
+    const { tenants, version } = routes.configuration;
+    const hidesKey = tenants !== undefined;
+    const start: CallStart = { exchange, call, route, pool, tenant, hidesKey, configurationVersion: version };
     const routed =
       route.kind === "streaming"
         ? new StreamedCall(this.#parts, this.#partitions, start)
         : new PlainCall(this.#parts, start);
     routed.run();
   }
+
+  #poolOf(route: Route, routes: RouteTable, call: CallContext): RunnerPool | undefined {
+    const sample = this.#parts.context.hash.hash32(spreadKey(route.kind, call)) / HASH_RANGE;
+    const name = choosePool(route, sample);
+    return name === undefined ? undefined : routes.pool(name);
+  }
+
+  /** Refuses a request, with a line in the log. */
+  #refuse(
+    problem: CallerProblem,
+    call: CallContext,
+    route: Route | undefined,
+    { configuration }: RouteTable,
+  ): HeadVerdict {
+    const { requestId, program } = call;
+    const record = new CallRecord(requestId, program?.id, route?.name ?? "none", configuration.version);
+    const { status, kind, detail } = problem;
+    const end = { status, kind, detail };
+    this.#parts.callLog.ended(record, end, 0);
+    this.#parts.context.metrics.callEnded(record.route, end, 0, undefined);
+    return { type: "refuse", problem };
+  }
 }
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -5,6 +5,7 @@
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+import type { Tenant } from "../../scheduling/tenancy/tenant.ts";
 import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { CallEnd } from "../telemetry/call-end.ts";
@@ -19,6 +20,10 @@
   readonly call: CallContext;
   readonly route: Route;
   readonly pool: RunnerPool;
+  /** For whom the call is made; undefined where it needs no key. */
+  readonly tenant: Tenant | undefined;
+  /** Whether runners must not see what authorizes the caller. */
+  readonly hidesKey: boolean;
   /** Version of the configuration that the route is from. */
   readonly configurationVersion: number;
 }
@@ -45,6 +50,7 @@
   protected readonly call: CallContext;
   protected readonly route: Route;
   protected readonly pool: RunnerPool;
+  protected readonly tenant: Tenant | undefined;
   /** Of the monotonic clock: when the route's or the caller's time is over. */
   protected readonly deadlineAtMs: number;
   /** Runners that refused the call, or could not be reached. */
@@ -56,6 +62,7 @@
   protected attempt: RunnerAttempt | undefined;
   /** What goes into the log when the call is over. */
   protected readonly record: CallRecord;
+  readonly #hidesKey: boolean;
   #tries = 0;
   #timer: TimerHandle | undefined;
   #silenceTimer: TimerHandle | undefined;
@@ -67,8 +74,11 @@
     this.call = start.call;
     this.route = start.route;
     this.pool = start.pool;
+    this.tenant = start.tenant;
+    this.#hidesKey = start.hidesKey;
     const { requestId, program } = this.call;
     this.record = new CallRecord(requestId, program?.id, this.route.name, start.configurationVersion);
+    this.record.tenant = start.tenant?.name;
     const timeMs = Math.min(this.call.deadlineMs ?? this.route.timeoutMs, this.route.timeoutMs);
     this.deadlineAtMs = this.exchange.arrivedAtMs + timeMs;
   }
@@ -135,6 +145,8 @@
       streaming,
       patienceMs,
       urgency: this.urgency,
+      tenant: this.tenant?.name,
+      hidesKey: this.#hidesKey,
     };
     this.#noteTry(runner);
     this.attempt = new RunnerAttempt(this.parts, runner, request, listener);
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -10,6 +10,7 @@
 import type { RequestOutcome } from "../../scheduling/runner-board/request-outcome.ts";
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+import type { TenantName } from "../../scheduling/tenancy/tenant-name.ts";
 import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
@@ -55,6 +56,10 @@
   readonly patienceMs: number;
   /** Among requests that wait at the runner; undefined where nothing is known of it. */
   readonly urgency: Urgency | undefined;
+  /** For whom the request is made; undefined where it needs no key. */
+  readonly tenant: TenantName | undefined;
+  /** Whether the runner must not see what authorizes the caller. */
+  readonly hidesKey: boolean;
 }
 
 const MISDIRECTED = 421;
@@ -83,12 +88,14 @@
     this.#request = request;
     this.#listener = listener;
     this.#pending = parts.board.started(runner.id, this.#nowMs, request.patienceMs);
-    const { exchange, body, deadlineMs, lastEventId, urgency } = request;
+    const { exchange, body, deadlineMs, lastEventId, urgency, tenant, hidesKey } = request;
     const headers = parts.context.platform.calls.headersForRunner(exchange.rawHeaders, {
       deadlineMs,
       expectedRunner: runner.id,
       lastEventId,
       urgency,
+      tenant,
+      hidesKey,
     });
     this.#exchange = sendRequest(
       parts.connections.pool(runner),
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -66,7 +66,7 @@
     this.#health = health;
     const parts = { context, board: this.#board, connections: this.#connections, callLog: this.#callLog };
     const calls = new CallService(parts, client, () => (this.#canServe ? this.#routing.routes : undefined));
-    this.#ingress.onRequest = (exchange) => calls.handle(exchange);
+    this.#ingress.onHead = (head) => calls.decide(head);
     this.#routing.onChanged = (routes) => {
       this.#ingress.setLimits(routes.configuration.limits);
       this.#announceReady();
--- a/src/gateway/ingress/caller-exchange.ts
+++ b/src/gateway/ingress/caller-exchange.ts
@@ -1,26 +1,19 @@
 /** One request of a caller and its answer. */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
 import type { RawHeaders } from "../../ports/call-protocol.ts";
+import type { CallerHead } from "./caller-head.ts";
+import type { CallerProblem } from "./caller-problem.ts";
 
 const HTTP_PROBLEM = "application/json";
 const MS_PER_S = 1_000;
 
-/** What a caller is told when the system itself answers. */
-export interface CallerProblem {
-  readonly status: number;
-  /** A standard word for the kind of problem. */
-  readonly kind: string;
-  readonly detail: string;
-  /** When to come back, in ms. */
-  readonly retryAfterMs?: number;
-}
-
 /** See the module's comment. */
-export class CallerExchange {
+export class CallerExchange implements CallerHead {
   readonly method: string;
   /** Path and query as the caller sent them. */
   readonly target: string;
   readonly host: string;
+  readonly path: string;
   readonly headers: IncomingHttpHeaders;
   readonly rawHeaders: RawHeaders;
   readonly body: Buffer;
@@ -37,27 +30,23 @@
     request: IncomingMessage,
     response: ServerResponse,
     body: Buffer,
-    arrivedAtMs: number,
+    head: CallerHead,
     endsConnection: () => boolean,
   ) {
     this.method = request.method ?? "GET";
     this.target = request.url ?? "/";
-    this.host = hostOf(request.headers.host);
-    this.headers = request.headers;
+    this.host = head.host;
+    this.path = head.path;
+    this.headers = head.headers;
     this.rawHeaders = request.rawHeaders;
     this.body = body;
-    this.arrivedAtMs = arrivedAtMs;
+    this.arrivedAtMs = head.arrivedAtMs;
     this.#response = response;
     this.#endsConnection = endsConnection;
     response.on("close", () => this.#closed());
     if (response.destroyed || request.socket.destroyed) this.#gone = true;
   }
 
-  /** Path without the query. */
-  get path(): string {
-    return this.target.split("?", 1)[0] as string;
-  }
-
   /** Whether the caller has left before its answer was whole. */
   get gone(): boolean {
     return this.#gone;
@@ -133,10 +122,6 @@
   }
 }
 
-function hostOf(header: string | undefined): string {
-  return (header ?? "").split(":", 1)[0]?.toLowerCase() ?? "";
-}
-
 function withoutLength(headers: RawHeaders): string[] {
   const kept: string[] = [];
   for (let index = 0; index < headers.length; index += 2) {
--- /dev/null
+++ b/src/gateway/ingress/caller-head.ts
@@ -0,0 +1,11 @@
+import type { IncomingHttpHeaders } from "node:http";
+
+/** What of a request is known before its body has been read. */
+export interface CallerHead {
+  readonly host: string;
+  /** Path without the query. */
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  /** Of the monotonic clock, in ms. */
+  readonly arrivedAtMs: number;
+}
--- /dev/null
+++ b/src/gateway/ingress/caller-problem.ts
@@ -0,0 +1,9 @@
+/** What a caller is told when the system itself answers. */
+export interface CallerProblem {
+  readonly status: number;
+  /** A standard word for the kind of problem. */
+  readonly kind: string;
+  readonly detail: string;
+  /** When to come back, in ms. */
+  readonly retryAfterMs?: number;
+}
--- a/src/gateway/ingress/ingress-server.ts
+++ b/src/gateway/ingress/ingress-server.ts
@@ -1,16 +1,29 @@
-/** Takes callers' requests over HTTP, whole, and hands them on. A planned stop ends connections between requests. */
+/** Takes callers' requests over HTTP: asks by the head whether to, reads the body, hands both on. A planned stop ends connections between requests. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { CallerLimits } from "../../scheduling/routing/routing-configuration.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import { CallerExchange } from "./caller-exchange.ts";
+import type { CallerHead } from "./caller-head.ts";
+import type { CallerProblem } from "./caller-problem.ts";
+import type { HeadVerdict } from "./head-verdict.ts";
 import { readBody } from "./read-body.ts";
 
 const MAX_HEADER_BYTES = 65_536;
 const CONNECTIONS_CHECK_MS = 1_000;
 /** Added to the idle time that callers are told, so that a request crosses no close. */
 const IDLE_MARGIN_MS = 1_000;
-const TOO_LARGE = 413;
+const NO_BODY = Buffer.alloc(0);
+const BODY_TOO_LARGE: CallerProblem = {
+  status: 413,
+  kind: "body-too-large",
+  detail: "The body is over the limit.",
+};
+/** Until somebody decides about requests. */
+const STARTING: HeadVerdict = {
+  type: "refuse",
+  problem: { status: 503, kind: "starting", detail: "This gateway starts.", retryAfterMs: 250 },
+};
 /** Bounds before a configuration is known. */
 const FIRST_LIMITS: CallerLimits = {
   headerBytes: 16_384,
@@ -27,8 +40,8 @@
   #limits = FIRST_LIMITS;
   #active = 0;
   #stopping = false;
-  /** Called with each request that has been read whole. */
-  onRequest: (exchange: CallerExchange) => void = () => undefined;
+  /** Called with the head of each request. */
+  onHead: (head: CallerHead) => HeadVerdict = () => STARTING;
 
   constructor(context: GatewayContext) {
     this.#context = context;
@@ -91,18 +104,25 @@
     response.on("close", () => {
       this.#active -= 1;
     });
+    const head = headOf(request, arrivedAtMs);
+    const exchangeWith = (body: Buffer) =>
+      new CallerExchange(request, response, body, head, () => this.#stopping);
+    const verdict = this.onHead(head);
+    if (verdict.type === "refuse") return exchangeWith(NO_BODY).refuse(verdict.problem);
     const outcome = await readBody(request, this.#limits.bodyBytes);
     if (outcome.type === "broken") return;
-    const body = outcome.type === "body" ? outcome.body : Buffer.alloc(0);
-    const exchange = new CallerExchange(request, response, body, arrivedAtMs, () => this.#stopping);
-    if (outcome.type === "tooLarge") {
-      exchange.refuse({ status: TOO_LARGE, kind: "body-too-large", detail: "The body is over the limit." });
-      return;
-    }
-    this.onRequest(exchange);
+    if (outcome.type === "tooLarge") return exchangeWith(NO_BODY).refuse(BODY_TOO_LARGE);
+    verdict.run(exchangeWith(outcome.body));
   }
 }
 
+function headOf(request: IncomingMessage, arrivedAtMs: number): CallerHead {
+  const { headers } = request;
+  const host = (headers.host ?? "").split(":", 1)[0]?.toLowerCase() ?? "";
+  const path = (request.url ?? "/").split("?", 1)[0] as string;
+  return { host, path, headers, arrivedAtMs };
+}
+
 /** Makes a server listen at `IP:port`. */
 export function listenAt(server: Server, address: string): Promise<void> {
   const [host, port] = address.split(":");
--- a/src/gateway/telemetry/call-record.ts
+++ b/src/gateway/telemetry/call-record.ts
@@ -11,6 +11,8 @@
   readonly route: string;
   /** Version of the configuration that the route is from. */
   readonly configuration: number;
+  /** For whom the call was made; undefined where it needs no key. */
+  tenant: string | undefined;
   readonly tries: TryRecord[] = [];
   admission: AdmissionRecord | undefined;
   retention: RetentionRecord | undefined;
@@ -26,12 +28,13 @@
 
   /** The fields of its line. */
   line(end: CallEnd, elapsedMs: number): object {
-    const { request, program, route, configuration, admission, retention, tries, firstByteMs } = this;
+    const { request, program, route, configuration, tenant, admission, retention, tries, firstByteMs } = this;
     return {
       request,
       program,
       route,
       configuration,
+      tenant,
       ...end,
       elapsedMs,
       firstByteMs,
--- a/src/ports/call-protocol.ts
+++ b/src/ports/call-protocol.ts
@@ -2,6 +2,8 @@
 import type { ProgramId } from "../scheduling/ids/program-id.ts";
 import type { RequestId } from "../scheduling/ids/request-id.ts";
 import type { RunnerId } from "../scheduling/ids/runner-id.ts";
+import type { KeyDigest } from "../scheduling/tenancy/key-digest.ts";
+import type { TenantName } from "../scheduling/tenancy/tenant-name.ts";
 import type { Urgency } from "../scheduling/urgency/urgency.ts";
 
 /** What a program says of itself with each of its requests. */
@@ -31,6 +33,8 @@
   readonly promptTokens: number | undefined;
   /** The most tokens that the request may generate. */
   readonly maxGeneratedTokens: number | undefined;
+  /** Of the key that the caller shows. */
+  readonly key: KeyDigest | undefined;
 }
 
 /** What the system adds to a request on its way to a runner. */
@@ -43,6 +47,10 @@
   readonly lastEventId: number | undefined;
   /** Among requests that wait at the runner; undefined where nothing is known of it. */
   readonly urgency: Urgency | undefined;
+  /** Undefined where the request needs no key. */
+  readonly tenant: TenantName | undefined;
+  /** Whether what authorizes callers is a key of this system, which is nobody else's business. */
+  readonly hidesKey: boolean;
 }
 
 /** What a runner's answer says of itself. */
--- a/src/scheduling/routing/route-table.ts
+++ b/src/scheduling/routing/route-table.ts
@@ -1,3 +1,5 @@
+import type { KeyDigest } from "../tenancy/key-digest.ts";
+import type { Tenant } from "../tenancy/tenant.ts";
 import type { Route, RoutingConfiguration, RunnerPool } from "./routing-configuration.ts";
 
 /** Finds the route of a request: among the routes of its host, the one with the longest matching prefix. */
@@ -5,11 +7,14 @@
   readonly configuration: RoutingConfiguration;
   readonly #byHost = new Map<string, Route[]>();
   readonly #pools: ReadonlyMap<string, RunnerPool>;
+  readonly #tenants = new Map<KeyDigest, Tenant>();
 
   constructor(configuration: RoutingConfiguration) {
     this.configuration = configuration;
     this.#pools = new Map(configuration.pools.map((pool) => [pool.name, pool]));
     for (const route of configuration.routes) this.#add(route);
+    for (const tenant of configuration.tenants ?? [])
+      for (const key of tenant.keys) this.#tenants.set(key, tenant);
     for (const routes of this.#byHost.values()) {
       routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
     }
@@ -20,6 +25,16 @@
     return this.#byHost.get(host)?.find((route) => path.startsWith(route.pathPrefix));
   }
 
+  /** Whether callers of a route have to show a key. */
+  needsKey(route: Route): boolean {
+    return this.configuration.tenants !== undefined && !route.isPublic;
+  }
+
+  /** The tenant for whom a key speaks; undefined when no tenant has it. */
+  tenantOf(key: KeyDigest): Tenant | undefined {
+    return this.#tenants.get(key);
+  }
+
   /** A pool by name. */
   pool(name: string): RunnerPool | undefined {
     return this.#pools.get(name);
--- a/src/scheduling/routing/routing-configuration.ts
+++ b/src/scheduling/routing/routing-configuration.ts
@@ -1,4 +1,5 @@
 /** What operators say of routes and pools of runners; one version holds everywhere at a time. */
+import type { Tenant } from "../tenancy/tenant.ts";
 
 /** How often a request of a route may run. */
 export type RouteKind = "safe" | "unsafe" | "streaming";
@@ -32,6 +33,8 @@
   readonly retainsTurns: boolean;
   /** How long a retained turn and a program's count of tokens are kept after their last use, in ms. */
   readonly retentionMs: number;
+  /** Whether anybody may use it, without a key. */
+  readonly isPublic: boolean;
 }
 
 /** Figures of the engines of a pool. */
@@ -68,4 +71,6 @@
   readonly routes: readonly Route[];
   readonly pools: readonly RunnerPool[];
   readonly limits: CallerLimits;
+  /** Undefined where callers need no key. */
+  readonly tenants: readonly Tenant[] | undefined;
 }
--- a/standins/platform/runner-standin.ts
+++ b/standins/platform/runner-standin.ts
@@ -1,5 +1,11 @@
 /** A runner over HTTP: plain answers and streams of events, with faults that tests switch on. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import {
+  createServer,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import type { AddressInfo } from "node:net";
 
 /** What may go wrong with the requests to come. */
@@ -32,6 +38,7 @@
   readonly body: string;
   readonly deadlineMs: number;
   readonly lastEventId: number | undefined;
+  readonly headers: IncomingHttpHeaders;
   /** Set when the caller ended the connection before the answer was whole. */
   cancelled: boolean;
 }
@@ -112,6 +119,7 @@
       method: request.method ?? "",
       target: request.url ?? "",
       body,
+      headers: request.headers,
       deadlineMs: Number(request.headers["x-deadline-ms"]),
       lastEventId: lastEventId === undefined ? undefined : Number(lastEventId),
       cancelled: false,
--- a/test/contract/gateway-parts.test.ts
+++ b/test/contract/gateway-parts.test.ts
@@ -138,12 +138,13 @@
   resumable: false,
   retainsTurns: false,
   retentionMs: 60_000,
+  isPublic: false,
 };
 
 describe("route table", () => {
   const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
   const routes = [ROUTE, { ...ROUTE, name: "longer", pathPrefix: "/a/b/" }];
-  const table = new RouteTable({ version: 1, routes, pools: [], limits });
+  const table = new RouteTable({ version: 1, routes, pools: [], limits, tenants: undefined });
 
   it("takes the longest prefix of the host", () => {
     expect(table.find("h", "/a/b/c")?.name).toEqual("longer");
--- a/test/contract/platform-names.test.ts
+++ b/test/contract/platform-names.test.ts
@@ -6,7 +6,7 @@
 
 const FOLDERS = ["src", "bench", "examples"];
 const NAMES =
-  /rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|tls-key|expected-rev|x-(response-signature|not-executed|expect-instance|deadline-ms|token-(budget|usage)|previous-turn|program-(id|deadline-ms)|session-id|prompt-prefix|affinity-key|request-urgency)|path-prefix|traffic-split|retains-context|TULIPWHEEL_NODE_FILE/i;
+  /rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|tls-key|expected-rev|x-(response-signature|not-executed|expect-instance|deadline-ms|token-(budget|usage)|previous-turn|program-(id|deadline-ms)|session-id|prompt-prefix|affinity-key|request-urgency|tenant|kv-backup|pin-ms)|kv-from|api-keys|rate-per-s|path-prefix|traffic-split|retains-context|TULIPWHEEL_NODE_FILE/i;
 
 function filesOf(folder: string): string[] {
   return readdirSync(folder, { recursive: true, encoding: "utf8" })
--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -17,7 +17,13 @@
 
 /** Hosts and paths of the routes that every test cluster has. */
 export const TEST_HOST = "test.example";
-export const PATHS = { turn: "/turn/", kept: "/kept/", safe: "/safe/", unsafe: "/unsafe/" } as const;
+export const PATHS = {
+  turn: "/turn/",
+  kept: "/kept/",
+  safe: "/safe/",
+  unsafe: "/unsafe/",
+  public: "/public/",
+} as const;
 
 /** Limits and times of the test's routes, which a test may change. */
 export interface TestRoutes {
@@ -25,6 +31,17 @@
   readonly timeoutMs: number;
   /** Paths of routes beside the usual ones. */
   readonly added?: readonly string[];
+  /** Callers need a key of one of these; none when left out. */
+  readonly tenants?: readonly TestTenant[];
+}
+
+/** A tenant of the test's configuration. */
+export interface TestTenant {
+  readonly name: string;
+  readonly keys: readonly string[];
+  /** Requests a second, and at once on top; no limit when left out. */
+  readonly rate?: number;
+  readonly burst?: number;
 }
 
 /** A link that a gateway opens: to the store, or to a runner. `name` is the gateway's, or the runner's. */
@@ -103,7 +120,7 @@
   }
 
   /** Writes the operators' configuration. */
-  configure({ version, timeoutMs, added = [] }: TestRoutes): void {
+  configure({ version, timeoutMs, added = [], tenants }: TestRoutes): void {
     const route = (name: string, path: string, kind: string, service: string, more: object) => ({
       name,
       host: TEST_HOST,
@@ -123,6 +140,7 @@
         route("kept", PATHS.kept, "streaming", "engine", { ...turn, "retains-context": true }),
         route("safe", PATHS.safe, "safe", "api", { "max-attempts": 2 }),
         route("unsafe", PATHS.unsafe, "unsafe", "api", {}),
+        route("public", PATHS.public, "safe", "api", { public: true }),
         ...added.map((path) => route(path, path, "safe", "api", { "max-attempts": 2 })),
       ],
       services: [
@@ -139,6 +157,7 @@
         "header-timeout-ms": 3_000,
         "idle-timeout-ms": 15_000,
       },
+      ...(tenants === undefined ? {} : { tenants: tenants.map(wireTenant) }),
     });
   }
 
@@ -272,6 +291,10 @@
   });
 }
 
+function wireTenant({ name, keys, rate = 0, burst = 0 }: TestTenant): object {
+  return { name, "api-keys": keys, priority: 0, "rate-per-s": rate, burst };
+}
+
 function startProcess(settingsFile: string): StartedProcess {
   return new StartedProcess(ENTRY, [], { TULIPWHEEL_NODE_FILE: settingsFile }).collectOutput();
 }
--- /dev/null
+++ b/test/process/tenants.test.ts
@@ -0,0 +1,109 @@
+/** Tenants, their keys and their limits, at gateways that are separate processes. */
+import { afterEach, describe, it } from "node:test";
+import { expect } from "earl";
+import { type CallerAnswer, newRequestId, send } from "./support/gateway-caller.ts";
+import {
+  GatewayCluster,
+  PATHS,
+  pause,
+  type TestGateway,
+  type TestTenant,
+} from "./support/gateway-cluster.ts";
+
+const UNKNOWN_KEY = 401;
+const SHOP: TestTenant = { name: "shop", keys: ["key-of-shop", "second-key-of-shop"] };
+const BANK: TestTenant = { name: "bank", keys: ["key-of-bank"] };
+
+let cluster: GatewayCluster;
+
+function gateway(index: number): TestGateway {
+  return cluster.gateways[index % cluster.gateways.length] as TestGateway;
+}
+
+/** Calls a service with a key, and whatever else the caller says. */
+function callWith(
+  key: string | undefined,
+  path: string = PATHS.unsafe,
+  more: Record<string, string> = {},
+  index = 0,
+): Promise<CallerAnswer> {
+  const id = newRequestId();
+  const headers = { "X-Request-Id": id, "X-Deadline-Ms": "3000", ...more };
+  const keyed = key === undefined ? headers : { ...headers, Authorization: `Bearer ${key}` };
+  return send(gateway(index), "POST", path, keyed, `input of ${id}`);
+}
+
+/** Asks until the answer is as expected, or too much time has passed. */
+async function until(ask: () => Promise<CallerAnswer>, status: number, patienceMs: number): Promise<number> {
+  const untilMs = performance.now() + patienceMs;
+  for (;;) {
+    const answer = await ask();
+    if (answer.status === status || performance.now() > untilMs) return answer.status;
+    await pause(20);
+  }
+}
+
+describe("keys", () => {
+  afterEach(() => cluster?.stop());
+
+  it("say which tenant a request is run for, whatever the caller claims", async () => {
+    cluster = await GatewayCluster.start(1, 0, 1);
+    cluster.configure({ version: 2, timeoutMs: 3_000, tenants: [SHOP, BANK] });
+    expect(await until(() => callWith("key-of-shop"), 200, 3_000)).toEqual(200);
+    expect(await until(() => callWith("key-of-nobody"), UNKNOWN_KEY, 3_000)).toEqual(UNKNOWN_KEY);
+    const [service] = cluster.services;
+    service?.ran.splice(0);
+    const claims = { "X-Tenant": "bank", "X-Hold": "h", "X-Pin-Ms": "9", "X-Kv-Backup": "b", "Kv-From": "f" };
+    expect((await callWith("second-key-of-shop", PATHS.unsafe, claims)).status).toEqual(200);
+    expect((await callWith("key-of-bank")).status).toEqual(200);
+    expect((await callWith("key-of-shop", PATHS.public, claims)).status).toEqual(200);
+    expect((await callWith(undefined, PATHS.public)).status).toEqual(200);
+    expect(service?.ran.map(({ headers }) => headers["x-tenant"])).toEqual([
+      "shop",
+      "bank",
+      undefined,
+      undefined,
+    ]);
+    for (const { headers } of service?.ran ?? []) {
+      const kept = ["authorization", "x-hold", "x-pin-ms", "x-kv-backup", "kv-from"].filter(
+        (name) => name in headers,
+      );
+      expect(kept).toEqual([]);
+    }
+    expect(gateway(0).process.written.includes("key-of-shop")).toEqual(false);
+  });
+
+  it("are needed once the configuration has tenants, and nothing is run without a known one", async () => {
+    cluster = await GatewayCluster.start(1, 0, 1);
+    expect((await callWith(undefined)).status).toEqual(200);
+    cluster.configure({ version: 2, timeoutMs: 3_000, tenants: [SHOP] });
+    expect(await until(() => callWith(undefined), UNKNOWN_KEY, 3_000)).toEqual(UNKNOWN_KEY);
+    const [service] = cluster.services;
+    service?.ran.splice(0);
+    for (const key of [undefined, "key-of-nobody", "key-of-bank", "shop", ""])
+      expect((await callWith(key)).status).toEqual(UNKNOWN_KEY);
+    expect((await callWith(undefined, PATHS.unsafe, { Authorization: "Basic key-of-shop" })).status).toEqual(
+      UNKNOWN_KEY,
+    );
+    expect(service?.ran).toEqual([]);
+    expect((await callWith("key-of-shop")).status).toEqual(200);
+  });
+
+  it("work from the moment they are added, and no more once they are taken away", async () => {
+    cluster = await GatewayCluster.start(2, 0, 1);
+    cluster.configure({ version: 2, timeoutMs: 3_000, tenants: [SHOP] });
+    for (const index of [0, 1])
+      expect(await until(() => callWith("key-of-shop", PATHS.unsafe, {}, index), 200, 3_000)).toEqual(200);
+    cluster.configure({
+      version: 3,
+      timeoutMs: 3_000,
+      tenants: [{ ...SHOP, keys: ["second-key-of-shop"] }, BANK],
+    });
+    for (const index of [0, 1]) {
+      const bank = () => callWith("key-of-bank", PATHS.unsafe, {}, index);
+      expect(await until(bank, 200, 3_000)).toEqual(200);
+      expect((await callWith("key-of-shop", PATHS.unsafe, {}, index)).status).toEqual(UNKNOWN_KEY);
+      expect((await callWith("second-key-of-shop", PATHS.unsafe, {}, index)).status).toEqual(200);
+    }
+  });
+});
