Trust keys only while the configuration is known to be the newest

Cause: a gateway that the news of a taken key does not reach went on by its old configuration for ever.

Each gateway knows since when nothing newer can have been acknowledged: the moment, by its own monotonic clock, at which it sent the read or the wait that the store answered last, whoever carried it. With revoke-ms in the settings (and fail-closed), keyed requests get 503 and the connection's end once that is revoke-ms less 1 s ago; public routes go on. Waits for the configuration take 1 s there in place of 2.

Ruled out: passing the age on with heartbeats as it is (a message that a cut or a frozen reader holds up makes it younger than it is). Asking peers for it in place of the store is the other way; not compared yet.

--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -32,6 +32,14 @@
   kind: "unknown-key",
   detail: "The request needs the key of a tenant.",
 };
+/** The time to come back is that of a new connection: other gateways know the newest configuration, or will soon. */
+const UNTRUSTED: CallerProblem = {
+  status: 503,
+  kind: "configuration-stale",
+  detail: "This gateway cannot be sure that the key is still valid.",
+  retryAfterMs: 150,
+  goElsewhere: true,
+};
 const HASH_RANGE = 2 ** 32;
 
 /** Where a request goes, and for whom. */
@@ -47,12 +55,22 @@
   readonly #parts: AttemptParts;
   readonly #partitions: PartitionClient;
   readonly #routes: () => RouteTable | undefined;
+  readonly #trustsKeys: () => boolean;
 
-  /** @param routes the routes in force; undefined while this gateway cannot serve */
-  constructor(parts: AttemptParts, partitions: PartitionClient, routes: () => RouteTable | undefined) {
+  /**
+   * @param routes the routes in force; undefined while this gateway cannot serve
+   * @param trustsKeys whether the keys of the configuration in force can't have been taken away long ago
+   */
+  constructor(
+    parts: AttemptParts,
+    partitions: PartitionClient,
+    routes: () => RouteTable | undefined,
+    trustsKeys: () => boolean,
+  ) {
     this.#parts = parts;
     this.#partitions = partitions;
     this.#routes = routes;
+    this.#trustsKeys = trustsKeys;
   }
 
   /** Decides by a request's head whether it is carried out. */
@@ -65,6 +83,7 @@
     const pool = route && this.#poolOf(route, routes, call);
     if (!route || !pool) return this.#refuse(NO_ROUTE, call, undefined, routes);
     const needsKey = routes.needsKey(route);
+    if (needsKey && !this.#trustsKeys()) return this.#refuse(UNTRUSTED, call, route, routes);
     const tenant = needsKey && call.key !== undefined ? routes.tenantOf(call.key) : undefined;
     if (needsKey && !tenant) return this.#refuse(UNKNOWN_KEY, call, route, routes);
     const destination = { call, route, pool, tenant };
--- a/src/gateway/configuration/routing-watch.ts
+++ b/src/gateway/configuration/routing-watch.ts
@@ -1,13 +1,32 @@
-/** Keeps the newest routing configuration of the operators in force; never goes back to an older one. */
+/**
+ * Keeps the newest routing configuration of the operators in force; never goes back to an older one. It knows for how
+ * long nothing newer can have been acknowledged, so that a key that operators take away is trusted no longer than they
+ * are promised, on gateways too that the news does not reach.
+ */
+import { SnapshotRelay } from "../../coordination/snapshot-relay/index.ts";
 import { RouteTable } from "../../scheduling/routing/route-table.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { StoreHealth } from "../store-health.ts";
 import { TableFollower } from "./table-follower.ts";
 
+/**
+ * How long a wait for a new configuration lasts where keys are only trusted for some time, in ms. The age of what is in
+ * force stays below twice that, and the time of two answers; the store takes one call a second of each gateway for it.
+ */
+const KEYED_WAIT_MS = 1_000;
+/**
+ * Keys are trusted for so much less than operators allow, in ms: a feed may say nothing of a change for a second before
+ * it says that its history is gone.
+ */
+const TRUST_MARGIN_MS = 1_000;
+/** The gateways tell each other nothing of the configuration: each reads it itself. */
+const NO_RELAY_MS = 0;
+
 /** See the module's comment. */
 export class RoutingWatch {
   readonly #context: GatewayContext;
   readonly #follower: TableFollower;
+  readonly #snapshot = new SnapshotRelay(NO_RELAY_MS);
   #table: RouteTable | undefined;
   /** Called when a newer configuration has come into force. */
   onChanged: (table: RouteTable) => void = () => undefined;
@@ -18,10 +37,17 @@
     const take = (rows: readonly { readonly key: string; readonly value: Buffer | undefined }[]) => {
       for (const { key, value } of rows) if (key === configurationKey && value) this.#take(value);
     };
-    this.#follower = new TableFollower(context, health, configurationTable, {
-      onTable: take,
-      onChanges: take,
-    });
+    this.#follower = new TableFollower(
+      context,
+      health,
+      configurationTable,
+      {
+        onTable: take,
+        onChanges: take,
+        onCurrent: (askedAtMs) => this.#confirm(askedAtMs),
+      },
+      context.settings.keys.revokeMs === undefined ? {} : { waitMs: KEYED_WAIT_MS },
+    );
   }
 
   /** The routes in force; undefined until the first configuration has been read. */
@@ -29,6 +55,17 @@
     return this.#table;
   }
 
+  /**
+   * Whether a key that the configuration in force has may be trusted now: no newer one was acknowledged so long ago that
+   * it must be in force.
+   */
+  get isCurrent(): boolean {
+    const { clock, settings } = this.#context;
+    const { revokeMs } = settings.keys;
+    if (revokeMs === undefined) return true;
+    return this.#snapshot.ageMs(clock.monotonicMs()) <= revokeMs - TRUST_MARGIN_MS;
+  }
+
   start(): void {
     this.#follower.start();
   }
@@ -37,6 +74,15 @@
     this.#follower.stop();
   }
 
+  #confirm(askedAtMs: number): void {
+    if (!this.#table) return;
+    this.#snapshot.read(
+      String(this.#table.configuration.version),
+      askedAtMs,
+      this.#context.clock.monotonicMs(),
+    );
+  }
+
   #take(value: Buffer): void {
     const { records } = this.#context.platform;
     const configuration = records.parseConfiguration(value);
--- a/src/gateway/configuration/table-follower.ts
+++ b/src/gateway/configuration/table-follower.ts
@@ -7,7 +7,7 @@
 import type { GatewayContext } from "../gateway-context.ts";
 import type { StoreHealth } from "../store-health.ts";
 
-/** How long a wait for changes lasts; short, so that a broken connection is noticed soon. */
+/** How long a wait for changes lasts, in ms; short, so that a broken connection is noticed soon. */
 const WATCH_WAIT_MS = 2_000;
 const RETRY_MS = 100;
 
@@ -16,6 +16,20 @@
   /** The table as a whole. */
   onTable(rows: readonly StoredRow[]): void;
   onChanges(changes: readonly RowChange[]): void;
+  /**
+   * What was given is the table as it was at some moment since then.
+   *
+   * @param askedAtMs when the store was asked, in ms of the monotonic clock
+   */
+  onCurrent?(askedAtMs: number): void;
+}
+
+/** How a table is followed. */
+export interface TableFollowerOptions {
+  /** Least time between two waits, in ms: for tables that change all the time. */
+  readonly pauseMs?: number;
+  /** Longest wait for a change, in ms; after it, the table is known to be as it was. */
+  readonly waitMs?: number;
 }
 
 /** See the module's comment. */
@@ -25,23 +39,24 @@
   readonly #table: string;
   readonly #listener: TableListener;
   readonly #pauseMs: number;
+  readonly #waitMs: number;
   #stopped = false;
   /** Version of the store up to which the listener knows everything. */
   #version = 0;
 
-  /** @param pauseMs least time between two waits, in ms: for tables that change all the time */
   constructor(
     context: GatewayContext,
     health: StoreHealth,
     table: string,
     listener: TableListener,
-    pauseMs = 0,
+    { pauseMs = 0, waitMs = WATCH_WAIT_MS }: TableFollowerOptions = {},
   ) {
     this.#context = context;
     this.#health = health;
     this.#table = table;
     this.#listener = listener;
     this.#pauseMs = pauseMs;
+    this.#waitMs = waitMs;
   }
 
   start(): void {
@@ -63,6 +78,7 @@
   }
 
   async #readWhole(): Promise<boolean> {
+    const askedAtMs = this.#context.clock.monotonicMs();
     const rows: StoredRow[] = [];
     let version: number | undefined;
     let from: string | undefined;
@@ -80,12 +96,14 @@
     }
     this.#version = version;
     this.#listener.onTable(rows);
+    this.#listener.onCurrent?.(askedAtMs);
     return true;
   }
 
   /** Waits for changes once; false when the table has to be read anew. */
   async #watchOnce(): Promise<boolean> {
-    const outcome = await this.#context.platform.store.watch(this.#table, this.#version, WATCH_WAIT_MS);
+    const askedAtMs = this.#context.clock.monotonicMs();
+    const outcome = await this.#context.platform.store.watch(this.#table, this.#version, this.#waitMs);
     this.#health.note(outcome);
     if (outcome.type === "historyGone") return false;
     if (outcome.type !== "changes") {
@@ -94,6 +112,7 @@
     }
     if (outcome.changes.length > 0) this.#listener.onChanges(outcome.changes);
     this.#version = Math.max(this.#version, outcome.version);
+    this.#listener.onCurrent?.(askedAtMs);
     if (this.#pauseMs > 0) await delay(this.#context.clock, this.#pauseMs);
     return true;
   }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -65,7 +65,8 @@
     this.#callLog = new CallLog(context.log, context.clock);
     this.#health = health;
     const parts = { context, board: this.#board, connections: this.#connections, callLog: this.#callLog };
-    const calls = new CallService(parts, client, () => (this.#canServe ? this.#routing.routes : undefined));
+    const routes = () => (this.#canServe ? this.#routing.routes : undefined);
+    const calls = new CallService(parts, client, routes, () => this.#routing.isCurrent);
     this.#ingress.onHead = (head) => calls.decide(head);
     this.#routing.onChanged = (routes) => {
       this.#ingress.setLimits(routes.configuration.limits);
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -55,6 +55,14 @@
     .describe("Turns for which tokens are set aside in the store along with the present one"),
 });
 
+const keysSchema = z.strictObject({
+  revokeMs: durationSchema
+    .optional()
+    .describe(
+      "Longest time for which a key may still be used after a configuration without it was acknowledged, ms; gateways that cannot be sure refuse keyed requests. Left out, they go on by the configuration that they have",
+    ),
+});
+
 /** Settings of a gateway process. */
 export const gatewaySettingsSchema = z.strictObject({
   name: nameSchema.describe("Name of the machine, unique in the system"),
@@ -78,6 +86,7 @@
   timing: timingSchema.prefault({}),
   membership: membershipSchema.prefault({}),
   budget: budgetSchema.prefault({}),
+  keys: keysSchema.prefault({}),
   logging: loggingSchema.prefault({}),
 });
 
--- a/src/gateway/ingress/caller-exchange.ts
+++ b/src/gateway/ingress/caller-exchange.ts
@@ -78,7 +78,8 @@
 
   /** Tells the caller why the system has no answer for it. */
   refuse(problem: CallerProblem): void {
-    const { status, kind, detail, retryAfterMs } = problem;
+    const { status, kind, detail, retryAfterMs, goElsewhere } = problem;
+    if (goElsewhere) this.#response.shouldKeepAlive = false;
     const headers = ["Content-Type", HTTP_PROBLEM];
     if (retryAfterMs !== undefined) headers.push("Retry-After", (retryAfterMs / MS_PER_S).toFixed(3));
     this.answer(status, headers, Buffer.from(JSON.stringify({ error: kind, detail })));
--- a/src/gateway/ingress/caller-problem.ts
+++ b/src/gateway/ingress/caller-problem.ts
@@ -6,4 +6,6 @@
   readonly detail: string;
   /** When to come back, in ms. */
   readonly retryAfterMs?: number;
+  /** Another gateway may do better: the connection ends with the answer. */
+  readonly goElsewhere?: boolean;
 }
--- a/src/gateway/runners/runner-watch.ts
+++ b/src/gateway/runners/runner-watch.ts
@@ -50,7 +50,7 @@
     };
     const { runnerTable } = context.platform.records;
     const pauseMs = context.settings.timing.runnerDrainMs * PAUSE_PART;
-    this.#follower = new TableFollower(context, health, runnerTable, listener, pauseMs);
+    this.#follower = new TableFollower(context, health, runnerTable, listener, { pauseMs });
   }
 
   /** Whether the list has been read once. */
--- a/test/contract/platform-settings.test.ts
+++ b/test/contract/platform-settings.test.ts
@@ -26,7 +26,9 @@
     const chosen = TEMPLATE.replace(
       /\{\{\^([^{}]*)\}\}(.*?)\{\{\/\1\}\}/g,
       (_, name: string, otherwise: string) => (values[name] === undefined ? otherwise : ""),
-    );
+    ).replace(/\{\{#([^{}]*)\}\}(.*?)\{\{\/\1\}\}/g, (_, name: string, part: string) => {
+      return values[name] === undefined || values[name] === "false" ? "" : part;
+    });
     return chosen.replace(/\{\{([^{}]*)\}\}/g, (_, name: string) => {
       return name in values ? (values[name] ?? "") : `no ${name}`;
     });
@@ -39,6 +41,18 @@
     expect(parsed?.value.name).toEqual("front-hall-a-1");
   });
 
+  it("trusts keys for as long as the platform says, where it wants them refused in doubt", () => {
+    for (const [closed, expected] of [
+      ["true", 5_000],
+      ["false", undefined],
+      [undefined, undefined],
+    ] as const) {
+      const filled = fill({ ...VALUES, "bounds.fail-closed": closed, "bounds.revoke-ms": "5000" });
+      const [parsed] = parseYaml(filled, "settings", gatewaySettingsSchema, "invalid-settings");
+      expect(parsed?.value.keys.revokeMs).toEqual(expected);
+    }
+  });
+
   it("takes the time that leaving runners serve on from the platform, where it says one", () => {
     for (const [given, expected] of [
       ["4000", 4_000],
--- /dev/null
+++ b/test/contract/routing-watch.test.ts
@@ -0,0 +1,124 @@
+/** Keys that operators take away: no gateway trusts one for longer than promised, whatever keeps the news from it. */
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import {
+  SharedStore,
+  SimulatedRowStore,
+  type StorePath,
+} from "../../bench/simulation/gateways/simulated-row-store.ts";
+import { SimulatedProcess, VirtualTime } from "../../bench/simulation/virtual-time.ts";
+import { digestOf } from "../../platform/key-digest.ts";
+import { RoutingWatch } from "../../src/gateway/configuration/routing-watch.ts";
+import { StoreHealth } from "../../src/gateway/store-health.ts";
+import { SeededRandomSource } from "../../src/runtime/random-source.ts";
+import { gatewayContext } from "./support/gateway-parts.ts";
+
+const UNUSED = "127.0.0.1:1";
+const REVOKE_MS = 5_000;
+const END_MS = 60_000;
+const LOOK_MS = 20;
+const KEYS = ["first", "second", "third", "fourth"];
+const PATHS: readonly StorePath[] = ["open", "open", "cut", "answersLost"];
+
+interface Trial {
+  readonly time: VirtualTime;
+  readonly store: SharedStore;
+  readonly random: SeededRandomSource;
+  readonly clock: SimulatedProcess;
+  readonly path: SimulatedRowStore;
+  readonly watch: RoutingWatch;
+  /** Writes a configuration with these keys. */
+  readonly configure: (keys: readonly string[]) => void;
+  readonly accepts: (key: string) => boolean;
+}
+
+async function start(seed: number): Promise<Trial> {
+  const time = new VirtualTime();
+  const random = new SeededRandomSource(seed);
+  const store = new SharedStore(time, random);
+  const clock = new SimulatedProcess("gateway", "zone-a", time);
+  const path = new SimulatedRowStore(store, clock);
+  const context = await gatewayContext("gateway", UNUSED);
+  const settings = { ...context.settings, keys: { revokeMs: REVOKE_MS } };
+  const simulated = { ...context, settings, clock, platform: { ...context.platform, store: path } };
+  const watch = new RoutingWatch(simulated, new StoreHealth(simulated));
+  let version = 0;
+  const configure = (keys: readonly string[]): void => {
+    version += 1;
+    const configuration = {
+      version,
+      routes: [],
+      services: [],
+      limits: {},
+      tenants: [{ name: "tenant", "api-keys": keys }],
+    };
+    const value = Buffer.from(JSON.stringify(configuration)).toString("base64");
+    const put = { table: "op", part: "", key: "config", value };
+    store.model.transact({ conditions: [], puts: [put], removes: [] });
+  };
+  const accepts = (key: string) => watch.isCurrent && watch.routes?.tenantOf(digestOf(key)) !== undefined;
+  configure(KEYS);
+  watch.start();
+  return { time, store, random, clock, path, watch, configure, accepts };
+}
+
+describe("keys that are taken away", () => {
+  for (let seed = 1; seed <= 40; seed += 1) {
+    it(`are trusted no longer than promised, seed ${seed}`, async () => {
+      const { time, store, random, clock, path, configure, accepts } = await start(seed);
+      const kept = [...KEYS];
+      const goneAtMs = new Map<string, number>();
+      const strike = (): void => {
+        path.path = PATHS[random.below(PATHS.length)] ?? "open";
+        store.conditions.outage = random.unit() < 0.2 ? "busy" : "none";
+        if (random.unit() < 0.2) store.model.compact();
+        if (random.unit() < 0.2) {
+          clock.freeze();
+          time.after(random.unit() * 6_000, () => clock.wake());
+        }
+        time.after(500 + random.unit() * 6_000, strike);
+      };
+      const revoke = (): void => {
+        const key = kept.pop();
+        if (key === undefined) return;
+        configure(kept);
+        goneAtMs.set(key, time.nowMs);
+        time.after(random.unit() * 15_000, revoke);
+      };
+      time.after(3_000, strike);
+      time.after(3_000 + random.unit() * 10_000, revoke);
+      for (let nowMs = 0; nowMs < END_MS; nowMs += LOOK_MS) {
+        await time.runUntil(nowMs);
+        if (clock.frozen) continue;
+        for (const [key, atMs] of goneAtMs)
+          if (nowMs - atMs > REVOKE_MS)
+            expect([seed, key, nowMs, accepts(key)]).toEqual([seed, key, nowMs, false]);
+      }
+    });
+  }
+
+  it("are gone at once where the store is reached, and all others go on", async () => {
+    const { time, configure, accepts } = await start(1);
+    await time.runUntil(10_000);
+    expect(KEYS.map(accepts)).toEqual([true, true, true, true]);
+    configure(["first"]);
+    await time.runUntil(10_400);
+    expect(KEYS.map(accepts)).toEqual([true, false, false, false]);
+    await time.runUntil(30_000);
+    expect(accepts("first")).toEqual(true);
+  });
+
+  it("makes keys wait in an outage that outlasts the promise, and only then", async () => {
+    const { time, store, accepts } = await start(1);
+    await time.runUntil(10_000);
+    store.conditions.outage = "busy";
+    // The last proof is younger than a wait and its answer when the outage begins.
+    await time.runUntil(10_000 + REVOKE_MS - 1_000 - 1_100);
+    expect(accepts("first")).toEqual(true);
+    await time.runUntil(10_000 + REVOKE_MS);
+    expect(accepts("first")).toEqual(false);
+    store.conditions.outage = "none";
+    await time.runUntil(16_500);
+    expect(accepts("first")).toEqual(true);
+  });
+});
