Limits of tenants, held by one owner over all gateways

Cause: nothing bounded what a tenant sends.

A tenant's limit lies with the owner of its partition, who is asked for each request; requests that come while an answer is under way go with the next question. Buckets are in memory. A new owner starts with half of what the limits tolerate, and fills its buckets only 2 s after a take-over from one that died; an owner gives out the part of the rate that is the part of gateways it reaches; a process that stood still begins as a new owner does. Beyond the limit 429 with the time at which a token is there, one caller after the other.

Ruled out: a part of the rate for each gateway (most tenants send under a request a second at one of 65 gateways); counts passed on with heartbeats (a tenant at 7.5 times its usual is 200 requests over its limit within one second's staleness, the slack of a large tenant is 56). Credits in batches ahead of demand are not built: at this size a question a request is some five messages a second and gateway.

Measured: test/contract/request-rate.test.ts, windows of chains of dying owners and of owners cut apart within the limit; test/process/tenants.test.ts with three gateways.

--- /dev/null
+++ b/src/coordination/request-rate/index.ts
@@ -0,0 +1,5 @@
+export type { RateAnswer } from "./rate-answer.ts";
+export { type RateDemand, RateLedger } from "./rate-ledger.ts";
+export type { RateLimit } from "./rate-limit.ts";
+export type { RateTolerance } from "./rate-tolerance.ts";
+export { TokenBucket } from "./token-bucket.ts";
--- /dev/null
+++ b/src/coordination/request-rate/rate-ledger.ts
@@ -0,0 +1,109 @@
+/**
+ * Who of many subjects may send requests now, as the one owner of their limits decides it. Owners follow one another, and
+ * a new one knows nothing of what the one before has admitted; that one may even go on for a while, cut off from the new
+ * one. So a new owner starts with little, and its buckets fill only once the one before must have noticed.
+ *
+ * Guarantee: as long as an owner that is cut off admits no more than its share (see {@link RateLedger.take}) from the end
+ * of its successor's doubt on, all owners together stay within the limit and its tolerance in every window.
+ *
+ * Pure; times in ms of a monotonic clock.
+ */
+import type { RateAnswer } from "./rate-answer.ts";
+import type { RateLimit } from "./rate-limit.ts";
+import type { RateTolerance } from "./rate-tolerance.ts";
+import { TokenBucket } from "./token-bucket.ts";
+
+const MS_PER_S = 1_000;
+/**
+ * Part of the tolerance that a new owner hands out on credit. Another owner may follow within the same window, and the
+ * other half is its.
+ */
+const CREDIT_PART = 0.5;
+/** Members out of reach up to this part of all take nothing from the rate: half of a tolerance of a tenth. */
+const FULL_SHARE = 0.95;
+/** Bucket of a subject that has not asked for so long is full, and is dropped. */
+const IDLE_MS = 60_000;
+
+interface Account {
+  readonly bucket: TokenBucket;
+  limit: RateLimit;
+  /** Version of the configuration that the limit is from. */
+  limitVersion: number;
+  /** When the last of those that were turned away was told to come back. */
+  nextReturnMs: number;
+  lastAskedMs: number;
+}
+
+/** What a request for tokens says. */
+export interface RateDemand {
+  readonly subject: string;
+  readonly wanted: number;
+  readonly limit: RateLimit;
+  /** Of the configuration that the limit is from; a newer one replaces it. */
+  readonly limitVersion: number;
+}
+
+/** See the module's comment. */
+export class RateLedger {
+  readonly #accounts = new Map<string, Account>();
+  readonly #tolerance: RateTolerance;
+  readonly #doubtUntilMs: number;
+
+  /** @param doubtUntilMs until when the owner before may still admit requests */
+  constructor(tolerance: RateTolerance, doubtUntilMs: number) {
+    this.#tolerance = tolerance;
+    this.#doubtUntilMs = doubtUntilMs;
+  }
+
+  /**
+   * Admits as many of the requests as the limit allows now.
+   *
+   * @param share part of all members that this owner reaches: on two sides of a cut, both together give out the rate once
+   */
+  take(demand: RateDemand, share: number, nowMs: number): RateAnswer {
+    const account = this.#accountOf(demand, nowMs);
+    if (demand.limitVersion > account.limitVersion) {
+      account.limit = demand.limit;
+      account.limitVersion = demand.limitVersion;
+    }
+    account.lastAskedMs = nowMs;
+    const perSecond = account.limit.perSecond * (share >= FULL_SHARE ? 1 : share);
+    const limit = { perSecond, burst: account.limit.burst };
+    const granted = account.bucket.take(demand.wanted, limit, nowMs);
+    return this.#answer(account, demand.wanted - granted, granted, limit, nowMs);
+  }
+
+  /** Drops subjects that have long been silent. */
+  forgetIdle(nowMs: number): void {
+    for (const [subject, { lastAskedMs }] of this.#accounts)
+      if (nowMs - lastAskedMs > IDLE_MS) this.#accounts.delete(subject);
+  }
+
+  #answer(account: Account, refused: number, granted: number, limit: RateLimit, nowMs: number): RateAnswer {
+    if (refused === 0) return { granted, retryAfterMs: 0, retryStepMs: 0 };
+    const retryStepMs = MS_PER_S / limit.perSecond;
+    const soonestMs = nowMs + account.bucket.waitMs(limit, nowMs);
+    const afterOthersMs = account.nextReturnMs + retryStepMs;
+    // Nobody is told to wait for longer than a window: beyond it, times are given out once more from the start.
+    const isFar = afterOthersMs > nowMs + this.#tolerance.windowMs;
+    const firstReturnMs = isFar ? soonestMs : Math.max(soonestMs, afterOthersMs);
+    account.nextReturnMs = firstReturnMs + (refused - 1) * retryStepMs;
+    return { granted, retryAfterMs: firstReturnMs - nowMs, retryStepMs };
+  }
+
+  #accountOf({ subject, limit, limitVersion }: RateDemand, nowMs: number): Account {
+    const known = this.#accounts.get(subject);
+    if (known) return known;
+    const bucket = new TokenBucket(this.#creditOf(limit), this.#doubtUntilMs);
+    const account = { bucket, limit, limitVersion, nextReturnMs: 0, lastAskedMs: nowMs };
+    this.#accounts.set(subject, account);
+    return account;
+  }
+
+  /** What may be admitted although the owner before may have admitted all that the limit allows. */
+  #creditOf({ perSecond, burst }: RateLimit): number {
+    const { windowMs, overage, slack } = this.#tolerance;
+    const inWindow = (perSecond * windowMs) / MS_PER_S + burst;
+    return CREDIT_PART * (inWindow * overage + slack);
+  }
+}
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -3,12 +3,14 @@
 import { choosePool, type RouteTable } from "../../scheduling/routing/route-table.ts";
 import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import { spreadKey } from "../../scheduling/routing/spread-key.ts";
-import type { Tenant } from "../../scheduling/tenancy/tenant.ts";
+import type { Tenant } from "../../scheduling/routing/tenant.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { CallerHead } from "../ingress/caller-head.ts";
 import type { CallerProblem } from "../ingress/caller-problem.ts";
 import type { HeadVerdict } from "../ingress/head-verdict.ts";
 import type { PartitionClient } from "../partitions/partition-client.ts";
+import type { RateClient } from "../rates/rate-client.ts";
+import type { RateVerdict } from "../rates/rate-verdict.ts";
 import { CallRecord } from "../telemetry/call-record.ts";
 import { PlainCall } from "./plain-call.ts";
 import type { CallStart } from "./routed-call.ts";
@@ -40,6 +42,10 @@
   retryAfterMs: 150,
   goElsewhere: true,
 };
+/** When to come back after nobody could say whether a tenant is within its limit, in ms: by then an owner has followed. */
+const OWNER_RETRY_MS = 450;
+/** Part of a request's time for which the owner of its tenant's limit is looked for; the rest is for the runner. */
+const LOOKING_PART = 0.5;
 const HASH_RANGE = 2 ** 32;
 
 /** Where a request goes, and for whom. */
@@ -54,6 +60,7 @@
 export class CallService {
   readonly #parts: AttemptParts;
   readonly #partitions: PartitionClient;
+  readonly #rates: RateClient;
   readonly #routes: () => RouteTable | undefined;
   readonly #trustsKeys: () => boolean;
 
@@ -64,11 +71,13 @@
   constructor(
     parts: AttemptParts,
     partitions: PartitionClient,
+    rates: RateClient,
     routes: () => RouteTable | undefined,
     trustsKeys: () => boolean,
   ) {
     this.#parts = parts;
     this.#partitions = partitions;
+    this.#rates = rates;
     this.#routes = routes;
     this.#trustsKeys = trustsKeys;
   }
@@ -87,7 +96,25 @@
     const tenant = needsKey && call.key !== undefined ? routes.tenantOf(call.key) : undefined;
     if (needsKey && !tenant) return this.#refuse(UNKNOWN_KEY, call, route, routes);
     const destination = { call, route, pool, tenant };
-    return { type: "take", run: (exchange) => this.#run(exchange, destination, routes) };
+    return { type: "take", run: (exchange) => void this.#admit(exchange, destination, routes) };
+  }
+
+  /** Carries a request out once its tenant may send it. */
+  async #admit(exchange: CallerExchange, destination: Destination, routes: RouteTable): Promise<void> {
+    const { tenant, call, route } = destination;
+    if (tenant?.limit === undefined) return this.#run(exchange, destination, routes);
+    const { clock, metrics, settings } = this.#parts.context;
+    const askedAtMs = clock.monotonicMs();
+    const timeMs = Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    const waitMs = Math.min(settings.timing.ownerWaitMs, timeMs * LOOKING_PART);
+    const { version } = routes.configuration;
+    const verdict = await this.#rates.admit(tenant, version, askedAtMs + waitMs);
+    const elapsedMs = clock.monotonicMs() - askedAtMs;
+    metrics.rated(tenant.name, verdict.type, elapsedMs);
+    if (verdict.type === "granted") return this.#run(exchange, destination, routes);
+    const problem = problemOf(verdict);
+    this.#note(problem, destination, routes, elapsedMs);
+    exchange.refuse(problem);
   }
 
   #run(exchange: CallerExchange, { call, route, pool, tenant }: Destination, routes: RouteTable): void {
@@ -112,14 +139,33 @@
     problem: CallerProblem,
     call: CallContext,
     route: Route | undefined,
-    { configuration }: RouteTable,
+    routes: RouteTable,
   ): HeadVerdict {
+    this.#note(problem, { call, route, tenant: undefined }, routes, 0);
+    return { type: "refuse", problem };
+  }
+
+  /** A line in the log for a request that is refused before it is carried out. */
+  #note(
+    { status, kind, detail }: CallerProblem,
+    { call, route, tenant }: Pick<Destination, "call" | "tenant"> & { readonly route: Route | undefined },
+    { configuration }: RouteTable,
+    elapsedMs: number,
+  ): void {
     const { requestId, program } = call;
     const record = new CallRecord(requestId, program?.id, route?.name ?? "none", configuration.version);
-    const { status, kind, detail } = problem;
+    record.tenant = tenant?.name;
     const end = { status, kind, detail };
-    this.#parts.callLog.ended(record, end, 0);
-    this.#parts.context.metrics.callEnded(record.route, end, 0, undefined);
-    return { type: "refuse", problem };
+    this.#parts.callLog.ended(record, end, Math.round(elapsedMs));
+    this.#parts.context.metrics.callEnded(record.route, end, elapsedMs, undefined);
+  }
+}
+
+function problemOf(verdict: Exclude<RateVerdict, { type: "granted" }>): CallerProblem {
+  if (verdict.type === "unavailable") {
+    const { detail } = verdict;
+    return { status: 503, kind: "unavailable", detail, retryAfterMs: OWNER_RETRY_MS };
   }
+  const { retryAfterMs } = verdict;
+  return { status: 429, kind: "limited", detail: "The tenant sends more than its limit.", retryAfterMs };
 }
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -6,11 +6,11 @@
   type HttpExchangeListener,
   sendRequest,
 } from "../../ports/http/http-exchange.ts";
+import type { TenantName } from "../../scheduling/ids/tenant-name.ts";
 import type { PendingRequest } from "../../scheduling/runner-board/pending-request.ts";
 import type { RequestOutcome } from "../../scheduling/runner-board/request-outcome.ts";
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
-import type { TenantName } from "../../scheduling/tenancy/tenant-name.ts";
 import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -14,6 +14,8 @@
 import { MemberRegistry } from "./members/member-registry.ts";
 import { PartitionClient } from "./partitions/partition-client.ts";
 import { PartitionHost } from "./partitions/partition-host.ts";
+import { RateClient } from "./rates/rate-client.ts";
+import { RateHost } from "./rates/rate-host.ts";
 import { RunnerConnections } from "./runners/runner-connections.ts";
 import { RunnerWatch } from "./runners/runner-watch.ts";
 import { RelayedRowStore } from "./store/relayed-row-store.ts";
@@ -32,6 +34,7 @@
   readonly #members: MemberDirectory;
   readonly #registry: MemberRegistry;
   readonly #partitions: PartitionHost;
+  readonly #rates: RateHost;
   readonly #routing: RoutingWatch;
   readonly #runners: RunnerWatch;
   readonly #board = new RunnerBoard();
@@ -56,6 +59,7 @@
     this.#members = new MemberDirectory(context, transport, health);
     this.#registry = new MemberRegistry(context, this.#members, transport.self.address);
     this.#partitions = new PartitionHost(context, this.#members, health, this.#rpc);
+    this.#rates = new RateHost(context, this.#members, this.#partitions, this.#rpc);
     this.#routing = new RoutingWatch(context, health);
     this.#runners = new RunnerWatch(context, health, this.#board);
     this.#connections = new RunnerConnections(this.#board);
@@ -65,8 +69,9 @@
     this.#callLog = new CallLog(context.log, context.clock);
     this.#health = health;
     const parts = { context, board: this.#board, connections: this.#connections, callLog: this.#callLog };
+    const rates = new RateClient(context, this.#members, this.#partitions, this.#rpc);
     const routes = () => (this.#canServe ? this.#routing.routes : undefined);
-    const calls = new CallService(parts, client, routes, () => this.#routing.isCurrent);
+    const calls = new CallService(parts, client, rates, routes, () => this.#routing.isCurrent);
     this.#ingress.onHead = (head) => calls.decide(head);
     this.#routing.onChanged = (routes) => {
       this.#ingress.setLimits(routes.configuration.limits);
@@ -96,6 +101,7 @@
     this.#members.start();
     this.#registry.start();
     this.#partitions.start();
+    this.#rates.start();
     await this.#entry.listen([listen.readiness, listen.directory]);
     await this.#ingress.listen(listen.callers);
     await this.#serveMetrics();
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -1,9 +1,12 @@
 /** What gateways say to each other. */
 
+import type { RateAnswer } from "../coordination/request-rate/index.ts";
 import type { RpcRequest, RpcResponse } from "../messages/rpc-messages.ts";
 import type { ProgramId } from "../scheduling/ids/program-id.ts";
 import type { RequestId } from "../scheduling/ids/request-id.ts";
 import type { RunnerId } from "../scheduling/ids/runner-id.ts";
+import type { TenantName } from "../scheduling/ids/tenant-name.ts";
+import type { RequestLimit } from "../scheduling/routing/request-limit.ts";
 import type { NodeReport } from "../scheduling/runner-board/node-report.ts";
 import type { StoreCall, StoreCallOutcome } from "./store/store-call.ts";
 
@@ -122,10 +125,24 @@
   | { readonly type: "found"; readonly content: RetainedTurnContent }
   | { readonly type: "absent" };
 
+/** Asks the owner of a tenant's limit whether some requests may go on. What it grants is used or lost. */
+export interface AdmitRequestsRequest {
+  readonly partition: number;
+  readonly tenant: TenantName;
+  readonly wanted: number;
+  /** The limit in force at the gateway that asks, and the version of its configuration. */
+  readonly limit: RequestLimit;
+  readonly limitVersion: number;
+}
+
+/** The owner's answer. */
+export type AdmitRequestsResponse = RateAnswer;
+
 /** Requests between gateways. */
 export interface GatewayRpcSchema {
   admitTurn: { request: AdmitTurnRequest; response: AdmitTurnResponse };
   endTurn: { request: EndTurnRequest; response: EndTurnResponse };
+  admitRequests: { request: AdmitRequestsRequest; response: AdmitRequestsResponse };
   /** Makes a call to the store for a peer that does not reach it itself. */
   callStore: { request: StoreCall; response: StoreCallOutcome };
   findTurn: { request: FindTurnRequest; response: FindTurnResponse };
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -55,6 +55,23 @@
     .describe("Turns for which tokens are set aside in the store along with the present one"),
 });
 
+const requestLimitsSchema = z.strictObject({
+  windowMs: durationSchema
+    .default(5_000)
+    .describe("Length of the windows in which tenants' requests are counted against their limits, ms"),
+  overage: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0)
+    .describe("Part of what a limit allows in a window by which it may be exceeded"),
+  slack: z
+    .number()
+    .min(0)
+    .default(0)
+    .describe("Requests in a window by which a limit may be exceeded on top"),
+});
+
 const keysSchema = z.strictObject({
   revokeMs: durationSchema
     .optional()
@@ -87,6 +104,7 @@
   membership: membershipSchema.prefault({}),
   budget: budgetSchema.prefault({}),
   keys: keysSchema.prefault({}),
+  requestLimits: requestLimitsSchema.prefault({}),
   logging: loggingSchema.prefault({}),
 });
 
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -213,6 +213,15 @@
     return 2 * (this.#view.alive().length + 1) >= this.#known.size + 1;
   }
 
+  /**
+   * Part of the gateways that this one reaches, itself among them: of those that were heard of, but for those whose
+   * address refuses connections, so that nothing runs there.
+   */
+  get reachedShare(): number {
+    const there = this.#known.size - this.#refusing.size + 1;
+    return Math.min(1, (this.#view.alive().length + 1) / Math.max(1, there));
+  }
+
   /** How many other gateways are alive. */
   get aliveCount(): number {
     return this.#view.alive().length;
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -26,12 +26,16 @@
 /** Bytes of turns that a gateway keeps because they were answered through it. */
 const MAX_ANSWERED_BYTES = 4 * 1024 * 1024;
 
-/** A partition that has just been taken over. */
-interface TakenPartition {
+/** How this gateway came by a partition. */
+interface PartitionOwnership {
   /** Version of the owner's row, as this owner wrote it. */
   readonly epoch: number;
   /** Whether the owner before has let go of it. */
   readonly isReleased: boolean;
+  /** Whether an owner before has not, and may go on without knowing better. */
+  readonly followsDead: boolean;
+  /** Of the monotonic clock, in ms. */
+  readonly takenOverAtMs: number;
 }
 
 /** See the module's comment. */
@@ -41,6 +45,7 @@
   readonly #members: MemberDirectory;
   readonly #health: StoreHealth;
   readonly #owned = new Map<number, OwnedPartition>();
+  readonly #ownerships = new Map<number, PartitionOwnership>();
   readonly #claiming = new Set<number>();
   readonly #turnWriter: TurnWriter;
   readonly #finder: TurnFinder;
@@ -82,6 +87,11 @@
     return this.#owners.owner(partition)?.instance;
   }
 
+  /** How this gateway came by a partition; undefined when it does not own it. */
+  ownership(partition: number): PartitionOwnership | undefined {
+    return this.#owned.has(partition) ? this.#ownerships.get(partition) : undefined;
+  }
+
   /** Forgets an owner that says that it is none. */
   forgetOwner(partition: number, instance: string): void {
     this.#owners.forget(partition, instance);
@@ -165,7 +175,7 @@
   }
 
   /** Writes this gateway into the owner's row; undefined if that was not done. */
-  async #takeOwnerRow(partition: number): Promise<TakenPartition | undefined> {
+  async #takeOwnerRow(partition: number): Promise<PartitionOwnership | undefined> {
     const { store } = this.#context.platform;
     const key = ownerKey(partition);
     const read = await this.#readOwnerRow(partition);
@@ -184,7 +194,9 @@
     this.#health.note(outcome);
     if (outcome.type !== "committed") return undefined;
     const isReleased = row !== undefined && decodeOwner(row.value).instance === "";
-    return { epoch: outcome.version, isReleased };
+    const followsDead = row !== undefined && !isReleased;
+    const takenOverAtMs = this.#context.clock.monotonicMs();
+    return { epoch: outcome.version, isReleased, followsDead, takenOverAtMs };
   }
 
   async #readOwnerRow(partition: number): Promise<{ readonly row: StoredRow | undefined } | undefined> {
@@ -240,10 +252,11 @@
 
   #adopt(
     partition: number,
-    { epoch, isReleased }: TakenPartition,
+    taken: PartitionOwnership,
     accounts: ReadonlyMap<ProgramId, StoredAccount>,
   ): void {
     const { log, instance } = this.#context;
+    const { epoch, isReleased } = taken;
     const owned: OwnedPartition = new OwnedPartition(
       {
         context: this.#context,
@@ -257,6 +270,7 @@
       accounts,
     );
     this.#owned.set(partition, owned);
+    this.#ownerships.set(partition, taken);
     this.#owners.learn(partition, { instance, epoch });
     log.info({ partition, epoch, isReleased, programs: accounts.size }, "partition taken over");
     this.#members.tick();
--- /dev/null
+++ b/src/gateway/rates/rate-client.ts
@@ -0,0 +1,132 @@
+/**
+ * Asks the owners of tenants' limits. Requests of a tenant that come while an answer is under way go with the next
+ * question: far from its limit a tenant costs one message a request, and under load one for each time that an answer
+ * takes, however many requests come.
+ */
+import type { RateAnswer } from "../../coordination/request-rate/index.ts";
+import { delay } from "../../runtime/clock.ts";
+import type { RpcEndpoint } from "../../runtime/rpc.ts";
+import type { TenantName } from "../../scheduling/ids/tenant-name.ts";
+import type { RequestLimit } from "../../scheduling/routing/request-limit.ts";
+import type { Tenant } from "../../scheduling/routing/tenant.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type { GatewayRpcSchema } from "../gateway-messages.ts";
+import type { MemberDirectory } from "../members/member-directory.ts";
+import type { PartitionHost } from "../partitions/partition-host.ts";
+import type { RateVerdict } from "./rate-verdict.ts";
+
+/** How often an owner is looked for, in ms. */
+const OWNER_POLL_MS = 20;
+/**
+ * How long an answer of an owner may take, in ms: many times what a message between zones takes. After it the question is
+ * asked again, perhaps of the next owner; what a late answer grants is lost to the tenant.
+ */
+const ANSWER_MS = 400;
+
+interface Waiter {
+  readonly deadlineAtMs: number;
+  readonly resolve: (verdict: RateVerdict) => void;
+}
+
+/** Requests of a tenant that wait for an answer. */
+interface TenantQueue {
+  readonly tenant: TenantName;
+  limit: RequestLimit;
+  limitVersion: number;
+  waiting: Waiter[];
+  detail: string;
+}
+
+/** See the module's comment. */
+export class RateClient {
+  readonly #context: GatewayContext;
+  readonly #members: MemberDirectory;
+  readonly #partitions: PartitionHost;
+  readonly #rpc: RpcEndpoint<GatewayRpcSchema>;
+  /** Of tenants for which somebody waits. */
+  readonly #queues = new Map<TenantName, TenantQueue>();
+
+  constructor(
+    context: GatewayContext,
+    members: MemberDirectory,
+    partitions: PartitionHost,
+    rpc: RpcEndpoint<GatewayRpcSchema>,
+  ) {
+    this.#context = context;
+    this.#members = members;
+    this.#partitions = partitions;
+    this.#rpc = rpc;
+  }
+
+  /**
+   * Whether one request more of a tenant may go on.
+   *
+   * @param limitVersion version of the configuration that the tenant's limit is from
+   * @param deadlineAtMs until when an owner is looked for, in ms of the monotonic clock
+   */
+  admit(
+    { name, limit }: Tenant,
+    limitVersion: number,
+    deadlineAtMs: number,
+  ): RateVerdict | Promise<RateVerdict> {
+    if (!limit) return { type: "granted" };
+    return new Promise((resolve) => {
+      const waiter = { deadlineAtMs, resolve };
+      const queue = this.#queues.get(name);
+      if (queue) {
+        queue.waiting.push(waiter);
+        if (limitVersion > queue.limitVersion) Object.assign(queue, { limit, limitVersion });
+        return;
+      }
+      const begun = { tenant: name, limit, limitVersion, waiting: [waiter], detail: "" };
+      this.#queues.set(name, begun);
+      void this.#serve(begun);
+    });
+  }
+
+  /** Asks until nobody waits any more. */
+  async #serve(queue: TenantQueue): Promise<void> {
+    const { clock, hash, settings } = this.#context;
+    const partition = hash.hash32(queue.tenant) % settings.partitions;
+    while (queue.waiting.length > 0) {
+      const asked = queue.waiting.length;
+      const answer = await this.#ask(partition, queue, asked);
+      if (answer) settle(queue.waiting.splice(0, asked), answer);
+      else await delay(clock, OWNER_POLL_MS);
+      this.#giveUpLate(queue);
+    }
+    this.#queues.delete(queue.tenant);
+  }
+
+  async #ask(partition: number, queue: TenantQueue, wanted: number): Promise<RateAnswer | undefined> {
+    const { tenant, limit, limitVersion } = queue;
+    const owner = this.#partitions.ownerOf(partition);
+    const address = owner === undefined ? undefined : this.#members.addressOf(owner);
+    if (owner === undefined || address === undefined) {
+      queue.detail = "no gateway owns the tenant's partition";
+      return undefined;
+    }
+    const request = { partition, tenant, wanted, limit, limitVersion };
+    const reply = await this.#rpc.ask(address, "admitRequests", request, ANSWER_MS);
+    if (reply.type === "done") return reply.body;
+    queue.detail = `the owner ${owner} gave ${reply.type}`;
+    if (reply.type === "redirect") this.#partitions.forgetOwner(partition, owner);
+    return undefined;
+  }
+
+  #giveUpLate(queue: TenantQueue): void {
+    const nowMs = this.#context.clock.monotonicMs();
+    const late = queue.waiting.filter(({ deadlineAtMs }) => deadlineAtMs <= nowMs);
+    if (late.length === 0) return;
+    queue.waiting = queue.waiting.filter(({ deadlineAtMs }) => deadlineAtMs > nowMs);
+    for (const { resolve } of late) resolve({ type: "unavailable", detail: queue.detail });
+  }
+}
+
+/** Those that came first go on first. */
+function settle(waiters: readonly Waiter[], { granted, retryAfterMs, retryStepMs }: RateAnswer): void {
+  for (const [index, { resolve }] of waiters.entries()) {
+    if (index < granted) resolve({ type: "granted" });
+    else resolve({ type: "limited", retryAfterMs: retryAfterMs + (index - granted) * retryStepMs });
+  }
+}
--- /dev/null
+++ b/src/gateway/rates/rate-host.ts
@@ -0,0 +1,98 @@
+/**
+ * Admits requests of tenants for all gateways: those of the partitions that this gateway owns. A tenant's partition is
+ * found by its name, and its owner keeps the tenant's bucket in memory; nothing of it is in the store.
+ */
+import { RateLedger, type RateTolerance } from "../../coordination/request-rate/index.ts";
+import { repeat } from "../../runtime/clock.ts";
+import { RedirectSignal, type RpcEndpoint } from "../../runtime/rpc.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type { AdmitRequestsRequest, AdmitRequestsResponse, GatewayRpcSchema } from "../gateway-messages.ts";
+import type { MemberDirectory } from "../members/member-directory.ts";
+import type { PartitionHost } from "../partitions/partition-host.ts";
+
+/**
+ * How long after a take-over the owner before may still admit requests, in ms: until it misses the heartbeats of those
+ * that it no longer reaches, and admits only its share (1,250 ms), and for one relayed heartbeat more.
+ */
+const DOUBT_MS = 2_000;
+const TIDY_MS = 500;
+
+/** The ledger of a partition, and the ownership that it is for. */
+interface PartitionLedger {
+  readonly epoch: number;
+  readonly ledger: RateLedger;
+}
+
+/** See the module's comment. */
+export class RateHost {
+  readonly #context: GatewayContext;
+  readonly #members: MemberDirectory;
+  readonly #partitions: PartitionHost;
+  readonly #ledgers = new Map<number, PartitionLedger>();
+  /** When this process last showed that it runs. */
+  #runningAtMs: number;
+  #stop: () => void = () => undefined;
+
+  constructor(
+    context: GatewayContext,
+    members: MemberDirectory,
+    partitions: PartitionHost,
+    rpc: RpcEndpoint<GatewayRpcSchema>,
+  ) {
+    this.#context = context;
+    this.#members = members;
+    this.#partitions = partitions;
+    this.#runningAtMs = context.clock.monotonicMs();
+    rpc.handle("admitRequests", async (request) => this.#admit(request));
+  }
+
+  start(): void {
+    this.#stop = repeat(this.#context.clock, TIDY_MS, () => this.#tidy());
+  }
+
+  stop(): void {
+    this.#stop();
+  }
+
+  #admit({ partition, tenant, wanted, limit, limitVersion }: AdmitRequestsRequest): AdmitRequestsResponse {
+    this.#noticePause();
+    const ledger = this.#ledgerOf(partition);
+    const demand = { subject: tenant, wanted, limit, limitVersion };
+    return ledger.take(demand, this.#members.reachedShare, this.#context.clock.monotonicMs());
+  }
+
+  #ledgerOf(partition: number): RateLedger {
+    const ownership = this.#partitions.ownership(partition);
+    if (!ownership) throw new RedirectSignal(this.#partitions.ownerOf(partition));
+    const { epoch, takenOverAtMs, followsDead } = ownership;
+    const known = this.#ledgers.get(partition);
+    if (known?.epoch === epoch) return known.ledger;
+    const doubtUntilMs = followsDead ? takenOverAtMs + DOUBT_MS : takenOverAtMs;
+    const ledger = new RateLedger(this.#tolerance, doubtUntilMs);
+    this.#ledgers.set(partition, { epoch, ledger });
+    return ledger;
+  }
+
+  get #tolerance(): RateTolerance {
+    return this.#context.settings.requestLimits;
+  }
+
+  /** A process that stood still may have a successor that it has not heard of: it begins as a new owner does. */
+  #noticePause(): void {
+    const nowMs = this.#context.clock.monotonicMs();
+    const pausedMs = nowMs - this.#runningAtMs;
+    this.#runningAtMs = nowMs;
+    if (pausedMs <= this.#context.settings.timing.suspectMs) return;
+    for (const [partition, { epoch }] of this.#ledgers)
+      this.#ledgers.set(partition, { epoch, ledger: new RateLedger(this.#tolerance, nowMs + DOUBT_MS) });
+  }
+
+  #tidy(): void {
+    this.#noticePause();
+    const nowMs = this.#context.clock.monotonicMs();
+    for (const [partition, { epoch, ledger }] of this.#ledgers) {
+      if (this.#partitions.ownership(partition)?.epoch === epoch) ledger.forgetIdle(nowMs);
+      else this.#ledgers.delete(partition);
+    }
+  }
+}
--- a/src/gateway/telemetry/gateway-metrics.ts
+++ b/src/gateway/telemetry/gateway-metrics.ts
@@ -9,6 +9,8 @@
   abstract tryEnded(outcome: string, elapsedMs: number): void;
   /** An owner answered, or could not be asked. */
   abstract admitted(answer: string, elapsedMs: number): void;
+  /** The owner of a tenant's limit answered for one request, or could not be asked. */
+  abstract rated(tenant: string, verdict: string, elapsedMs: number): void;
   /** The end of an answer has waited until its turn was kept. */
   abstract retained(heldBy: string, elapsedMs: number): void;
   /** A write of a partition was answered, or not. */
--- a/src/gateway/telemetry/no-metrics.ts
+++ b/src/gateway/telemetry/no-metrics.ts
@@ -5,6 +5,7 @@
   override callEnded(): void {}
   override tryEnded(): void {}
   override admitted(): void {}
+  override rated(): void {}
   override retained(): void {}
   override storeWritten(): void {}
   override async serve(): Promise<void> {}
--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -28,6 +28,13 @@
     CALL_BUCKETS_S,
     "answer",
   );
+  readonly #rated = new Counter({
+    name: "tulipwheel_gateway_tenant_requests_total",
+    help: "Requests with a known key, by tenant and what was decided of them: granted, limited or unavailable",
+    labelNames: ["tenant", "verdict"],
+    registers: [],
+  });
+  readonly #rateTimes = histogram("rate_seconds", "Time until the owner of a limit answered", CALL_BUCKETS_S);
   readonly #retentions = histogram(
     "retention_seconds",
     "Time for which the end of an answer waited until its turn was kept",
@@ -62,6 +69,11 @@
     this.#admissions.observe({ answer }, elapsedMs / MS_PER_S);
   }
 
+  override rated(tenant: string, verdict: string, elapsedMs: number): void {
+    this.#rated.inc({ tenant, verdict });
+    this.#rateTimes.observe(elapsedMs / MS_PER_S);
+  }
+
   override retained(heldBy: string, elapsedMs: number): void {
     this.#retentions.observe({ held_by: heldBy }, elapsedMs / MS_PER_S);
   }
@@ -88,6 +100,8 @@
       this.#firstBytes,
       this.#tries,
       this.#admissions,
+      this.#rated,
+      this.#rateTimes,
       this.#retentions,
       this.#writes,
     ])
--- a/src/ports/call-protocol.ts
+++ b/src/ports/call-protocol.ts
@@ -1,9 +1,9 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { KeyDigest } from "../scheduling/ids/key-digest.ts";
 import type { ProgramId } from "../scheduling/ids/program-id.ts";
 import type { RequestId } from "../scheduling/ids/request-id.ts";
 import type { RunnerId } from "../scheduling/ids/runner-id.ts";
-import type { KeyDigest } from "../scheduling/tenancy/key-digest.ts";
-import type { TenantName } from "../scheduling/tenancy/tenant-name.ts";
+import type { TenantName } from "../scheduling/ids/tenant-name.ts";
 import type { Urgency } from "../scheduling/urgency/urgency.ts";
 
 /** What a program says of itself with each of its requests. */
--- a/src/scheduling/tenancy/tenant-name.ts
+++ b/src/scheduling/ids/tenant-name.ts
@@ -1,4 +1,4 @@
-import type { Brand } from "../ids/brand.ts";
+import type { Brand } from "./brand.ts";
 
 /** What operators call a tenant. */
 export type TenantName = Brand<string, "TenantName">;
--- a/src/scheduling/routing/route-table.ts
+++ b/src/scheduling/routing/route-table.ts
@@ -1,6 +1,6 @@
-import type { KeyDigest } from "../tenancy/key-digest.ts";
-import type { Tenant } from "../tenancy/tenant.ts";
+import type { KeyDigest } from "../ids/key-digest.ts";
 import type { Route, RoutingConfiguration, RunnerPool } from "./routing-configuration.ts";
+import type { Tenant } from "./tenant.ts";
 
 /** Finds the route of a request: among the routes of its host, the one with the longest matching prefix. */
 export class RouteTable {
--- a/src/scheduling/routing/routing-configuration.ts
+++ b/src/scheduling/routing/routing-configuration.ts
@@ -1,5 +1,5 @@
 /** What operators say of routes and pools of runners; one version holds everywhere at a time. */
-import type { Tenant } from "../tenancy/tenant.ts";
+import type { Tenant } from "./tenant.ts";
 
 /** How often a request of a route may run. */
 export type RouteKind = "safe" | "unsafe" | "streaming";
--- a/src/scheduling/tenancy/tenant.ts
+++ b/src/scheduling/routing/tenant.ts
@@ -1,6 +1,6 @@
-import type { KeyDigest } from "./key-digest.ts";
+import type { KeyDigest } from "../ids/key-digest.ts";
+import type { TenantName } from "../ids/tenant-name.ts";
 import type { RequestLimit } from "./request-limit.ts";
-import type { TenantName } from "./tenant-name.ts";
 
 /** Somebody who may use the system, as operators say. */
 export interface Tenant {
--- /dev/null
+++ b/test/contract/request-rate.test.ts
@@ -0,0 +1,162 @@
+/** Tenants' limits: what one owner admits, and what several that follow one another, or are cut apart, admit together. */
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import {
+  RateLedger,
+  type RateLimit,
+  type RateTolerance,
+  TokenBucket,
+} from "../../src/coordination/request-rate/index.ts";
+import { SeededRandomSource } from "../../src/runtime/random-source.ts";
+
+const TOLERANCE: RateTolerance = { windowMs: 5_000, overage: 0.1, slack: 20 };
+const SMALL: RateLimit = { perSecond: 2, burst: 2 };
+const LARGE: RateLimit = { perSecond: 60, burst: 60 };
+const DOUBT_MS = 2_000;
+
+function demand(wanted: number, limit: RateLimit, limitVersion = 1) {
+  return { subject: "tenant", wanted, limit, limitVersion };
+}
+
+/** Most that may be admitted in a window. */
+function boundOf({ perSecond, burst }: RateLimit): number {
+  const inWindow = (perSecond * TOLERANCE.windowMs) / 1_000 + burst;
+  return inWindow * (1 + TOLERANCE.overage) + TOLERANCE.slack;
+}
+
+/** The most that was admitted in any window. */
+function mostInWindow(admittedAtMs: readonly number[]): number {
+  const sorted = [...admittedAtMs].sort((left, right) => left - right);
+  let most = 0;
+  let first = 0;
+  for (const [index, atMs] of sorted.entries()) {
+    while (atMs - (sorted[first] as number) > TOLERANCE.windowMs) first += 1;
+    most = Math.max(most, index - first + 1);
+  }
+  return most;
+}
+
+describe("token bucket", () => {
+  it("gives what has come in, up to what it keeps", () => {
+    const bucket = new TokenBucket(0, 0);
+    expect(bucket.take(5, LARGE, 0)).toEqual(0);
+    expect(bucket.take(500, LARGE, 500)).toEqual(30);
+    expect(bucket.take(500, LARGE, 60_000)).toEqual(60);
+    expect(bucket.waitMs(LARGE, 60_000)).toEqual(1_000 / 60);
+  });
+
+  it("gives single tokens where the limit is below one", () => {
+    const bucket = new TokenBucket(0, 0);
+    const rare: RateLimit = { perSecond: 0.25, burst: 0 };
+    expect([2_000, 4_000, 6_000, 8_000].map((atMs) => bucket.take(1, rare, atMs))).toEqual([0, 1, 0, 1]);
+  });
+});
+
+describe("owner of limits", () => {
+  for (const limit of [SMALL, LARGE]) {
+    it(`admits all that comes below the limit, ${limit.perSecond}/s`, () => {
+      const ledger = new RateLedger(TOLERANCE, 0);
+      const stepMs = 1_000 / (limit.perSecond * 0.9);
+      for (let nowMs = 10_000; nowMs < 70_000; nowMs += stepMs)
+        expect(ledger.take(demand(1, limit), 1, nowMs).granted).toEqual(1);
+    });
+
+    it(`admits the limit, and no more, of what comes above it, ${limit.perSecond}/s`, () => {
+      const ledger = new RateLedger(TOLERANCE, 0);
+      const random = new SeededRandomSource(1);
+      const admitted: number[] = [];
+      for (let nowMs = 10_000; nowMs < 70_000; nowMs += 1) {
+        if (random.unit() >= (limit.perSecond * 7.5) / 1_000) continue;
+        if (ledger.take(demand(1, limit), 1, nowMs).granted === 1) admitted.push(nowMs);
+      }
+      expect(admitted.length >= 0.98 * 60 * limit.perSecond).toEqual(true);
+      expect(mostInWindow(admitted) <= boundOf(limit)).toEqual(true);
+    });
+  }
+
+  it("tells those that it turns away to come back one after the other, when there will be room", () => {
+    const ledger = new RateLedger({ ...TOLERANCE, overage: 0, slack: 0 }, 0);
+    expect(ledger.take(demand(100, LARGE), 1, 1_000).granted).toEqual(60);
+    const first = ledger.take(demand(6, LARGE), 1, 1_000);
+    expect([first.granted, Math.round(first.retryAfterMs), Math.round(first.retryStepMs)]).toEqual([
+      0, 683, 17,
+    ]);
+    const second = ledger.take(demand(1, LARGE), 1, 1_000);
+    expect(Math.round(second.retryAfterMs)).toEqual(783);
+    const returned = Array.from({ length: 6 }, (_, index) => {
+      const atMs = 1_000 + first.retryAfterMs + index * first.retryStepMs;
+      return ledger.take(demand(1, LARGE), 1, atMs).granted;
+    });
+    expect(returned).toEqual([1, 1, 1, 1, 1, 1]);
+  });
+
+  it("takes a lower limit from whoever knows the newer configuration, and never the older one again", () => {
+    const ledger = new RateLedger(TOLERANCE, 0);
+    ledger.take(demand(1, LARGE, 1), 1, 10_000);
+    expect(ledger.take(demand(100, SMALL, 2), 1, 10_001).granted).toEqual(2);
+    expect(ledger.take(demand(100, LARGE, 1), 1, 11_001).granted).toEqual(2);
+  });
+
+  it("drops subjects that are silent, whose buckets are full when they come back", () => {
+    const ledger = new RateLedger(TOLERANCE, 0);
+    ledger.take(demand(60, LARGE), 1, 10_000);
+    ledger.forgetIdle(80_000);
+    expect(ledger.take(demand(100, LARGE), 1, 80_000).granted).toEqual(60);
+  });
+});
+
+describe("owners of one limit", () => {
+  /** Demand at several times the limit, of which `share` reaches the first owner and the rest the second. */
+  function admittedBy(
+    limit: RateLimit,
+    seed: number,
+    owners: (nowMs: number) => readonly { readonly ledger: RateLedger; readonly reached: number }[],
+  ): number[] {
+    const random = new SeededRandomSource(seed);
+    const admitted: number[] = [];
+    for (let nowMs = 10_000; nowMs < 40_000; nowMs += 1) {
+      if (random.unit() >= (limit.perSecond * 7.5) / 1_000) continue;
+      let place = random.unit();
+      for (const { ledger, reached } of owners(nowMs)) {
+        place -= reached;
+        if (place >= 0) continue;
+        if (ledger.take(demand(1, limit), reached, nowMs).granted === 1) admitted.push(nowMs);
+        break;
+      }
+    }
+    return admitted;
+  }
+
+  for (const limit of [SMALL, LARGE])
+    for (const gapMs of [300, 1_200, 2_500, 4_900, 8_000])
+      it(`stay within it when each dies after ${gapMs} ms, ${limit.perSecond}/s`, () => {
+        const ledgers = new Map<number, RateLedger>();
+        const admitted = admittedBy(limit, gapMs, (nowMs) => {
+          const turn = Math.floor(nowMs / gapMs);
+          const ledger = ledgers.get(turn) ?? new RateLedger(TOLERANCE, turn * gapMs + DOUBT_MS);
+          ledgers.set(turn, ledger);
+          return [{ ledger, reached: 1 }];
+        });
+        // Two may follow within a window on credit; one more costs half of the tolerance each.
+        const further = Math.max(0, Math.ceil(TOLERANCE.windowMs / gapMs) - 2);
+        const credit = (boundOf(limit) - (limit.perSecond * 5 + limit.burst)) / 2;
+        expect(mostInWindow(admitted) <= boundOf(limit) + further * credit).toEqual(true);
+      });
+
+  for (const limit of [SMALL, LARGE])
+    for (const reached of [0.1, 0.35, 0.6])
+      it(`stay within it when one is cut off with ${reached} of the gateways, ${limit.perSecond}/s`, () => {
+        const before = new RateLedger(TOLERANCE, 0);
+        const after = new RateLedger(TOLERANCE, 20_000 + DOUBT_MS);
+        const admitted = admittedBy(limit, 1, (nowMs) => {
+          if (nowMs < 18_500) return [{ ledger: before, reached: 1 }];
+          // Neither side has noticed the cut; the other side's gateways find no owner.
+          if (nowMs < 20_000) return [{ ledger: before, reached: 1 }];
+          return [
+            { ledger: before, reached },
+            { ledger: after, reached: 1 - reached },
+          ];
+        });
+        expect(mostInWindow(admitted) <= boundOf(limit)).toEqual(true);
+      });
+});
--- a/test/process/tenants.test.ts
+++ b/test/process/tenants.test.ts
@@ -107,3 +107,65 @@
     }
   });
 });
+
+describe("limits", () => {
+  const LIMITED_STATUS = 429;
+  const RATE = 10;
+  const MARKET: TestTenant = { name: "market", keys: ["key-of-market"], rate: RATE, burst: 5 };
+
+  afterEach(() => cluster?.stop());
+
+  /** Sends requests at a pace through all gateways in turn; returns the answers by status. */
+  async function sendFor(
+    durationMs: number,
+    everyMs: number,
+    key: string,
+  ): Promise<Map<number, CallerAnswer[]>> {
+    const asked: Promise<CallerAnswer>[] = [];
+    const untilMs = performance.now() + durationMs;
+    while (performance.now() < untilMs) {
+      asked.push(callWith(key, PATHS.unsafe, {}, asked.length));
+      await pause(everyMs);
+    }
+    const byStatus = new Map<number, CallerAnswer[]>();
+    for (const answer of await Promise.all(asked))
+      byStatus.set(answer.status, [...(byStatus.get(answer.status) ?? []), answer]);
+    return byStatus;
+  }
+
+  it("hold over all gateways together, and those turned away are told when to come back", async () => {
+    cluster = await GatewayCluster.start(3, 0, 1);
+    cluster.configure({ version: 2, timeoutMs: 3_000, tenants: [SHOP, MARKET] });
+    for (const index of [0, 1, 2])
+      expect(await until(() => callWith("key-of-shop", PATHS.unsafe, {}, index), 200, 3_000)).toEqual(200);
+    // Below its limit, a tenant is turned away by nobody.
+    const below = await sendFor(2_000, 125, "key-of-market");
+    expect([...below.keys()]).toEqual([200]);
+    const above = await sendFor(3_000, 15, "key-of-market");
+    const served = above.get(200)?.length ?? 0;
+    expect(served >= 3 * RATE - 3 && served <= 3 * RATE + 8).toEqual(true);
+    expect([...above.keys()].sort()).toEqual([200, LIMITED_STATUS]);
+    const waits = (above.get(LIMITED_STATUS) ?? []).map(({ headers }) => Number(headers["retry-after"]));
+    expect(waits.every((seconds) => seconds > 0 && seconds <= 5.5)).toEqual(true);
+    expect(new Set(waits).size > waits.length / 2).toEqual(true);
+    // Others do not suffer from it.
+    expect([...(await sendFor(500, 10, "key-of-shop")).keys()]).toEqual([200]);
+  });
+
+  it("go on with another owner when one is killed", async () => {
+    cluster = await GatewayCluster.start(3, 0, 1);
+    const tenants = Array.from({ length: 8 }, (_, index) => ({
+      ...MARKET,
+      name: `m${index}`,
+      keys: [`key-${index}`],
+    }));
+    cluster.configure({ version: 2, timeoutMs: 3_000, tenants });
+    for (const index of [0, 1, 2])
+      expect(await until(() => callWith("key-0", PATHS.unsafe, {}, index), 200, 3_000)).toEqual(200);
+    await gateway(2).process.kill();
+    for (let index = 0; index < 8; index += 1)
+      expect(await until(() => callWith(`key-${index}`, PATHS.unsafe, {}, index % 2), 200, 5_000)).toEqual(
+        200,
+      );
+  });
+});
