--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -107,7 +107,9 @@
       session: program.session,
       turn: requestId,
       budget: this.#budget,
-      history: this.route.retainsTurns ? { previousTurn: program.previousTurn } : undefined,
+      history: this.route.retainsTurns
+        ? { previousTurn: program.previousTurn, tenant: this.tenant?.name }
+        : undefined,
     };
     const patienceAtMs = Math.min(this.deadlineAtMs, clock.monotonicMs() + settings.timing.ownerWaitMs);
     const askedMs = this.elapsedMs;
@@ -257,6 +259,7 @@
     this.record.retention = { heldBy: "nobody", atMs };
     const content = {
       previousTurn: this.call.program?.previousTurn,
+      tenant: this.tenant?.name,
       input: this.exchange.body,
       output: Buffer.from(this.#output.join(""), ENCODING),
     };
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -72,7 +72,9 @@
   /** Undefined where the program has no budget. */
   readonly budget: { readonly tokens: number; readonly most: number } | undefined;
   /** Undefined where the caller sends the whole prompt itself. */
-  readonly history: { readonly previousTurn: RequestId | undefined } | undefined;
+  readonly history:
+    | { readonly previousTurn: RequestId | undefined; readonly tenant?: TenantName | undefined }
+    | undefined;
 }
 
 /** The owner's answer. */
@@ -92,6 +94,8 @@
 /** A turn that has ended and is kept. */
 export interface RetainedTurnContent {
   readonly previousTurn: RequestId | undefined;
+  /** Whose turn it is: no other tenant's turn goes on from it. Undefined where callers need no key. */
+  readonly tenant?: TenantName | undefined;
   readonly input: Uint8Array;
   readonly output: Uint8Array;
 }
--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -152,7 +152,7 @@
 
   async #history({ history }: AdmitTurnRequest): Promise<HistoryOutcome> {
     if (history?.previousTurn === undefined) return { type: "history", parts: [] };
-    return this.#turns.history(history.previousTurn);
+    return this.#turns.history(history.previousTurn, history.tenant);
   }
 }
 
--- a/src/gateway/partitions/retained-turns.ts
+++ b/src/gateway/partitions/retained-turns.ts
@@ -1,6 +1,7 @@
 /** The turns that are kept: recent ones of one partition's programs in memory, all in the store. */
 import type { ReadOutcome } from "../../ports/store/row-store.ts";
 import type { RequestId } from "../../scheduling/ids/request-id.ts";
+import type { TenantName } from "../../scheduling/ids/tenant-name.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { RetainedTurnContent } from "../gateway-messages.ts";
 import { firstFound } from "./first-found.ts";
@@ -55,14 +56,16 @@
     this.#turns.add(turn, content);
   }
 
-  /** Input and output of a turn and of all before it, oldest first. */
-  async history(turn: RequestId): Promise<HistoryOutcome> {
+  /** Input and output of a turn of a tenant and of all before it, oldest first. */
+  async history(turn: RequestId, tenant?: TenantName): Promise<HistoryOutcome> {
     const contents: RetainedTurnContent[] = [];
     for (let next: RequestId | undefined = turn; next !== undefined; ) {
       const lookup = await this.#find(next);
       if (lookup.type === "unavailable") return lookup;
       // A turn that is there has all before it: they were kept first.
       if (lookup.type === "noSuchTurn") return contents.length === 0 ? lookup : unavailable("chain broken");
+      // Another tenant's turn is as good as none. Those before it are its tenant's, too.
+      if (lookup.content.tenant !== tenant) return { type: "noSuchTurn" };
       if (contents.push(lookup.content) > MAX_CHAIN) return unavailable("chain too long");
       next = lookup.content.previousTurn;
     }
--- a/test/process/tenants.test.ts
+++ b/test/process/tenants.test.ts
@@ -11,6 +11,7 @@
 } from "./support/gateway-cluster.ts";
 
 const UNKNOWN_KEY = 401;
+const NO_SUCH_TURN = 404;
 const SHOP: TestTenant = { name: "shop", keys: ["key-of-shop", "second-key-of-shop"] };
 const BANK: TestTenant = { name: "bank", keys: ["key-of-bank"] };
 
@@ -89,6 +90,30 @@
     expect((await callWith("key-of-shop")).status).toEqual(200);
   });
 
+  it("keep the turns of one tenant from those of another", async () => {
+    cluster = await GatewayCluster.start(2, 1, 0);
+    cluster.configure({ version: 2, timeoutMs: 3_000, tenants: [SHOP, BANK] });
+    const first = newRequestId();
+    const turnWith = (key: string, id: string, previous?: string, index = 0) => {
+      const more: Record<string, string> = previous === undefined ? {} : { "X-Previous-Turn": previous };
+      const headers: Record<string, string> = {
+        "X-Request-Id": id,
+        "X-Deadline-Ms": "3000",
+        "X-Program-Id": "program",
+        "X-Token-Budget": "10000",
+        "X-Token-Usage": "100,100",
+        Authorization: `Bearer ${key}`,
+        ...more,
+      };
+      return send(gateway(index), "POST", PATHS.kept, headers, `input of ${id}\n`);
+    };
+    expect(await until(() => turnWith("key-of-shop", first), 200, 3_000)).toEqual(200);
+    for (const index of [0, 1]) {
+      expect((await turnWith("key-of-bank", newRequestId(), first, index)).status).toEqual(NO_SUCH_TURN);
+      expect((await turnWith("second-key-of-shop", newRequestId(), first, index)).status).toEqual(200);
+    }
+  });
+
   it("work from the moment they are added, and no more once they are taken away", async () => {
     cluster = await GatewayCluster.start(2, 0, 1);
     cluster.configure({ version: 2, timeoutMs: 3_000, tenants: [SHOP] });
