--- a/src/cli/logs/call-entry.ts
+++ b/src/cli/logs/call-entry.ts
@@ -1,4 +1,5 @@
 import type { AdmissionRecord } from "../../gateway/telemetry/admission-record.ts";
+import type { RateRecord } from "../../gateway/telemetry/rate-record.ts";
 import type { RetentionRecord } from "../../gateway/telemetry/retention-record.ts";
 import type { TryRecord } from "../../gateway/telemetry/try-record.ts";
 import type { LogEntry } from "./log-entry.ts";
@@ -9,6 +10,9 @@
   readonly program?: string;
   readonly route: string;
   readonly configuration: number;
+  /** For whom the call was made. */
+  readonly tenant?: string;
+  readonly rate?: RateRecord;
   readonly status: number;
   readonly kind: string;
   readonly detail?: string;
--- a/src/cli/logs/tell-story.ts
+++ b/src/cli/logs/tell-story.ts
@@ -1,5 +1,6 @@
 /** Puts the story of a request or a program together from the collected logs of all gateways. Pure. */
 import type { AdmissionRecord } from "../../gateway/telemetry/admission-record.ts";
+import type { RateRecord } from "../../gateway/telemetry/rate-record.ts";
 import type { RetentionRecord } from "../../gateway/telemetry/retention-record.ts";
 import { type CallEntry, isCallEntry } from "./call-entry.ts";
 import type { LogEntry } from "./log-entry.ts";
@@ -30,8 +31,9 @@
   if (calls.length === 0) return [];
   const fromMs = Math.min(...calls.map((call) => call.time - call.elapsedMs)) - BEFORE_MS;
   const untilMs = Math.max(...calls.map((call) => call.time));
-  const partitions = new Set(calls.flatMap(({ admission }) => admission?.partition ?? []));
-  const owners = new Set(calls.flatMap(({ admission }) => admission?.owner ?? []));
+  const asked = calls.flatMap(({ admission, rate }) => [admission ?? [], rate ?? []].flat());
+  const partitions = new Set(asked.map(({ partition }) => partition));
+  const owners = new Set(asked.flatMap(({ owner }) => owner ?? []));
   const nodes = new Set([...calls.map(({ node }) => node), ...[...owners].map(nodeOf)]);
   const beliefs = entries.filter((entry) => {
     if (entry.time < fromMs || entry.time > untilMs) return false;
@@ -48,11 +50,14 @@
 }
 
 function linesOfCall(call: CallEntry): StoryLine[] {
-  const { node, request, route, configuration, admission, retention, tries = [] } = call;
+  const { node, request, route, configuration, tenant, rate, admission, retention, tries = [] } = call;
   const arrivedMs = call.time - call.elapsedMs;
   const at = (sinceMs: number, text: string): StoryLine => ({ time: arrivedMs + sinceMs, node, text });
   const program = call.program === undefined ? "" : ` of program ${call.program}`;
-  const lines = [at(0, `${request}${program} arrives on route ${route}, configuration ${configuration}`)];
+  const whose = tenant === undefined ? "" : ` for tenant ${tenant}`;
+  const arrival = `${request}${program}${whose} arrives on route ${route}, configuration ${configuration}`;
+  const lines = [at(0, arrival)];
+  if (rate) lines.push(at(rate.atMs + rate.elapsedMs, rateText(request, rate)));
   if (admission) lines.push(at(admission.elapsedMs, admissionText(request, admission)));
   for (const one of tries) {
     const grounds = `${one.load} in flight, ${Math.round(100 * one.failureRate)}% failing`;
@@ -71,6 +76,11 @@
   return lines;
 }
 
+function rateText(request: string, { partition, owner, verdict, elapsedMs }: RateRecord): string {
+  const whose = owner ?? "nobody that is known";
+  return `${request}: the tenant's limit, partition ${partition}, owned by ${whose}, says ${verdict} after ${elapsedMs} ms`;
+}
+
 function admissionText(request: string, admission: AdmissionRecord): string {
   const { partition, owner, answer, previousTurn, spentTokens, elapsedMs } = admission;
   const spent = spentTokens === undefined ? "" : `, ${spentTokens} tokens spent or promised`;
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -12,6 +12,7 @@
 import type { RateClient } from "../rates/rate-client.ts";
 import type { RateVerdict } from "../rates/rate-verdict.ts";
 import { CallRecord } from "../telemetry/call-record.ts";
+import type { RateRecord } from "../telemetry/rate-record.ts";
 import { PlainCall } from "./plain-call.ts";
 import type { CallStart } from "./routed-call.ts";
 import type { AttemptParts } from "./runner-attempt.ts";
@@ -56,6 +57,14 @@
   readonly tenant: Tenant | undefined;
 }
 
+/** What is known of a request that is refused before it is carried out. */
+interface RefusedCall {
+  readonly call: CallContext;
+  readonly route: Route | undefined;
+  readonly tenant?: Tenant | undefined;
+  readonly rate?: RateRecord;
+}
+
 /** See the module's comment. */
 export class CallService {
   readonly #parts: AttemptParts;
@@ -111,16 +120,28 @@
     const verdict = await this.#rates.admit(tenant, version, askedAtMs + waitMs);
     const elapsedMs = clock.monotonicMs() - askedAtMs;
     metrics.rated(tenant.name, verdict.type, elapsedMs);
-    if (verdict.type === "granted") return this.#run(exchange, destination, routes);
+    const rate: RateRecord = {
+      ...this.#rates.ownerOf(tenant.name),
+      verdict: verdict.type,
+      atMs: Math.round(askedAtMs - exchange.arrivedAtMs),
+      elapsedMs: Math.round(elapsedMs),
+    };
+    if (verdict.type === "granted") return this.#run(exchange, destination, routes, rate);
     const problem = problemOf(verdict);
-    this.#note(problem, destination, routes, elapsedMs);
+    this.#note(problem, { call, route, tenant, rate }, routes);
     exchange.refuse(problem);
   }
 
-  #run(exchange: CallerExchange, { call, route, pool, tenant }: Destination, routes: RouteTable): void {
+  #run(
+    exchange: CallerExchange,
+    { call, route, pool, tenant }: Destination,
+    routes: RouteTable,
+    rate?: RateRecord,
+  ): void {
     const { tenants, version } = routes.configuration;
     const hidesKey = tenants !== undefined;
-    const start: CallStart = { exchange, call, route, pool, tenant, hidesKey, configurationVersion: version };
+    const given = { exchange, call, route, pool, tenant, hidesKey, configurationVersion: version };
+    const start: CallStart = rate === undefined ? given : { ...given, rate };
     const routed =
       route.kind === "streaming"
         ? new StreamedCall(this.#parts, this.#partitions, start)
@@ -141,22 +162,23 @@
     route: Route | undefined,
     routes: RouteTable,
   ): HeadVerdict {
-    this.#note(problem, { call, route, tenant: undefined }, routes, 0);
+    this.#note(problem, { call, route }, routes);
     return { type: "refuse", problem };
   }
 
   /** A line in the log for a request that is refused before it is carried out. */
   #note(
     { status, kind, detail }: CallerProblem,
-    { call, route, tenant }: Pick<Destination, "call" | "tenant"> & { readonly route: Route | undefined },
+    { call, route, tenant, rate }: RefusedCall,
     { configuration }: RouteTable,
-    elapsedMs: number,
   ): void {
     const { requestId, program } = call;
     const record = new CallRecord(requestId, program?.id, route?.name ?? "none", configuration.version);
     record.tenant = tenant?.name;
+    record.rate = rate;
+    const elapsedMs = rate === undefined ? 0 : rate.atMs + rate.elapsedMs;
     const end = { status, kind, detail };
-    this.#parts.callLog.ended(record, end, Math.round(elapsedMs));
+    this.#parts.callLog.ended(record, end, elapsedMs);
     this.#parts.context.metrics.callEnded(record.route, end, elapsedMs, undefined);
   }
 }
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -10,6 +10,7 @@
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { CallEnd } from "../telemetry/call-end.ts";
 import { CallRecord } from "../telemetry/call-record.ts";
+import type { RateRecord } from "../telemetry/rate-record.ts";
 import { roundedShare } from "../telemetry/rounded-share.ts";
 import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
 import { RunnerAttempt } from "./runner-attempt.ts";
@@ -24,6 +25,8 @@
   readonly tenant: Tenant | undefined;
   /** Whether runners must not see what authorizes the caller. */
   readonly hidesKey: boolean;
+  /** What the owner of the tenant's limit said; undefined where there is no limit. */
+  readonly rate?: RateRecord;
   /** Version of the configuration that the route is from. */
   readonly configurationVersion: number;
 }
@@ -79,6 +82,7 @@
     const { requestId, program } = this.call;
     this.record = new CallRecord(requestId, program?.id, this.route.name, start.configurationVersion);
     this.record.tenant = start.tenant?.name;
+    this.record.rate = start.rate;
     const timeMs = Math.min(this.call.deadlineMs ?? this.route.timeoutMs, this.route.timeoutMs);
     this.deadlineAtMs = this.exchange.arrivedAtMs + timeMs;
   }
--- a/src/gateway/rates/rate-client.ts
+++ b/src/gateway/rates/rate-client.ts
@@ -84,13 +84,19 @@
     });
   }
 
+  /** The partition of a tenant, and who owns it as far as this gateway knows. */
+  ownerOf(tenant: TenantName): { readonly partition: number; readonly owner: string | undefined } {
+    const { hash, settings } = this.#context;
+    const partition = hash.hash32(tenant) % settings.partitions;
+    return { partition, owner: this.#partitions.ownerOf(partition) };
+  }
+
   /** Asks until nobody waits any more. */
   async #serve(queue: TenantQueue): Promise<void> {
-    const { clock, hash, settings } = this.#context;
-    const partition = hash.hash32(queue.tenant) % settings.partitions;
+    const { clock } = this.#context;
     while (queue.waiting.length > 0) {
       const asked = queue.waiting.length;
-      const answer = await this.#ask(partition, queue, asked);
+      const answer = await this.#ask(queue, asked);
       if (answer) settle(queue.waiting.splice(0, asked), answer);
       else await delay(clock, OWNER_POLL_MS);
       this.#giveUpLate(queue);
@@ -98,9 +104,9 @@
     this.#queues.delete(queue.tenant);
   }
 
-  async #ask(partition: number, queue: TenantQueue, wanted: number): Promise<RateAnswer | undefined> {
+  async #ask(queue: TenantQueue, wanted: number): Promise<RateAnswer | undefined> {
     const { tenant, limit, limitVersion } = queue;
-    const owner = this.#partitions.ownerOf(partition);
+    const { partition, owner } = this.ownerOf(tenant);
     const address = owner === undefined ? undefined : this.#members.addressOf(owner);
     if (owner === undefined || address === undefined) {
       queue.detail = "no gateway owns the tenant's partition";
--- a/src/gateway/telemetry/call-record.ts
+++ b/src/gateway/telemetry/call-record.ts
@@ -1,6 +1,7 @@
 /** What was decided about one call, on which grounds, and what came of it: the content of its line in the log. */
 import type { AdmissionRecord } from "./admission-record.ts";
 import type { CallEnd } from "./call-end.ts";
+import type { RateRecord } from "./rate-record.ts";
 import type { RetentionRecord } from "./retention-record.ts";
 import type { TryRecord } from "./try-record.ts";
 
@@ -13,6 +14,8 @@
   readonly configuration: number;
   /** For whom the call was made; undefined where it needs no key. */
   tenant: string | undefined;
+  /** Undefined where the tenant has no limit. */
+  rate: RateRecord | undefined;
   readonly tries: TryRecord[] = [];
   admission: AdmissionRecord | undefined;
   retention: RetentionRecord | undefined;
@@ -28,7 +31,8 @@
 
   /** The fields of its line. */
   line(end: CallEnd, elapsedMs: number): object {
-    const { request, program, route, configuration, tenant, admission, retention, tries, firstByteMs } = this;
+    const { request, program, route, configuration, tenant, rate, admission, retention, tries, firstByteMs } =
+      this;
     return {
       request,
       program,
@@ -38,6 +42,7 @@
       ...end,
       elapsedMs,
       firstByteMs,
+      rate,
       admission,
       retention,
       tries,
--- a/test/contract/log-story.test.ts
+++ b/test/contract/log-story.test.ts
@@ -80,6 +80,27 @@
     ]);
   });
 
+  it("tells why a request of a tenant beyond its limit was refused, and what its owner believed", () => {
+    const limited = {
+      msg: "call failed",
+      request: "r9",
+      tenant: "shop",
+      route: "turn",
+      configuration: 4,
+      status: 429,
+      kind: "limited",
+      elapsedMs: 7,
+      rate: { partition: 8, owner: "gateway-c#1", verdict: "limited", atMs: 2, elapsedMs: 5 },
+    };
+    const story = tellStory(parseLog(`${TEXT}\n${line("gateway-a", 310, limited)}`), "r9");
+    expect(story.map(({ time, text }) => `${time - START} ${text}`)).toEqual([
+      '301 (partition taken over {"partition":8,"epoch":7})',
+      "303 r9 for tenant shop arrives on route turn, configuration 4",
+      "310 r9: the tenant's limit, partition 8, owned by gateway-c#1, says limited after 5 ms",
+      "310 r9 ends after 7 ms, 429 limited",
+    ]);
+  });
+
   it("tells nothing of what no line names", () => {
     expect(tellStory(parseLog(TEXT), "r3")).toEqual([]);
   });
