--- a/bench/mutations.ts
+++ b/bench/mutations.ts
@@ -11,6 +11,7 @@
 import type { Edit, Mutation } from "./mutations/mutation.ts";
 import { NODE_MUTATIONS } from "./mutations/node-mutations.ts";
 import { SOAK_MUTATIONS } from "./mutations/soak-mutations.ts";
+import { TENANT_MUTATIONS } from "./mutations/tenant-mutations.ts";
 
 const COPIED = ["src", "platform", "bench", "standins", "test", "package.json", "tsconfig.json"];
 const RUN_TIMEOUT_MS = 180_000;
@@ -22,7 +23,7 @@
   jobs = Option.String("--jobs", "6", { description: "Breaks tried at once" });
 
   override async execute(): Promise<number> {
-    const queue = [...NODE_MUTATIONS, ...GATEWAY_MUTATIONS, ...SOAK_MUTATIONS].filter(
+    const queue = [...NODE_MUTATIONS, ...GATEWAY_MUTATIONS, ...TENANT_MUTATIONS, ...SOAK_MUTATIONS].filter(
       (mutation) => !this.only || mutation.name.includes(this.only),
     );
     const results: string[] = [];
--- /dev/null
+++ b/bench/mutations/tenant-mutations.ts
@@ -0,0 +1,95 @@
+/** Deliberate breaks of what gateways keep of tenants' keys and limits. */
+import type { Mutation } from "./mutation.ts";
+
+const script = "bench/simulate-gateways.ts";
+
+export const TENANT_MUTATIONS: readonly Mutation[] = [
+  {
+    promise: "limit",
+    name: "tenants: a new owner begins with full buckets",
+    edits: [
+      {
+        file: "src/gateway/rates/rate-host.ts",
+        from: "followsDead ? takenOverAtMs + DOUBT_MS : takenOverAtMs;",
+        to: "followsDead ? takenOverAtMs - 30 * DOUBT_MS : takenOverAtMs;",
+      },
+    ],
+    script,
+    args: ["--tenants", "--faults", "kill,part-peers,freeze"],
+  },
+  {
+    promise: "limit",
+    name: "tenants: an owner that is cut off gives out the whole rate",
+    edits: [
+      {
+        file: "src/coordination/request-rate/rate-ledger.ts",
+        from: "(share >= FULL_SHARE ? 1 : share)",
+        to: "(share >= 0 ? 1 : share)",
+      },
+    ],
+    script,
+    args: ["--tenants", "--faults", "part-peers,kill"],
+  },
+  {
+    promise: "limit",
+    name: "tenants: a lowered limit does not reach the owner",
+    edits: [
+      {
+        file: "src/coordination/request-rate/rate-ledger.ts",
+        from: "if (demand.limitVersion > account.limitVersion) {",
+        to: "if (demand.limitVersion > 1e9) {",
+      },
+    ],
+    script,
+    args: ["--tenants", "--faults", "history-dropped"],
+  },
+  {
+    promise: "limit",
+    name: "tenants: every gateway takes itself for the owner",
+    edits: [
+      {
+        file: "src/gateway/rates/rate-host.ts",
+        from: "if (!ownership) throw new RedirectSignal(this.#partitions.ownerOf(partition));",
+        to: "if (!ownership) return this.#ledgers.get(partition)?.ledger ?? this.#begun(partition);",
+      },
+      {
+        file: "src/gateway/rates/rate-host.ts",
+        from: "  #tidy(): void {",
+        to: "  #begun(partition: number): RateLedger {\n    const ledger = new RateLedger(this.#tolerance, 0);\n    this.#ledgers.set(partition, { epoch: 0, ledger });\n    return ledger;\n  }\n\n  #tidy(): void {\n    if (this.#tolerance.slack >= 0) return;",
+      },
+      {
+        file: "src/gateway/rates/rate-client.ts",
+        from: "const { partition, owner } = this.ownerOf(tenant);",
+        to: "const { partition } = this.ownerOf(tenant);\n    const owner = this.#context.instance;",
+      },
+    ],
+    script,
+    args: ["--tenants", "--faults", "kill"],
+  },
+  {
+    promise: "key",
+    name: "tenants: keys are trusted for ever",
+    edits: [
+      {
+        file: "src/gateway/configuration/routing-watch.ts",
+        from: "if (revokeMs === undefined) return true;",
+        to: "if (revokeMs !== -1) return true;",
+      },
+    ],
+    script,
+    args: ["--tenants", "--faults", "cut-off"],
+  },
+  {
+    promise: "key",
+    name: "tenants: a store that refuses a wait confirms the configuration",
+    edits: [
+      {
+        file: "src/gateway/configuration/table-follower.ts",
+        from: '    this.#health.note(outcome);\n    if (outcome.type === "historyGone") return false;',
+        to: '    this.#health.note(outcome);\n    this.#listener.onCurrent?.(askedAtMs);\n    if (outcome.type === "historyGone") return false;',
+      },
+    ],
+    script,
+    args: ["--tenants", "--faults", "cut-off"],
+  },
+];
--- a/bench/simulation/gateways/gateway-faults.ts
+++ b/bench/simulation/gateways/gateway-faults.ts
@@ -25,6 +25,7 @@
   "history-dropped",
   "messages-lost",
   "store-parts-busy",
+  "cut-off",
 ] as const;
 
 /** A kind of fault. */
@@ -35,6 +36,8 @@
 /** One of so many of the store's parts is away when only some are. */
 const AWAY_ONE_OF = 3;
 const AWAY_DRAW_LENGTH = 8;
+/** Longer than keys are trusted, shorter than what is left to recover in. */
+const CUT_OFF_MS = 6_500;
 const SLOWNESS = 60;
 const LOST_PART = 0.35;
 const MESSAGES_LOST_PART = 0.2;
@@ -53,11 +56,14 @@
     case "planned-stop":
       return stopAndRestart(world, index);
     case "part-peers":
-      return partPeers(world, index);
+      return partPeers(world, index, LASTS_MS);
     case "cut-store":
-      return cutStore(world, index, "cut");
+      return cutStore(world, index, "cut", LASTS_MS);
     case "cut-store-answers":
-      return cutStore(world, index, "answersLost");
+      return cutStore(world, index, "answersLost", LASTS_MS);
+    case "cut-off":
+      partPeers(world, index, CUT_OFF_MS);
+      return cutStore(world, index, "cut", CUT_OFF_MS);
     case "store-busy":
       conditions.outage = "busy";
       return void world.time.after(LASTS_MS, () => {
@@ -114,11 +120,11 @@
   world.time.after(LASTS_MS, () => killAndRestart(world, [index]));
 }
 
-function partPeers(world: GatewayWorld, index: number): void {
+function partPeers(world: GatewayWorld, index: number, lastsMs: number): void {
   const name = `gateway-${index}`;
   world.network.cut(name, "*");
   world.network.cut("*", name);
-  world.time.after(LASTS_MS, () => {
+  world.time.after(lastsMs, () => {
     world.network.heal(name, "*");
     world.network.heal("*", name);
   });
@@ -135,11 +141,11 @@
   });
 }
 
-function cutStore(world: GatewayWorld, index: number, path: "cut" | "answersLost"): void {
+function cutStore(world: GatewayWorld, index: number, path: "cut" | "answersLost", lastsMs: number): void {
   const store = world.gateways[index]?.store;
   if (!store) return;
   store.path = path;
-  world.time.after(LASTS_MS, () => {
+  world.time.after(lastsMs, () => {
     store.path = "open";
   });
 }
--- a/bench/simulation/gateways/simulated-gateway.ts
+++ b/bench/simulation/gateways/simulated-gateway.ts
@@ -12,6 +12,8 @@
 import { MemberRegistry } from "../../../src/gateway/members/member-registry.ts";
 import { PartitionClient } from "../../../src/gateway/partitions/partition-client.ts";
 import { PartitionHost } from "../../../src/gateway/partitions/partition-host.ts";
+import { RateClient } from "../../../src/gateway/rates/rate-client.ts";
+import { RateHost } from "../../../src/gateway/rates/rate-host.ts";
 import { RelayedRowStore } from "../../../src/gateway/store/relayed-row-store.ts";
 import { StoreHealth } from "../../../src/gateway/store-health.ts";
 import { NoMetrics } from "../../../src/gateway/telemetry/no-metrics.ts";
@@ -58,6 +60,8 @@
   readonly store: SimulatedRowStore;
   readonly client: PartitionClient;
   readonly routing: RoutingWatch;
+  readonly rates: RateClient;
+  readonly #rateHost: RateHost;
   readonly #transport: SimulatedTransport<GatewayMessage>;
   readonly #rpc: RpcEndpoint<GatewayRpcSchema>;
   readonly #relayed: RelayedRowStore;
@@ -92,6 +96,8 @@
     this.#registry = new MemberRegistry(context, this.#members, address);
     this.#host = new PartitionHost(context, this.#members, health, this.#rpc);
     this.routing = new RoutingWatch(context, health);
+    this.#rateHost = new RateHost(context, this.#members, this.#host, this.#rpc);
+    this.rates = new RateClient(context, this.#members, this.#host, this.#rpc);
     this.client = new PartitionClient(context, this.#members, this.#host, this.#rpc, health);
     this.#members.selfReport = () => ({
       state: this.state,
@@ -119,6 +125,7 @@
     this.#members.start();
     this.#registry.start();
     this.#host.start();
+    this.#rateHost.start();
   }
 
   /** A planned stop. */
--- a/src/coordination/request-rate/rate-ledger.ts
+++ b/src/coordination/request-rate/rate-ledger.ts
@@ -15,10 +15,10 @@
 
 const MS_PER_S = 1_000;
 /**
- * Part of the tolerance that a new owner hands out on credit. Another owner may follow within the same window, and the
- * other half is its.
+ * Part of the tolerance that a new owner hands out on credit, when it reaches all members. An owner that dies is missed
+ * after a second or more, so that at most three follow one another within a window of some seconds.
  */
-const CREDIT_PART = 0.5;
+const CREDIT_PART = 1 / 3;
 /** Members out of reach up to this part of all take nothing from the rate: half of a tolerance of a tenth. */
 const FULL_SHARE = 0.95;
 /** Bucket of a subject that has not asked for so long is full, and is dropped. */
@@ -61,7 +61,7 @@
    * @param share part of all members that this owner reaches: on two sides of a cut, both together give out the rate once
    */
   take(demand: RateDemand, share: number, nowMs: number): RateAnswer {
-    const account = this.#accountOf(demand, nowMs);
+    const account = this.#accountOf(demand, share, nowMs);
     if (demand.limitVersion > account.limitVersion) {
       account.limit = demand.limit;
       account.limitVersion = demand.limitVersion;
@@ -91,10 +91,10 @@
     return { granted, retryAfterMs: firstReturnMs - nowMs, retryStepMs };
   }
 
-  #accountOf({ subject, limit, limitVersion }: RateDemand, nowMs: number): Account {
+  #accountOf({ subject, limit, limitVersion }: RateDemand, share: number, nowMs: number): Account {
     const known = this.#accounts.get(subject);
     if (known) return known;
-    const bucket = new TokenBucket(this.#creditOf(limit), this.#doubtUntilMs);
+    const bucket = new TokenBucket(this.#creditOf(limit) * share, this.#doubtUntilMs);
     const account = { bucket, limit, limitVersion, nextReturnMs: 0, lastAskedMs: nowMs };
     this.#accounts.set(subject, account);
     return account;
