--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -140,7 +140,8 @@
   ): void {
     const { tenants, version } = routes.configuration;
     const hidesKey = tenants !== undefined;
-    const given = { exchange, call, route, pool, tenant, hidesKey, configurationVersion: version };
+    const rank = routes.rankOf(route, tenant);
+    const given = { exchange, call, route, pool, tenant, rank, hidesKey, configurationVersion: version };
     const start: CallStart = rate === undefined ? given : { ...given, rate };
     const routed =
       route.kind === "streaming"
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -23,6 +23,8 @@
   readonly pool: RunnerPool;
   /** For whom the call is made; undefined where it needs no key. */
   readonly tenant: Tenant | undefined;
+  /** How important the call is among all, 0 the most. */
+  readonly rank: number;
   /** Whether runners must not see what authorizes the caller. */
   readonly hidesKey: boolean;
   /** What the owner of the tenant's limit said; undefined where there is no limit. */
@@ -54,6 +56,7 @@
   protected readonly route: Route;
   protected readonly pool: RunnerPool;
   protected readonly tenant: Tenant | undefined;
+  protected readonly rank: number;
   /** Of the monotonic clock: when the route's or the caller's time is over. */
   protected readonly deadlineAtMs: number;
   /** Runners that refused the call, or could not be reached. */
@@ -78,6 +81,7 @@
     this.route = start.route;
     this.pool = start.pool;
     this.tenant = start.tenant;
+    this.rank = start.rank;
     this.#hidesKey = start.hidesKey;
     const { requestId, program } = this.call;
     this.record = new CallRecord(requestId, program?.id, this.route.name, start.configurationVersion);
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -127,7 +127,7 @@
     const occupancy = board.occupancy(this.pool.name);
     const { admission } = this.record;
     if (admission) this.record.admission = { ...admission, occupancy: roundedShare(occupancy) };
-    return mayBegin({ occupancy, rank: this.route.priority, sample: context.random.unit() });
+    return mayBegin({ occupancy, rank: this.rank, sample: context.random.unit() });
   }
 
   #noteAdmission(partition: number, answer: AdmitTurnResponse, elapsedMs: number): void {
--- a/src/scheduling/admission/program-admission.ts
+++ b/src/scheduling/admission/program-admission.ts
@@ -16,7 +16,7 @@
 export interface ProgramStart {
   /** Requests at the runners as a share of their places. */
   readonly occupancy: number;
-  /** The route's priority, as operators give it: 0 is the most important. */
+  /** Of tenant and route, as operators give it: 0 is the most important. */
   readonly rank: number;
   /** A number in [0, 1), drawn at random. */
   readonly sample: number;
--- a/src/scheduling/routing/route-table.ts
+++ b/src/scheduling/routing/route-table.ts
@@ -8,6 +8,9 @@
   readonly #byHost = new Map<string, Route[]>();
   readonly #pools: ReadonlyMap<string, RunnerPool>;
   readonly #tenants = new Map<KeyDigest, Tenant>();
+  /** Priorities that tenants and streaming routes have, the most urgent first, each once. */
+  readonly #tenantPriorities: readonly number[];
+  readonly #routePriorities: readonly number[];
 
   constructor(configuration: RoutingConfiguration) {
     this.configuration = configuration;
@@ -15,11 +18,25 @@
     for (const route of configuration.routes) this.#add(route);
     for (const tenant of configuration.tenants ?? [])
       for (const key of tenant.keys) this.#tenants.set(key, tenant);
+    const { routes: all, tenants = [] } = configuration;
+    this.#tenantPriorities = ascending(tenants);
+    this.#routePriorities = ascending(all.filter(({ kind }) => kind === "streaming"));
     for (const routes of this.#byHost.values()) {
       routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
     }
   }
 
+  /**
+   * How important a request is among all that may come, 0 the most: its tenant's priority comes first, then its route's.
+   * Only their order counts, not how far they lie apart.
+   */
+  rankOf(route: Route, tenant: Tenant | undefined): number {
+    if (!tenant) return route.priority;
+    const tenantRank = this.#tenantPriorities.indexOf(tenant.priority);
+    const routeRank = Math.max(0, this.#routePriorities.indexOf(route.priority));
+    return tenantRank * this.#routePriorities.length + routeRank;
+  }
+
   /** The route of a request; undefined when the configuration has none. */
   find(host: string, path: string): Route | undefined {
     return this.#byHost.get(host)?.find((route) => path.startsWith(route.pathPrefix));
@@ -47,6 +64,10 @@
   }
 }
 
+function ascending(ranked: readonly { readonly priority: number }[]): number[] {
+  return [...new Set(ranked.map(({ priority }) => priority))].sort((left, right) => left - right);
+}
+
 /**
  * The pool for a request of a route. Requests with the same sample go to the same pool, so that a program's prompts
  * stay where they were read.
--- a/test/contract/gateway-parts.test.ts
+++ b/test/contract/gateway-parts.test.ts
@@ -4,6 +4,7 @@
 import { PeerLiveness } from "../../src/coordination/liveness/index.ts";
 import { OwnershipMap, preferredOwner } from "../../src/coordination/partition-ownership/index.ts";
 import { EventSplitter } from "../../src/gateway/calls/event-splitter.ts";
+import type { TenantName } from "../../src/scheduling/ids/tenant-name.ts";
 import { choosePool, RouteTable } from "../../src/scheduling/routing/route-table.ts";
 import type { Route } from "../../src/scheduling/routing/routing-configuration.ts";
 import { spreadKey } from "../../src/scheduling/routing/spread-key.ts";
@@ -151,6 +152,17 @@
     expect(table.find("h", "/a/c")?.name).toEqual("r");
   });
 
+  it("ranks requests by the tenant first, then by the route", () => {
+    const streams = [0, 1].map((priority) => ({ ...ROUTE, kind: "streaming" as const, priority }));
+    const tenants = [4, 1, 4].map((priority, index) => {
+      return { name: `t${index}` as TenantName, keys: [], priority, limit: undefined };
+    });
+    const ranked = new RouteTable({ version: 1, routes: streams, pools: [], limits, tenants });
+    const ranks = tenants.flatMap((tenant) => streams.map((route) => ranked.rankOf(route, tenant)));
+    expect(ranks).toEqual([2, 3, 0, 1, 2, 3]);
+    expect(streams.map((route) => ranked.rankOf(route, undefined))).toEqual([0, 1]);
+  });
+
   it("has no route for other hosts and paths", () => {
     expect(table.find("other", "/a/b")).toEqual(undefined);
     expect(table.find("h", "/a")).toEqual(undefined);
