--- a/src/cli/logs/tell-story.ts
+++ b/src/cli/logs/tell-story.ts
@@ -1,4 +1,6 @@
 /** Puts the story of a request or a program together from the collected logs of all gateways. Pure. */
+
+import { nameOf } from "../../gateway/members/instance-name.ts";
 import type { AdmissionRecord } from "../../gateway/telemetry/admission-record.ts";
 import type { RateRecord } from "../../gateway/telemetry/rate-record.ts";
 import type { RetentionRecord } from "../../gateway/telemetry/retention-record.ts";
@@ -102,8 +104,3 @@
   const { level: _level, ...rest } = fields;
   return { time, node, text: `(${msg} ${JSON.stringify(rest)})` };
 }
-
-/** The machine of an incarnation. */
-function nodeOf(instance: string): string {
-  return instance.split("#", 1)[0] ?? instance;
-}
--- /dev/null
+++ b/src/gateway/members/instance-name.ts
@@ -0,0 +1,7 @@
+/** Between a machine's name and what tells one start of its process from another. */
+const SEPARATOR = "#";
+
+/** The machine of an incarnation. */
+export function nameOf(instance: string): string {
+  return instance.split(SEPARATOR, 1)[0] ?? instance;
+}
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -22,6 +22,7 @@
 import { DigestSequences } from "./digest-sequences.ts";
 import { planHeartbeats } from "./heartbeat-plan.ts";
 import type { HeartbeatPlan } from "./heartbeat-targets.ts";
+import { nameOf } from "./instance-name.ts";
 import type { Member } from "./member.ts";
 import { MemberView } from "./member-view.ts";
 import { sameStatus } from "./same-status.ts";
@@ -222,6 +223,14 @@
     return Math.min(1, (this.#view.alive().length + 1) / Math.max(1, there));
   }
 
+  /** Whether the machine of an incarnation runs another one now: the process of the first has ended. */
+  hasReplaced(instance: string): boolean {
+    const name = nameOf(instance);
+    const now =
+      name === this.#context.settings.name ? this.#context.instance : this.#view.named(name)?.instance;
+    return now !== undefined && now !== instance;
+  }
+
   /** How many other gateways are alive. */
   get aliveCount(): number {
     return this.#view.alive().length;
--- a/src/gateway/members/member-view.ts
+++ b/src/gateway/members/member-view.ts
@@ -66,6 +66,11 @@
     return this.#alive.byInstance.get(instance);
   }
 
+  /** The gateway that is alive under a name. */
+  named(name: string): Member | undefined {
+    return this.#alive.members.find(({ status }) => status.name === name);
+  }
+
   /** Whether a gateway is alive: heard here, or by a relay. */
   isAlive({ instance }: Member): boolean {
     return this.#alive.byInstance.has(instance);
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -23,6 +23,8 @@
 import { TurnWriter } from "./turn-writer.ts";
 
 const FIRST_COMMIT = 0;
+/** What the owner's row names when the last owner has let go. */
+const NOBODY = "";
 /** Bytes of turns that a gateway keeps because they were answered through it. */
 const MAX_ANSWERED_BYTES = 4 * 1024 * 1024;
 
@@ -32,8 +34,8 @@
   readonly epoch: number;
   /** Whether the owner before has let go of it. */
   readonly isReleased: boolean;
-  /** Whether an owner before has not, and may go on without knowing better. */
-  readonly followsDead: boolean;
+  /** Whether an owner before has not, and may live on without knowing better. */
+  readonly mayHaveRival: boolean;
   /** Of the monotonic clock, in ms. */
   readonly takenOverAtMs: number;
 }
@@ -193,10 +195,11 @@
     });
     this.#health.note(outcome);
     if (outcome.type !== "committed") return undefined;
-    const isReleased = row !== undefined && decodeOwner(row.value).instance === "";
-    const followsDead = row !== undefined && !isReleased;
+    const before = row === undefined ? undefined : decodeOwner(row.value).instance;
+    const isReleased = before === NOBODY;
+    const mayHaveRival = before !== undefined && !isReleased && !this.#members.hasReplaced(before);
     const takenOverAtMs = this.#context.clock.monotonicMs();
-    return { epoch: outcome.version, isReleased, followsDead, takenOverAtMs };
+    return { epoch: outcome.version, isReleased, mayHaveRival, takenOverAtMs };
   }
 
   async #readOwnerRow(partition: number): Promise<{ readonly row: StoredRow | undefined } | undefined> {
--- a/src/gateway/rates/rate-host.ts
+++ b/src/gateway/rates/rate-host.ts
@@ -11,7 +11,8 @@
 import type { PartitionHost } from "../partitions/partition-host.ts";
 
 /**
- * How long after a take-over the owner before may still admit requests, in ms: until it misses the heartbeats of those
+ * How long after a take-over the owner before may still admit requests, in ms, unless its process is known to have ended:
+ * until it misses the heartbeats of those
  * that it no longer reaches, and admits only its share (1,250 ms), and for one relayed heartbeat more.
  */
 const DOUBT_MS = 2_000;
@@ -64,10 +65,10 @@
   #ledgerOf(partition: number): RateLedger {
     const ownership = this.#partitions.ownership(partition);
     if (!ownership) throw new RedirectSignal(this.#partitions.ownerOf(partition));
-    const { epoch, takenOverAtMs, followsDead } = ownership;
+    const { epoch, takenOverAtMs, mayHaveRival } = ownership;
     const known = this.#ledgers.get(partition);
     if (known?.epoch === epoch) return known.ledger;
-    const doubtUntilMs = followsDead ? takenOverAtMs + DOUBT_MS : takenOverAtMs;
+    const doubtUntilMs = mayHaveRival ? takenOverAtMs + DOUBT_MS : takenOverAtMs;
     const ledger = new RateLedger(this.#tolerance, doubtUntilMs);
     this.#ledgers.set(partition, { epoch, ledger });
     return ledger;
