--- a/src/cli/logs/tell-story.ts
+++ b/src/cli/logs/tell-story.ts
@@ -36,7 +36,7 @@
   const asked = calls.flatMap(({ admission, rate }) => [admission ?? [], rate ?? []].flat());
   const partitions = new Set(asked.map(({ partition }) => partition));
   const owners = new Set(asked.flatMap(({ owner }) => owner ?? []));
-  const nodes = new Set([...calls.map(({ node }) => node), ...[...owners].map(nodeOf)]);
+  const nodes = new Set([...calls.map(({ node }) => node), ...[...owners].map(nameOf)]);
   const beliefs = entries.filter((entry) => {
     if (entry.time < fromMs || entry.time > untilMs) return false;
     if (OF_PARTITION.includes(entry.msg)) return partitions.has(entry.partition as number);
