Try: tokens lent to programs that the store has never had

Hypothesis: in an outage of the whole store programs that begin could run on three eighths of their budget, if every new owner after a loss counts as many as spent.

--- a/src/coordination/token-account/index.ts
+++ b/src/coordination/token-account/index.ts
@@ -1,5 +1,6 @@
 export {
   type AccountSnapshot,
+  lentTokens,
   type StoredAccount,
   TokenAccount,
   type TurnGrant,
--- a/test/contract/owned-partition.test.ts
+++ b/test/contract/owned-partition.test.ts
@@ -24,7 +24,7 @@
 const SETTLED_MS = 500;
 const [BEFORE, TURN, OTHER] = ["before", "turn", "other"] as RequestId[];
 /** Holds one turn. */
-const BUDGET = { tokens: 100, most: 100 };
+const BUDGET = { tokens: 100, most: 100, retentionMs: 60_000 };
 
 let context: GatewayContext;
 let transact: () => Promise<TransactionOutcome>;
@@ -43,7 +43,17 @@
   };
   const onLost = () => undefined;
   return new OwnedPartition(
-    { context, health, partition: 1, epoch: 1, isReleased: false, findTurn, onLost },
+    {
+      context,
+      health,
+      partition: 1,
+      epoch: 1,
+      isReleased: false,
+      takenOverAtMs: 0,
+      lossAtMs: undefined,
+      findTurn,
+      onLost,
+    },
     new Map(),
   );
 }
