--- a/bench/simulation/gateways/check-answered-turns.ts
+++ b/bench/simulation/gateways/check-answered-turns.ts
@@ -1,7 +1,7 @@
 /** Whether turns that were answered whole are still there when everything works again. */
 import type { ProgramId } from "../../../src/scheduling/ids/program-id.ts";
 import type { RequestId } from "../../../src/scheduling/ids/request-id.ts";
-import { type GatewayObservations, MOST, RETENTION_MS, type WholeTurn } from "./gateway-workload.ts";
+import { type GatewayObservations, MOST, type WholeTurn } from "./gateway-workload.ts";
 import type { GatewayWorld } from "./gateway-world.ts";
 
 /** Turns that ended this long before are asked for, in ms of virtual time; nearly all of a run. */
@@ -58,7 +58,7 @@
         program,
         session: "main",
         turn: `${program}/0` as RequestId,
-        budget: { tokens: MOST * BUDGET_TURNS, most: MOST, retentionMs: RETENTION_MS },
+        budget: { tokens: MOST * BUDGET_TURNS, most: MOST },
         history: { previousTurn: turn },
       };
       const untilMs = gateway.process.monotonicMs() + PATIENCE_MS;
--- a/bench/simulation/gateways/gateway-workload.ts
+++ b/bench/simulation/gateways/gateway-workload.ts
@@ -44,8 +44,6 @@
 
 /** The most tokens that a turn may generate. */
 export const MOST = 100;
-/** For how long a program is not forgotten, in ms: longer than a simulation. */
-export const RETENTION_MS = 120_000;
 const BUDGET_TURNS = 6;
 const MAX_TURN_MS = 300;
 const PATIENCE_MS = 1_500;
@@ -99,7 +97,7 @@
 ): Promise<WholeTurn | "exhausted" | "failed"> {
   const gateway = world.drawServing();
   if (!gateway) return "failed";
-  const budget = { tokens: program.budget, most: MOST, retentionMs: RETENTION_MS };
+  const budget = { tokens: program.budget, most: MOST };
   const partition = gateway.client.partitionOf(program.name);
   const context = { partition, program: program.name, session: "main", turn, budget };
   const history = { previousTurn: last?.turn };
--- a/src/coordination/token-account/index.ts
+++ b/src/coordination/token-account/index.ts
@@ -1,6 +1,5 @@
 export {
   type AccountSnapshot,
-  lentTokens,
   type StoredAccount,
   TokenAccount,
   type TurnGrant,
--- a/src/coordination/token-account/token-account.ts
+++ b/src/coordination/token-account/token-account.ts
@@ -1,25 +1,11 @@
 /**
  * The count of tokens of one program, at the owner of its partition. Tokens are set aside in the store before they are
  * granted, so that a new owner, which finds only what was stored, never grants them twice. What turns leave unused of them
- * is granted again without the store: a program goes on for several turns while the store is away.
- *
- * An account that the store has never had may lend some tokens before it has it ({@link lentTokens}). Every snapshot
- * counts at least these as spent, and so does a new owner for each program that it doesn't find after an owner's loss.
- * Pure.
+ * is granted again without the store: a program goes on for several turns while the store is away. Pure.
  */
 
 /** Largest part of what is left of a budget that is set aside for turns to come. */
 const AHEAD_PART = 0.5;
-/**
- * Part of a budget that a program whose account the store has never had may use before the store takes it. Turns use a
- * quarter to a half of their most: three of eight turns' most last for a program of four turns.
- */
-const LENT_PART = 3 / 8;
-
-/** Tokens that a program may use before the store knows its account; a new owner counts as many as spent. */
-export function lentTokens(budget: number): number {
-  return Math.floor(budget * LENT_PART);
-}
 
 /** What is stored of an account. Everything in it counts as spent. */
 export interface StoredAccount {
@@ -54,8 +40,6 @@
   #revision = 0;
   /** Tokens that count as spent by the next snapshot. */
   #total: number;
-  /** Whether the store may have a snapshot of it. */
-  #mayBeStored: boolean;
   /** The newest snapshot that the store holds, without its content. */
   #recorded: Pick<AccountSnapshot, "revision" | "total">;
 
@@ -64,11 +48,9 @@
    * @param isReleased whether the owner that wrote it has let go: it grants nothing more, so that turns under way may
    * give back what they leave unused. What a lost owner had set aside, or saw no end of, it may have granted again since:
    * that counts as spent for good.
-   * @param lent tokens that a lost owner may have lent, where the store has nothing of the account
    */
-  constructor(stored?: StoredAccount, isReleased = false, lent = 0) {
-    this.#settled = stored === undefined ? lent : totalOf(stored);
-    this.#mayBeStored = stored !== undefined;
+  constructor(stored?: StoredAccount, isReleased = false) {
+    this.#settled = stored === undefined ? 0 : totalOf(stored);
     if (stored && isReleased) {
       this.#settled = stored.settled + stored.ahead;
       for (const [turn, most] of stored.open) this.#open.set(turn, most);
@@ -114,16 +96,9 @@
     this.#open.set(turn, most);
     if (isSetAside) return grant(this.#recorded.revision);
     this.#raise(tokensAhead(most, aheadTurns, budget - committed - most));
-    // Whichever snapshot the store takes first counts all that may be lent.
-    if (!this.#mayBeStored) this.#total = Math.max(this.#total, lentTokens(budget));
     return grant(this.#revision);
   }
 
-  /** Whether the turns that have been admitted may run although the store does not know of them yet. */
-  mayLend(budget: number): boolean {
-    return !this.#mayBeStored && this.committed <= lentTokens(budget);
-  }
-
   /**
    * Ends a turn with what its caller was handed; a turn that is not known is passed over. Returns whether it was known.
    */
@@ -160,7 +135,6 @@
 
   /** The store holds a snapshot. */
   stored({ revision, total }: AccountSnapshot): void {
-    this.#mayBeStored = true;
     if (revision >= this.#recorded.revision) this.#recorded = { revision, total };
   }
 
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -10,7 +10,7 @@
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import { turnUrgency } from "../../scheduling/urgency/turn-urgency.ts";
 import type { Urgency } from "../../scheduling/urgency/urgency.ts";
-import type { AdmitTurnResponse, EndTurnRequest, TurnBudget } from "../gateway-messages.ts";
+import type { AdmitTurnResponse, EndTurnRequest } from "../gateway-messages.ts";
 import type { PartitionClient } from "../partitions/partition-client.ts";
 import type { RetentionRecord } from "../telemetry/retention-record.ts";
 import { roundedShare } from "../telemetry/rounded-share.ts";
@@ -91,12 +91,10 @@
     return program !== undefined && (program.tokenBudget !== undefined || this.route.retainsTurns);
   }
 
-  get #budget(): TurnBudget | undefined {
+  get #budget(): { tokens: number; most: number } | undefined {
     const tokens = this.call.program?.tokenBudget;
     const most = this.call.maxGeneratedTokens;
-    return tokens === undefined || most === undefined
-      ? undefined
-      : { tokens, most, retentionMs: this.route.retentionMs };
+    return tokens === undefined || most === undefined ? undefined : { tokens, most };
   }
 
   async #admit(): Promise<void> {
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -63,16 +63,6 @@
   readonly loads: readonly (readonly [zone: string, report: NodeReport])[];
 }
 
-/** What bounds the tokens of a program. */
-export interface TurnBudget {
-  /** All that its turns may generate. */
-  readonly tokens: number;
-  /** The most that this turn may generate. */
-  readonly most: number;
-  /** How long the count is kept after the program's last turn, in ms. */
-  readonly retentionMs: number;
-}
-
 /** Asks the owner of a program's partition whether a turn may run. Repeating it changes nothing. */
 export interface AdmitTurnRequest {
   readonly partition: number;
@@ -80,7 +70,7 @@
   readonly session: string | undefined;
   readonly turn: RequestId;
   /** Undefined where the program has no budget. */
-  readonly budget: TurnBudget | undefined;
+  readonly budget: { readonly tokens: number; readonly most: number } | undefined;
   /** Undefined where the caller sends the whole prompt itself. */
   readonly history:
     | { readonly previousTurn: RequestId | undefined; readonly tenant?: TenantName | undefined }
@@ -116,7 +106,7 @@
   readonly program: ProgramId;
   readonly session: string | undefined;
   readonly turn: RequestId;
-  readonly budget: TurnBudget | undefined;
+  readonly budget: { readonly tokens: number; readonly most: number } | undefined;
   /** Tokens that the caller was handed. */
   readonly tokens: number;
   readonly runner: RunnerId | undefined;
--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -1,6 +1,6 @@
 /** One partition that this gateway owns: the accounts of its programs, and their retained turns. */
 
-import { lentTokens, type StoredAccount, TokenAccount } from "../../coordination/token-account/index.ts";
+import { type StoredAccount, TokenAccount } from "../../coordination/token-account/index.ts";
 import { delay } from "../../runtime/clock.ts";
 import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 import type { RequestId } from "../../scheduling/ids/request-id.ts";
@@ -12,7 +12,6 @@
   EndTurnRequest,
   EndTurnResponse,
   RetainedTurnContent,
-  TurnBudget,
 } from "../gateway-messages.ts";
 import type { StoreHealth } from "../store-health.ts";
 import { PartitionWriter, type WritableAccount, type WriteOutcome } from "./partition-writer.ts";
@@ -31,23 +30,9 @@
 /** How much earlier than its asker gives up the owner says that a grant is not recorded yet, in ms. */
 const ANSWER_MS = 100;
 
-/**
- * How long a write may wait, in ms, before what it records is lent: ten times what the store usually takes. In calm the
- * store knows of every grant.
- */
-const LEND_AFTER_MS = 60;
-/**
- * An owner lends only for so long after the store last took a write of it, in ms: one that is cut off does not know when
- * another has followed, and what it lends counts as spent for that one only for a time.
- */
-const LEND_SPAN_MS = 20_000;
-
 /** The partition has another owner now. */
 export const MOVED = "moved";
 
-/** How tokens were set aside for a turn: `lent` before the store knows of them, `late` not at all. */
-type Reservation = WriteOutcome | "lent" | "late";
-
 /** What an owned partition is made of. */
 export interface OwnedPartitionParts {
   readonly context: GatewayContext;
@@ -57,10 +42,6 @@
   readonly epoch: number;
   /** Whether the owner before has let go of the partition; it died otherwise, or there was none. */
   readonly isReleased: boolean;
-  /** When it was taken over, in ms of the monotonic clock. */
-  readonly takenOverAtMs: number;
-  /** When the partition last went over from an owner that had not let go (monotonic clock, ms); undefined: never. */
-  readonly lossAtMs: number | undefined;
   readonly findTurn: (turn: RequestId) => Promise<TurnLookup>;
   /** Called once when another owner has taken over. */
   readonly onLost: () => void;
@@ -74,7 +55,6 @@
   readonly #programs = new Map<ProgramId, ProgramState>();
   readonly #turns: RetainedTurns;
   readonly #writer: PartitionWriter;
-  readonly #lossAtMs: number | undefined;
   #releasing = false;
 
   /** @param stored the accounts of the partition's programs, as the store has them */
@@ -82,7 +62,6 @@
     this.#context = parts.context;
     this.partition = parts.partition;
     this.epoch = parts.epoch;
-    this.#lossAtMs = parts.lossAtMs;
     this.#turns = new RetainedTurns(parts.context, () => parts.health.newestVersion, parts.findTurn);
     this.#writer = new PartitionWriter(parts);
     for (const [program, account] of stored)
@@ -92,7 +71,7 @@
   /** Answers whether a turn may run; see {@link AdmitTurnRequest}. */
   async admit(request: AdmitTurnRequest): Promise<AdmitTurnResponse | typeof MOVED> {
     if (this.#releasing) return MOVED;
-    const program = this.#program(request.program, request.budget);
+    const program = this.#program(request.program);
     const reserved = this.#reserve(program, request);
     if (reserved === "exhausted") return { type: "exhausted", spent: program.account.committed };
     const [recorded, history] = await Promise.all([reserved, this.#history(request)]);
@@ -110,7 +89,7 @@
   end(request: EndTurnRequest): EndTurnResponse | typeof MOVED {
     const { turn, tokens, budget, retained, runner } = request;
     if (this.#releasing) return MOVED;
-    const program = this.#program(request.program, budget);
+    const program = this.#program(request.program);
     const settled = budget !== undefined && program.account.settle(turn, tokens);
     if (runner !== undefined) {
       program.runners.set(request.session ?? WHOLE_PROGRAM, runner);
@@ -141,16 +120,8 @@
     this.#writer.stop();
   }
 
-  #program(name: ProgramId, budget: TurnBudget | undefined): ProgramState {
-    const known = this.#programs.get(name);
-    return known ?? this.#remember(name, new TokenAccount(undefined, false, this.#lentBefore(budget)));
-  }
-
-  /** Tokens that a lost owner may have lent to a program of which the store knows nothing. */
-  #lentBefore(budget: TurnBudget | undefined): number {
-    if (!budget || this.#lossAtMs === undefined) return 0;
-    const untilMs = this.#lossAtMs + LEND_SPAN_MS + budget.retentionMs;
-    return this.#context.clock.monotonicMs() < untilMs ? lentTokens(budget.tokens) : 0;
+  #program(name: ProgramId): ProgramState {
+    return this.#programs.get(name) ?? this.#remember(name, new TokenAccount());
   }
 
   #remember(name: ProgramId, account: TokenAccount): ProgramState {
@@ -160,7 +131,7 @@
   }
 
   /** Reserves tokens for a turn. */
-  #reserve(program: ProgramState, request: AdmitTurnRequest): Promise<Reservation> | "exhausted" {
+  #reserve(program: ProgramState, request: AdmitTurnRequest): Promise<WriteOutcome | "late"> | "exhausted" {
     const { turn, budget } = request;
     if (!budget) return Promise.resolve("recorded");
     const { account } = program;
@@ -168,37 +139,12 @@
     const grant = account.admit(turn, budget.most, budget.tokens, aheadTurns);
     if (grant.type === "exhausted") return "exhausted";
     if (account.holds(grant.revision)) return Promise.resolve("recorded");
-    const written = this.#writer.writeAccount(request.program, account);
-    return this.#mayLend(account, budget) ? this.#lend(written, account, budget) : this.#await(written);
-  }
-
-  /** The store's word, for as long as the asker waits. */
-  #await(written: Promise<WriteOutcome>): Promise<Reservation> {
     const waitMs = this.#context.settings.timing.ownerWaitMs - ANSWER_MS;
-    return Promise.race([written, this.#after(waitMs).then(() => "late" as const)]);
-  }
-
-  /** The store's word, or a loan if the store does not answer soon. */
-  async #lend(
-    written: Promise<WriteOutcome>,
-    account: TokenAccount,
-    budget: TurnBudget,
-  ): Promise<Reservation> {
-    const waitMs = Math.max(0, LEND_AFTER_MS - this.#writer.waitingForMs);
-    const early = await Promise.race([written, this.#after(waitMs)]);
-    if (early !== undefined) return early;
-    return this.#mayLend(account, budget) ? "lent" : this.#await(written);
-  }
-
-  #mayLend(account: TokenAccount, budget: TurnBudget): boolean {
-    return account.mayLend(budget.tokens) && this.#writer.confirmedForMs < LEND_SPAN_MS;
-  }
-
-  #after(delayMs: number): Promise<undefined> {
-    return delay(this.#context.clock, delayMs).then(() => undefined);
+    const late = delay(this.#context.clock, waitMs).then(() => "late" as const);
+    return Promise.race([this.#writer.writeAccount(request.program, account), late]);
   }
 
-  #replenish(account: TokenAccount, program: ProgramId, budget: TurnBudget): void {
+  #replenish(account: TokenAccount, program: ProgramId, budget: { tokens: number; most: number }): void {
     const { aheadTurns } = this.#context.settings.budget;
     if (!account.replenish(budget.most, budget.tokens, aheadTurns)) return;
     void this.#writer.writeAccount(program, account);
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -16,22 +16,15 @@
 import type { MemberDirectory } from "../members/member-directory.ts";
 import type { StoreHealth } from "../store-health.ts";
 import { MOVED, OwnedPartition } from "./owned-partition.ts";
-import {
-  decodeAccount,
-  decodeOwner,
-  encodeOwner,
-  NOBODY,
-  type OwnerRow,
-  ownerKey,
-  partOf,
-  TABLES,
-} from "./partition-rows.ts";
+import { decodeAccount, decodeOwner, encodeOwner, ownerKey, partOf, TABLES } from "./partition-rows.ts";
 import { TransactionSender } from "./transaction-sender.ts";
 import { TurnCache } from "./turn-cache.ts";
 import { TurnFinder } from "./turn-finder.ts";
 import { TurnWriter } from "./turn-writer.ts";
 
 const FIRST_COMMIT = 0;
+/** What the owner's row names when the last owner has let go. */
+const NOBODY = "";
 /** Bytes of turns that a gateway keeps because they were answered through it. */
 const MAX_ANSWERED_BYTES = 4 * 1024 * 1024;
 
@@ -45,8 +38,6 @@
   readonly mayHaveRival: boolean;
   /** Of the monotonic clock, in ms. */
   readonly takenOverAtMs: number;
-  /** When the partition last went over from an owner that had not let go (monotonic clock, ms); undefined: never. */
-  readonly lossAtMs: number | undefined;
 }
 
 /** See the module's comment. */
@@ -197,7 +188,6 @@
     // One that the row names and that does not say so itself has never heard that it took the partition over.
     if (this.#hasLiveOwner(partition)) return undefined;
     const owner = { instance: this.#context.instance, commit: FIRST_COMMIT };
-    const takenOverAtMs = this.#context.clock.monotonicMs();
     const outcome = await store.transact({
       conditions: [{ ...key, version: row?.version ?? 0 }],
       puts: [{ ...key, value: encodeOwner(owner) }],
@@ -205,12 +195,11 @@
     });
     this.#health.note(outcome);
     if (outcome.type !== "committed") return undefined;
-    const before = row && decodeOwner(row.value);
-    const isReleased = before?.instance === NOBODY;
-    const isLoss = before !== undefined && !isReleased;
-    const mayHaveRival = isLoss && !this.#members.hasReplaced(before.instance);
-    const lossAtMs = isLoss ? takenOverAtMs : lossBefore(before, takenOverAtMs);
-    return { epoch: outcome.version, isReleased, mayHaveRival, takenOverAtMs, lossAtMs };
+    const before = row === undefined ? undefined : decodeOwner(row.value).instance;
+    const isReleased = before === NOBODY;
+    const mayHaveRival = before !== undefined && !isReleased && !this.#members.hasReplaced(before);
+    const takenOverAtMs = this.#context.clock.monotonicMs();
+    return { epoch: outcome.version, isReleased, mayHaveRival, takenOverAtMs };
   }
 
   async #readOwnerRow(partition: number): Promise<{ readonly row: StoredRow | undefined } | undefined> {
@@ -270,7 +259,7 @@
     accounts: ReadonlyMap<ProgramId, StoredAccount>,
   ): void {
     const { log, instance } = this.#context;
-    const { epoch, isReleased, takenOverAtMs, lossAtMs } = taken;
+    const { epoch, isReleased } = taken;
     const owned: OwnedPartition = new OwnedPartition(
       {
         context: this.#context,
@@ -278,8 +267,6 @@
         partition,
         epoch,
         isReleased,
-        takenOverAtMs,
-        lossAtMs,
         findTurn: (turn) => this.#finder.find(turn),
         onLost: () => this.#onLost(owned),
       },
@@ -308,9 +295,3 @@
     return content ? { type: "found", content } : { type: "absent" };
   }
 }
-
-/** When the partition that an owner let go of had last been lost by one, reckoned from its next take-over. */
-function lossBefore(released: OwnerRow | undefined, takenOverAtMs: number): number | undefined {
-  const { sinceLossMs } = released ?? {};
-  return sinceLossMs === undefined ? undefined : takenOverAtMs - sinceLossMs;
-}
--- a/src/gateway/partitions/partition-rows.ts
+++ b/src/gateway/partitions/partition-rows.ts
@@ -6,8 +6,6 @@
 import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 
 const OWNER_KEY = "owner";
-/** What the owner's row names when the last owner has let go. */
-export const NOBODY = "";
 
 /** Tables of the store. */
 export const TABLES = { owners: "owners", accounts: "accounts" } as const;
@@ -18,11 +16,6 @@
   readonly instance: string;
   /** Counts the owner's writes. */
   readonly commit: number;
-  /**
-   * Set by an owner that lets go: time since the last take-over from one that had not, in ms. Undefined when there was
-   * none.
-   */
-  readonly sinceLossMs?: number | undefined;
 }
 
 /** The part of the store that holds a partition. */
--- a/src/gateway/partitions/partition-writer.ts
+++ b/src/gateway/partitions/partition-writer.ts
@@ -10,7 +10,7 @@
 import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { StoreHealth } from "../store-health.ts";
-import { accountKey, decodeOwner, encodeAccount, encodeOwner, NOBODY, ownerKey } from "./partition-rows.ts";
+import { accountKey, decodeOwner, encodeAccount, encodeOwner, ownerKey } from "./partition-rows.ts";
 import { TransactionSender } from "./transaction-sender.ts";
 
 /** Rows in one transaction; the store takes 100 entries, the owner's row and its condition included. */
@@ -56,10 +56,6 @@
   readonly partition: number;
   /** Version of the owner's row, as this owner wrote it. */
   readonly epoch: number;
-  /** When it took the partition over, in ms of the monotonic clock. */
-  readonly takenOverAtMs: number;
-  /** When the partition last went over from an owner that had not let go (monotonic clock, ms); undefined: never. */
-  readonly lossAtMs: number | undefined;
   /** Called once when another owner has taken over. */
   readonly onLost: () => void;
 }
@@ -75,28 +71,13 @@
   #commit = 0;
   #running = false;
   #lost = false;
-  /** When the transaction was first sent that the store has not answered yet; undefined when there is none. */
-  #waitingSinceMs: number | undefined;
-  /** When the newest transaction that the store has done was sent first. */
-  #confirmedAtMs: number;
 
   constructor(parts: PartitionWriterParts) {
     this.#parts = parts;
     this.#version = parts.epoch;
-    this.#confirmedAtMs = parts.takenOverAtMs;
     this.#sender = new TransactionSender(parts.context, parts.health);
   }
 
-  /** For how long the transaction under way has been waiting for the store, in ms. */
-  get waitingForMs(): number {
-    return this.#waitingSinceMs === undefined ? 0 : this.#nowMs - this.#waitingSinceMs;
-  }
-
-  /** Since when nobody can have told this owner that it is none any more, in ms. */
-  get confirmedForMs(): number {
-    return this.#nowMs - this.#confirmedAtMs;
-  }
-
   /** Resolves once the store has the account, as it is when the transaction leaves or later. */
   writeAccount(program: ProgramId, account: WritableAccount): Promise<WriteOutcome> {
     if (this.#lost) return Promise.resolve("lost");
@@ -114,7 +95,7 @@
     this.#startWriting();
     while (this.#running) await delay(this.#parts.context.clock, RELEASE_POLL_MS);
     if (this.#lost) return;
-    await this.#transact([], NOBODY);
+    await this.#transact([], "");
     this.#lose();
   }
 
@@ -167,51 +148,37 @@
     const { context, partition } = this.#parts;
     this.#commit += 1;
     const key = ownerKey(partition);
-    const { lossAtMs } = this.#parts;
-    const sinceLossMs = instance === NOBODY && lossAtMs !== undefined ? this.#nowMs - lossAtMs : undefined;
-    const owner = { instance, commit: this.#commit, sinceLossMs };
+    const owner = { instance, commit: this.#commit };
     const accounts = writes.map(({ program, snapshot }) => ({
       ...accountKey(partition, program),
       value: encodeAccount(snapshot.account),
     }));
     const puts = [...accounts, { ...key, value: encodeOwner(owner) }];
-    const sentAtMs = this.#nowMs;
-    this.#waitingSinceMs = sentAtMs;
     while (!this.#lost) {
       const conditions = [{ ...key, version: this.#version }];
       const outcome = await this.#sender.transact({ conditions, puts, removes: [] });
       if (outcome.type === "committed") {
-        this.#confirm(outcome.version, sentAtMs);
+        this.#version = outcome.version;
         return !this.#lost;
       }
-      if (outcome.type === "conflict") return this.#afterConflict(outcome.rows, instance, sentAtMs);
+      if (outcome.type === "conflict") return this.#afterConflict(outcome.rows, instance);
       await delay(context.clock, RETRY_MS);
     }
     return false;
   }
 
   /** The owner's row has changed: by an unanswered try of the same transaction, or by another owner. */
-  #afterConflict(rows: readonly StoredRow[], instance: string, sentAtMs: number): boolean {
+  #afterConflict(rows: readonly StoredRow[], instance: string): boolean {
     const row = rows.find((candidate) => candidate.table === ownerKey(this.#parts.partition).table);
     const owner = row && decodeOwner(row.value);
     if (row && owner?.instance === instance && owner.commit === this.#commit) {
-      this.#confirm(row.version, sentAtMs);
+      this.#version = row.version;
       return !this.#lost;
     }
     this.#lose();
     return false;
   }
 
-  #confirm(version: number, sentAtMs: number): void {
-    this.#version = version;
-    this.#waitingSinceMs = undefined;
-    this.#confirmedAtMs = sentAtMs;
-  }
-
-  get #nowMs(): number {
-    return this.#parts.context.clock.monotonicMs();
-  }
-
   #lose(): void {
     if (this.#lost) return;
     this.#lost = true;
--- a/test/contract/owned-partition.test.ts
+++ b/test/contract/owned-partition.test.ts
@@ -24,7 +24,7 @@
 const SETTLED_MS = 500;
 const [BEFORE, TURN, OTHER] = ["before", "turn", "other"] as RequestId[];
 /** Holds one turn. */
-const BUDGET = { tokens: 100, most: 100, retentionMs: 60_000 };
+const BUDGET = { tokens: 100, most: 100 };
 
 let context: GatewayContext;
 let transact: () => Promise<TransactionOutcome>;
@@ -43,17 +43,7 @@
   };
   const onLost = () => undefined;
   return new OwnedPartition(
-    {
-      context,
-      health,
-      partition: 1,
-      epoch: 1,
-      isReleased: false,
-      takenOverAtMs: 0,
-      lossAtMs: undefined,
-      findTurn,
-      onLost,
-    },
+    { context, health, partition: 1, epoch: 1, isReleased: false, findTurn, onLost },
     new Map(),
   );
 }
--- a/test/contract/partition-writer.test.ts
+++ b/test/contract/partition-writer.test.ts
@@ -40,15 +40,7 @@
   const onLost = () => {
     lost += 1;
   };
-  return new PartitionWriter({
-    context: owner,
-    health,
-    partition: PARTITION,
-    epoch,
-    takenOverAtMs: 0,
-    lossAtMs: undefined,
-    onLost,
-  });
+  return new PartitionWriter({ context: owner, health, partition: PARTITION, epoch, onLost });
 }
 
 async function storedTokens(): Promise<number | undefined> {
