Soak with tenants: keys that come and go, a tenant that runs wild, and what runners ran of both

All callers speak for a tenant now; gateways trust keys for 5 s. A watch sends requests with valid and with taken keys, and some ten times a tenant's limit; runners' records tell for whom, with which key, and how many in each window.

--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -14,6 +14,10 @@
 const POLL_MS = 25;
 const ANSWER_TIMEOUT_MS = 1_000;
 const PARTITIONS = 4;
+/** How long a key may be used after its end, in ms, in clusters that are started so. */
+export const REVOKE_MS = 5_000;
+/** How far tenants may be above their limits. */
+export const TOLERANCE = { windowMs: 5_000, overage: 0.1, slack: 6 };
 
 /** Hosts and paths of the routes that every test cluster has. */
 export const TEST_HOST = "test.example";
@@ -108,10 +112,20 @@
     return address;
   }
 
+  /** The tenants of the first configuration. */
+  protected get firstTenants(): Pick<TestRoutes, "tenants"> {
+    return {};
+  }
+
+  /** Settings of gateways that concern tenants; none unless a cluster says otherwise. */
+  protected get tenancySettings(): object {
+    return {};
+  }
+
   async #startAll(gateways: number, engines: number, services: number): Promise<void> {
     this.#storeAddress = await this.store.listen();
     this.#folder = await mkdtemp(join(tmpdir(), "tulipwheel-"));
-    this.configure({ version: 1, timeoutMs: 3_000 });
+    this.configure({ version: 1, timeoutMs: 3_000, ...this.firstTenants });
     for (let index = 0; index < engines; index += 1) await this.addRunner("engine", this.engines, index);
     for (let index = 0; index < services; index += 1) await this.addRunner("api", this.services, index);
     for (let index = 0; index < gateways; index += 1) await this.addGateway();
@@ -194,6 +208,7 @@
       seeds: this.gateways.slice(0, 3).map((gateway) => gateway.addresses.peers),
       store: await this.reach(this.#storeAddress, { side: "store", name }),
       partitions: PARTITIONS,
+      ...this.tenancySettings,
     };
     const settingsFile = join(this.#folder, `${name}.yaml`);
     await writeFile(settingsFile, JSON.stringify(settings));
--- a/test/soak/check-runners.ts
+++ b/test/soak/check-runners.ts
@@ -27,7 +27,8 @@
   for (const { id, kind, status } of ledger.tries) {
     known.add(id);
     const count = counts.get(id) ?? 0;
-    if (kind === "unsafe" && count > 1) ledger.breaks("at most once", `${id} ran ${count} times`);
+    if ((kind === "unsafe" || kind === "tenant") && count > 1)
+      ledger.breaks("at most once", `${id} ran ${count} times`);
     if (kind !== "probe" && kind !== "safe" && REFUSALS.includes(status) && count > 0)
       ledger.breaks("refusals", `${id} was refused with ${status}, and ran`);
     if (status === 402 && count > 0) ledger.breaks("refusals", `${id} was told 402, and ran`);
--- a/test/soak/configuration-watch.ts
+++ b/test/soak/configuration-watch.ts
@@ -57,7 +57,10 @@
     const first = Math.max(2, this.#version - VERSIONS_KEPT);
     const added: string[] = [];
     for (let version = first; version <= this.#version; version += 1) added.push(pathOf(version));
-    this.#cluster.configure({ version: this.#version, timeoutMs: TIMEOUT_MS, added });
+    const { tenants } = this.#cluster;
+    tenants.change(this.#ledger.nowMs);
+    const routes = { version: this.#version, timeoutMs: TIMEOUT_MS, added, tenants: tenants.configured };
+    this.#cluster.configure(routes);
   }
 
   async #look(gateway: TestGateway): Promise<void> {
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -9,6 +9,7 @@
 import { SoakCaller } from "./soak-caller.ts";
 import { SoakCluster } from "./soak-cluster.ts";
 import { SoakLedger } from "./soak-ledger.ts";
+import { TenantWatch } from "./tenant-watch.ts";
 
 /** What a soak is run with. */
 export interface SoakOptions {
@@ -66,7 +67,8 @@
       const own = new SeededRandomSource(options.seed + index + 1);
       return new SoakCaller(`caller-${index}`, cluster, ledger, own);
     });
-    const work = [...callers, watch].map((worker) => worker.run(() => isOver));
+    const tenants = new TenantWatch(cluster, ledger, cluster.tenants, new SeededRandomSource(options.seed));
+    const work = [...callers, watch, tenants].map((worker) => worker.run(() => isOver));
     await pause(QUIET_MS);
     await strikeUntil(ledger.nowMs + options.durationMs, cluster, random, options, ledger, note);
     note("calm");
@@ -79,6 +81,7 @@
     await watch.checkNewest();
     await checkRetained(cluster, ledger);
     checkRunners(cluster, ledger);
+    tenants.check();
     return { ledger, faults, logs: cluster.logs() };
   } finally {
     await cluster.stop();
@@ -124,7 +127,9 @@
 }
 
 function checkCalm(ledger: SoakLedger, fromMs: number): void {
-  const tries = ledger.tries.filter(({ atMs, kind }) => atMs >= fromMs && kind !== "probe");
+  const tries = ledger.tries.filter(
+    ({ atMs, kind }) => atMs >= fromMs && kind !== "probe" && kind !== "tenant",
+  );
   const served = tries.filter(({ status, whole }) => whole && (status === OK || status === 402));
   if (served.length < SERVED_PART * tries.length || served.length === 0)
     ledger.breaks("recovery", `${served.length} of ${tries.length} tries served in calm time`);
--- a/test/soak/soak-cluster.ts
+++ b/test/soak/soak-cluster.ts
@@ -1,7 +1,15 @@
 /** Gateways as separate processes whose links to callers, the store and runners lead through proxies. */
-import { GatewayCluster, type TestGateway, type TestLink } from "../process/support/gateway-cluster.ts";
+import {
+  GatewayCluster,
+  REVOKE_MS,
+  type TestGateway,
+  type TestLink,
+  type TestRoutes,
+  TOLERANCE,
+} from "../process/support/gateway-cluster.ts";
 import { TestAddresses } from "../process/support/test-addresses.ts";
 import { LoopbackProxy } from "./loopback-proxy.ts";
+import { SoakTenants } from "./soak-tenants.ts";
 
 /** A process of a gateway that was stopped or killed. */
 export interface StruckProcess {
@@ -13,6 +21,7 @@
 export class SoakCluster extends GatewayCluster {
   /** Is told when all gateways are killed at once. */
   onAllKilled: () => void = () => {};
+  readonly tenants = new SoakTenants();
   /** By the gateway's name. */
   readonly storeLinks = new Map<string, LoopbackProxy>();
   /** By the runner's name. */
@@ -68,6 +77,14 @@
     await super.stop();
   }
 
+  protected override get tenancySettings(): object {
+    return { keys: { revokeMs: REVOKE_MS }, requestLimits: TOLERANCE };
+  }
+
+  protected override get firstTenants(): Pick<TestRoutes, "tenants"> {
+    return { tenants: this.tenants.configured };
+  }
+
   protected override async reach(address: string, { side, name }: TestLink): Promise<string> {
     const proxyAddress = this.#proxyAddresses.next();
     const link = new LoopbackProxy(address);
--- a/test/soak/soak-ledger.ts
+++ b/test/soak/soak-ledger.ts
@@ -3,7 +3,7 @@
 /** One try, from the caller's side. */
 export interface SoakTry {
   readonly id: string;
-  readonly kind: "turn" | "safe" | "unsafe" | "probe";
+  readonly kind: "turn" | "safe" | "unsafe" | "probe" | "tenant";
   readonly gateway: string;
   readonly atMs: number;
   /** 0 when no whole head came. */
--- a/test/soak/soak-request.ts
+++ b/test/soak/soak-request.ts
@@ -1,6 +1,7 @@
 /** A caller's request whose answer is read as far as it comes. */
 import { request } from "undici";
 import { TEST_HOST, type TestGateway } from "../process/support/gateway-cluster.ts";
+import { STEADY_KEY } from "./soak-tenants.ts";
 
 /** What came of an answer. */
 export interface SoakAnswer {
@@ -16,7 +17,7 @@
 
 const MS_PER_S = 1_000;
 
-/** Sends a request, and gives it up after `timeoutMs`. */
+/** Sends a request, with the callers' key unless it shows another, and gives it up after `timeoutMs`. */
 export async function soakRequest(
   gateway: TestGateway,
   path: string,
@@ -31,7 +32,12 @@
   try {
     const answer = await request(`http://${gateway.addresses.callers}${path}`, {
       method: "POST",
-      headers: { host: TEST_HOST, "X-Deadline-Ms": String(timeoutMs), ...headers },
+      headers: {
+        host: TEST_HOST,
+        "X-Deadline-Ms": String(timeoutMs),
+        Authorization: `Bearer ${STEADY_KEY}`,
+        ...headers,
+      },
       body,
       signal: AbortSignal.timeout(timeoutMs),
     });
