Pass changes on without the loads at all runners

Each change that a relay hears went to every gateway of its zone with the loads at all runners.

Measured: test/contract/rolling-restart.test.ts, 64 gateways, 116 runners, a restart a second: 84.6 KB a second received by each before, 46.1 after.

--- a/src/gateway/members/digest-log.ts
+++ b/src/gateway/members/digest-log.ts
@@ -43,6 +43,11 @@
     return { sequence, changed: relayed, lost, whole: known === undefined };
   }
 
+  /** Whether a receiver was last told of this very list, so that there is no news for it. */
+  knows(receiver: string, heard: readonly Member[]): boolean {
+    return this.#receivers.get(receiver)?.toldList === heard;
+  }
+
   /** A receiver may have missed something: it is told everything again. */
   reset(receiver: string): void {
     this.#receivers.delete(receiver);
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -346,10 +346,33 @@
     const forwardMs = Math.max(FORWARD_MS, this.#digestReceivers * FORWARD_MS_PER_RECEIVER);
     this.#context.clock.schedule(forwardMs, () => {
       this.#forwarding = false;
-      this.#sendDigests(this.#plan());
+      this.#sendNews(this.#plan());
     });
   }
 
+  /**
+   * Passes changes on between heartbeats, to those for whom they are news, and without the loads: these come with the next
+   * heartbeat. While 64 gateways with 116 runners restart one after the other, each receives 46 KB a second in place of 85
+   * (measured in the test of rolling restarts).
+   */
+  #sendNews({ zoneDigestsTo, fullDigestsTo }: HeartbeatPlan): void {
+    this.#digestReceivers = zoneDigestsTo.length + fullDigestsTo.length;
+    if (this.#digestReceivers === 0) return;
+    const heard = this.#view.alive().filter(({ address }) => this.#view.isHeard(address));
+    const { zone } = this.#context.settings;
+    this.#zoneMembers = sameList(
+      this.#zoneMembers,
+      heard.filter(({ status }) => status.zone === zone),
+    );
+    this.#firsthandMembers = sameList(this.#firsthandMembers, this.#view.firsthand());
+    for (const address of zoneDigestsTo) this.#sendNewsTo(address, this.#zoneMembers);
+    for (const address of fullDigestsTo) this.#sendNewsTo(address, this.#firsthandMembers);
+  }
+
+  #sendNewsTo(address: string, heard: readonly Member[]): void {
+    if (!this.#digests.knows(address, heard)) this.#sendDigest(address, heard, []);
+  }
+
   #sendDigests(plan: HeartbeatPlan): void {
     const { zoneDigestsTo, fullDigestsTo } = plan;
     this.#digestReceivers = zoneDigestsTo.length + fullDigestsTo.length;
--- /dev/null
+++ b/test/contract/rolling-restart.test.ts
@@ -0,0 +1,57 @@
+/** What gateways tell each other while all of them restart one after the other, under load at many runners. */
+import { before, describe, it } from "node:test";
+import { expect } from "earl";
+import { MemberFleet } from "../../bench/simulation/gateways/member-fleet.ts";
+import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
+import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
+
+const GATEWAYS = 64;
+const ZONES = 3;
+const RUNNERS = 116;
+const DIRECT_MOST = 24;
+const SETTLE_MS = 8_000;
+const RESTART_EVERY_MS = 1_000;
+const RESTARTS = 20;
+const PATIENCE_MS = 60_000;
+/**
+ * Most bytes that a gateway receives of heartbeats and digests, in KB a second. Measured in this test: 84.6 while every
+ * change was passed on with the loads at all runners, 46.1 since these come with heartbeats only.
+ */
+const MOST_KB_PER_SECOND = 55;
+
+describe("messages between gateways that restart one after the other", () => {
+  let hash: TextHash;
+  before(async () => {
+    hash = await loadTextHash();
+  });
+
+  it("grow with the changes, not with the loads at all runners", async () => {
+    const fleet = new MemberFleet(hash, GATEWAYS, DIRECT_MOST, ZONES);
+    const putUnderLoad = (index: number): void => {
+      const member = fleet.members[index];
+      for (let runner = 0; runner < RUNNERS; runner += 1) {
+        const id = `runner-${runner}-with-a-long-name` as RunnerId;
+        member?.board.upsert({ id, pool: "p", address: "a", zone: "z", slots: 8, state: "ready" });
+        if ((runner + index) % 8 === 0) member?.board.started(id, member.process.monotonicMs(), PATIENCE_MS);
+      }
+    };
+    for (let index = 0; index < GATEWAYS; index += 1) putUnderLoad(index);
+    await fleet.time.runUntil(SETTLE_MS);
+    fleet.weighs = true;
+    for (let restart = 0; restart < RESTARTS; restart += 1) {
+      const index = (restart * 7) % GATEWAYS;
+      fleet.members[index]?.process.kill();
+      await fleet.time.runUntil(SETTLE_MS + restart * RESTART_EVERY_MS + RESTART_EVERY_MS / 2);
+      fleet.start(index);
+      putUnderLoad(index);
+      await fleet.time.runUntil(SETTLE_MS + (restart + 1) * RESTART_EVERY_MS);
+    }
+    const bytes = [...fleet.bytes.values()].reduce((sum, count) => sum + count, 0);
+    const seconds = (RESTARTS * RESTART_EVERY_MS) / 1_000;
+    const kbPerSecond = bytes / 1_000 / GATEWAYS / seconds;
+    expect(kbPerSecond <= MOST_KB_PER_SECOND).toEqual(true);
+    // All are known to all again.
+    await fleet.time.runUntil(SETTLE_MS + RESTARTS * RESTART_EVERY_MS + 3_000);
+    expect(fleet.named()).toEqual([GATEWAYS, GATEWAYS]);
+  });
+});
