Take out what stood twice in the work on tenants

Read again, behaviour as before: - PartitionOwners finds a partition's owner and asks it once; PartitionClient and RateClient each had this, with the hash of the name. - One type for limits (RateLimit), where scheduling had a RequestLimit of the same shape; NOBODY in place of "" at the writer; one time to come back after a missing owner; one reckoning of a call's time. - Digests of heartbeats and of changes draw up their lists in one place. - How a partition was come by goes with the partition; RateHost.stop was called by nobody. - Windows and their bounds were counted in three checkers: bench/simulation/window-counts.ts, most-in-window.ts. The checks and their bounds are unchanged. Settings of the soak's tenants lie with the soak.

--- a/bench/mutations/tenant-mutations.ts
+++ b/bench/mutations/tenant-mutations.ts
@@ -58,9 +58,9 @@
         to: "  #begun(partition: number): RateLedger {\n    const ledger = new RateLedger(this.#tolerance, 0);\n    this.#ledgers.set(partition, { epoch: 0, ledger });\n    return ledger;\n  }\n\n  #tidy(): void {\n    if (this.#tolerance.slack >= 0) return;",
       },
       {
-        file: "src/gateway/rates/rate-client.ts",
-        from: "const { partition, owner } = this.ownerOf(tenant);",
-        to: "const { partition } = this.ownerOf(tenant);\n    const owner = this.#context.instance;",
+        file: "src/gateway/partitions/partition-owners.ts",
+        from: "const owner = this.ownerOf(partition);",
+        to: 'const owner = name === "admitRequests" ? this.#context.instance : this.ownerOf(partition);',
       },
     ],
     script,
--- a/bench/simulation/gateways/run-tenant-simulation.ts
+++ b/bench/simulation/gateways/run-tenant-simulation.ts
@@ -1,7 +1,8 @@
 /** Runs gateways with tenants under faults on virtual time, and checks keys and limits from outside. */
-import type { RateTolerance } from "../../../src/coordination/request-rate/index.ts";
+import type { RateLimit, RateTolerance } from "../../../src/coordination/request-rate/index.ts";
 import type { TextHash } from "../../../src/runtime/text-hash.ts";
-import type { RequestLimit } from "../../../src/scheduling/routing/request-limit.ts";
+import { mostInWindow } from "../most-in-window.ts";
+import { windowCounts } from "../window-counts.ts";
 import { strike } from "./gateway-faults.ts";
 import { type GatewayTenancy, GatewayWorld } from "./gateway-world.ts";
 import type { GatewaySimulationOptions } from "./run-gateway-simulation.ts";
@@ -29,7 +30,6 @@
  * configuration takes to be in force (3,000), and a window.
  */
 const LOWERED_AFTER_MS = 12_000;
-const MS_PER_S = 1_000;
 
 /** See the module's comment. */
 export async function runTenantSimulation(
@@ -73,28 +73,22 @@
 }
 
 /** In every window, what was admitted stays within the limit and its tolerance. */
-function checkLimit(
-  tenant: SimulatedTenant,
-  { windowMs, overage, slack }: RateTolerance,
-  { broken }: TenantObservations,
-): void {
-  const sorted = [...tenant.admitted].sort((left, right) => left.admittedAtMs - right.admittedAtMs);
-  let first = 0;
-  let worst: { beyond: number; text: string } | undefined;
-  for (const [index, { admittedAtMs }] of sorted.entries()) {
-    while (admittedAtMs - (sorted[first]?.admittedAtMs ?? 0) > windowMs) first += 1;
-    const { perSecond, burst } = highestLimit(tenant, admittedAtMs - LOWERED_AFTER_MS, admittedAtMs);
-    const bound = ((perSecond * windowMs) / MS_PER_S + burst) * (1 + overage) + slack;
-    const count = index - first + 1;
-    if (count - bound <= (worst?.beyond ?? 0)) continue;
-    const text = `${count} requests in a window at ${admittedAtMs} ms, bound ${bound}`;
-    worst = { beyond: count - bound, text };
-  }
-  if (worst) broken.push(`limit: ${tenant.name} had ${worst.text}`);
+function checkLimit(tenant: SimulatedTenant, tolerance: RateTolerance, { broken }: TenantObservations): void {
+  const admittedAtMs = tenant.admitted.map((request) => request.admittedAtMs);
+  const windows = windowCounts(admittedAtMs, tolerance.windowMs).map(({ endMs, count }) => {
+    const limit = highestLimit(tenant, endMs - LOWERED_AFTER_MS, endMs);
+    const bound = mostInWindow(limit, tolerance);
+    return { endMs, count, bound, beyond: count - bound };
+  });
+  const [worst] = windows.sort((left, right) => right.beyond - left.beyond);
+  if (worst && worst.beyond > 0)
+    broken.push(
+      `limit: ${tenant.name} had ${worst.count} requests in a window at ${worst.endMs} ms, bound ${worst.bound}`,
+    );
 }
 
 /** The highest limit that operators said in a span of time. */
-function highestLimit({ limits }: SimulatedTenant, fromMs: number, untilMs: number): RequestLimit {
+function highestLimit({ limits }: SimulatedTenant, fromMs: number, untilMs: number): RateLimit {
   const inSpan = limits.filter(({ sinceMs }, index) => {
     const endedMs = limits[index + 1]?.sinceMs ?? Number.POSITIVE_INFINITY;
     return sinceMs <= untilMs && endedMs >= fromMs;
--- a/bench/simulation/gateways/tenant-workload.ts
+++ b/bench/simulation/gateways/tenant-workload.ts
@@ -1,7 +1,7 @@
 /** Tenants that send requests through whichever gateway, and what of it was admitted, as seen from outside. */
+import type { RateLimit } from "../../../src/coordination/request-rate/index.ts";
 import type { KeyDigest } from "../../../src/scheduling/ids/key-digest.ts";
 import type { TenantName } from "../../../src/scheduling/ids/tenant-name.ts";
-import type { RequestLimit } from "../../../src/scheduling/routing/request-limit.ts";
 import type { Tenant } from "../../../src/scheduling/routing/tenant.ts";
 import type { GatewayWorld } from "./gateway-world.ts";
 
@@ -21,7 +21,7 @@
 export interface SimulatedTenant {
   readonly name: TenantName;
   /** Its limits, and since when each is what the operators say. */
-  readonly limits: { readonly sinceMs: number; readonly limit: RequestLimit }[];
+  readonly limits: { readonly sinceMs: number; readonly limit: RateLimit }[];
   readonly keys: KeyLife[];
   /** What it sends, as a multiple of its first limit. */
   load: number;
@@ -37,7 +37,7 @@
   readonly broken: string[];
 }
 
-const LIMITS: readonly RequestLimit[] = [
+const LIMITS: readonly RateLimit[] = [
   { perSecond: 2, burst: 2 },
   { perSecond: 5, burst: 5 },
   { perSecond: 20, burst: 20 },
@@ -84,7 +84,7 @@
   const next = (): void => {
     if (world.time.nowMs >= untilMs) return;
     void sendOne(world, observations, tenant, revokeMs);
-    const perSecond = (tenant.limits[0] as { limit: RequestLimit }).limit.perSecond * tenant.load;
+    const perSecond = (tenant.limits[0] as { limit: RateLimit }).limit.perSecond * tenant.load;
     world.time.after((MS_PER_S / perSecond) * (0.8 + 0.4 * world.random.unit()), next);
   };
   next();
--- /dev/null
+++ b/bench/simulation/most-in-window.ts
@@ -0,0 +1,9 @@
+import type { RateLimit, RateTolerance } from "../../src/coordination/request-rate/index.ts";
+
+const MS_PER_S = 1_000;
+
+/** Most requests that a limit allows in a window, with what is tolerated beyond it. */
+export function mostInWindow({ perSecond, burst }: RateLimit, tolerance: RateTolerance): number {
+  const { windowMs, overage, slack } = tolerance;
+  return ((perSecond * windowMs) / MS_PER_S + burst) * (1 + overage) + slack;
+}
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -13,6 +13,8 @@
 import type { RateVerdict } from "../rates/rate-verdict.ts";
 import { CallRecord } from "../telemetry/call-record.ts";
 import type { RateRecord } from "../telemetry/rate-record.ts";
+import { callTimeMs } from "./call-time.ts";
+import { OWNER_RETRY_AFTER_MS } from "./owner-retry.ts";
 import { PlainCall } from "./plain-call.ts";
 import type { CallStart } from "./routed-call.ts";
 import type { AttemptParts } from "./runner-attempt.ts";
@@ -43,8 +45,6 @@
   retryAfterMs: 150,
   goElsewhere: true,
 };
-/** When to come back after nobody could say whether a tenant is within its limit, in ms: by then an owner has followed. */
-const OWNER_RETRY_MS = 450;
 /** Part of a request's time for which the owner of its tenant's limit is looked for; the rest is for the runner. */
 const LOOKING_PART = 0.5;
 const HASH_RANGE = 2 ** 32;
@@ -111,11 +111,10 @@
   /** Carries a request out once its tenant may send it. */
   async #admit(exchange: CallerExchange, destination: Destination, routes: RouteTable): Promise<void> {
     const { tenant, call, route } = destination;
-    if (tenant?.limit === undefined) return this.#run(exchange, destination, routes);
+    if (tenant?.limit === undefined) return this.#run(exchange, destination, routes, undefined);
     const { clock, metrics, settings } = this.#parts.context;
     const askedAtMs = clock.monotonicMs();
-    const timeMs = Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs);
-    const waitMs = Math.min(settings.timing.ownerWaitMs, timeMs * LOOKING_PART);
+    const waitMs = Math.min(settings.timing.ownerWaitMs, callTimeMs(call, route) * LOOKING_PART);
     const { version } = routes.configuration;
     const verdict = await this.#rates.admit(tenant, version, askedAtMs + waitMs);
     const elapsedMs = clock.monotonicMs() - askedAtMs;
@@ -136,13 +135,22 @@
     exchange: CallerExchange,
     { call, route, pool, tenant }: Destination,
     routes: RouteTable,
-    rate?: RateRecord,
+    rate: RateRecord | undefined,
   ): void {
     const { tenants, version } = routes.configuration;
     const hidesKey = tenants !== undefined;
     const rank = routes.rankOf(route, tenant);
-    const given = { exchange, call, route, pool, tenant, rank, hidesKey, configurationVersion: version };
-    const start: CallStart = rate === undefined ? given : { ...given, rate };
+    const start: CallStart = {
+      exchange,
+      call,
+      route,
+      pool,
+      tenant,
+      rank,
+      hidesKey,
+      rate,
+      configurationVersion: version,
+    };
     const routed =
       route.kind === "streaming"
         ? new StreamedCall(this.#parts, this.#partitions, start)
@@ -187,7 +195,7 @@
 function problemOf(verdict: Exclude<RateVerdict, { type: "granted" }>): CallerProblem {
   if (verdict.type === "unavailable") {
     const { detail } = verdict;
-    return { status: 503, kind: "unavailable", detail, retryAfterMs: OWNER_RETRY_MS };
+    return { status: 503, kind: "unavailable", detail, retryAfterMs: OWNER_RETRY_AFTER_MS };
   }
   const { retryAfterMs } = verdict;
   return { status: 429, kind: "limited", detail: "The tenant sends more than its limit.", retryAfterMs };
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -12,6 +12,7 @@
 import { CallRecord } from "../telemetry/call-record.ts";
 import type { RateRecord } from "../telemetry/rate-record.ts";
 import { roundedShare } from "../telemetry/rounded-share.ts";
+import { callTimeMs } from "./call-time.ts";
 import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
 import { RunnerAttempt } from "./runner-attempt.ts";
 
@@ -28,7 +29,7 @@
   /** Whether runners must not see what authorizes the caller. */
   readonly hidesKey: boolean;
   /** What the owner of the tenant's limit said; undefined where there is no limit. */
-  readonly rate?: RateRecord;
+  readonly rate: RateRecord | undefined;
   /** Version of the configuration that the route is from. */
   readonly configurationVersion: number;
 }
@@ -87,8 +88,7 @@
     this.record = new CallRecord(requestId, program?.id, this.route.name, start.configurationVersion);
     this.record.tenant = start.tenant?.name;
     this.record.rate = start.rate;
-    const timeMs = Math.min(this.call.deadlineMs ?? this.route.timeoutMs, this.route.timeoutMs);
-    this.deadlineAtMs = this.exchange.arrivedAtMs + timeMs;
+    this.deadlineAtMs = this.exchange.arrivedAtMs + callTimeMs(this.call, this.route);
   }
 
   /** Begins; the call looks after itself from then on. */
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -15,14 +15,13 @@
 import type { RetentionRecord } from "../telemetry/retention-record.ts";
 import { roundedShare } from "../telemetry/rounded-share.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
+import { OWNER_RETRY_AFTER_MS } from "./owner-retry.ts";
 import { type CallStart, RoutedCall } from "./routed-call.ts";
 import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
 
 const PAYMENT_REQUIRED = 402;
 const NOT_FOUND = 404;
 const FIRST_FAILURE_STATUS = 300;
-/** When to come back after the owner of a partition, or the store, was out of reach, in ms. */
-const OWNER_RETRY_AFTER_MS = 450;
 /**
  * When programs should come back that were refused because the runners are full, in ms; up to as much again is added at
  * random. About the time of a turn: by then some programs have ended, and the decision is made anew.
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -1,12 +1,11 @@
 /** What gateways say to each other. */
 
-import type { RateAnswer } from "../coordination/request-rate/index.ts";
+import type { RateAnswer, RateLimit } from "../coordination/request-rate/index.ts";
 import type { RpcRequest, RpcResponse } from "../messages/rpc-messages.ts";
 import type { ProgramId } from "../scheduling/ids/program-id.ts";
 import type { RequestId } from "../scheduling/ids/request-id.ts";
 import type { RunnerId } from "../scheduling/ids/runner-id.ts";
 import type { TenantName } from "../scheduling/ids/tenant-name.ts";
-import type { RequestLimit } from "../scheduling/routing/request-limit.ts";
 import type { NodeReport } from "../scheduling/runner-board/node-report.ts";
 import type { StoreCall, StoreCallOutcome } from "./store/store-call.ts";
 
@@ -135,7 +134,7 @@
   readonly tenant: TenantName;
   readonly wanted: number;
   /** The limit in force at the gateway that asks, and the version of its configuration. */
-  readonly limit: RequestLimit;
+  readonly limit: RateLimit;
   readonly limitVersion: number;
 }
 
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -358,17 +358,24 @@
   #sendNews({ zoneDigestsTo, fullDigestsTo }: HeartbeatPlan): void {
     this.#digestReceivers = zoneDigestsTo.length + fullDigestsTo.length;
     if (this.#digestReceivers === 0) return;
-    const heard = this.#view.alive().filter(({ address }) => this.#view.isHeard(address));
-    const { zone } = this.#context.settings;
-    this.#zoneMembers = sameList(
-      this.#zoneMembers,
-      heard.filter(({ status }) => status.zone === zone),
-    );
-    this.#firsthandMembers = sameList(this.#firsthandMembers, this.#view.firsthand());
+    this.#lookForNews(this.#heardOfZone());
     for (const address of zoneDigestsTo) this.#sendNewsTo(address, this.#zoneMembers);
     for (const address of fullDigestsTo) this.#sendNewsTo(address, this.#firsthandMembers);
   }
 
+  #heardOfZone(): Member[] {
+    const { zone } = this.#context.settings;
+    return this.#view
+      .alive()
+      .filter(({ address, status }) => status.zone === zone && this.#view.isHeard(address));
+  }
+
+  /** The lists that digests tell of: the same arrays as before, unless something has changed. */
+  #lookForNews(ofZone: readonly Member[]): void {
+    this.#zoneMembers = sameList(this.#zoneMembers, ofZone);
+    this.#firsthandMembers = sameList(this.#firsthandMembers, this.#view.firsthand());
+  }
+
   #sendNewsTo(address: string, heard: readonly Member[]): void {
     if (!this.#digests.knows(address, heard)) this.#sendDigest(address, heard, []);
   }
@@ -376,18 +383,15 @@
   #sendDigests(plan: HeartbeatPlan): void {
     const { zoneDigestsTo, fullDigestsTo } = plan;
     this.#digestReceivers = zoneDigestsTo.length + fullDigestsTo.length;
-    if (zoneDigestsTo.length === 0 && fullDigestsTo.length === 0) return;
+    if (this.#digestReceivers === 0) return;
     const { zone } = this.#context.settings;
     const alive = this.#view.alive();
     const heard = alive.filter(({ address }) => this.#view.isHeard(address));
-    const ofZone = heard.filter(({ status }) => status.zone === zone);
+    const ofZone = this.#heardOfZone();
     const zoneLoad = this.#zoneLoad(ofZone, plan);
-    if (zoneDigestsTo.length > 0) {
-      this.#zoneMembers = sameList(this.#zoneMembers, ofZone);
-      for (const address of zoneDigestsTo) this.#sendDigest(address, this.#zoneMembers, [[zone, zoneLoad]]);
-    }
+    this.#lookForNews(ofZone);
+    for (const address of zoneDigestsTo) this.#sendDigest(address, this.#zoneMembers, [[zone, zoneLoad]]);
     if (fullDigestsTo.length === 0) return;
-    this.#firsthandMembers = sameList(this.#firsthandMembers, this.#view.firsthand());
     const otherLoads = this.#otherZoneLoads(alive, heard);
     for (const address of fullDigestsTo) {
       const load = ReportTotals.difference(zoneLoad, this.#loadOf(address));
--- a/src/gateway/partitions/partition-client.ts
+++ b/src/gateway/partitions/partition-client.ts
@@ -19,6 +19,7 @@
 import type { MemberDirectory } from "../members/member-directory.ts";
 import type { StoreHealth } from "../store-health.ts";
 import type { PartitionHost } from "./partition-host.ts";
+import { PartitionOwners } from "./partition-owners.ts";
 
 const OWNER_POLL_MS = 20;
 /** How long the end of a turn is told again and again, in ms; after it, the turn counts at its most. */
@@ -30,17 +31,16 @@
  */
 const OWNER_PATIENCE_MS = 300;
 
-/** Requests that go to the owner of a partition. */
-type OwnerRequest = "admitTurn" | "endTurn";
+/** Requests about turns. */
+type TurnRequest = "admitTurn" | "endTurn";
 
 type Unavailable = { readonly type: "unavailable"; readonly detail: string };
 
 /** See the module's comment. */
 export class PartitionClient {
   readonly #context: GatewayContext;
-  readonly #members: MemberDirectory;
+  readonly #owners: PartitionOwners;
   readonly #host: PartitionHost;
-  readonly #rpc: RpcEndpoint<GatewayRpcSchema>;
   readonly #health: StoreHealth;
 
   constructor(
@@ -51,20 +51,19 @@
     health: StoreHealth,
   ) {
     this.#context = context;
-    this.#members = members;
+    this.#owners = new PartitionOwners(context, members, host, rpc);
     this.#host = host;
-    this.#rpc = rpc;
     this.#health = health;
   }
 
   /** The partition of a program. */
   partitionOf(program: ProgramId): number {
-    return this.#context.hash.hash32(program) % this.#context.settings.partitions;
+    return this.#owners.partitionOf(program);
   }
 
   /** The incarnation that owns a partition, as far as this gateway knows. */
   ownerOf(partition: number): string | undefined {
-    return this.#host.ownerOf(partition);
+    return this.#owners.ownerOf(partition);
   }
 
   /** Asks whether a turn may run, until `deadlineAtMs` of the clock or `cancelled`. */
@@ -95,7 +94,7 @@
     await Promise.race([this.end(request), delay(this.#context.clock, OWNER_PATIENCE_MS)]);
   }
 
-  async #ask<Name extends OwnerRequest>(
+  async #ask<Name extends TurnRequest>(
     name: Name,
     request: GatewayRpcSchema[Name]["request"],
     deadlineAtMs: number,
@@ -106,19 +105,13 @@
     while (!cancelled()) {
       const leftMs = deadlineAtMs - clock.monotonicMs();
       if (leftMs <= 0) break;
-      const owner = this.#host.ownerOf(request.partition);
-      const address = owner === undefined ? undefined : this.#members.addressOf(owner);
-      if (address === undefined && !this.#health.reachable) {
+      const reply = await this.#owners.ask(name, request, leftMs);
+      if (reply.type === "done") return reply.body;
+      if (reply.type === "failed") detail = reply.detail;
+      else if (!this.#health.reachable) {
         detail = "nobody owns the partition, and the store does not answer";
         break;
       }
-      if (address !== undefined) {
-        const reply = await this.#rpc.ask(address, name, request, leftMs);
-        if (reply.type === "done") return reply.body;
-        detail = `the owner ${owner} gave ${reply.type}`;
-        if (reply.type === "redirect" && owner !== undefined)
-          this.#host.forgetOwner(request.partition, owner);
-      }
       await delay(clock, OWNER_POLL_MS);
     }
     return { type: "unavailable", detail };
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -16,15 +16,21 @@
 import type { MemberDirectory } from "../members/member-directory.ts";
 import type { StoreHealth } from "../store-health.ts";
 import { MOVED, OwnedPartition } from "./owned-partition.ts";
-import { decodeAccount, decodeOwner, encodeOwner, ownerKey, partOf, TABLES } from "./partition-rows.ts";
+import {
+  decodeAccount,
+  decodeOwner,
+  encodeOwner,
+  NOBODY,
+  ownerKey,
+  partOf,
+  TABLES,
+} from "./partition-rows.ts";
 import { TransactionSender } from "./transaction-sender.ts";
 import { TurnCache } from "./turn-cache.ts";
 import { TurnFinder } from "./turn-finder.ts";
 import { TurnWriter } from "./turn-writer.ts";
 
 const FIRST_COMMIT = 0;
-/** What the owner's row names when the last owner has let go. */
-const NOBODY = "";
 /** Bytes of turns that a gateway keeps because they were answered through it. */
 const MAX_ANSWERED_BYTES = 4 * 1024 * 1024;
 
@@ -91,7 +97,7 @@
 
   /** How this gateway came by a partition; undefined when it does not own it. */
   ownership(partition: number): PartitionOwnership | undefined {
-    return this.#owned.has(partition) ? this.#ownerships.get(partition) : undefined;
+    return this.#ownerships.get(partition);
   }
 
   /** Forgets an owner that says that it is none. */
@@ -280,7 +286,10 @@
   }
 
   #onLost(owned: OwnedPartition): void {
-    if (this.#owned.get(owned.partition) === owned) this.#owned.delete(owned.partition);
+    if (this.#owned.get(owned.partition) === owned) {
+      this.#owned.delete(owned.partition);
+      this.#ownerships.delete(owned.partition);
+    }
     this.#owners.forget(owned.partition, this.#context.instance);
     this.#context.log.info({ partition: owned.partition, epoch: owned.epoch }, "partition released");
   }
--- a/src/gateway/partitions/partition-rows.ts
+++ b/src/gateway/partitions/partition-rows.ts
@@ -6,13 +6,15 @@
 import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 
 const OWNER_KEY = "owner";
+/** What the owner's row names when the last owner has let go. */
+export const NOBODY = "";
 
 /** Tables of the store. */
 export const TABLES = { owners: "owners", accounts: "accounts" } as const;
 
 /** Who owns a partition. Every write of the owner changes this row, so each write is fenced by the one before. */
 export interface OwnerRow {
-  /** Empty when the last owner has let go. */
+  /** {@link NOBODY} when the last owner has let go. */
   readonly instance: string;
   /** Counts the owner's writes. */
   readonly commit: number;
--- a/src/gateway/partitions/partition-writer.ts
+++ b/src/gateway/partitions/partition-writer.ts
@@ -10,7 +10,7 @@
 import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { StoreHealth } from "../store-health.ts";
-import { accountKey, decodeOwner, encodeAccount, encodeOwner, ownerKey } from "./partition-rows.ts";
+import { accountKey, decodeOwner, encodeAccount, encodeOwner, NOBODY, ownerKey } from "./partition-rows.ts";
 import { TransactionSender } from "./transaction-sender.ts";
 
 /** Rows in one transaction; the store takes 100 entries, the owner's row and its condition included. */
@@ -95,7 +95,7 @@
     this.#startWriting();
     while (this.#running) await delay(this.#parts.context.clock, RELEASE_POLL_MS);
     if (this.#lost) return;
-    await this.#transact([], "");
+    await this.#transact([], NOBODY);
     this.#lose();
   }
 
--- a/src/gateway/rates/rate-client.ts
+++ b/src/gateway/rates/rate-client.ts
@@ -3,16 +3,16 @@
  * question: far from its limit a tenant costs one message a request, and under load one for each time that an answer
  * takes, however many requests come.
  */
-import type { RateAnswer } from "../../coordination/request-rate/index.ts";
+import type { RateAnswer, RateLimit } from "../../coordination/request-rate/index.ts";
 import { delay } from "../../runtime/clock.ts";
 import type { RpcEndpoint } from "../../runtime/rpc.ts";
 import type { TenantName } from "../../scheduling/ids/tenant-name.ts";
-import type { RequestLimit } from "../../scheduling/routing/request-limit.ts";
 import type { Tenant } from "../../scheduling/routing/tenant.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { GatewayRpcSchema } from "../gateway-messages.ts";
 import type { MemberDirectory } from "../members/member-directory.ts";
 import type { PartitionHost } from "../partitions/partition-host.ts";
+import { PartitionOwners } from "../partitions/partition-owners.ts";
 import type { RateVerdict } from "./rate-verdict.ts";
 
 /** How often an owner is looked for, in ms. */
@@ -31,7 +31,7 @@
 /** Requests of a tenant that wait for an answer. */
 interface TenantQueue {
   readonly tenant: TenantName;
-  limit: RequestLimit;
+  limit: RateLimit;
   limitVersion: number;
   waiting: Waiter[];
   detail: string;
@@ -40,9 +40,7 @@
 /** See the module's comment. */
 export class RateClient {
   readonly #context: GatewayContext;
-  readonly #members: MemberDirectory;
-  readonly #partitions: PartitionHost;
-  readonly #rpc: RpcEndpoint<GatewayRpcSchema>;
+  readonly #owners: PartitionOwners;
   /** Of tenants for which somebody waits. */
   readonly #queues = new Map<TenantName, TenantQueue>();
 
@@ -53,9 +51,7 @@
     rpc: RpcEndpoint<GatewayRpcSchema>,
   ) {
     this.#context = context;
-    this.#members = members;
-    this.#partitions = partitions;
-    this.#rpc = rpc;
+    this.#owners = new PartitionOwners(context, members, partitions, rpc);
   }
 
   /**
@@ -86,9 +82,8 @@
 
   /** The partition of a tenant, and who owns it as far as this gateway knows. */
   ownerOf(tenant: TenantName): { readonly partition: number; readonly owner: string | undefined } {
-    const { hash, settings } = this.#context;
-    const partition = hash.hash32(tenant) % settings.partitions;
-    return { partition, owner: this.#partitions.ownerOf(partition) };
+    const partition = this.#owners.partitionOf(tenant);
+    return { partition, owner: this.#owners.ownerOf(partition) };
   }
 
   /** Asks until nobody waits any more. */
@@ -106,17 +101,10 @@
 
   async #ask(queue: TenantQueue, wanted: number): Promise<RateAnswer | undefined> {
     const { tenant, limit, limitVersion } = queue;
-    const { partition, owner } = this.ownerOf(tenant);
-    const address = owner === undefined ? undefined : this.#members.addressOf(owner);
-    if (owner === undefined || address === undefined) {
-      queue.detail = "no gateway owns the tenant's partition";
-      return undefined;
-    }
-    const request = { partition, tenant, wanted, limit, limitVersion };
-    const reply = await this.#rpc.ask(address, "admitRequests", request, ANSWER_MS);
+    const request = { partition: this.#owners.partitionOf(tenant), tenant, wanted, limit, limitVersion };
+    const reply = await this.#owners.ask("admitRequests", request, ANSWER_MS);
     if (reply.type === "done") return reply.body;
-    queue.detail = `the owner ${owner} gave ${reply.type}`;
-    if (reply.type === "redirect") this.#partitions.forgetOwner(partition, owner);
+    queue.detail = reply.type === "failed" ? reply.detail : "no gateway owns the tenant's partition";
     return undefined;
   }
 
--- a/src/gateway/rates/rate-host.ts
+++ b/src/gateway/rates/rate-host.ts
@@ -12,8 +12,8 @@
 
 /**
  * How long after a take-over the owner before may still admit requests, in ms, unless its process is known to have ended:
- * until it misses the heartbeats of those
- * that it no longer reaches, and admits only its share (1,250 ms), and for one relayed heartbeat more.
+ * until it misses the heartbeats of those that it no longer reaches, and admits only its share (1,250 ms), and for one
+ * relayed heartbeat more.
  */
 const DOUBT_MS = 2_000;
 const TIDY_MS = 500;
@@ -32,7 +32,6 @@
   readonly #ledgers = new Map<number, PartitionLedger>();
   /** When this process last showed that it runs. */
   #runningAtMs: number;
-  #stop: () => void = () => undefined;
 
   constructor(
     context: GatewayContext,
@@ -48,11 +47,7 @@
   }
 
   start(): void {
-    this.#stop = repeat(this.#context.clock, TIDY_MS, () => this.#tidy());
-  }
-
-  stop(): void {
-    this.#stop();
+    repeat(this.#context.clock, TIDY_MS, () => this.#tidy());
   }
 
   #admit({ partition, tenant, wanted, limit, limitVersion }: AdmitRequestsRequest): AdmitRequestsResponse {
--- a/src/scheduling/routing/tenant.ts
+++ b/src/scheduling/routing/tenant.ts
@@ -1,6 +1,6 @@
+import type { RateLimit } from "../../coordination/request-rate/index.ts";
 import type { KeyDigest } from "../ids/key-digest.ts";
 import type { TenantName } from "../ids/tenant-name.ts";
-import type { RequestLimit } from "./request-limit.ts";
 
 /** Somebody who may use the system, as operators say. */
 export interface Tenant {
@@ -10,5 +10,5 @@
   /** 0 is the most urgent; comes before the priority of a route. */
   readonly priority: number;
   /** Undefined where the tenant may send as much as it likes. */
-  readonly limit: RequestLimit | undefined;
+  readonly limit: RateLimit | undefined;
 }
--- a/test/contract/request-rate.test.ts
+++ b/test/contract/request-rate.test.ts
@@ -1,6 +1,8 @@
 /** Tenants' limits: what one owner admits, and what several that follow one another, or are cut apart, admit together. */
 import { describe, it } from "node:test";
 import { expect } from "earl";
+import { mostInWindow } from "../../bench/simulation/most-in-window.ts";
+import { windowCounts } from "../../bench/simulation/window-counts.ts";
 import {
   RateLedger,
   type RateLimit,
@@ -19,21 +21,13 @@
 }
 
 /** Most that may be admitted in a window. */
-function boundOf({ perSecond, burst }: RateLimit): number {
-  const inWindow = (perSecond * TOLERANCE.windowMs) / 1_000 + burst;
-  return inWindow * (1 + TOLERANCE.overage) + TOLERANCE.slack;
+function boundOf(limit: RateLimit): number {
+  return mostInWindow(limit, TOLERANCE);
 }
 
 /** The most that was admitted in any window. */
-function mostInWindow(admittedAtMs: readonly number[]): number {
-  const sorted = [...admittedAtMs].sort((left, right) => left - right);
-  let most = 0;
-  let first = 0;
-  for (const [index, atMs] of sorted.entries()) {
-    while (atMs - (sorted[first] as number) > TOLERANCE.windowMs) first += 1;
-    most = Math.max(most, index - first + 1);
-  }
-  return most;
+function mostAdmitted(admittedAtMs: readonly number[]): number {
+  return Math.max(0, ...windowCounts(admittedAtMs, TOLERANCE.windowMs).map(({ count }) => count));
 }
 
 describe("token bucket", () => {
@@ -70,7 +64,7 @@
         if (ledger.take(demand(1, limit), 1, nowMs).granted === 1) admitted.push(nowMs);
       }
       expect(admitted.length >= 0.98 * 60 * limit.perSecond).toEqual(true);
-      expect(mostInWindow(admitted) <= boundOf(limit)).toEqual(true);
+      expect(mostAdmitted(admitted) <= boundOf(limit)).toEqual(true);
     });
   }
 
@@ -140,7 +134,7 @@
         // Three may follow within a window on credit; one more costs a third of the tolerance each.
         const further = Math.max(0, Math.ceil(TOLERANCE.windowMs / gapMs) - 3);
         const credit = (boundOf(limit) - (limit.perSecond * 5 + limit.burst)) / 3;
-        expect(mostInWindow(admitted) <= boundOf(limit) + further * credit).toEqual(true);
+        expect(mostAdmitted(admitted) <= boundOf(limit) + further * credit).toEqual(true);
       });
 
   for (const limit of [SMALL, LARGE])
@@ -157,6 +151,6 @@
             { ledger: after, reached: 1 - reached },
           ];
         });
-        expect(mostInWindow(admitted) <= boundOf(limit)).toEqual(true);
+        expect(mostAdmitted(admitted) <= boundOf(limit)).toEqual(true);
       });
 });
--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -14,10 +14,6 @@
 const POLL_MS = 25;
 const ANSWER_TIMEOUT_MS = 1_000;
 const PARTITIONS = 4;
-/** How long a key may be used after its end, in ms, in clusters that are started so. */
-export const REVOKE_MS = 5_000;
-/** How far tenants may be above their limits. */
-export const TOLERANCE = { windowMs: 5_000, overage: 0.1, slack: 6 };
 
 /** Hosts and paths of the routes that every test cluster has. */
 export const TEST_HOST = "test.example";
--- a/test/soak/soak-cluster.ts
+++ b/test/soak/soak-cluster.ts
@@ -1,15 +1,13 @@
 /** Gateways as separate processes whose links to callers, the store and runners lead through proxies. */
 import {
   GatewayCluster,
-  REVOKE_MS,
   type TestGateway,
   type TestLink,
   type TestRoutes,
-  TOLERANCE,
 } from "../process/support/gateway-cluster.ts";
 import { TestAddresses } from "../process/support/test-addresses.ts";
 import { LoopbackProxy } from "./loopback-proxy.ts";
-import { SoakTenants } from "./soak-tenants.ts";
+import { REVOKE_MS, SoakTenants, TOLERANCE } from "./soak-tenants.ts";
 
 /** A process of a gateway that was stopped or killed. */
 export interface StruckProcess {
--- a/test/soak/soak-tenants.ts
+++ b/test/soak/soak-tenants.ts
@@ -1,15 +1,24 @@
 /** The tenants of a soak: one for whom all callers speak, one whose keys come and go, and one that runs wild. */
 import type { TestTenant } from "../process/support/gateway-cluster.ts";
 
+/** How long a key may be used after its end, in ms. */
+export const REVOKE_MS = 5_000;
+/** How far tenants may be above their limits. */
+export const TOLERANCE = { windowMs: 5_000, overage: 0.1, slack: 6 };
 /** Key of the callers' tenant: stays, and has no limit. */
 export const STEADY_KEY = "key-of-steady";
 const STEADY: TestTenant = { name: "steady", keys: [STEADY_KEY] };
 
 /** Limit of the tenant that runs wild, in requests a second and at once on top. */
-export const WILD_LIMIT = { rate: 10, burst: 10 };
+export const WILD_LIMIT = { perSecond: 10, burst: 10 };
 export const WILD_KEY = "key-of-wild";
 export const WILD_NAME = "wild";
-const WILD: TestTenant = { name: WILD_NAME, keys: [WILD_KEY], ...WILD_LIMIT };
+const WILD: TestTenant = {
+  name: WILD_NAME,
+  keys: [WILD_KEY],
+  rate: WILD_LIMIT.perSecond,
+  burst: WILD_LIMIT.burst,
+};
 
 const CHANGING_NAME = "changing";
 /** Keys that the changing tenant has at a time. */
--- a/test/soak/tenant-watch.ts
+++ b/test/soak/tenant-watch.ts
@@ -2,18 +2,20 @@
  * Sends requests with keys that were taken away, and with the key of a tenant that sends far more than its limit. What
  * runners ran of them tells whether keys and limits hold.
  */
+
+import { mostInWindow } from "../../bench/simulation/most-in-window.ts";
+import { windowCounts } from "../../bench/simulation/window-counts.ts";
 import type { SeededRandomSource } from "../../src/runtime/random-source.ts";
-import { PATHS, pause, REVOKE_MS, type TestGateway, TOLERANCE } from "../process/support/gateway-cluster.ts";
+import { PATHS, pause, type TestGateway } from "../process/support/gateway-cluster.ts";
 import type { SoakCluster } from "./soak-cluster.ts";
 import type { SoakLedger } from "./soak-ledger.ts";
 import { soakRequest } from "./soak-request.ts";
-import { type SoakTenants, WILD_KEY, WILD_LIMIT, WILD_NAME } from "./soak-tenants.ts";
+import { REVOKE_MS, type SoakTenants, TOLERANCE, WILD_KEY, WILD_LIMIT, WILD_NAME } from "./soak-tenants.ts";
 
 const PAUSE_MS = 25;
 const TIMEOUT_MS = 1_000;
 /** Part of the requests that use a key of the changing tenant; the others are the wild one's. */
 const CHANGING_PART = 0.3;
-const MS_PER_S = 1_000;
 
 /** A request of the watch, as it was sent. */
 interface SentRequest {
@@ -66,21 +68,15 @@
     this.#checkWindows(wildAtMs);
   }
 
-  #checkWindows(sentAtMs: number[]): void {
-    const { windowMs, overage, slack } = TOLERANCE;
-    const bound = ((WILD_LIMIT.rate * windowMs) / MS_PER_S + WILD_LIMIT.burst) * (1 + overage) + slack;
-    sentAtMs.sort((left, right) => left - right);
-    let first = 0;
-    for (const [index, atMs] of sentAtMs.entries()) {
-      while (atMs - (sentAtMs[first] ?? 0) > windowMs) first += 1;
-      const count = index - first + 1;
-      if (count <= bound) continue;
-      this.#ledger.breaks(
-        "limits",
-        `${count} requests ran in the window that ends at ${atMs} ms, bound ${bound}`,
-      );
-      return;
-    }
+  #checkWindows(sentAtMs: readonly number[]): void {
+    const bound = mostInWindow(WILD_LIMIT, TOLERANCE);
+    const beyond = windowCounts(sentAtMs, TOLERANCE.windowMs).find(({ count }) => count > bound);
+    if (!beyond) return;
+    const { count, endMs } = beyond;
+    this.#ledger.breaks(
+      "limits",
+      `${count} requests ran in the window that ends at ${endMs} ms, bound ${bound}`,
+    );
   }
 
   async #send(gateway: TestGateway): Promise<void> {
