Give out a tenant's burst where nobody has admitted anything before

Cause: the first owner of a partition began with an empty bucket, as a successor must. Asked within 100 ms of its take-over (limit 10 a second), it turned away the first request of a tenant far below its limit.

Before: the new test's first burst of 60 is granted 0. After: 60, then 0; a successor still starts with its credit.

Owners that take over a partition that somebody owned are as before.

--- a/src/coordination/request-rate/rate-ledger.ts
+++ b/src/coordination/request-rate/rate-ledger.ts
@@ -1,7 +1,8 @@
 /**
  * Who of many subjects may send requests now, as the one owner of their limits decides it. Owners follow one another, and
  * a new one knows nothing of what the one before has admitted; that one may even go on for a while, cut off from the new
- * one. So a new owner starts with little, and its buckets fill only once the one before must have noticed.
+ * one. So a new owner starts with little, and its buckets fill only once the one before must have noticed. The first owner
+ * of all starts with full buckets.
  *
  * Guarantee: as long as an owner that is cut off admits no more than its share (see {@link RateLedger.take}) from the end
  * of its successor's doubt on, all owners together stay within the limit and its tolerance in every window.
@@ -47,10 +48,10 @@
 export class RateLedger {
   readonly #accounts = new Map<string, Account>();
   readonly #tolerance: RateTolerance;
-  readonly #doubtUntilMs: number;
+  readonly #doubtUntilMs: number | undefined;
 
-  /** @param doubtUntilMs until when the owner before may still admit requests */
-  constructor(tolerance: RateTolerance, doubtUntilMs: number) {
+  /** @param doubtUntilMs until when the owner before may still admit requests; undefined if there was none */
+  constructor(tolerance: RateTolerance, doubtUntilMs: number | undefined) {
     this.#tolerance = tolerance;
     this.#doubtUntilMs = doubtUntilMs;
   }
@@ -94,12 +95,17 @@
   #accountOf({ subject, limit, limitVersion }: RateDemand, share: number, nowMs: number): Account {
     const known = this.#accounts.get(subject);
     if (known) return known;
-    const bucket = new TokenBucket(this.#creditOf(limit) * share, this.#doubtUntilMs);
+    const bucket = this.#newBucket(limit, share, nowMs);
     const account = { bucket, limit, limitVersion, nextReturnMs: 0, lastAskedMs: nowMs };
     this.#accounts.set(subject, account);
     return account;
   }
 
+  #newBucket(limit: RateLimit, share: number, nowMs: number): TokenBucket {
+    if (this.#doubtUntilMs === undefined) return new TokenBucket(Math.max(1, limit.burst) * share, nowMs);
+    return new TokenBucket(this.#creditOf(limit) * share, this.#doubtUntilMs);
+  }
+
   /** What may be admitted although the owner before may have admitted all that the limit allows. */
   #creditOf({ perSecond, burst }: RateLimit): number {
     const { windowMs, overage, slack } = this.#tolerance;
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -35,9 +35,11 @@
 const MAX_ANSWERED_BYTES = 4 * 1024 * 1024;
 
 /** How this gateway came by a partition. */
-interface PartitionOwnership {
+export interface PartitionOwnership {
   /** Version of the owner's row, as this owner wrote it. */
   readonly epoch: number;
+  /** Whether nobody has ever owned it before. */
+  readonly isFirst: boolean;
   /** Whether the owner before has let go of it. */
   readonly isReleased: boolean;
   /** Whether an owner before has not, and may live on without knowing better. */
@@ -205,7 +207,8 @@
     const isReleased = before === NOBODY;
     const mayHaveRival = before !== undefined && !isReleased && !this.#members.hasReplaced(before);
     const takenOverAtMs = this.#context.clock.monotonicMs();
-    return { epoch: outcome.version, isReleased, mayHaveRival, takenOverAtMs };
+    const isFirst = before === undefined;
+    return { epoch: outcome.version, isFirst, isReleased, mayHaveRival, takenOverAtMs };
   }
 
   async #readOwnerRow(partition: number): Promise<{ readonly row: StoredRow | undefined } | undefined> {
--- a/src/gateway/rates/rate-host.ts
+++ b/src/gateway/rates/rate-host.ts
@@ -8,7 +8,7 @@
 import type { GatewayContext } from "../gateway-context.ts";
 import type { AdmitRequestsRequest, AdmitRequestsResponse, GatewayRpcSchema } from "../gateway-messages.ts";
 import type { MemberDirectory } from "../members/member-directory.ts";
-import type { PartitionHost } from "../partitions/partition-host.ts";
+import type { PartitionHost, PartitionOwnership } from "../partitions/partition-host.ts";
 
 /**
  * How long after a take-over the owner before may still admit requests, in ms, unless its process is known to have ended:
@@ -60,11 +60,10 @@
   #ledgerOf(partition: number): RateLedger {
     const ownership = this.#partitions.ownership(partition);
     if (!ownership) throw new RedirectSignal(this.#partitions.ownerOf(partition));
-    const { epoch, takenOverAtMs, mayHaveRival } = ownership;
+    const { epoch } = ownership;
     const known = this.#ledgers.get(partition);
     if (known?.epoch === epoch) return known.ledger;
-    const doubtUntilMs = mayHaveRival ? takenOverAtMs + DOUBT_MS : takenOverAtMs;
-    const ledger = new RateLedger(this.#tolerance, doubtUntilMs);
+    const ledger = new RateLedger(this.#tolerance, doubtOf(ownership));
     this.#ledgers.set(partition, { epoch, ledger });
     return ledger;
   }
@@ -92,3 +91,9 @@
     }
   }
 }
+
+/** Until when the owner before may still admit requests; undefined if there was none. */
+function doubtOf({ isFirst, mayHaveRival, takenOverAtMs }: PartitionOwnership): number | undefined {
+  if (isFirst) return undefined;
+  return mayHaveRival ? takenOverAtMs + DOUBT_MS : takenOverAtMs;
+}
--- a/test/contract/request-rate.test.ts
+++ b/test/contract/request-rate.test.ts
@@ -68,6 +68,15 @@
     });
   }
 
+  it("admits a burst at once where nobody has admitted anything before", () => {
+    const ledger = new RateLedger({ ...TOLERANCE, overage: 0, slack: 0 }, undefined);
+    expect(ledger.take(demand(LARGE.burst, LARGE), 1, 1_000).granted).toEqual(LARGE.burst);
+    expect(ledger.take(demand(1, LARGE), 1, 1_000).granted).toEqual(0);
+    expect(ledger.take({ ...demand(1, SMALL), subject: "other" }, 1, 1_000).granted).toEqual(1);
+    const successor = new RateLedger({ ...TOLERANCE, overage: 0, slack: 0 }, 1_000);
+    expect(successor.take(demand(1, LARGE), 1, 1_000).granted).toEqual(0);
+  });
+
   it("tells those that it turns away to come back one after the other, when there will be room", () => {
     const ledger = new RateLedger({ ...TOLERANCE, overage: 0, slack: 0 }, 0);
     expect(ledger.take(demand(100, LARGE), 1, 1_000).granted).toEqual(60);
