Hand tenants' limits over when the owner of a partition ends as planned

Cause: a new owner of a partition lives on a third of the tolerance and an empty bucket, also where the owner before ended as planned and knew how much was left. So a restart of the fleet took from each tenant its burst, once for every move of its owner.

Ruled out: more credit after a release: two owners that follow one another within a window could both give a burst out. A message to the next owner: which one that is is decided only when it claims the row.

Now the row by which an owner lets go says how many tokens are left by tenant, and since when the other buckets fill. It admits nothing after that; the next owner begins with it.

Before, a process test (8 tenants of 1/s and a burst of 20, one of three gateways stopped, then 12 requests each): those of the stopped gateway's tenants are answered 429. After: all 200.

--- a/bench/mutations/tenant-mutations.ts
+++ b/bench/mutations/tenant-mutations.ts
@@ -55,7 +55,7 @@
       {
         file: "src/gateway/rates/rate-host.ts",
         from: "  #tidy(): void {",
-        to: "  #begun(partition: number): RateLedger {\n    const ledger = new RateLedger(this.#tolerance, 0);\n    this.#ledgers.set(partition, { epoch: 0, ledger });\n    return ledger;\n  }\n\n  #tidy(): void {\n    if (this.#tolerance.slack >= 0) return;",
+        to: "  #begun(partition: number): RateLedger {\n    const ledger = new RateLedger(this.#tolerance, RateLedger.after(0));\n    this.#ledgers.set(partition, { epoch: 0, ledger });\n    return ledger;\n  }\n\n  #tidy(): void {\n    if (this.#tolerance.slack >= 0) return;",
       },
       {
         file: "src/gateway/partitions/partition-owners.ts",
--- a/examples/embed/request-rate.ts
+++ b/examples/embed/request-rate.ts
@@ -9,11 +9,11 @@
   const tolerance = { windowMs: 5_000, overage: 0.1, slack: 6 };
   const demand = { subject: "tenant", wanted: 20, limit: LIMIT, limitVersion: 1 };
   const everybody = 1;
-  const owner = new RateLedger(tolerance, 0);
+  const owner = new RateLedger(tolerance, RateLedger.first());
   const atOnce = owner.take(demand, everybody, 10_000).granted;
   const later = owner.take(demand, everybody, 10_300).granted;
   // The first owner may live on, cut off: its follower begins with a part of the tolerance, and fills after two seconds.
-  const follower = new RateLedger(tolerance, 11_000 + DOUBT_MS);
+  const follower = new RateLedger(tolerance, RateLedger.after(11_000 + DOUBT_MS));
   const onCredit = follower.take(demand, everybody, 11_000).granted;
   const inDoubt = follower.take(demand, everybody, 12_900).granted;
   const after = follower.take(demand, everybody, 13_200).granted;
--- a/src/coordination/request-rate/rate-ledger.ts
+++ b/src/coordination/request-rate/rate-ledger.ts
@@ -2,7 +2,7 @@
  * Who of many subjects may send requests now, as the one owner of their limits decides it. Owners follow one another, and
  * a new one knows nothing of what the one before has admitted; that one may even go on for a while, cut off from the new
  * one. So a new owner starts with little, and its buckets fill only once the one before must have noticed. The first owner
- * of all starts with full buckets.
+ * of all starts with full buckets, and one that took over from an owner that ended as planned with what that one had left.
  *
  * Guarantee: as long as an owner that is cut off admits no more than its share (see {@link RateLedger.take}) from the end
  * of its successor's doubt on, all owners together stay within the limit and its tolerance in every window.
@@ -10,7 +10,9 @@
  * Pure; times in ms of a monotonic clock.
  */
 import type { RateAnswer } from "./rate-answer.ts";
+import type { RateHandOver } from "./rate-hand-over.ts";
 import type { RateLimit } from "./rate-limit.ts";
+import type { RateStart } from "./rate-start.ts";
 import type { RateTolerance } from "./rate-tolerance.ts";
 import { TokenBucket } from "./token-bucket.ts";
 
@@ -48,12 +50,34 @@
 export class RateLedger {
   readonly #accounts = new Map<string, Account>();
   readonly #tolerance: RateTolerance;
-  readonly #doubtUntilMs: number | undefined;
+  readonly #start: RateStart;
 
-  /** @param doubtUntilMs until when the owner before may still admit requests; undefined if there was none */
-  constructor(tolerance: RateTolerance, doubtUntilMs: number | undefined) {
+  constructor(tolerance: RateTolerance, start: RateStart) {
     this.#tolerance = tolerance;
-    this.#doubtUntilMs = doubtUntilMs;
+    this.#start = start;
+  }
+
+  /** The start of the first owner of all. */
+  static first(): RateStart {
+    return { tokens: new Map(), tokensAtMs: 0, fillsFromMs: undefined };
+  }
+
+  /**
+   * The start of an owner to which nothing was handed over.
+   *
+   * @param doubtUntilMs until when the owner before may still admit requests
+   */
+  static after(doubtUntilMs: number): RateStart {
+    return { tokens: new Map(), tokensAtMs: 0, fillsFromMs: doubtUntilMs };
+  }
+
+  /** The start of an owner that took over as planned. */
+  static handedOver({ tokens, filledForMs }: RateHandOver, nowMs: number): RateStart {
+    return {
+      tokens: new Map(tokens),
+      tokensAtMs: nowMs,
+      fillsFromMs: filledForMs === undefined ? undefined : nowMs - filledForMs,
+    };
   }
 
   /**
@@ -74,6 +98,18 @@
     return this.#answer(account, demand.wanted - granted, granted, limit, nowMs);
   }
 
+  /** What is left for the next owner. This one must admit nothing after it. */
+  handOver(nowMs: number): RateHandOver {
+    const { fillsFromMs } = this.#start;
+    const tokens = new Map(this.#start.tokens);
+    for (const [subject, { bucket, limit }] of this.#accounts)
+      tokens.set(subject, bucket.tokens(limit, nowMs));
+    return {
+      tokens: [...tokens],
+      filledForMs: fillsFromMs === undefined ? undefined : nowMs - fillsFromMs,
+    };
+  }
+
   /** Drops subjects that have long been silent. */
   forgetIdle(nowMs: number): void {
     for (const [subject, { lastAskedMs }] of this.#accounts)
@@ -95,15 +131,18 @@
   #accountOf({ subject, limit, limitVersion }: RateDemand, share: number, nowMs: number): Account {
     const known = this.#accounts.get(subject);
     if (known) return known;
-    const bucket = this.#newBucket(limit, share, nowMs);
+    const bucket = this.#newBucket(subject, limit, share, nowMs);
     const account = { bucket, limit, limitVersion, nextReturnMs: 0, lastAskedMs: nowMs };
     this.#accounts.set(subject, account);
     return account;
   }
 
-  #newBucket(limit: RateLimit, share: number, nowMs: number): TokenBucket {
-    if (this.#doubtUntilMs === undefined) return new TokenBucket(Math.max(1, limit.burst) * share, nowMs);
-    return new TokenBucket(this.#creditOf(limit) * share, this.#doubtUntilMs);
+  #newBucket(subject: string, limit: RateLimit, share: number, nowMs: number): TokenBucket {
+    const { tokens, tokensAtMs, fillsFromMs } = this.#start;
+    const left = tokens.get(subject);
+    if (left !== undefined) return new TokenBucket(left, tokensAtMs);
+    if (fillsFromMs === undefined) return new TokenBucket(Math.max(1, limit.burst) * share, nowMs);
+    return new TokenBucket(this.#creditOf(limit) * share, fillsFromMs);
   }
 
   /** What may be admitted although the owner before may have admitted all that the limit allows. */
--- a/src/coordination/request-rate/token-bucket.ts
+++ b/src/coordination/request-rate/token-bucket.ts
@@ -25,6 +25,12 @@
     return taken;
   }
 
+  /** How many tokens there are, parts included. */
+  tokens(limit: RateLimit, nowMs: number): number {
+    this.#fill(limit, nowMs);
+    return this.#tokens;
+  }
+
   /** Time until there is a whole token, in ms. */
   waitMs({ perSecond }: RateLimit, nowMs: number): number {
     const missing = Math.max(0, 1 - this.#tokens);
--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -1,5 +1,6 @@
 /** One partition that this gateway owns: the accounts of its programs, and their retained turns. */
 
+import type { RateHandOver } from "../../coordination/request-rate/index.ts";
 import { type StoredAccount, TokenAccount } from "../../coordination/token-account/index.ts";
 import { delay } from "../../runtime/clock.ts";
 import type { ProgramId } from "../../scheduling/ids/program-id.ts";
@@ -43,6 +44,8 @@
   /** Whether the owner before has let go of the partition; it died otherwise, or there was none. */
   readonly isReleased: boolean;
   readonly findTurn: (turn: RequestId) => Promise<TurnLookup>;
+  /** What is left of tenants' limits; nothing is admitted here after it. */
+  readonly handOverRates: () => RateHandOver | undefined;
   /** Called once when another owner has taken over. */
   readonly onLost: () => void;
 }
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -4,6 +4,7 @@
  */
 
 import { OwnershipMap, preferredOwner } from "../../coordination/partition-ownership/index.ts";
+import type { RateHandOver } from "../../coordination/request-rate/index.ts";
 import type { StoredAccount } from "../../coordination/token-account/index.ts";
 import type { StoredRow } from "../../ports/store/row-store.ts";
 import { delay, repeat } from "../../runtime/clock.ts";
@@ -42,6 +43,8 @@
   readonly isFirst: boolean;
   /** Whether the owner before has let go of it. */
   readonly isReleased: boolean;
+  /** What it has left of tenants' limits. */
+  readonly rates: RateHandOver | undefined;
   /** Whether an owner before has not, and may live on without knowing better. */
   readonly mayHaveRival: boolean;
   /** Of the monotonic clock, in ms. */
@@ -61,6 +64,8 @@
   readonly #finder: TurnFinder;
   /** Turns that this gateway answered its callers: their owner may need them while the store does not answer. */
   readonly #answered = new TurnCache(MAX_ANSWERED_BYTES);
+  /** What is left of the limits of a partition's tenants; nothing of them is admitted here after it. */
+  handOverRates: (partition: number) => RateHandOver | undefined = () => undefined;
   #claimAfterMs = 0;
   #stop: () => void = () => undefined;
   #stopping = false;
@@ -203,12 +208,20 @@
     });
     this.#health.note(outcome);
     if (outcome.type !== "committed") return undefined;
-    const before = row === undefined ? undefined : decodeOwner(row.value).instance;
+    const lastOwner = row === undefined ? undefined : decodeOwner(row.value);
+    const before = lastOwner?.instance;
     const isReleased = before === NOBODY;
     const mayHaveRival = before !== undefined && !isReleased && !this.#members.hasReplaced(before);
     const takenOverAtMs = this.#context.clock.monotonicMs();
     const isFirst = before === undefined;
-    return { epoch: outcome.version, isFirst, isReleased, mayHaveRival, takenOverAtMs };
+    return {
+      epoch: outcome.version,
+      isFirst,
+      isReleased,
+      rates: lastOwner?.rates,
+      mayHaveRival,
+      takenOverAtMs,
+    };
   }
 
   async #readOwnerRow(partition: number): Promise<{ readonly row: StoredRow | undefined } | undefined> {
@@ -277,6 +290,7 @@
         epoch,
         isReleased,
         findTurn: (turn) => this.#finder.find(turn),
+        handOverRates: () => this.handOverRates(partition),
         onLost: () => this.#onLost(owned),
       },
       accounts,
--- a/src/gateway/partitions/partition-rows.ts
+++ b/src/gateway/partitions/partition-rows.ts
@@ -1,6 +1,7 @@
 /** How partitions lie in the store: a part each, with the owner and the accounts. */
 
 import { decode, encode } from "cbor-x";
+import type { RateHandOver } from "../../coordination/request-rate/index.ts";
 import type { StoredAccount } from "../../coordination/token-account/index.ts";
 import type { RowKey } from "../../ports/store/row-store.ts";
 import type { ProgramId } from "../../scheduling/ids/program-id.ts";
@@ -18,6 +19,8 @@
   readonly instance: string;
   /** Counts the owner's writes. */
   readonly commit: number;
+  /** Limits of tenants, from an owner that has let go. */
+  readonly rates?: RateHandOver;
 }
 
 /** The part of the store that holds a partition. */
--- a/src/gateway/partitions/partition-writer.ts
+++ b/src/gateway/partitions/partition-writer.ts
@@ -4,13 +4,22 @@
  * answer is sent again as it was; if it had been done, the owner's row says so.
  */
 
+import type { RateHandOver } from "../../coordination/request-rate/index.ts";
 import type { AccountSnapshot } from "../../coordination/token-account/index.ts";
 import type { StoredRow } from "../../ports/store/row-store.ts";
 import { delay } from "../../runtime/clock.ts";
 import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { StoreHealth } from "../store-health.ts";
-import { accountKey, decodeOwner, encodeAccount, encodeOwner, NOBODY, ownerKey } from "./partition-rows.ts";
+import {
+  accountKey,
+  decodeOwner,
+  encodeAccount,
+  encodeOwner,
+  NOBODY,
+  type OwnerRow,
+  ownerKey,
+} from "./partition-rows.ts";
 import { TransactionSender } from "./transaction-sender.ts";
 
 /** Rows in one transaction; the store takes 100 entries, the owner's row and its condition included. */
@@ -56,6 +65,8 @@
   readonly partition: number;
   /** Version of the owner's row, as this owner wrote it. */
   readonly epoch: number;
+  /** What is left of tenants' limits; nothing is admitted here after it. */
+  readonly handOverRates: () => RateHandOver | undefined;
   /** Called once when another owner has taken over. */
   readonly onLost: () => void;
 }
@@ -95,7 +106,8 @@
     this.#startWriting();
     while (this.#running) await delay(this.#parts.context.clock, RELEASE_POLL_MS);
     if (this.#lost) return;
-    await this.#transact([], NOBODY);
+    const rates = this.#parts.handOverRates();
+    await this.#transact([], { instance: NOBODY, ...(rates ? { rates } : {}) });
     this.#lose();
   }
 
@@ -114,7 +126,7 @@
     await Promise.resolve();
     while (this.#dirty.size > 0 && !this.#lost) {
       const writes = this.#takeDirty();
-      if (!(await this.#transact(writes, this.#parts.context.instance))) break;
+      if (!(await this.#transact(writes, { instance: this.#parts.context.instance }))) break;
       for (const { account, snapshot } of writes) account.stored(snapshot);
       this.#settleRecorded();
     }
@@ -144,11 +156,11 @@
     }
   }
 
-  async #transact(writes: readonly AccountWrite[], instance: string): Promise<boolean> {
+  async #transact(writes: readonly AccountWrite[], row: Omit<OwnerRow, "commit">): Promise<boolean> {
     const { context, partition } = this.#parts;
     this.#commit += 1;
     const key = ownerKey(partition);
-    const owner = { instance, commit: this.#commit };
+    const owner = { ...row, commit: this.#commit };
     const accounts = writes.map(({ program, snapshot }) => ({
       ...accountKey(partition, program),
       value: encodeAccount(snapshot.account),
@@ -161,7 +173,7 @@
         this.#version = outcome.version;
         return !this.#lost;
       }
-      if (outcome.type === "conflict") return this.#afterConflict(outcome.rows, instance);
+      if (outcome.type === "conflict") return this.#afterConflict(outcome.rows, row.instance);
       await delay(context.clock, RETRY_MS);
     }
     return false;
--- a/src/gateway/rates/rate-host.ts
+++ b/src/gateway/rates/rate-host.ts
@@ -1,8 +1,14 @@
 /**
  * Admits requests of tenants for all gateways: those of the partitions that this gateway owns. A tenant's partition is
- * found by its name, and its owner keeps the tenant's bucket in memory; nothing of it is in the store.
+ * found by its name, and its owner keeps the tenant's bucket in memory. Only an owner that ends as planned leaves what is
+ * in the buckets to the next one, in the row by which it lets go: a tenant below its limit must not notice a restart.
  */
-import { RateLedger, type RateTolerance } from "../../coordination/request-rate/index.ts";
+import {
+  type RateHandOver,
+  RateLedger,
+  type RateStart,
+  type RateTolerance,
+} from "../../coordination/request-rate/index.ts";
 import { repeat } from "../../runtime/clock.ts";
 import { RedirectSignal, type RpcEndpoint } from "../../runtime/rpc.ts";
 import type { GatewayContext } from "../gateway-context.ts";
@@ -22,6 +28,8 @@
 interface PartitionLedger {
   readonly epoch: number;
   readonly ledger: RateLedger;
+  /** Whether it was handed over: nothing more is admitted. */
+  readonly isClosed: boolean;
 }
 
 /** See the module's comment. */
@@ -43,6 +51,7 @@
     this.#members = members;
     this.#partitions = partitions;
     this.#runningAtMs = context.clock.monotonicMs();
+    partitions.handOverRates = (partition) => this.#handOver(partition);
     rpc.handle("admitRequests", async (request) => this.#admit(request));
   }
 
@@ -52,20 +61,29 @@
 
   #admit({ partition, tenant, wanted, limit, limitVersion }: AdmitRequestsRequest): AdmitRequestsResponse {
     this.#noticePause();
-    const ledger = this.#ledgerOf(partition);
+    const { ledger, isClosed } = this.#ledgerOf(partition);
+    if (isClosed) throw new RedirectSignal(this.#partitions.ownerOf(partition));
     const demand = { subject: tenant, wanted, limit, limitVersion };
     return ledger.take(demand, this.#members.reachedShare, this.#context.clock.monotonicMs());
   }
 
-  #ledgerOf(partition: number): RateLedger {
+  #handOver(partition: number): RateHandOver | undefined {
+    this.#noticePause();
+    const ledger = this.#ledgerOf(partition);
+    this.#ledgers.set(partition, { ...ledger, isClosed: true });
+    return ledger.ledger.handOver(this.#context.clock.monotonicMs());
+  }
+
+  #ledgerOf(partition: number): PartitionLedger {
     const ownership = this.#partitions.ownership(partition);
     if (!ownership) throw new RedirectSignal(this.#partitions.ownerOf(partition));
     const { epoch } = ownership;
     const known = this.#ledgers.get(partition);
-    if (known?.epoch === epoch) return known.ledger;
-    const ledger = new RateLedger(this.#tolerance, doubtOf(ownership));
-    this.#ledgers.set(partition, { epoch, ledger });
-    return ledger;
+    if (known?.epoch === epoch) return known;
+    const ledger = new RateLedger(this.#tolerance, startOf(ownership));
+    const begun = { epoch, ledger, isClosed: false };
+    this.#ledgers.set(partition, begun);
+    return begun;
   }
 
   get #tolerance(): RateTolerance {
@@ -78,8 +96,10 @@
     const pausedMs = nowMs - this.#runningAtMs;
     this.#runningAtMs = nowMs;
     if (pausedMs <= this.#context.settings.timing.suspectMs) return;
-    for (const [partition, { epoch }] of this.#ledgers)
-      this.#ledgers.set(partition, { epoch, ledger: new RateLedger(this.#tolerance, nowMs + DOUBT_MS) });
+    for (const [partition, known] of this.#ledgers) {
+      const ledger = new RateLedger(this.#tolerance, RateLedger.after(nowMs + DOUBT_MS));
+      this.#ledgers.set(partition, { ...known, ledger });
+    }
   }
 
   #tidy(): void {
@@ -92,8 +112,8 @@
   }
 }
 
-/** Until when the owner before may still admit requests; undefined if there was none. */
-function doubtOf({ isFirst, mayHaveRival, takenOverAtMs }: PartitionOwnership): number | undefined {
-  if (isFirst) return undefined;
-  return mayHaveRival ? takenOverAtMs + DOUBT_MS : takenOverAtMs;
+function startOf({ isFirst, rates, mayHaveRival, takenOverAtMs }: PartitionOwnership): RateStart {
+  if (isFirst) return RateLedger.first();
+  if (rates) return RateLedger.handedOver(rates, takenOverAtMs);
+  return RateLedger.after(mayHaveRival ? takenOverAtMs + DOUBT_MS : takenOverAtMs);
 }
--- a/test/contract/partition-writer.test.ts
+++ b/test/contract/partition-writer.test.ts
@@ -40,7 +40,14 @@
   const onLost = () => {
     lost += 1;
   };
-  return new PartitionWriter({ context: owner, health, partition: PARTITION, epoch, onLost });
+  return new PartitionWriter({
+    context: owner,
+    health,
+    partition: PARTITION,
+    epoch,
+    handOverRates: () => undefined,
+    onLost,
+  });
 }
 
 async function storedTokens(): Promise<number | undefined> {
--- a/test/contract/request-rate.test.ts
+++ b/test/contract/request-rate.test.ts
@@ -49,14 +49,14 @@
 describe("owner of limits", () => {
   for (const limit of [SMALL, LARGE]) {
     it(`admits all that comes below the limit, ${limit.perSecond}/s`, () => {
-      const ledger = new RateLedger(TOLERANCE, 0);
+      const ledger = new RateLedger(TOLERANCE, RateLedger.after(0));
       const stepMs = 1_000 / (limit.perSecond * 0.9);
       for (let nowMs = 10_000; nowMs < 70_000; nowMs += stepMs)
         expect(ledger.take(demand(1, limit), 1, nowMs).granted).toEqual(1);
     });
 
     it(`admits the limit, and no more, of what comes above it, ${limit.perSecond}/s`, () => {
-      const ledger = new RateLedger(TOLERANCE, 0);
+      const ledger = new RateLedger(TOLERANCE, RateLedger.after(0));
       const random = new SeededRandomSource(1);
       const admitted: number[] = [];
       for (let nowMs = 10_000; nowMs < 70_000; nowMs += 1) {
@@ -69,16 +69,16 @@
   }
 
   it("admits a burst at once where nobody has admitted anything before", () => {
-    const ledger = new RateLedger({ ...TOLERANCE, overage: 0, slack: 0 }, undefined);
+    const ledger = new RateLedger({ ...TOLERANCE, overage: 0, slack: 0 }, RateLedger.first());
     expect(ledger.take(demand(LARGE.burst, LARGE), 1, 1_000).granted).toEqual(LARGE.burst);
     expect(ledger.take(demand(1, LARGE), 1, 1_000).granted).toEqual(0);
     expect(ledger.take({ ...demand(1, SMALL), subject: "other" }, 1, 1_000).granted).toEqual(1);
-    const successor = new RateLedger({ ...TOLERANCE, overage: 0, slack: 0 }, 1_000);
+    const successor = new RateLedger({ ...TOLERANCE, overage: 0, slack: 0 }, RateLedger.after(1_000));
     expect(successor.take(demand(1, LARGE), 1, 1_000).granted).toEqual(0);
   });
 
   it("tells those that it turns away to come back one after the other, when there will be room", () => {
-    const ledger = new RateLedger({ ...TOLERANCE, overage: 0, slack: 0 }, 0);
+    const ledger = new RateLedger({ ...TOLERANCE, overage: 0, slack: 0 }, RateLedger.after(0));
     expect(ledger.take(demand(100, LARGE), 1, 1_000).granted).toEqual(60);
     const first = ledger.take(demand(6, LARGE), 1, 1_000);
     expect([first.granted, Math.round(first.retryAfterMs), Math.round(first.retryStepMs)]).toEqual([
@@ -94,14 +94,14 @@
   });
 
   it("takes a lower limit from whoever knows the newer configuration, and never the older one again", () => {
-    const ledger = new RateLedger(TOLERANCE, 0);
+    const ledger = new RateLedger(TOLERANCE, RateLedger.after(0));
     ledger.take(demand(1, LARGE, 1), 1, 10_000);
     expect(ledger.take(demand(100, SMALL, 2), 1, 10_001).granted).toEqual(2);
     expect(ledger.take(demand(100, LARGE, 1), 1, 11_001).granted).toEqual(2);
   });
 
   it("drops subjects that are silent, whose buckets are full when they come back", () => {
-    const ledger = new RateLedger(TOLERANCE, 0);
+    const ledger = new RateLedger(TOLERANCE, RateLedger.after(0));
     ledger.take(demand(60, LARGE), 1, 10_000);
     ledger.forgetIdle(80_000);
     expect(ledger.take(demand(100, LARGE), 1, 80_000).granted).toEqual(60);
@@ -109,6 +109,42 @@
 });
 
 describe("owners of one limit", () => {
+  it("hand over what is left, so that a tenant notices nothing of it", () => {
+    const limits = { ...TOLERANCE, overage: 0, slack: 0 };
+    const before = new RateLedger(limits, RateLedger.first());
+    expect(before.take(demand(45, LARGE), 1, 1_000).granted).toEqual(45);
+    const handOver = before.handOver(1_100);
+    const after = new RateLedger(limits, RateLedger.handedOver(handOver, 1_200));
+    // 15 left, 6 come in 100 ms before the hand-over and 18 in 300 ms after it.
+    expect(after.take(demand(60, LARGE), 1, 1_500).granted).toEqual(39);
+    expect(after.take({ ...demand(60, LARGE), subject: "silent so far" }, 1, 1_500).granted).toEqual(60);
+  });
+
+  it("hand over their doubts too", () => {
+    const limits = { ...TOLERANCE, overage: 0, slack: 0 };
+    const before = new RateLedger(limits, RateLedger.after(1_000));
+    const early = new RateLedger(limits, RateLedger.handedOver(before.handOver(500), 600));
+    expect(early.take(demand(60, LARGE), 1, 1_100).granted).toEqual(0);
+    expect(early.take(demand(60, LARGE), 1, 1_600).granted).toEqual(30);
+  });
+
+  for (const limit of [SMALL, LARGE])
+    for (const gapMs of [300, 1_200, 4_900])
+      it(`stay within it when each hands over after ${gapMs} ms, ${limit.perSecond}/s`, () => {
+        const limits = { ...TOLERANCE, overage: 0, slack: 0 };
+        let ledger = new RateLedger(limits, RateLedger.first());
+        let turn = 0;
+        const admitted = admittedBy(limit, gapMs, (nowMs) => {
+          const next = Math.floor(nowMs / gapMs);
+          if (next !== turn)
+            ledger = new RateLedger(limits, RateLedger.handedOver(ledger.handOver(nowMs - 20), nowMs));
+          turn = next;
+          return [{ ledger, reached: 1 }];
+        });
+        expect(mostAdmitted(admitted) <= limit.perSecond * 5 + limit.burst).toEqual(true);
+        expect(admitted.length >= 0.9 * 30 * limit.perSecond).toEqual(true);
+      });
+
   /** Demand at several times the limit, of which `share` reaches the first owner and the rest the second. */
   function admittedBy(
     limit: RateLimit,
@@ -136,7 +172,8 @@
         const ledgers = new Map<number, RateLedger>();
         const admitted = admittedBy(limit, gapMs, (nowMs) => {
           const turn = Math.floor(nowMs / gapMs);
-          const ledger = ledgers.get(turn) ?? new RateLedger(TOLERANCE, turn * gapMs + DOUBT_MS);
+          const ledger =
+            ledgers.get(turn) ?? new RateLedger(TOLERANCE, RateLedger.after(turn * gapMs + DOUBT_MS));
           ledgers.set(turn, ledger);
           return [{ ledger, reached: 1 }];
         });
@@ -149,8 +186,8 @@
   for (const limit of [SMALL, LARGE])
     for (const reached of [0.1, 0.35, 0.6])
       it(`stay within it when one is cut off with ${reached} of the gateways, ${limit.perSecond}/s`, () => {
-        const before = new RateLedger(TOLERANCE, 0);
-        const after = new RateLedger(TOLERANCE, 20_000 + DOUBT_MS);
+        const before = new RateLedger(TOLERANCE, RateLedger.after(0));
+        const after = new RateLedger(TOLERANCE, RateLedger.after(20_000 + DOUBT_MS));
         const admitted = admittedBy(limit, 1, (nowMs) => {
           if (nowMs < 18_500) return [{ ledger: before, reached: 1 }];
           // Neither side has noticed the cut; the other side's gateways find no owner.
--- a/test/process/tenants.test.ts
+++ b/test/process/tenants.test.ts
@@ -177,6 +177,30 @@
     expect([...(await sendFor(500, 10, "key-of-shop")).keys()]).toEqual([200]);
   });
 
+  it("leave a tenant its burst when owners are stopped as planned", async () => {
+    cluster = await GatewayCluster.start(3, 0, 1);
+    const tenants = Array.from({ length: 8 }, (_, index) => ({
+      name: `m${index}`,
+      keys: [`key-${index}`],
+      rate: 1,
+      burst: 20,
+    }));
+    cluster.configure({ version: 2, timeoutMs: 3_000, tenants });
+    for (const index of [0, 1, 2])
+      expect(await until(() => callWith("key-0", PATHS.unsafe, {}, index), 200, 3_000)).toEqual(200);
+    gateway(2).process.signal("SIGTERM");
+    await gateway(2).process.exited;
+    const statuses = await Promise.all(
+      tenants.flatMap(({ keys: [key] }) =>
+        Array.from({ length: 12 }, async (_, index) => {
+          const { status } = await callWith(key as string, PATHS.unsafe, {}, index % 2);
+          return status;
+        }),
+      ),
+    );
+    expect(statuses.filter((status) => status !== 200)).toEqual([]);
+  });
+
   it("go on with another owner when one is killed", async () => {
     cluster = await GatewayCluster.start(3, 0, 1);
     const tenants = Array.from({ length: 8 }, (_, index) => ({
