--- a/examples/embed/request-rate.ts
+++ b/examples/embed/request-rate.ts
@@ -7,7 +7,7 @@
 /** Requests admitted: at once, a second later, and by the owner that follows when the first one dies. */
 export function runRequestRateExample(): number[] {
   const tolerance = { windowMs: 5_000, overage: 0.1, slack: 6 };
-  const demand = { subject: "tenant", wanted: 20, begins: false, limit: LIMIT, limitVersion: 1 };
+  const demand = { subject: "tenant", wanted: 20, limit: LIMIT, limitVersion: 1 };
   const everybody = 1;
   const owner = new RateLedger(tolerance, RateLedger.first());
   const atOnce = owner.take(demand, everybody, 10_000).granted;
--- a/src/coordination/request-rate/index.ts
+++ b/src/coordination/request-rate/index.ts
@@ -4,6 +4,4 @@
 export type { RateLimit } from "./rate-limit.ts";
 export type { RateStart } from "./rate-start.ts";
 export type { RateTolerance } from "./rate-tolerance.ts";
-export type { RatedRequest } from "./rated-request.ts";
-export { RunningWork } from "./running-work.ts";
 export { TokenBucket } from "./token-bucket.ts";
--- a/src/coordination/request-rate/rate-ledger.ts
+++ b/src/coordination/request-rate/rate-ledger.ts
@@ -34,8 +34,6 @@
   limitVersion: number;
   /** When the last of those that were turned away was told to come back. */
   nextReturnMs: number;
-  /** The same, of those that belong to work that has begun. */
-  nextReturnOfBegunMs: number;
   lastAskedMs: number;
 }
 
@@ -43,11 +41,6 @@
 export interface RateDemand {
   readonly subject: string;
   readonly wanted: number;
-  /**
-   * Whether the requests would begin new work. They get nothing while requests of work that has begun are to come back:
-   * what has begun is worth most when it is carried to its end, and half of it is worth nothing.
-   */
-  readonly begins: boolean;
   readonly limit: RateLimit;
   /** Of the configuration that the limit is from; a newer one replaces it. */
   readonly limitVersion: number;
@@ -101,9 +94,8 @@
     account.lastAskedMs = nowMs;
     const perSecond = account.limit.perSecond * (share >= FULL_SHARE ? 1 : share);
     const limit = { perSecond, burst: account.limit.burst };
-    const isKeptForOthers = demand.begins && account.nextReturnOfBegunMs > nowMs;
-    const granted = isKeptForOthers ? 0 : account.bucket.take(demand.wanted, limit, nowMs);
-    return this.#answer(account, demand, granted, limit, nowMs);
+    const granted = account.bucket.take(demand.wanted, limit, nowMs);
+    return this.#answer(account, demand.wanted - granted, granted, limit, nowMs);
   }
 
   /** What is left for the next owner. This one must admit nothing after it. */
@@ -124,25 +116,15 @@
       if (nowMs - lastAskedMs > IDLE_MS) this.#accounts.delete(subject);
   }
 
-  #answer(
-    account: Account,
-    { wanted, begins }: RateDemand,
-    granted: number,
-    limit: RateLimit,
-    nowMs: number,
-  ): RateAnswer {
-    const refused = wanted - granted;
+  #answer(account: Account, refused: number, granted: number, limit: RateLimit, nowMs: number): RateAnswer {
     if (refused === 0) return { granted, retryAfterMs: 0, retryStepMs: 0 };
     const retryStepMs = MS_PER_S / limit.perSecond;
     const soonestMs = nowMs + account.bucket.waitMs(limit, nowMs);
-    const lastReturnMs = begins ? account.nextReturnMs : account.nextReturnOfBegunMs;
-    const afterOthersMs = lastReturnMs + retryStepMs;
+    const afterOthersMs = account.nextReturnMs + retryStepMs;
     // Nobody is told to wait for longer than a window: beyond it, times are given out once more from the start.
     const isFar = afterOthersMs > nowMs + this.#tolerance.windowMs;
     const firstReturnMs = isFar ? soonestMs : Math.max(soonestMs, afterOthersMs);
-    const newLastMs = firstReturnMs + (refused - 1) * retryStepMs;
-    if (!begins) account.nextReturnOfBegunMs = newLastMs;
-    account.nextReturnMs = begins ? newLastMs : Math.max(account.nextReturnMs, newLastMs);
+    account.nextReturnMs = firstReturnMs + (refused - 1) * retryStepMs;
     return { granted, retryAfterMs: firstReturnMs - nowMs, retryStepMs };
   }
 
@@ -150,14 +132,7 @@
     const known = this.#accounts.get(subject);
     if (known) return known;
     const bucket = this.#newBucket(subject, limit, share, nowMs);
-    const account = {
-      bucket,
-      limit,
-      limitVersion,
-      nextReturnMs: 0,
-      nextReturnOfBegunMs: 0,
-      lastAskedMs: nowMs,
-    };
+    const account = { bucket, limit, limitVersion, nextReturnMs: 0, lastAskedMs: nowMs };
     this.#accounts.set(subject, account);
     return account;
   }
--- a/test/contract/request-rate.test.ts
+++ b/test/contract/request-rate.test.ts
@@ -17,7 +17,7 @@
 const DOUBT_MS = 2_000;
 
 function demand(wanted: number, limit: RateLimit, limitVersion = 1) {
-  return { subject: "tenant", wanted, begins: false, limit, limitVersion };
+  return { subject: "tenant", wanted, limit, limitVersion };
 }
 
 /** Most that may be admitted in a window. */
