Give a first attempt to connect to a gateway 200 ms, and double it while nobody answers

A machine without power says nothing, the attempt waits for its whole second, and what is to be sent waits with it.

Ruled out: refused connections (a refusal is told at once); the store (all reached it by 38.3).

Now an attempt without an answer ends after 200 ms, the next after 400, 800, 1,000; an answer sets it back. A process that was too busy to notice its connection looks once more before it gives it up.

--- a/src/runtime/tcp-transport.ts
+++ b/src/runtime/tcp-transport.ts
@@ -5,6 +5,7 @@
 import { createConnection, createServer, type Server, type Socket } from "node:net";
 import { DecoderStream, Encoder } from "cbor-x";
 import type { Message } from "../messages/message.ts";
+import { ConnectPatience } from "./connect-patience.ts";
 import type { MessageHandler, Sender, Transport } from "./transport.ts";
 
 /** Messages of one turn of the event loop to one address. Only the first batch of a connection names the sender. */
@@ -32,8 +33,6 @@
   connectionErrors: number;
 }
 
-/** Longest time until a connection stands, in ms. */
-const CONNECT_TIMEOUT_MS = 1_000;
 /** Bytes that may wait for a slow peer before its connection is given up. */
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 
@@ -53,6 +52,7 @@
   readonly #connections = new Map<string, Connection>();
   readonly #sockets = new Set<Socket>();
   readonly #outbox = new Map<string, Kind[]>();
+  readonly #patience = new ConnectPatience();
   #handler: MessageHandler<Kind> = () => undefined;
   #onDisconnected: (address: string, refused: boolean) => void = () => undefined;
   #flushScheduled = false;
@@ -151,13 +151,26 @@
     const { host, port } = parseAddress(address);
     const socket = createConnection({ host, port, noDelay: true });
     // A machine without power says nothing: the attempt would hang for minutes.
-    socket.setTimeout(CONNECT_TIMEOUT_MS, () => socket.destroy());
-    socket.once("connect", () => socket.setTimeout(0));
+    socket.setTimeout(this.#patience.limitMs(address), () => this.#giveUpSoon(address, socket));
+    socket.once("connect", () => {
+      this.#patience.noteAnswer(address);
+      socket.setTimeout(0);
+    });
+    socket.once("error", () => this.#patience.noteAnswer(address));
     const connection = this.#adopt(socket);
     this.#rememberRoute(address, connection);
     return connection;
   }
 
+  /** Ends an attempt to connect, unless this process was too busy to notice that it has succeeded. */
+  #giveUpSoon(address: string, socket: Socket): void {
+    setImmediate(() => {
+      if (!socket.connecting) return;
+      this.#patience.noteUnanswered(address);
+      socket.destroy();
+    });
+  }
+
   #adopt(socket: Socket): Connection {
     const encoder = new Encoder({ sequential: true, structures: [] });
     const connection: Connection = { socket, encoder, introduced: false, peer: undefined };
