Doubt an owner of limits no longer than until its machine is heard to run another process

New owners asked only at the take-over whether the owner before had ended.

Now a new owner asks until it knows, and buckets fill from when the new process of that machine was first heard of, which is the latest moment at which the one before can have admitted anything. After a pause of its own process the doubt stays what it was.

--- a/bench/mutations/tenant-mutations.ts
+++ b/bench/mutations/tenant-mutations.ts
@@ -10,8 +10,8 @@
     edits: [
       {
         file: "src/gateway/rates/rate-host.ts",
-        from: "mayHaveRival ? takenOverAtMs + DOUBT_MS : takenOverAtMs;",
-        to: "mayHaveRival ? takenOverAtMs - 30 * DOUBT_MS : takenOverAtMs - 30 * DOUBT_MS;",
+        from: "RateLedger.after(this.#members.endedByMs(rival) ?? takenOverAtMs + DOUBT_MS);",
+        to: "RateLedger.after(takenOverAtMs - 30 * DOUBT_MS);",
       },
     ],
     script,
--- a/src/coordination/request-rate/rate-ledger.ts
+++ b/src/coordination/request-rate/rate-ledger.ts
@@ -50,7 +50,7 @@
 export class RateLedger {
   readonly #accounts = new Map<string, Account>();
   readonly #tolerance: RateTolerance;
-  readonly #start: RateStart;
+  #start: RateStart;
 
   constructor(tolerance: RateTolerance, start: RateStart) {
     this.#tolerance = tolerance;
@@ -98,6 +98,18 @@
     return this.#answer(account, demand.wanted - granted, granted, limit, nowMs);
   }
 
+  /**
+   * The owner before has ended, and admits nothing any more: buckets fill since then.
+   *
+   * @param endedMs by when it had ended
+   */
+  endDoubt(endedMs: number, nowMs: number): void {
+    const { fillsFromMs } = this.#start;
+    if (fillsFromMs === undefined || fillsFromMs <= nowMs) return;
+    this.#start = { ...this.#start, fillsFromMs: Math.min(endedMs, nowMs) };
+    for (const { bucket } of this.#accounts.values()) bucket.fillSince(Math.min(endedMs, nowMs));
+  }
+
   /** What is left for the next owner. This one must admit nothing after it. */
   handOver(nowMs: number): RateHandOver {
     const { fillsFromMs } = this.#start;
--- a/src/coordination/request-rate/token-bucket.ts
+++ b/src/coordination/request-rate/token-bucket.ts
@@ -25,6 +25,11 @@
     return taken;
   }
 
+  /** Tokens come in earlier than was thought: from this moment on. */
+  fillSince(fillsFromMs: number): void {
+    this.#filledAtMs = Math.min(this.#filledAtMs, fillsFromMs);
+  }
+
   /** How many tokens there are, parts included. */
   tokens(limit: RateLimit, nowMs: number): number {
     this.#fill(limit, nowMs);
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -63,6 +63,7 @@
   readonly #transport: MemberTransport;
   readonly #health: StoreHealth;
   readonly #selfHash: number;
+  readonly #startedMs: number;
   readonly #view: MemberView;
   readonly #digests = new DigestLog();
   readonly #sequences = new DigestSequences();
@@ -106,6 +107,7 @@
         this.onLost(member);
       },
     });
+    this.#startedMs = context.clock.monotonicMs();
     this.#selfHash = context.hash.hash32(context.settings.name);
     this.#seeds = context.settings.seeds.filter((seed) => seed !== transport.self.address);
     this.knowAll(this.#seeds);
@@ -223,12 +225,16 @@
     return Math.min(1, (this.#view.alive().length + 1) / Math.max(1, there));
   }
 
-  /** Whether the machine of an incarnation runs another one now: the process of the first has ended. */
-  hasReplaced(instance: string): boolean {
+  /**
+   * By when the process of an incarnation had ended, since its machine runs another one, in ms of the monotonic clock;
+   * undefined where that is not known.
+   */
+  endedByMs(instance: string): number | undefined {
     const name = nameOf(instance);
-    const now =
-      name === this.#context.settings.name ? this.#context.instance : this.#view.named(name)?.instance;
-    return now !== undefined && now !== instance;
+    if (name === this.#context.settings.name)
+      return instance === this.#context.instance ? undefined : this.#startedMs;
+    const successor = this.#view.named(name);
+    return successor && successor.instance !== instance ? successor.heardSinceMs : undefined;
   }
 
   /** How many other gateways are alive. */
--- a/src/gateway/members/member-view.ts
+++ b/src/gateway/members/member-view.ts
@@ -201,7 +201,8 @@
     if (earlier && isNew) this.#lose(earlier);
     const unchanged = earlier && !isNew && earlier.status.revision >= status.revision;
     const hash = earlier && !isNew ? earlier.hash : this.#context.hash.hash32(status.name);
-    const member = unchanged ? earlier : { address, instance, hash, status };
+    const heardSinceMs = earlier && !isNew ? earlier.heardSinceMs : this.#nowMs;
+    const member = unchanged ? earlier : { address, instance, heardSinceMs, hash, status };
     if (isNew) this.#context.log.info({ peer: status.name, instance, address }, "peer heard");
     const isBack = this.#lost.delete(instance);
     this.#members.set(address, member);
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -45,8 +45,8 @@
   readonly isReleased: boolean;
   /** What it has left of tenants' limits. */
   readonly rates: RateHandOver | undefined;
-  /** Whether an owner before has not, and may live on without knowing better. */
-  readonly mayHaveRival: boolean;
+  /** The incarnation that owned it before and has not let go; it may live on without knowing better. */
+  readonly rival: string | undefined;
   /** Of the monotonic clock, in ms. */
   readonly takenOverAtMs: number;
 }
@@ -211,7 +211,7 @@
     const lastOwner = row === undefined ? undefined : decodeOwner(row.value);
     const before = lastOwner?.instance;
     const isReleased = before === NOBODY;
-    const mayHaveRival = before !== undefined && !isReleased && !this.#members.hasReplaced(before);
+    const rival = isReleased ? undefined : before;
     const takenOverAtMs = this.#context.clock.monotonicMs();
     const isFirst = before === undefined;
     return {
@@ -219,7 +219,7 @@
       isFirst,
       isReleased,
       rates: lastOwner?.rates,
-      mayHaveRival,
+      rival,
       takenOverAtMs,
     };
   }
--- a/src/gateway/rates/rate-host.ts
+++ b/src/gateway/rates/rate-host.ts
@@ -28,6 +28,8 @@
 interface PartitionLedger {
   readonly epoch: number;
   readonly ledger: RateLedger;
+  /** The owner before, as long as it may still admit requests; undefined if there is none, or it has ended. */
+  readonly rival: string | undefined;
   /** Whether it was handed over: nothing more is admitted. */
   readonly isClosed: boolean;
 }
@@ -79,13 +81,30 @@
     if (!ownership) throw new RedirectSignal(this.#partitions.ownerOf(partition));
     const { epoch } = ownership;
     const known = this.#ledgers.get(partition);
-    if (known?.epoch === epoch) return known;
-    const ledger = new RateLedger(this.#tolerance, startOf(ownership));
-    const begun = { epoch, ledger, isClosed: false };
+    if (known?.epoch === epoch) return this.#withoutDoubt(partition, known);
+    const ledger = new RateLedger(this.#tolerance, this.#startOf(ownership));
+    const begun = { epoch, ledger, rival: ownership.rival, isClosed: false };
     this.#ledgers.set(partition, begun);
     return begun;
   }
 
+  #startOf({ isFirst, rates, rival, takenOverAtMs }: PartitionOwnership): RateStart {
+    if (isFirst) return RateLedger.first();
+    if (rates) return RateLedger.handedOver(rates, takenOverAtMs);
+    if (rival === undefined) return RateLedger.after(takenOverAtMs);
+    return RateLedger.after(this.#members.endedByMs(rival) ?? takenOverAtMs + DOUBT_MS);
+  }
+
+  /** The owner before may be known to have ended only after the take-over: when all start at once, most are. */
+  #withoutDoubt(partition: number, known: PartitionLedger): PartitionLedger {
+    const endedMs = known.rival === undefined ? undefined : this.#members.endedByMs(known.rival);
+    if (endedMs === undefined) return known;
+    known.ledger.endDoubt(endedMs, this.#context.clock.monotonicMs());
+    const certain = { ...known, rival: undefined };
+    this.#ledgers.set(partition, certain);
+    return certain;
+  }
+
   get #tolerance(): RateTolerance {
     return this.#context.settings.requestLimits;
   }
@@ -98,7 +117,7 @@
     if (pausedMs <= this.#context.settings.timing.suspectMs) return;
     for (const [partition, known] of this.#ledgers) {
       const ledger = new RateLedger(this.#tolerance, RateLedger.after(nowMs + DOUBT_MS));
-      this.#ledgers.set(partition, { ...known, ledger });
+      this.#ledgers.set(partition, { ...known, ledger, rival: undefined });
     }
   }
 
@@ -111,9 +130,3 @@
     }
   }
 }
-
-function startOf({ isFirst, rates, mayHaveRival, takenOverAtMs }: PartitionOwnership): RateStart {
-  if (isFirst) return RateLedger.first();
-  if (rates) return RateLedger.handedOver(rates, takenOverAtMs);
-  return RateLedger.after(mayHaveRival ? takenOverAtMs + DOUBT_MS : takenOverAtMs);
-}
--- a/test/contract/request-rate.test.ts
+++ b/test/contract/request-rate.test.ts
@@ -120,6 +120,17 @@
     expect(after.take({ ...demand(60, LARGE), subject: "silent so far" }, 1, 1_500).granted).toEqual(60);
   });
 
+  it("doubt no longer once the one before is known to have ended", () => {
+    const limits = { ...TOLERANCE, overage: 0, slack: 0 };
+    const ledger = new RateLedger(limits, RateLedger.after(3_000));
+    expect(ledger.take(demand(60, LARGE), 1, 1_200).granted).toEqual(0);
+    ledger.endDoubt(1_000, 1_200);
+    expect(ledger.take(demand(60, LARGE), 1, 1_250).granted).toEqual(15);
+    expect(ledger.take({ ...demand(60, LARGE), subject: "silent so far" }, 1, 1_300).granted).toEqual(18);
+    ledger.endDoubt(0, 1_300);
+    expect(ledger.take(demand(60, LARGE), 1, 1_300).granted).toEqual(3);
+  });
+
   it("hand over their doubts too", () => {
     const limits = { ...TOLERANCE, overage: 0, slack: 0 };
     const before = new RateLedger(limits, RateLedger.after(1_000));
