Look again at who should take a partition over after watching its owner

Cause, from the same logs: front-hall-a-2, first to start after all machines had lost power, knew 66 gateways from the store and had heard none. It doubted itself, watched the owners' rows for 700 ms, and then took over all 55 that nobody else had claimed, by what it had heard before it began to watch.

Now it looks again once it has watched. Test: a gateway that hears two others while it watches takes over 1 of 4 partitions; before, all 4.

Ruled out: waiting longer before claims; whoever has heard most of the others has nothing to wait for.

--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -3,7 +3,11 @@
  * prefers it; the store's condition on the owner's row decides between several.
  */
 
-import { OwnershipMap, preferredOwner } from "../../coordination/partition-ownership/index.ts";
+import {
+  type OwnerCandidate,
+  OwnershipMap,
+  preferredOwner,
+} from "../../coordination/partition-ownership/index.ts";
 import type { RateHandOver } from "../../coordination/request-rate/index.ts";
 import type { StoredAccount } from "../../coordination/token-account/index.ts";
 import type { StoredRow } from "../../ports/store/row-store.ts";
@@ -172,10 +176,14 @@
     const candidates = this.#members.ownerCandidates();
     for (let partition = 0; partition < settings.partitions; partition += 1) {
       if (!this.#isOrphan(partition)) continue;
-      if (preferredOwner(partition, candidates) === settings.name) void this.#claim(partition);
+      if (this.#isPreferred(partition, candidates)) void this.#claim(partition);
     }
   }
 
+  #isPreferred(partition: number, candidates: readonly OwnerCandidate[]): boolean {
+    return preferredOwner(partition, candidates) === this.#context.settings.name;
+  }
+
   #isOrphan(partition: number): boolean {
     if (this.#owned.has(partition) || this.#claiming.has(partition)) return false;
     return !this.#hasLiveOwner(partition);
@@ -197,7 +205,11 @@
     if (!read) return undefined;
     const { row } = read;
     const isDoubtful = this.#namesOther(row) || !this.#members.hearsMost;
-    if (isDoubtful && (await this.#isWritten(partition, row))) return undefined;
+    if (isDoubtful) {
+      if (await this.#isWritten(partition, row)) return undefined;
+      // It may have heard of others meanwhile: one that starts before all others would take everything.
+      if (!this.#isPreferred(partition, this.#members.ownerCandidates())) return undefined;
+    }
     // One that the row names and that does not say so itself has never heard that it took the partition over.
     if (this.#hasLiveOwner(partition)) return undefined;
     const owner = { instance: this.#context.instance, commit: FIRST_COMMIT };
