Ask a seed again as soon as an attempt to reach it was not answered

A gateway whose seeds are not up yet when it starts waited for its next tick, up to 300 ms after the attempt had ended. In a gateway's first 3 s the end of an unanswered attempt (200, 400, 800 ms) brings the next. Refused and reset connections don't: they are told at once, and would be tried as fast as a message travels.

The transport says why there is no connection any more: refused, unanswered, ended. Tests for each.

--- a/bench/simulation/gateways/member-fleet.ts
+++ b/bench/simulation/gateways/member-fleet.ts
@@ -95,7 +95,7 @@
     directory.onLoads = (source, report) => board.report(source, report, process.monotonicMs());
     directory.sumLoads = (sources) => board.sumReports(sources);
     directory.onLost = (member) => board.dropReport(member.instance);
-    transport.onDisconnected((address, refused) => directory.onDisconnected(address, refused));
+    transport.onDisconnected((address, reason) => directory.onDisconnected(address, reason));
     transport.onMessage((message, from) => {
       this.messages += 1;
       if (this.weighs)
--- a/bench/simulation/gateways/simulated-gateway.ts
+++ b/bench/simulation/gateways/simulated-gateway.ts
@@ -146,9 +146,9 @@
       this.#relayed.forgetRelay(member.instance);
       this.#rpc.abandon(member.address);
     };
-    this.#transport.onDisconnected((address, refused) => {
+    this.#transport.onDisconnected((address, reason) => {
       this.#rpc.abandon(address);
-      this.#members.onDisconnected(address, refused);
+      this.#members.onDisconnected(address, reason);
     });
     this.#transport.onMessage((message, from) => {
       if (message.type === "heartbeat") this.#members.onHeartbeat(message, from);
--- a/bench/simulation/simulated-network.ts
+++ b/bench/simulation/simulated-network.ts
@@ -1,5 +1,6 @@
 import { Encoder } from "cbor-x";
 import type { Message } from "../../src/messages/message.ts";
+import type { DisconnectReason } from "../../src/runtime/disconnect-reason.ts";
 import type { RandomSource } from "../../src/runtime/random-source.ts";
 import type { MessageHandler, Sender, Transport } from "../../src/runtime/transport.ts";
 import type { SimulatedProcess, VirtualTime } from "./virtual-time.ts";
@@ -102,7 +103,7 @@
   configurationVersion = 0;
   readonly #network: SimulatedNetwork<Kind>;
   #handler: MessageHandler<Kind> = () => undefined;
-  #onDisconnected: (address: string, refused: boolean) => void = () => undefined;
+  #onDisconnected: (address: string, reason: DisconnectReason) => void = () => undefined;
 
   constructor(network: SimulatedNetwork<Kind>, process: SimulatedProcess, self: Sender) {
     this.#network = network;
@@ -125,7 +126,7 @@
   }
 
   /** Sets who is told that nobody listens at an address. */
-  onDisconnected(handler: (address: string, refused: boolean) => void): void {
+  onDisconnected(handler: (address: string, reason: DisconnectReason) => void): void {
     this.#onDisconnected = handler;
   }
 
@@ -134,7 +135,7 @@
 
   /** Nobody listens at an address. */
   refuse(address: string): void {
-    this.#onDisconnected(address, true);
+    this.#onDisconnected(address, "refused");
   }
 
   async close(): Promise<void> {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -164,9 +164,9 @@
       this.#store.forgetRelay(member.instance);
       this.#rpc.abandon(member.address);
     };
-    this.#transport.onDisconnected((address, refused) => {
+    this.#transport.onDisconnected((address, reason) => {
       this.#rpc.abandon(address);
-      this.#members.onDisconnected(address, refused);
+      this.#members.onDisconnected(address, reason);
     });
     this.#transport.onMessage((message, from) => {
       switch (message.type) {
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -5,6 +5,7 @@
 
 import type { OwnerCandidate } from "../../coordination/partition-ownership/index.ts";
 import { repeat } from "../../runtime/clock.ts";
+import type { DisconnectReason } from "../../runtime/disconnect-reason.ts";
 import type { Sender, Transport } from "../../runtime/transport.ts";
 import type { NodeReport } from "../../scheduling/runner-board/node-report.ts";
 import { ReportTotals } from "../../scheduling/runner-board/report-totals.ts";
@@ -145,7 +146,7 @@
     for (const address of this.#view.look()) this.#forget(address);
     const plan = this.#plan();
     const targets = new Set(plan.heartbeatsTo);
-    if (this.#ticks <= SEEDED_TICKS) for (const seed of this.#seeds) targets.add(seed);
+    if (this.#looksForSeeds) for (const seed of this.#seeds) targets.add(seed);
     if (this.#ticks % PROBE_EVERY === 1)
       for (const address of this.#addressesToProbe(plan)) targets.add(address);
     const report = this.selfReport();
@@ -181,11 +182,15 @@
   }
 
   /** The connection to an address has ended. */
-  onDisconnected(address: string, refused: boolean): void {
+  onDisconnected(address: string, reason: DisconnectReason): void {
     this.#digests.reset(address);
-    if (!refused) return;
-    this.#refusing.add(address);
-    this.#view.refused(address);
+    if (reason === "refused") {
+      this.#refusing.add(address);
+      this.#view.refused(address);
+    } else if (reason === "unanswered" && this.#looksForSeeds && this.#seeds.includes(address)) {
+      // Its machine may be starting like this one: what it tells of all others is worth asking again before the next tick.
+      this.#transport.send(address, this.#heartbeat(address, this.selfReport()));
+    }
   }
 
   /** Whether connections to an address were refused, and nobody was heard from there since. */
@@ -295,6 +300,10 @@
     return chosen.slice(0, MAX_ADDRESSES).map((gateway) => gateway.address);
   }
 
+  get #looksForSeeds(): boolean {
+    return this.#ticks <= SEEDED_TICKS;
+  }
+
   /** Returns whether the address is another gateway's and was not known. */
   #remember(address: string): boolean {
     if (address === this.#transport.self.address || this.#known.has(address)) return false;
--- a/src/runtime/tcp-transport.ts
+++ b/src/runtime/tcp-transport.ts
@@ -6,6 +6,7 @@
 import { DecoderStream, Encoder } from "cbor-x";
 import type { Message } from "../messages/message.ts";
 import { ConnectPatience } from "./connect-patience.ts";
+import type { DisconnectReason } from "./disconnect-reason.ts";
 import type { MessageHandler, Sender, Transport } from "./transport.ts";
 
 /** Messages of one turn of the event loop to one address. Only the first batch of a connection names the sender. */
@@ -33,6 +34,9 @@
   connectionErrors: number;
 }
 
+/** Nobody answered an attempt to connect in time. */
+class UnansweredError extends Error {}
+
 /** Bytes that may wait for a slow peer before its connection is given up. */
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 
@@ -54,7 +58,7 @@
   readonly #outbox = new Map<string, Kind[]>();
   readonly #patience = new ConnectPatience();
   #handler: MessageHandler<Kind> = () => undefined;
-  #onDisconnected: (address: string, refused: boolean) => void = () => undefined;
+  #onDisconnected: (address: string, reason: DisconnectReason) => void = () => undefined;
   #flushScheduled = false;
   #closed = false;
 
@@ -85,8 +89,8 @@
     this.#handler = handler;
   }
 
-  /** Sets who is told that the connection to an address has ended; `refused` when nobody listened there. */
-  onDisconnected(handler: (address: string, refused: boolean) => void): void {
+  /** Sets who is told that the connection to an address has ended, or could not be made. */
+  onDisconnected(handler: (address: string, reason: DisconnectReason) => void): void {
     this.#onDisconnected = handler;
   }
 
@@ -156,7 +160,6 @@
       this.#patience.noteAnswer(address);
       socket.setTimeout(0);
     });
-    socket.once("error", () => this.#patience.noteAnswer(address));
     const connection = this.#adopt(socket);
     this.#rememberRoute(address, connection);
     return connection;
@@ -167,7 +170,7 @@
     setImmediate(() => {
       if (!socket.connecting) return;
       this.#patience.noteUnanswered(address);
-      socket.destroy();
+      socket.destroy(new UnansweredError());
     });
   }
 
@@ -217,14 +220,16 @@
   #rememberRoute(address: string, connection: Connection): void {
     if (this.#connections.has(address)) return;
     this.#connections.set(address, connection);
-    let refused = false;
+    let reason: DisconnectReason = "ended";
     connection.socket.on("error", (error: NodeJS.ErrnoException) => {
-      refused = error.code === "ECONNREFUSED";
+      if (error instanceof UnansweredError) reason = "unanswered";
+      else if (error.code === "ECONNREFUSED") reason = "refused";
+      if (reason !== "unanswered") this.#patience.noteAnswer(address);
     });
     connection.socket.on("close", () => {
       if (this.#connections.get(address) !== connection) return;
       this.#connections.delete(address);
-      if (!this.#closed) this.#onDisconnected(address, refused);
+      if (!this.#closed) this.#onDisconnected(address, reason);
     });
   }
 }
--- a/test/contract/tcp-transport.test.ts
+++ b/test/contract/tcp-transport.test.ts
@@ -1,5 +1,7 @@
 /** The transport between processes, through ends and new starts of the other side. */
-import { createServer, type Socket } from "node:net";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { createConnection, createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { expect } from "earl";
 import { TcpTransport } from "../../src/runtime/tcp-transport.ts";
@@ -72,4 +74,50 @@
     one.send(address, { text: "to the newer" });
     expect(await answer).toEqual("to the newer");
   });
+
+  it("says whether nobody listened, or a connection has ended", async () => {
+    const one = await listen("one#1");
+    const reasons: string[] = [];
+    const ended = () =>
+      new Promise<void>((resolve) => {
+        one.onDisconnected((_, reason) => {
+          reasons.push(reason);
+          resolve();
+        });
+      });
+    const two = await listen("two#1");
+    const refusedThere = two.self.address;
+    const met = next(two);
+    one.send(refusedThere, { text: "here" });
+    await met;
+    const first = ended();
+    await two.close();
+    await first;
+    const second = ended();
+    one.send(refusedThere, { text: "still there?" });
+    await second;
+    expect(reasons).toEqual(["ended", "refused"]);
+  });
+
+  it("says soon that nobody has answered an attempt to connect", async () => {
+    // A process that stands still with a full queue of connections answers no more of them.
+    const script =
+      'const s = require("node:net").createServer(); s.listen({ port: 0, host: "127.0.0.1", backlog: 1 }, () => console.log(s.address().port))';
+    const child = spawn(process.execPath, ["-e", script], { stdio: ["ignore", "pipe", "inherit"] });
+    const [line] = (await once(child.stdout, "data")) as [Buffer];
+    child.kill("SIGSTOP");
+    const port = Number(line.toString());
+    const waiting = Array.from({ length: 4 }, () => createConnection({ host: "127.0.0.1", port }));
+    for (const socket of waiting) socket.on("error", () => undefined);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    const one = await listen("one#1");
+    const startedMs = performance.now();
+    const reason = new Promise<string>((resolve) => one.onDisconnected((_, why) => resolve(why)));
+    one.send(`127.0.0.1:${port}`, { text: "is anybody there?" });
+    expect(await reason).toEqual("unanswered");
+    const elapsedMs = performance.now() - startedMs;
+    expect(elapsedMs >= 190 && elapsedMs < 800).toEqual(true);
+    for (const socket of waiting) socket.destroy();
+    child.kill("SIGKILL");
+  });
 });
