--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -8,7 +8,6 @@
 import type { DisconnectReason } from "../../runtime/disconnect-reason.ts";
 import type { Sender, Transport } from "../../runtime/transport.ts";
 import type { NodeReport } from "../../scheduling/runner-board/node-report.ts";
-import { ReportTotals } from "../../scheduling/runner-board/report-totals.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type {
   GatewayMessage,
@@ -19,11 +18,12 @@
 } from "../gateway-messages.ts";
 import type { StoreRelay } from "../store/relayed-row-store.ts";
 import type { StoreHealth } from "../store-health.ts";
-import { DigestLog } from "./digest-log.ts";
+import { DigestSender } from "./digest-sender.ts";
 import { DigestSequences } from "./digest-sequences.ts";
 import { planHeartbeats } from "./heartbeat-plan.ts";
 import type { HeartbeatPlan } from "./heartbeat-targets.ts";
 import { nameOf } from "./instance-name.ts";
+import { loadSourceOf } from "./load-source.ts";
 import type { Member } from "./member.ts";
 import { MemberView } from "./member-view.ts";
 import { sameStatus } from "./same-status.ts";
@@ -42,10 +42,6 @@
 /** With fewer live gateways in a caller's zone than this, it is given all. */
 const MIN_IN_ZONE = 2;
 const NO_LOAD: NodeReport = { inFlight: [], failing: [] };
-/** A relay passes changes on after this time, in ms, together with those that come meanwhile. */
-const FORWARD_MS = 20;
-/** The same by the number of receivers, in ms, so that many changes at once do not keep a relay busy. */
-const FORWARD_MS_PER_RECEIVER = 1;
 
 /** What a gateway says of itself. */
 export interface SelfReport {
@@ -66,20 +62,14 @@
   readonly #selfHash: number;
   readonly #startedMs: number;
   readonly #view: MemberView;
-  readonly #digests = new DigestLog();
+  readonly #digests: DigestSender;
   readonly #sequences = new DigestSequences();
   readonly #known = new Set<string>();
   readonly #seeds: readonly string[];
   /** Addresses where nothing listens. */
   readonly #refusing = new Set<string>();
   #lastStatus: MemberStatus | undefined;
-  /** The members of this zone, and all that may be named in it, as digests last told of them. */
-  #zoneMembers: readonly Member[] = [];
-  #firsthandMembers: readonly Member[] = [];
   #ticks = 0;
-  #forwarding = false;
-  /** How many gateways the last digests went to. */
-  #digestReceivers = 0;
   #stop: () => void = () => undefined;
   /** What this gateway says of itself. */
   selfReport: () => SelfReport = () => ({
@@ -102,13 +92,16 @@
     this.#transport = transport;
     this.#health = health;
     this.#view = new MemberView(context, {
-      onChanged: () => this.#forwardSoon(),
+      onChanged: () => {
+        if (this.#ticks > 0) this.#digests.sendNewsSoon(() => this.#plan());
+      },
       onLost: (member) => {
         this.#transport.disconnect(member.address);
         this.onLost(member);
       },
     });
     this.#startedMs = context.clock.monotonicMs();
+    this.#digests = new DigestSender(context, transport, this.#view, (sources) => this.sumLoads(sources));
     this.#selfHash = context.hash.hash32(context.settings.name);
     this.#seeds = context.settings.seeds.filter((seed) => seed !== transport.self.address);
     this.knowAll(this.#seeds);
@@ -151,7 +144,7 @@
       for (const address of this.#addressesToProbe(plan)) targets.add(address);
     const report = this.selfReport();
     for (const address of targets) this.#transport.send(address, this.#heartbeat(address, report));
-    this.#sendDigests(plan);
+    this.#digests.send(plan);
     this.#repeatRelayed();
   }
 
@@ -354,93 +347,6 @@
     });
   }
 
-  /** Tells others of a change before the next heartbeat. */
-  #forwardSoon(): void {
-    if (this.#forwarding || this.#ticks === 0) return;
-    this.#forwarding = true;
-    const forwardMs = Math.max(FORWARD_MS, this.#digestReceivers * FORWARD_MS_PER_RECEIVER);
-    this.#context.clock.schedule(forwardMs, () => {
-      this.#forwarding = false;
-      this.#sendNews(this.#plan());
-    });
-  }
-
-  /**
-   * Passes changes on between heartbeats, to those for whom they are news, and without the loads: these come with the next
-   * heartbeat. While 64 gateways with 116 runners restart one after the other, each receives 46 KB a second in place of 85
-   * (measured in the test of rolling restarts).
-   */
-  #sendNews({ zoneDigestsTo, fullDigestsTo }: HeartbeatPlan): void {
-    this.#digestReceivers = zoneDigestsTo.length + fullDigestsTo.length;
-    if (this.#digestReceivers === 0) return;
-    this.#lookForNews(this.#heardOfZone());
-    for (const address of zoneDigestsTo) this.#sendNewsTo(address, this.#zoneMembers);
-    for (const address of fullDigestsTo) this.#sendNewsTo(address, this.#firsthandMembers);
-  }
-
-  #heardOfZone(): Member[] {
-    const { zone } = this.#context.settings;
-    return this.#view
-      .alive()
-      .filter(({ address, status }) => status.zone === zone && this.#view.isHeard(address));
-  }
-
-  /** The lists that digests tell of: the same arrays as before, unless something has changed. */
-  #lookForNews(ofZone: readonly Member[]): void {
-    this.#zoneMembers = sameList(this.#zoneMembers, ofZone);
-    this.#firsthandMembers = sameList(this.#firsthandMembers, this.#view.firsthand());
-  }
-
-  #sendNewsTo(address: string, heard: readonly Member[]): void {
-    if (!this.#digests.knows(address, heard)) this.#sendDigest(address, heard, []);
-  }
-
-  #sendDigests(plan: HeartbeatPlan): void {
-    const { zoneDigestsTo, fullDigestsTo } = plan;
-    this.#digestReceivers = zoneDigestsTo.length + fullDigestsTo.length;
-    if (this.#digestReceivers === 0) return;
-    const { zone } = this.#context.settings;
-    const alive = this.#view.alive();
-    const heard = alive.filter(({ address }) => this.#view.isHeard(address));
-    const ofZone = this.#heardOfZone();
-    const zoneLoad = this.#zoneLoad(ofZone, plan);
-    this.#lookForNews(ofZone);
-    for (const address of zoneDigestsTo) this.#sendDigest(address, this.#zoneMembers, [[zone, zoneLoad]]);
-    if (fullDigestsTo.length === 0) return;
-    const otherLoads = this.#otherZoneLoads(alive, heard);
-    for (const address of fullDigestsTo) {
-      const load = ReportTotals.difference(zoneLoad, this.#loadOf(address));
-      this.#sendDigest(address, this.#firsthandMembers, [[zone, load], ...otherLoads]);
-    }
-  }
-
-  #sendDigest(address: string, heard: readonly Member[], loads: MemberDigest["loads"]): void {
-    this.#transport.send(address, { type: "memberDigest", ...this.#digests.news(address, heard), loads });
-  }
-
-  /** Loads of this zone but of those that tell theirs to the receivers of digests themselves: relays. */
-  #zoneLoad(ofZone: readonly Member[], plan: HeartbeatPlan): NodeReport {
-    const digested = new Set(plan.fullDigestsTo);
-    const told = new Set(plan.heartbeatsTo.filter((address) => !digested.has(address)));
-    const sources = ofZone.filter(({ address }) => !told.has(address)).map(({ instance }) => instance);
-    return this.sumLoads(sources);
-  }
-
-  #loadOf(address: string): NodeReport {
-    const member = this.#view.at(address);
-    return member ? this.sumLoads([member.instance]) : NO_LOAD;
-  }
-
-  /** Loads of the other zones: what their relays say of them, and those of the relays themselves. */
-  #otherZoneLoads(alive: readonly Member[], heard: readonly Member[]): [string, NodeReport][] {
-    const zones = new Set(alive.map(({ status }) => status.zone));
-    zones.delete(this.#context.settings.zone);
-    return [...zones].map((zone) => {
-      const relays = heard.filter(({ status }) => status.zone === zone);
-      return [zone, this.sumLoads([loadSourceOf(zone), ...relays.map(({ instance }) => instance)])];
-    });
-  }
-
   #status({ state, storeDirect, owned }: SelfReport): MemberStatus {
     const { name, zone, listen } = this.#context.settings;
     const changing = { state, storeReachable: this.#health.reachable, storeDirect, owned };
@@ -475,14 +381,3 @@
 function isEligible(status: Pick<MemberStatus, "state" | "storeReachable">): boolean {
   return status.state === "ready" && status.storeReachable;
 }
-
-/** The earlier list, if it names the same members: whoever was told of it need not be told again. */
-function sameList(earlier: readonly Member[], now: readonly Member[]): readonly Member[] {
-  const isSame = earlier.length === now.length && now.every((member, index) => member === earlier[index]);
-  return isSame ? earlier : now;
-}
-
-/** Under which name the loads of a zone are known. */
-function loadSourceOf(zone: string): string {
-  return `zone ${zone}`;
-}
