--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -37,12 +37,6 @@
  * others before it knows the relays of its zone.
  */
 const SEEDED_TICKS = 6;
-/**
- * When most others were heard and for so long nobody new, those that are still missing do not run, in ms. A start is passed on
- * within some 70 ms. Some addresses belong to machines that are gone: with all of them waited for, partitions had no owner for
- * a median of 0.42 s after a fleet of 67 had started together.
- */
-const QUIET_MS = 200;
 /** Most addresses in one answer of the directory. */
 const MAX_ADDRESSES = 64;
 /** With fewer live gateways in a caller's zone than this, it is given all. */
@@ -203,19 +197,16 @@
   }
 
   /**
-   * Whether nothing more is to be learned by waiting for others: nobody is still starting, and every address that is known
-   * has been heard from or refuses connections, or most have and for a while nobody new.
+   * Whether every address that is known has been heard from or refuses connections, and nobody is still starting: nothing
+   * more is to be learned by waiting for others.
    */
   get hasSettled(): boolean {
     if (this.#known.size === 0) return false;
-    if (this.#view.alive().some(({ status }) => status.state === "starting")) return false;
-    const hearsAll = [...this.#known].every((address) => {
+    return [...this.#known].every((address) => {
+      if (this.refuses(address)) return true;
       const member = this.#view.at(address);
-      return this.refuses(address) || (member !== undefined && this.#view.isAlive(member));
+      return member !== undefined && this.#view.isAlive(member) && member.status.state !== "starting";
     });
-    if (hearsAll) return true;
-    const quietMs = this.#context.clock.monotonicMs() - this.#view.newestHeardMs;
-    return this.hearsMost && quietMs >= QUIET_MS;
   }
 
   /** Whether at least half of the gateways that were heard of, this one included, are alive. */
--- a/src/gateway/members/member-view.ts
+++ b/src/gateway/members/member-view.ts
@@ -36,7 +36,6 @@
   readonly #lost = new Map<string, number>();
   #lastLookMs: number | undefined;
   /** Who is alive, until something withdraws or adds evidence of a life, or a piece of evidence grows old. */
-  #newestHeardMs = Number.NEGATIVE_INFINITY;
   #aliveNow: AliveMembers | undefined;
 
   constructor(context: GatewayContext, listener: MemberViewListener) {
@@ -67,11 +66,6 @@
     return this.#alive.byInstance.get(instance);
   }
 
-  /** When a gateway was last heard of for the first time, in ms of the monotonic clock. */
-  get newestHeardMs(): number {
-    return this.#newestHeardMs;
-  }
-
   /** The gateway that is alive under a name. */
   named(name: string): Member | undefined {
     return this.#alive.members.find(({ status }) => status.name === name);
@@ -209,10 +203,7 @@
     const hash = earlier && !isNew ? earlier.hash : this.#context.hash.hash32(status.name);
     const heardSinceMs = earlier && !isNew ? earlier.heardSinceMs : this.#nowMs;
     const member = unchanged ? earlier : { address, instance, heardSinceMs, hash, status };
-    if (isNew) {
-      this.#newestHeardMs = this.#nowMs;
-      this.#context.log.info({ peer: status.name, instance, address }, "peer heard");
-    }
+    if (isNew) this.#context.log.info({ peer: status.name, instance, address }, "peer heard");
     const isBack = this.#lost.delete(instance);
     this.#members.set(address, member);
     if (!unchanged || isBack) {
--- a/test/contract/member-directory.test.ts
+++ b/test/contract/member-directory.test.ts
@@ -4,7 +4,6 @@
 import {
   DEFAULT_ZONES,
   FLEET_RUNNERS,
-  type FleetMember,
   fleetAddress,
   MemberFleet,
 } from "../../bench/simulation/gateways/member-fleet.ts";
@@ -13,8 +12,6 @@
 const SETTLE_MS = 6_000;
 /** Longest time until all know of a loss that nobody announced. */
 const DETECTION_MS = 3_000;
-/** Longest time until a gateway that starts has heard of all that are there. */
-const SETTLED_MS = 1_000;
 const FORGET_MS = 60_000;
 
 const SIZES: [name: string, count: number, directMost: number][] = [
@@ -60,21 +57,6 @@
       expect(fleet.named()).toEqual([count, count]);
     });
 
-    it(`does not wait long for machines that are gone, ${name}`, async () => {
-      const fleet = new MemberFleet(hash, count, directMost);
-      await fleet.time.runUntil(SETTLE_MS);
-      fleet.network.refusesForDead = false;
-      for (const index of [3, 4, 5]) fleet.members[index]?.process.kill();
-      await fleet.time.runUntil(fleet.time.nowMs + DETECTION_MS);
-      fleet.start(5);
-      const started = fleet.members[5] as FleetMember;
-      // The store still names all of them.
-      started.directory.knowAll(Array.from({ length: count }, (_, index) => fleetAddress(index)));
-      expect(started.directory.hasSettled).toEqual(false);
-      await fleet.time.runUntil(fleet.time.nowMs + SETTLED_MS);
-      expect(started.directory.hasSettled).toEqual(true);
-    });
-
     it(`knows all again after all were killed at once, ${name}`, async () => {
       const fleet = new MemberFleet(hash, count, directMost);
       await fleet.time.runUntil(SETTLE_MS);
