--- a/bench/mutations/tenant-mutations.ts
+++ b/bench/mutations/tenant-mutations.ts
@@ -92,4 +92,30 @@
     script,
     args: ["--tenants", "--faults", "cut-off"],
   },
+  {
+    promise: "limit",
+    name: "tenants: an owner hands over full buckets",
+    edits: [
+      {
+        file: "src/coordination/request-rate/rate-ledger.ts",
+        from: "tokens.set(subject, bucket.tokens(limit, nowMs));",
+        to: "tokens.set(subject, Math.max(bucket.tokens(limit, nowMs), 4 * limit.burst));",
+      },
+    ],
+    script,
+    args: ["--tenants", "--faults", "planned-stop"],
+  },
+  {
+    promise: "limit",
+    name: "tenants: an owner before counts as ended before it was replaced",
+    edits: [
+      {
+        file: "src/gateway/members/member-directory.ts",
+        from: "return successor && successor.instance !== instance ? successor.heardSinceMs : undefined;",
+        to: "return successor && successor.instance !== instance ? successor.heardSinceMs : 0;",
+      },
+    ],
+    script,
+    args: ["--tenants", "--faults", "kill,part-peers,freeze"],
+  },
 ];
