--- a/bench/gateway-cost.ts
+++ b/bench/gateway-cost.ts
@@ -4,12 +4,14 @@
  * and of runners in this process, and reports processor time by part: a start, a second at rest, a turn, a plain call.
  * With `--profile` one gateway writes a CPU profile into a folder.
  */
+import { existsSync } from "node:fs";
 import { parseArgs } from "node:util";
 import { runtimeFlags } from "./build/runtime-flags.mjs";
 import { CostCluster } from "./gateway-cost/cost-cluster.ts";
 import { measureCosts } from "./gateway-cost/measure-costs.ts";
 
 const MS_PER_S = 1_000;
+const INVALID_INPUT = 2;
 
 const { values } = parseArgs({
   options: {
@@ -25,6 +27,10 @@
   },
 });
 
+if (!existsSync(values.bundle)) {
+  process.stderr.write(`${values.bundle} does not exist: run npm run build:gateway first.\n`);
+  process.exit(INVALID_INPUT);
+}
 process.stdout.write("gateways  start ms  at rest ms/s  turn ms  call ms  failed  MB each\n");
 for (const gateways of values.sizes.split(",").map(Number)) {
   const cluster = new CostCluster({
