--- a/src/gateway/members/digest-sender.ts
+++ b/src/gateway/members/digest-sender.ts
@@ -3,6 +3,7 @@
  * zones. Each receiver is told only what is news to it.
  */
 import type { Transport } from "../../runtime/transport.ts";
+import { EMPTY_REPORT } from "../../scheduling/runner-board/empty-report.ts";
 import type { NodeReport } from "../../scheduling/runner-board/node-report.ts";
 import { ReportTotals } from "../../scheduling/runner-board/report-totals.ts";
 import type { GatewayContext } from "../gateway-context.ts";
@@ -17,7 +18,6 @@
 const FORWARD_MS = 20;
 /** The same by the number of receivers, in ms, so that many changes at once do not keep a relay busy. */
 const FORWARD_MS_PER_RECEIVER = 1;
-const NO_LOAD: NodeReport = { inFlight: [], failing: [] };
 
 /** See the module's comment. */
 export class DigestSender {
@@ -58,14 +58,13 @@
     this.#receivers = zoneDigestsTo.length + fullDigestsTo.length;
     if (this.#receivers === 0) return;
     const { zone } = this.#context.settings;
-    const alive = this.#view.alive();
-    const heard = alive.filter(({ address }) => this.#view.isHeard(address));
-    const ofZone = this.#heardOfZone();
+    const heard = this.#heard();
+    const ofZone = this.#ofZone(heard);
     const zoneLoad = this.#zoneLoad(ofZone, plan);
     this.#lookForNews(ofZone);
     for (const address of zoneDigestsTo) this.#sendDigest(address, this.#zoneMembers, [[zone, zoneLoad]]);
     if (fullDigestsTo.length === 0) return;
-    const otherLoads = this.#otherZoneLoads(alive, heard);
+    const otherLoads = this.#otherZoneLoads(heard);
     for (const address of fullDigestsTo) {
       const load = ReportTotals.difference(zoneLoad, this.#loadOf(address));
       this.#sendDigest(address, this.#firsthandMembers, [[zone, load], ...otherLoads]);
@@ -91,16 +90,18 @@
   #sendNews({ zoneDigestsTo, fullDigestsTo }: HeartbeatPlan): void {
     this.#receivers = zoneDigestsTo.length + fullDigestsTo.length;
     if (this.#receivers === 0) return;
-    this.#lookForNews(this.#heardOfZone());
+    this.#lookForNews(this.#ofZone(this.#heard()));
     for (const address of zoneDigestsTo) this.#sendNewsTo(address, this.#zoneMembers);
     for (const address of fullDigestsTo) this.#sendNewsTo(address, this.#firsthandMembers);
   }
 
-  #heardOfZone(): Member[] {
+  #heard(): Member[] {
+    return this.#view.alive().filter(({ address }) => this.#view.isHeard(address));
+  }
+
+  #ofZone(members: readonly Member[]): Member[] {
     const { zone } = this.#context.settings;
-    return this.#view
-      .alive()
-      .filter(({ address, status }) => status.zone === zone && this.#view.isHeard(address));
+    return members.filter(({ status }) => status.zone === zone);
   }
 
   /** The lists that digests tell of: the same arrays as before, unless something has changed. */
@@ -127,12 +128,12 @@
 
   #loadOf(address: string): NodeReport {
     const member = this.#view.at(address);
-    return member ? this.#sumLoads([member.instance]) : NO_LOAD;
+    return member ? this.#sumLoads([member.instance]) : EMPTY_REPORT;
   }
 
   /** Loads of the other zones: what their relays say of them, and those of the relays themselves. */
-  #otherZoneLoads(alive: readonly Member[], heard: readonly Member[]): [string, NodeReport][] {
-    const zones = new Set(alive.map(({ status }) => status.zone));
+  #otherZoneLoads(heard: readonly Member[]): [string, NodeReport][] {
+    const zones = new Set(this.#view.alive().map(({ status }) => status.zone));
     zones.delete(this.#context.settings.zone);
     return [...zones].map((zone) => {
       const relays = heard.filter(({ status }) => status.zone === zone);
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -7,6 +7,7 @@
 import { repeat } from "../../runtime/clock.ts";
 import type { DisconnectReason } from "../../runtime/disconnect-reason.ts";
 import type { Sender, Transport } from "../../runtime/transport.ts";
+import { EMPTY_REPORT } from "../../scheduling/runner-board/empty-report.ts";
 import type { NodeReport } from "../../scheduling/runner-board/node-report.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type {
@@ -41,7 +42,6 @@
 const MAX_ADDRESSES = 64;
 /** With fewer live gateways in a caller's zone than this, it is given all. */
 const MIN_IN_ZONE = 2;
-const NO_LOAD: NodeReport = { inFlight: [], failing: [] };
 
 /** What a gateway says of itself. */
 export interface SelfReport {
@@ -76,7 +76,7 @@
     state: "starting",
     storeDirect: false,
     owned: [],
-    runners: NO_LOAD,
+    runners: EMPTY_REPORT,
   });
   /** Called when a gateway was heard of. */
   onHeard: (member: Member) => void = () => undefined;
@@ -85,7 +85,7 @@
   /** Called with the requests at runners of a gateway, or of a zone. */
   onLoads: (source: string, report: NodeReport) => void = () => undefined;
   /** Sums the loads that were last given for some sources. */
-  sumLoads: (sources: readonly string[]) => NodeReport = () => NO_LOAD;
+  sumLoads: (sources: readonly string[]) => NodeReport = () => EMPTY_REPORT;
 
   constructor(context: GatewayContext, transport: MemberTransport, health: StoreHealth) {
     this.#context = context;
