Take twins and derived state out of the hand-over of limits

- RateHost and MemberView each kept when the process last showed that it runs: both use Standstill.
- PartitionOwnership.isFirst followed from isReleased and rival.
- What hands limits over was a field of a partition's parts and of its writer's; only the release needs it, and is given it.
- How often an owner is looked for stood with both clients of owners.

Behaviour unchanged; tests changed in what they set up only, not in what they expect.

--- a/src/coordination/request-rate/rate-ledger.ts
+++ b/src/coordination/request-rate/rate-ledger.ts
@@ -106,8 +106,9 @@
   endDoubt(endedMs: number, nowMs: number): void {
     const { fillsFromMs } = this.#start;
     if (fillsFromMs === undefined || fillsFromMs <= nowMs) return;
-    this.#start = { ...this.#start, fillsFromMs: Math.min(endedMs, nowMs) };
-    for (const { bucket } of this.#accounts.values()) bucket.fillSince(Math.min(endedMs, nowMs));
+    const sinceMs = Math.min(endedMs, nowMs);
+    this.#start = { ...this.#start, fillsFromMs: sinceMs };
+    for (const { bucket } of this.#accounts.values()) bucket.fillSince(sinceMs);
   }
 
   /** What is left for the next owner. This one must admit nothing after it. */
--- a/src/gateway/members/member-view.ts
+++ b/src/gateway/members/member-view.ts
@@ -5,6 +5,7 @@
 import { PeerLiveness } from "../../coordination/liveness/index.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { MemberDigest, MemberStatus } from "../gateway-messages.ts";
+import { Standstill } from "../standstill.ts";
 import type { Member } from "./member.ts";
 import { type RelayVouchers, Vouchers } from "./vouchers.ts";
 
@@ -34,7 +35,7 @@
   readonly #members = new Map<string, Member>();
   /** Incarnations that are no longer alive, and since when (monotonic clock, ms). */
   readonly #lost = new Map<string, number>();
-  #lastLookMs: number | undefined;
+  readonly #standstill: Standstill;
   /** Who is alive, until something withdraws or adds evidence of a life, or a piece of evidence grows old. */
   #aliveNow: AliveMembers | undefined;
 
@@ -42,6 +43,7 @@
     const { suspectMs } = context.settings.timing;
     this.#context = context;
     this.#listener = listener;
+    this.#standstill = new Standstill(suspectMs);
     this.#liveness = new PeerLiveness(suspectMs);
     this.#vouchers = new Vouchers(suspectMs);
   }
@@ -216,15 +218,10 @@
   /** This process stood still: what others sent meanwhile is still to be read. */
   #noticePause(): void {
     const nowMs = this.#nowMs;
-    if (
-      this.#lastLookMs !== undefined &&
-      nowMs - this.#lastLookMs > this.#context.settings.timing.suspectMs
-    ) {
-      this.#aliveNow = undefined;
-      this.#liveness.resume(nowMs);
-      this.#vouchers.resume(nowMs);
-    }
-    this.#lastLookMs = nowMs;
+    if (!this.#standstill.look(nowMs)) return;
+    this.#aliveNow = undefined;
+    this.#liveness.resume(nowMs);
+    this.#vouchers.resume(nowMs);
   }
 
   #lose(member: Member): void {
--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -44,8 +44,6 @@
   /** Whether the owner before has let go of the partition; it died otherwise, or there was none. */
   readonly isReleased: boolean;
   readonly findTurn: (turn: RequestId) => Promise<TurnLookup>;
-  /** What is left of tenants' limits; nothing is admitted here after it. */
-  readonly handOverRates: () => RateHandOver | undefined;
   /** Called once when another owner has taken over. */
   readonly onLost: () => void;
 }
@@ -108,14 +106,18 @@
     return this.#turns.inMemory(turn);
   }
 
-  /** Writes everything and releases the partition. */
-  async release(): Promise<void> {
+  /**
+   * Writes everything and releases the partition.
+   *
+   * @param handOverRates gives what is left of tenants' limits; nothing is admitted here after it
+   */
+  async release(handOverRates: () => RateHandOver | undefined): Promise<void> {
     this.#releasing = true;
     const accounts = new Map<ProgramId, WritableAccount>();
     for (const [program, { account }] of this.#programs) {
       if (account.holdsAhead) accounts.set(program, releasedAccount(account));
     }
-    await this.#writer.release(accounts);
+    await this.#writer.release(accounts, handOverRates);
   }
 
   /** Another owner has taken over. */
--- a/src/gateway/partitions/partition-client.ts
+++ b/src/gateway/partitions/partition-client.ts
@@ -18,10 +18,10 @@
 } from "../gateway-messages.ts";
 import type { MemberDirectory } from "../members/member-directory.ts";
 import type { StoreHealth } from "../store-health.ts";
+import { OWNER_POLL_MS } from "./owner-poll.ts";
 import type { PartitionHost } from "./partition-host.ts";
 import { PartitionOwners } from "./partition-owners.ts";
 
-const OWNER_POLL_MS = 20;
 /** How long the end of a turn is told again and again, in ms; after it, the turn counts at its most. */
 const END_PATIENCE_MS = 30_000;
 /**
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -43,13 +43,14 @@
 export interface PartitionOwnership {
   /** Version of the owner's row, as this owner wrote it. */
   readonly epoch: number;
-  /** Whether nobody has ever owned it before. */
-  readonly isFirst: boolean;
   /** Whether the owner before has let go of it. */
   readonly isReleased: boolean;
   /** What it has left of tenants' limits. */
   readonly rates: RateHandOver | undefined;
-  /** The incarnation that owned it before and has not let go; it may live on without knowing better. */
+  /**
+   * The incarnation that owned it before and has not let go; it may live on without knowing better. Undefined if the owner
+   * before has let go, or there was none.
+   */
   readonly rival: string | undefined;
   /** Of the monotonic clock, in ms. */
   readonly takenOverAtMs: number;
@@ -141,7 +142,8 @@
   async release(): Promise<void> {
     this.#stopping = true;
     this.#stop();
-    await Promise.all([...this.#owned.values()].map((partition) => partition.release()));
+    const owned = [...this.#owned.values()];
+    await Promise.all(owned.map((one) => one.release(() => this.handOverRates(one.partition))));
   }
 
   /** Takes in what another gateway owns. */
@@ -225,10 +227,8 @@
     const isReleased = before === NOBODY;
     const rival = isReleased ? undefined : before;
     const takenOverAtMs = this.#context.clock.monotonicMs();
-    const isFirst = before === undefined;
     return {
       epoch: outcome.version,
-      isFirst,
       isReleased,
       rates: lastOwner?.rates,
       rival,
@@ -302,7 +302,6 @@
         epoch,
         isReleased,
         findTurn: (turn) => this.#finder.find(turn),
-        handOverRates: () => this.handOverRates(partition),
         onLost: () => this.#onLost(owned),
       },
       accounts,
--- a/src/gateway/partitions/partition-writer.ts
+++ b/src/gateway/partitions/partition-writer.ts
@@ -65,8 +65,6 @@
   readonly partition: number;
   /** Version of the owner's row, as this owner wrote it. */
   readonly epoch: number;
-  /** What is left of tenants' limits; nothing is admitted here after it. */
-  readonly handOverRates: () => RateHandOver | undefined;
   /** Called once when another owner has taken over. */
   readonly onLost: () => void;
 }
@@ -100,13 +98,20 @@
     });
   }
 
-  /** Writes what is left, with nothing set aside any more, and releases the partition. */
-  async release(accounts: ReadonlyMap<ProgramId, WritableAccount>): Promise<void> {
+  /**
+   * Writes what is left, with nothing set aside any more, and releases the partition.
+   *
+   * @param handOverRates gives what is left of tenants' limits, once nothing else is to be written
+   */
+  async release(
+    accounts: ReadonlyMap<ProgramId, WritableAccount>,
+    handOverRates: () => RateHandOver | undefined,
+  ): Promise<void> {
     for (const [program, account] of accounts) this.#dirty.set(program, account);
     this.#startWriting();
     while (this.#running) await delay(this.#parts.context.clock, RELEASE_POLL_MS);
     if (this.#lost) return;
-    const rates = this.#parts.handOverRates();
+    const rates = handOverRates();
     await this.#transact([], { instance: NOBODY, ...(rates ? { rates } : {}) });
     this.#lose();
   }
--- a/src/gateway/rates/rate-client.ts
+++ b/src/gateway/rates/rate-client.ts
@@ -11,12 +11,11 @@
 import type { GatewayContext } from "../gateway-context.ts";
 import type { GatewayRpcSchema } from "../gateway-messages.ts";
 import type { MemberDirectory } from "../members/member-directory.ts";
+import { OWNER_POLL_MS } from "../partitions/owner-poll.ts";
 import type { PartitionHost } from "../partitions/partition-host.ts";
 import { PartitionOwners } from "../partitions/partition-owners.ts";
 import type { RateVerdict } from "./rate-verdict.ts";
 
-/** How often an owner is looked for, in ms. */
-const OWNER_POLL_MS = 20;
 /**
  * How long an answer of an owner may take, in ms: many times what a message between zones takes. After it the question is
  * asked again, perhaps of the next owner; what a late answer grants is lost to the tenant.
--- a/src/gateway/rates/rate-host.ts
+++ b/src/gateway/rates/rate-host.ts
@@ -15,6 +15,7 @@
 import type { AdmitRequestsRequest, AdmitRequestsResponse, GatewayRpcSchema } from "../gateway-messages.ts";
 import type { MemberDirectory } from "../members/member-directory.ts";
 import type { PartitionHost, PartitionOwnership } from "../partitions/partition-host.ts";
+import { Standstill } from "../standstill.ts";
 
 /**
  * How long after a take-over the owner before may still admit requests, in ms, unless its process is known to have ended:
@@ -40,8 +41,7 @@
   readonly #members: MemberDirectory;
   readonly #partitions: PartitionHost;
   readonly #ledgers = new Map<number, PartitionLedger>();
-  /** When this process last showed that it runs. */
-  #runningAtMs: number;
+  readonly #standstill: Standstill;
 
   constructor(
     context: GatewayContext,
@@ -52,7 +52,7 @@
     this.#context = context;
     this.#members = members;
     this.#partitions = partitions;
-    this.#runningAtMs = context.clock.monotonicMs();
+    this.#standstill = new Standstill(context.settings.timing.suspectMs);
     partitions.handOverRates = (partition) => this.#handOver(partition);
     rpc.handle("admitRequests", async (request) => this.#admit(request));
   }
@@ -69,11 +69,11 @@
     return ledger.take(demand, this.#members.reachedShare, this.#context.clock.monotonicMs());
   }
 
-  #handOver(partition: number): RateHandOver | undefined {
+  #handOver(partition: number): RateHandOver {
     this.#noticePause();
-    const ledger = this.#ledgerOf(partition);
-    this.#ledgers.set(partition, { ...ledger, isClosed: true });
-    return ledger.ledger.handOver(this.#context.clock.monotonicMs());
+    const known = this.#ledgerOf(partition);
+    this.#ledgers.set(partition, { ...known, isClosed: true });
+    return known.ledger.handOver(this.#context.clock.monotonicMs());
   }
 
   #ledgerOf(partition: number): PartitionLedger {
@@ -88,10 +88,10 @@
     return begun;
   }
 
-  #startOf({ isFirst, rates, rival, takenOverAtMs }: PartitionOwnership): RateStart {
-    if (isFirst) return RateLedger.first();
+  #startOf({ isReleased, rates, rival, takenOverAtMs }: PartitionOwnership): RateStart {
     if (rates) return RateLedger.handedOver(rates, takenOverAtMs);
-    if (rival === undefined) return RateLedger.after(takenOverAtMs);
+    if (isReleased) return RateLedger.after(takenOverAtMs);
+    if (rival === undefined) return RateLedger.first();
     return RateLedger.after(this.#members.endedByMs(rival) ?? takenOverAtMs + DOUBT_MS);
   }
 
@@ -112,9 +112,7 @@
   /** A process that stood still may have a successor that it has not heard of: it begins as a new owner does. */
   #noticePause(): void {
     const nowMs = this.#context.clock.monotonicMs();
-    const pausedMs = nowMs - this.#runningAtMs;
-    this.#runningAtMs = nowMs;
-    if (pausedMs <= this.#context.settings.timing.suspectMs) return;
+    if (!this.#standstill.look(nowMs)) return;
     for (const [partition, known] of this.#ledgers) {
       const ledger = new RateLedger(this.#tolerance, RateLedger.after(nowMs + DOUBT_MS));
       this.#ledgers.set(partition, { ...known, ledger, rival: undefined });
--- a/test/contract/owned-partition.test.ts
+++ b/test/contract/owned-partition.test.ts
@@ -41,10 +41,9 @@
     await delay(context.clock, FIND_MS);
     return { type: "unavailable", detail: "none" } as const;
   };
-  const handOverRates = () => undefined;
   const onLost = () => undefined;
   return new OwnedPartition(
-    { context, health, partition: 1, epoch: 1, isReleased: false, findTurn, handOverRates, onLost },
+    { context, health, partition: 1, epoch: 1, isReleased: false, findTurn, onLost },
     new Map(),
   );
 }
--- a/test/contract/partition-writer.test.ts
+++ b/test/contract/partition-writer.test.ts
@@ -45,7 +45,6 @@
     health,
     partition: PARTITION,
     epoch,
-    handOverRates: () => undefined,
     onLost,
   });
 }
@@ -169,7 +168,7 @@
       snapshot: () => account.snapshot(true),
       stored: () => undefined,
     };
-    await writer.release(new Map([[PROGRAM, released]]));
+    await writer.release(new Map([[PROGRAM, released]]), () => undefined);
     expect(await storedTokens()).toEqual(100);
     expect(lost).toEqual(1);
   });
--- a/test/contract/rate-host.test.ts
+++ b/test/contract/rate-host.test.ts
@@ -55,7 +55,6 @@
     const rates = undefined;
     ownership = {
       epoch: 7,
-      isFirst: false,
       isReleased: false,
       rates,
       rival: "other#1",
