Agree the interfaces of the parts for hard load: messages, settings, who decides what

Cause: several parts are to be built side by side, and each has to know what the others tell it. Change: messages for places, fields for protocol, headroom and paces, settings that are all off, and a note on who decides what.

--- a/bench/simulation/gateways/simulated-gateway.ts
+++ b/bench/simulation/gateways/simulated-gateway.ts
@@ -155,7 +155,7 @@
       if (message.type === "heartbeat") this.#members.onHeartbeat(message, from);
       else if (message.type === "memberDigest") this.#members.onDigest(message, from);
       else if (message.type === "rpcRequest") void this.#rpc.onRequest(message, from);
-      else this.#rpc.onResponse(message);
+      else if (message.type === "rpcResponse") this.#rpc.onResponse(message);
     });
   }
 }
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -27,6 +27,10 @@
   readonly storeDirect: boolean;
   /** Partitions that it owns, with the epochs of its ownership. */
   readonly owned: readonly (readonly [partition: number, epoch: number])[];
+  /** Newest version of the protocol between gateways that it speaks; undefined for builds older than the field. */
+  readonly protocol?: number;
+  /** Callers that it can take beside those it has, in coarse steps; undefined for builds that do not tell. */
+  readonly headroom?: number;
 }
 
 /** A gateway says that it is alive, and what others need to know of it. */
@@ -141,6 +145,64 @@
 /** The owner's answer. */
 export type AdmitRequestsResponse = RateAnswer;
 
+/** Asks the dispatcher of some runners for a place for a call. Nothing of it is kept in the store. */
+export interface AskPlaceRequest {
+  readonly pool: string;
+  /** The group of runners that is meant; see `src/gateway/places`. */
+  readonly group: number;
+  readonly call: PlaceCall;
+}
+
+/** What a dispatcher has to know of a call. */
+export interface PlaceCall {
+  readonly request: RequestId;
+  readonly route: string;
+  readonly tenant: TenantName | undefined;
+  readonly program: ProgramId | undefined;
+  /** Of tenant and route together, 0 the most important. */
+  readonly rank: number;
+  /** Whether the call goes on with a program that has begun. */
+  readonly hasBegun: boolean;
+  /** Time until the program, or the call that is none's, should be over, in ms; may be negative. */
+  readonly dueInMs: number;
+  /** How long the asker waits for a place at most, in ms. */
+  readonly patienceMs: number;
+  /** Tokens of the prompt and of what may be generated; 0 where the call is none of a model. */
+  readonly tokens: number;
+  /** The runner that holds most of the prompt. */
+  readonly preferred: RunnerId | undefined;
+  /** Runners that the call has met already. */
+  readonly excluded: readonly RunnerId[];
+}
+
+/** The dispatcher's answer. */
+export type AskPlaceResponse =
+  /** The call may be sent to the runner until the lease ends by itself. */
+  | {
+      readonly type: "granted";
+      readonly runner: RunnerId;
+      readonly lease: number;
+      readonly leaseMs: number;
+      readonly waitedMs: number;
+    }
+  /** There will be no place in the call's time. */
+  | { readonly type: "refused"; readonly retryAfterMs: number; readonly reason: string };
+
+/** Gives places back. What is lost on the way is made good by the end of the lease. */
+export interface ReturnPlaces {
+  readonly type: "returnPlaces";
+  readonly returned: readonly ReturnedPlace[];
+}
+
+/** A place that is given back. */
+export interface ReturnedPlace {
+  readonly lease: number;
+  /** How long the call held the place, in ms. */
+  readonly heldMs: number;
+  /** Whether the runner turned the call away. */
+  readonly turnedAway: boolean;
+}
+
 /** Requests between gateways. */
 export interface GatewayRpcSchema {
   admitTurn: { request: AdmitTurnRequest; response: AdmitTurnResponse };
@@ -149,11 +211,13 @@
   /** Makes a call to the store for a peer that does not reach it itself. */
   callStore: { request: StoreCall; response: StoreCallOutcome };
   findTurn: { request: FindTurnRequest; response: FindTurnResponse };
+  askPlace: { request: AskPlaceRequest; response: AskPlaceResponse };
 }
 
 /** Every message between gateways. */
 export type GatewayMessage =
   | Heartbeat
   | MemberDigest
+  | ReturnPlaces
   | RpcRequest<GatewayRpcSchema>
   | RpcResponse<GatewayRpcSchema>;
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -80,6 +80,37 @@
     ),
 });
 
+const placesSchema = z.strictObject({
+  dispatchBelow: z
+    .number()
+    .min(0)
+    .default(0)
+    .describe(
+      "Places of a pool for each live gateway below which dispatchers hand them out while they are scarce; 0: each gateway places its calls alone",
+    ),
+});
+
+const balanceSchema = z.strictObject({
+  byHeadroom: z
+    .boolean()
+    .default(false)
+    .describe("Whether callers are told of gateways by what these can take; otherwise all are told alike"),
+  byExpectedTime: z
+    .boolean()
+    .default(false)
+    .describe(
+      "Whether runners are chosen by the time in which a call is expected to be over; otherwise by load",
+    ),
+});
+
+const buffersSchema = z.strictObject({
+  mostBytes: z
+    .int()
+    .min(0)
+    .default(0)
+    .describe("Most bytes held for callers and runners that read slowly; 0: a part of the machine's memory"),
+});
+
 /** Settings of a gateway process. */
 export const gatewaySettingsSchema = z.strictObject({
   name: nameSchema.describe("Name of the machine, unique in the system"),
@@ -105,6 +136,9 @@
   budget: budgetSchema.prefault({}),
   keys: keysSchema.prefault({}),
   requestLimits: requestLimitsSchema.prefault({}),
+  places: placesSchema.prefault({}),
+  balance: balanceSchema.prefault({}),
+  buffers: buffersSchema.prefault({}),
   logging: loggingSchema.prefault({}),
 });
 
--- a/src/scheduling/runner-board/node-report.ts
+++ b/src/scheduling/runner-board/node-report.ts
@@ -6,4 +6,6 @@
   readonly inFlight: readonly (readonly [runner: RunnerId, count: number])[];
   /** Outcomes of the last seconds, of runners at which some requests failed. */
   readonly failing: readonly (readonly [runner: RunnerId, successes: number, failures: number])[];
+  /** Average time of a step of the runners used lately, in ms; left out by builds that do not tell. */
+  readonly paces?: readonly (readonly [runner: RunnerId, paceMs: number])[];
 }
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -68,6 +68,8 @@
   readonly nowMs: number;
   /** Breaks ties: a number in [0, 1). */
   readonly sample: number;
+  /** Runners that may be chosen; all of the pool when left out. */
+  readonly mayTake?: (runner: RunnerEntry) => boolean;
 }
 
 /** See the module's comment. */
@@ -219,8 +221,8 @@
     const candidates: RunnerState[] = [];
     for (const state of this.#runners.values()) {
       const { entry } = state;
-      if (entry.pool === choice.pool && isReady(state) && !choice.excluded.has(entry.id))
-        candidates.push(state);
+      if (entry.pool !== choice.pool || !isReady(state) || choice.excluded.has(entry.id)) continue;
+      if (choice.mayTake?.(entry) ?? true) candidates.push(state);
     }
     return candidates;
   }
