Keep the turns that a lost owner's row names as turns, and charge them by what they used

Cause: a new owner counted the most of every turn that the row names as under way as spent for good. Rows are written when tokens run short, not when turns end, so most of these turns had ended; a program lost up to its whole budget with one owner and got 402 although its budget held one more turn. Change: named turns stay open until their end is told, or are charged by their kept answers before a 402; what they leave is granted only once no row can name them; at most a third of what is left is set aside (half before). Whether the owner before has let go makes no difference to an account any more.

--- a/bench/simulation/gateways/run-gateway-simulation.ts
+++ b/bench/simulation/gateways/run-gateway-simulation.ts
@@ -35,6 +35,7 @@
     broken: [],
     granted: 0,
     exhausted: 0,
+    exhaustedEarly: 0,
     unavailable: 0,
     unavailableFor: new Map(),
     ownerChanges: 0,
--- a/src/coordination/token-account/token-account.ts
+++ b/src/coordination/token-account/token-account.ts
@@ -1,11 +1,12 @@
 /**
  * The count of tokens of one program, at the owner of its partition. Tokens are set aside in the store before they are
  * granted, so that a new owner, which finds only what was stored, never grants them twice. What turns leave unused of them
- * is granted again without the store: a program goes on for several turns while the store is away. Pure.
+ * is granted again without the store: a program goes on for several turns while the store is away. Only what a turn leaves
+ * that the store names as under way waits for the store: a new owner finds that turn and may be told its end again. Pure.
  */
 
-/** Largest part of what is left of a budget that is set aside for turns to come. */
-const AHEAD_PART = 0.5;
+/** Largest part of what is left of a budget that is set aside for turns to come: it is lost with its owner. */
+const AHEAD_PART = 1 / 3;
 
 /** What is stored of an account. Everything in it counts as spent. */
 export interface StoredAccount {
@@ -42,19 +43,21 @@
   #total: number;
   /** The newest snapshot that the store holds, without its content. */
   #recorded: Pick<AccountSnapshot, "revision" | "total">;
+  /** Turns that the store may name as under way. */
+  #listed: ReadonlySet<string>;
+  /** The newest snapshot: the store may hold it although it has not said so. */
+  #newest: AccountSnapshot | undefined;
+  /** What turns have left unused that the store may still name as under way. */
+  readonly #heldBack = new Map<string, number>();
 
   /**
-   * @param stored what the store has of it
-   * @param isReleased whether the owner that wrote it has let go: it grants nothing more, so that turns under way may
-   * give back what they leave unused. What a lost owner had set aside, or saw no end of, it may have granted again since:
-   * that counts as spent for good.
+   * @param stored what the store has of it. What the owner that wrote it had set aside, it may have granted since: that
+   * counts as spent for good. The turns under way that it names count with their most until their end is told.
    */
-  constructor(stored?: StoredAccount, isReleased = false) {
-    this.#settled = stored === undefined ? 0 : totalOf(stored);
-    if (stored && isReleased) {
-      this.#settled = stored.settled + stored.ahead;
-      for (const [turn, most] of stored.open) this.#open.set(turn, most);
-    }
+  constructor(stored?: StoredAccount) {
+    this.#settled = stored === undefined ? 0 : stored.settled + stored.ahead;
+    for (const [turn, most] of stored?.open ?? []) this.#open.set(turn, most);
+    this.#listed = new Set(this.#open.keys());
     this.#total = this.committed;
     this.#recorded = { revision: 0, total: this.#total };
   }
@@ -107,17 +110,20 @@
     if (most === undefined) return false;
     this.#open.delete(turn);
     this.#settled += tokens;
+    if (this.#listed.has(turn)) this.#heldBack.set(turn, most - tokens);
     return true;
   }
 
   /**
-   * Sets tokens aside for the next turns when few are left. Returns whether the store must be told.
+   * Sets tokens aside for the next turns when few are left, or much is held back. Returns whether the store must be told.
    */
   replenish(most: number, budget: number, aheadTurns: number): boolean {
     const isWritten = this.#recorded.revision < this.#revision;
-    if (isWritten || this.#available >= (aheadTurns / 2) * most) return false;
+    const hasEnough = this.#available >= (aheadTurns / 2) * most;
+    if (isWritten || (hasEnough && this.#heldBackTokens <= aheadTurns * most)) return false;
     const ahead = tokensAhead(most, aheadTurns, budget - this.committed);
-    if (this.committed + ahead - this.#total < most) return false;
+    const total = Math.max(this.#total, this.committed + ahead);
+    if (total - this.committed - this.#available < most) return false;
     this.#raise(ahead);
     return true;
   }
@@ -126,21 +132,35 @@
   snapshot(releaseAhead = false): AccountSnapshot {
     const { committed } = this;
     const ahead = releaseAhead ? 0 : this.#total - committed;
-    return {
+    const snapshot = {
       revision: this.#revision,
       account: { settled: this.#settled, ahead, open: [...this.#open] },
       total: committed + ahead,
     };
+    this.#newest = snapshot;
+    this.#listed = new Set([...this.#listed, ...this.#open.keys()]);
+    return snapshot;
   }
 
   /** The store holds a snapshot. */
-  stored({ revision, total }: AccountSnapshot): void {
-    if (revision >= this.#recorded.revision) this.#recorded = { revision, total };
+  stored(snapshot: AccountSnapshot): void {
+    const { revision, total } = snapshot;
+    if (revision < this.#recorded.revision) return;
+    this.#recorded = { revision, total };
+    const named = [snapshot, this.#newest].flatMap((one) => one?.account.open ?? []);
+    this.#listed = new Set(named.map(([turn]) => turn));
+    for (const turn of this.#heldBack.keys()) if (!this.#listed.has(turn)) this.#heldBack.delete(turn);
   }
 
   /** Tokens that the store counts as spent, and that may be granted: what turns have left unused is among them. */
   get #available(): number {
-    return this.#recorded.total - this.committed;
+    return this.#recorded.total - this.committed - this.#heldBackTokens;
+  }
+
+  get #heldBackTokens(): number {
+    let sum = 0;
+    for (const left of this.#heldBack.values()) sum += left;
+    return sum;
   }
 
   /** The store must be told that at least `ahead` tokens beyond the committed ones count as spent. */
@@ -160,11 +180,6 @@
   return Math.min(aheadTurns, affordable) * most;
 }
 
-/** All tokens that count as spent by what is stored. */
-function totalOf({ settled, ahead, open }: StoredAccount): number {
-  return open.reduce((sum, [, most]) => sum + most, settled + ahead);
-}
-
 function grant(revision: number): TurnGrant {
   return { type: "granted", revision };
 }
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -261,6 +261,7 @@
       tenant: this.tenant?.name,
       input: this.exchange.body,
       output: Buffer.from(this.#output.join(""), ENCODING),
+      ...(this.#budget ? { tokens: this.#tokens } : {}),
     };
     const { requestId } = this.call;
     const isStored = await this.#partitions.store(requestId, content, Math.max(0, this.leftMs));
@@ -276,6 +277,11 @@
     return true;
   }
 
+  /** Tokens that the caller was handed. */
+  get #tokens(): number {
+    return this.#events * (this.pool.engine?.tokensPerEvent ?? 1);
+  }
+
   #endRequest(): EndTurnRequest {
     const { program, requestId } = this.call;
     const name = program?.id ?? ("" as ProgramId);
@@ -285,7 +291,7 @@
       session: program?.session,
       turn: requestId,
       budget: this.#budget,
-      tokens: this.#events * (this.pool.engine?.tokensPerEvent ?? 1),
+      tokens: this.#tokens,
       runner: this.#lastRunner,
       retained: undefined,
     };
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -101,6 +101,8 @@
   readonly tenant?: TenantName | undefined;
   readonly input: Uint8Array;
   readonly output: Uint8Array;
+  /** Tokens that it generated; undefined where it counts against no budget, and in records of earlier builds. */
+  readonly tokens?: number;
 }
 
 /** Tells the owner how a turn ended. Repeating it changes nothing. */
--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -24,6 +24,8 @@
   readonly account: TokenAccount;
   /** The runner of the last turn, by session; the empty text stands for the whole program. */
   readonly runners: Map<string, RunnerId>;
+  /** Turns that an earlier owner left under way, and that may have ended without this one being told. */
+  readonly inherited: Set<RequestId>;
 }
 
 const WHOLE_PROGRAM = "";
@@ -41,8 +43,6 @@
   readonly partition: number;
   /** Version of the owner's row, as this owner wrote it. */
   readonly epoch: number;
-  /** Whether the owner before has let go of the partition; it died otherwise, or there was none. */
-  readonly isReleased: boolean;
   readonly findTurn: (turn: RequestId) => Promise<TurnLookup>;
   /** Called once when another owner has taken over. */
   readonly onLost: () => void;
@@ -66,14 +66,22 @@
     this.#turns = new RetainedTurns(parts.context, () => parts.health.newestVersion, parts.findTurn);
     this.#writer = new PartitionWriter(parts);
     for (const [program, account] of stored)
-      this.#remember(program, new TokenAccount(account, parts.isReleased));
+      this.#remember(
+        program,
+        new TokenAccount(account),
+        account.open.map(([turn]) => turn as RequestId),
+      );
   }
 
   /** Answers whether a turn may run; see {@link AdmitTurnRequest}. */
   async admit(request: AdmitTurnRequest): Promise<AdmitTurnResponse | typeof MOVED> {
     if (this.#releasing) return MOVED;
     const program = this.#program(request.program);
-    const reserved = this.#reserve(program, request);
+    let reserved = this.#reserve(program, request);
+    if (reserved === "exhausted" && (await this.#settleInherited(program))) {
+      if (this.#releasing) return MOVED;
+      reserved = this.#reserve(program, request);
+    }
     if (reserved === "exhausted") return { type: "exhausted", spent: program.account.committed };
     const [recorded, history] = await Promise.all([reserved, this.#history(request)]);
     if (recorded === "lost") return MOVED;
@@ -129,8 +137,8 @@
     return this.#programs.get(name) ?? this.#remember(name, new TokenAccount());
   }
 
-  #remember(name: ProgramId, account: TokenAccount): ProgramState {
-    const program: ProgramState = { account, runners: new Map() };
+  #remember(name: ProgramId, account: TokenAccount, inherited: readonly RequestId[] = []): ProgramState {
+    const program: ProgramState = { account, runners: new Map(), inherited: new Set(inherited) };
     this.#programs.set(name, program);
     return program;
   }
@@ -149,6 +157,21 @@
     return Promise.race([this.#writer.writeAccount(request.program, account), late]);
   }
 
+  /**
+   * Charges turns that an earlier owner left under way with what they used, where the store has kept their answers: nobody
+   * tells their end once the gateways that knew it are gone. Returns whether any was found.
+   */
+  async #settleInherited({ account, inherited }: ProgramState): Promise<boolean> {
+    const turns = [...inherited];
+    inherited.clear();
+    const kept = await Promise.all(turns.map((turn) => this.#turns.kept(turn)));
+    const settled = kept.map((content, index) => {
+      const turn = turns[index] as RequestId;
+      return content?.tokens !== undefined && account.settle(turn, content.tokens);
+    });
+    return settled.includes(true);
+  }
+
   #replenish(account: TokenAccount, program: ProgramId, budget: { tokens: number; most: number }): void {
     const { aheadTurns } = this.#context.settings.budget;
     if (!account.replenish(budget.most, budget.tokens, aheadTurns)) return;
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -300,7 +300,6 @@
         health: this.#health,
         partition,
         epoch,
-        isReleased,
         findTurn: (turn) => this.#finder.find(turn),
         onLost: () => this.#onLost(owned),
       },
--- a/src/gateway/partitions/retained-turns.ts
+++ b/src/gateway/partitions/retained-turns.ts
@@ -56,6 +56,17 @@
     this.#turns.add(turn, content);
   }
 
+  /** A turn that was kept: from memory, or as the store has it. Undefined where neither has it, or the store is silent. */
+  async kept(turn: RequestId): Promise<RetainedTurnContent | undefined> {
+    const known = this.inMemory(turn);
+    if (known) return known;
+    const { hash, settings } = this.#context;
+    const newestVersion = this.#newestVersion();
+    const parts = turnParts(turn, settings.turnParts, hash);
+    const lookup = await firstFound(parts.map((part) => this.#readPart(turn, part, newestVersion)));
+    return lookup.type === "found" ? lookup.content : undefined;
+  }
+
   /** Input and output of a turn of a tenant and of all before it, oldest first. */
   async history(turn: RequestId, tenant?: TenantName): Promise<HistoryOutcome> {
     const contents: RetainedTurnContent[] = [];
