--- a/test/contract/token-account.test.ts
+++ b/test/contract/token-account.test.ts
@@ -150,6 +150,40 @@
     expect(account.replenish(MOST, 2 * BUDGET, 1)).toEqual(false);
   });
 
+  it("leaves a program a turn that its budget holds, once the ends of named turns are known after a loss", () => {
+    const step = fc.record({
+      kind: fc.constantFrom("admit", "settle", "store", "replenish"),
+      used: fc.integer({ min: 0, max: MOST }),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 30 }), fc.integer({ min: 0, max: 4 }), (steps, ahead) => {
+        const account = new TokenAccount();
+        let stored: StoredAccount | undefined;
+        const open: string[] = [];
+        const ended = new Map<string, number>();
+        for (const [index, { kind, used }] of steps.entries()) {
+          if (kind === "admit" && account.admit(`turn-${index}`, MOST, BUDGET, ahead).type === "granted") {
+            stored = store(account);
+            open.push(`turn-${index}`);
+          }
+          const turn = kind === "settle" ? open.shift() : undefined;
+          if (turn !== undefined) {
+            account.settle(turn, used);
+            ended.set(turn, used);
+          }
+          if (kind === "store") stored = store(account);
+          if (kind === "replenish") account.replenish(MOST, BUDGET, ahead);
+        }
+        const taken = new TokenAccount(stored);
+        for (const [turn, tokens] of ended) taken.settle(turn, tokens);
+        const spent = [...ended.values()].reduce((sum, tokens) => sum + tokens, open.length * MOST);
+        const isHeld = spent + MOST <= BUDGET;
+        expect(!isHeld || taken.admit("next", MOST, BUDGET, ahead).type === "granted").toEqual(true);
+      }),
+      { seed: 1, numRuns: 2_000 },
+    );
+  });
+
   it("never grants more than the budget in all, whoever dies when", () => {
     const step = fc.record({
       kind: fc.constantFrom(
