Check rows of the list of runners, and use none that another writer wrote

Cause: rows were cast to entries without a look, so that slots as text, an unknown state or a missing address went through to the choice of runners and to connections, and each row that was no JSON left a warning each time it was met.

A row that is no entry names no runner; a runner that is known takes nothing new until its next own entry. Such rows are counted by table, and one line stands for all of 10 s.

Back ends of tests and of the warm-up write whole rows.

--- a/bench/build/warm-up-back-ends.ts
+++ b/bench/build/warm-up-back-ends.ts
@@ -23,7 +23,13 @@
       const service = index === 0 ? "api" : "engine";
       const runner = new RunnerStandin(`${service}-${index}`);
       const row = { service, address: await runner.listen(), zone: `zone-${index % 2}`, slots: 6 };
-      store.put("servers", runner.id, { ...row, state: "ready", sequence: 1 });
+      store.put("servers", runner.id, {
+        ...row,
+        version: "1",
+        state: "ready",
+        "cold-remaining-ms": 0,
+        sequence: 1,
+      });
     }
     return new WarmUpBackEnds(address);
   }
--- a/bench/simulation/gateways/simulated-gateway.ts
+++ b/bench/simulation/gateways/simulated-gateway.ts
@@ -36,9 +36,8 @@
   configurationKey: CONFIGURATION_KEY,
   runnerTable: "runners",
   parseConfiguration: (value) => JSON.parse(value.toString("utf8")) as RoutingConfiguration,
-  parseRunner: () => {
-    throw new Error("the simulation has no runners");
-  },
+  // The simulation has no runners.
+  parseRunner: () => undefined,
 };
 
 /** The simulation speaks to gateways below their HTTP. */
--- a/src/gateway/runners/runner-watch.ts
+++ b/src/gateway/runners/runner-watch.ts
@@ -1,9 +1,9 @@
 /** Keeps the board of runners in line with the platform's list. */
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
-import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import { TableFollower, type TableListener } from "../configuration/table-follower.ts";
 import type { GatewayContext } from "../gateway-context.ts";
+import { UnreadableRows } from "../store/unreadable-rows.ts";
 import type { StoreHealth } from "../store-health.ts";
 
 /**
@@ -23,6 +23,7 @@
   readonly #health: StoreHealth;
   readonly #board: RunnerBoard;
   readonly #follower: TableFollower;
+  readonly #unreadable: UnreadableRows;
   /** Runners whose entries went missing in an outage of the store. */
   readonly #lapsed = new Set<RunnerId>();
   #read = false;
@@ -49,6 +50,7 @@
       },
     };
     const { runnerTable } = context.platform.records;
+    this.#unreadable = new UnreadableRows(context, runnerTable);
     const pauseMs = context.settings.timing.runnerDrainMs * PAUSE_PART;
     this.#follower = new TableFollower(context, health, runnerTable, listener, { pauseMs });
   }
@@ -68,7 +70,16 @@
 
   #written(id: RunnerId, value: Buffer): void {
     this.#lapsed.delete(id);
-    for (const entry of this.#parse(id, value)) this.#board.upsert(entry);
+    const entry = this.#context.platform.records.parseRunner(id, value);
+    if (entry) this.#board.upsert(entry);
+    else this.#spoilt(id);
+  }
+
+  /** Somebody else has written the row: until its runner writes it again, that takes nothing new. */
+  #spoilt(id: RunnerId): void {
+    this.#unreadable.note(id);
+    const known = this.#board.ready(id);
+    if (known) this.#board.upsert({ ...known, state: "draining" });
   }
 
   /** An entry is gone: at once, or, when the store has only just come back, unless it returns soon. */
@@ -85,14 +96,4 @@
       if (this.#lapsed.delete(id)) this.#board.remove(id);
     });
   }
-
-  /** The entry of a row, or nothing when the row is not one. */
-  #parse(id: RunnerId, value: Buffer): RunnerEntry[] {
-    try {
-      return [this.#context.platform.records.parseRunner(id, value)];
-    } catch (error) {
-      this.#context.log.warn({ runner: id, error: String(error) }, "runner's entry cannot be read");
-      return [];
-    }
-  }
 }
--- /dev/null
+++ b/src/gateway/store/unreadable-rows.ts
@@ -0,0 +1,31 @@
+/** Notes rows of a table that can't be read: all count in the metrics, and one line of the log stands for many. */
+import type { GatewayContext } from "../gateway-context.ts";
+
+/** Least time between two lines, in ms. */
+const LINE_MS = 10_000;
+
+/** See the module's comment. */
+export class UnreadableRows {
+  readonly #context: GatewayContext;
+  readonly #table: string;
+  #loggedAtMs = Number.NEGATIVE_INFINITY;
+  /** Since the last line. */
+  #met = 0;
+
+  constructor(context: GatewayContext, table: string) {
+    this.#context = context;
+    this.#table = table;
+  }
+
+  /** A row of this key could not be read. */
+  note(key: string): void {
+    const { clock, log, metrics } = this.#context;
+    metrics.rowUnreadable(this.#table);
+    this.#met += 1;
+    const nowMs = clock.monotonicMs();
+    if (nowMs - this.#loggedAtMs < LINE_MS) return;
+    log.warn({ table: this.#table, key, times: this.#met }, "row cannot be read");
+    this.#loggedAtMs = nowMs;
+    this.#met = 0;
+  }
+}
--- a/src/gateway/telemetry/gateway-metrics.ts
+++ b/src/gateway/telemetry/gateway-metrics.ts
@@ -15,6 +15,8 @@
   abstract retained(heldBy: string, elapsedMs: number): void;
   /** A write of a partition was answered, or not. */
   abstract storeWritten(outcome: string, elapsedMs: number): void;
+  /** A row of a table of the store, met when it was read, is not what it should be. */
+  abstract rowUnreadable(table: string): void;
   /** Serves what was counted; returns the address. */
   abstract serve(gauges: GatewayGauges, isReady: () => boolean): Promise<void>;
   /** Serves no more. */
--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -47,6 +47,12 @@
     STORE_BUCKETS_S,
     "outcome",
   );
+  readonly #unreadableRows = new Counter({
+    name: "tulipwheel_gateway_unreadable_rows_total",
+    help: "Times that a row of the store could not be read, by table",
+    labelNames: ["table"],
+    registers: [],
+  });
   #server: MetricsServer | undefined;
 
   /** @param address where to serve, IP:port */
@@ -82,6 +88,10 @@
     this.#writes.observe({ outcome }, elapsedMs / MS_PER_S);
   }
 
+  override rowUnreadable(table: string): void {
+    this.#unreadableRows.inc({ table });
+  }
+
   override async serve(gauges: GatewayGauges, isReady: () => boolean): Promise<void> {
     const gauge = (name: string, help: string, read: () => number) => {
       return { name: `gateway_${name}`, help, type: "gauge" as const, read };
@@ -104,6 +114,7 @@
       this.#rateTimes,
       this.#retentions,
       this.#writes,
+      this.#unreadableRows,
     ])
       metrics.register(metric);
     this.#server = new MetricsServer(metrics, isReady);
--- a/src/ports/platform-records.ts
+++ b/src/ports/platform-records.ts
@@ -1,4 +1,3 @@
-import type { RunnerId } from "../scheduling/ids/runner-id.ts";
 import type { RoutingConfiguration } from "../scheduling/routing/routing-configuration.ts";
 import type { RunnerEntry } from "../scheduling/runner-board/runner-entry.ts";
 
@@ -12,6 +11,6 @@
   readonly runnerTable: string;
   /** Throws when the row is not a configuration. */
   parseConfiguration(value: Buffer): RoutingConfiguration;
-  /** Throws when the row is not a runner. */
-  parseRunner(id: RunnerId, value: Buffer): RunnerEntry;
+  /** Undefined when the row is no entry of a runner: anybody may have written it. */
+  parseRunner(id: string, value: Buffer): RunnerEntry | undefined;
 }
--- a/test/contract/runner-watch.test.ts
+++ b/test/contract/runner-watch.test.ts
@@ -1,7 +1,8 @@
-/** The list of runners through outages of the store: what lapsed meanwhile, and what is gone. */
+/** The list of runners: what lapsed in an outage of the store, and what is gone; rows of others. */
 
 import { beforeEach, describe, it } from "node:test";
 import { expect } from "earl";
+import { pino } from "pino";
 import { SharedStore, SimulatedRowStore } from "../../bench/simulation/gateways/simulated-row-store.ts";
 import { SimulatedProcess, VirtualTime } from "../../bench/simulation/virtual-time.ts";
 import { RunnerWatch } from "../../src/gateway/runners/runner-watch.ts";
@@ -15,6 +16,15 @@
 const OTHER = "runner-2" as RunnerId;
 const UNUSED = "127.0.0.1:1";
 const TABLE = "servers";
+const WHOLE_ROW = {
+  service: "pool",
+  address: UNUSED,
+  zone: "zone-a",
+  version: "v1",
+  slots: 4,
+  state: "ready",
+  "cold-remaining-ms": 0,
+};
 /** Runners renew their entries this often, in ms. */
 const RENEW_MS = 1_200;
 
@@ -22,12 +32,16 @@
 let store: SharedStore;
 let board: RunnerBoard;
 let sequence: number;
+let lines: string[];
 
-function write(id: string): void {
+function write(id: string, more: Record<string, unknown> = {}): void {
   sequence += 1;
-  const entry = { service: "pool", address: UNUSED, zone: "zone-a", slots: 4, state: "ready", sequence };
-  const value = Buffer.from(JSON.stringify(entry)).toString("base64");
-  store.model.transact({ conditions: [], puts: [{ table: TABLE, part: "", key: id, value }], removes: [] });
+  writeBytes(id, Buffer.from(JSON.stringify({ ...WHOLE_ROW, sequence, ...more })));
+}
+
+function writeBytes(key: string, bytes: Buffer): void {
+  const value = bytes.toString("base64");
+  store.model.transact({ conditions: [], puts: [{ table: TABLE, part: "", key, value }], removes: [] });
 }
 
 function lapse(id: string): void {
@@ -47,8 +61,10 @@
     sequence = 0;
     const clock = new SimulatedProcess("gateway", "zone-a", time);
     const context = await gatewayContext("gateway", UNUSED);
+    lines = [];
+    const log = pino({}, { write: (line: string) => void lines.push(line) });
     const platform = { ...context.platform, store: new SimulatedRowStore(store, clock) };
-    const simulated = { ...context, clock, platform };
+    const simulated = { ...context, clock, platform, log };
     write(RUNNER);
     renewForEver(OTHER);
     new RunnerWatch(simulated, new StoreHealth(simulated), board).start();
@@ -86,4 +102,31 @@
       expect(board.ready(RUNNER)).toEqual(undefined);
     });
   }
+
+  const SPOILT: [what: string, spoil: () => void][] = [
+    ["bytes that are no text", () => writeBytes(RUNNER, Buffer.from([0xff, 0xfe, 0]))],
+    ["a state that is not known", () => write(RUNNER, { state: "asleep" })],
+  ];
+  for (const [what, spoil] of SPOILT) {
+    it(`gives a runner nothing new while its row has ${what}, and all others work`, async () => {
+      write(RUNNER);
+      time.after(1_000, spoil);
+      await time.runUntil(7_000);
+      expect([board.ready(RUNNER), board.listed(RUNNER)]).toEqual([undefined, true]);
+      expect(board.ready(OTHER) !== undefined).toEqual(true);
+      write(RUNNER);
+      await time.runUntil(8_000);
+      expect(board.ready(RUNNER) !== undefined).toEqual(true);
+    });
+  }
+
+  it("notes rows that it cannot read without end in few lines", async () => {
+    const spoilForEver = () => {
+      writeBytes("nobody", Buffer.from("[]"));
+      time.after(500, spoilForEver);
+    };
+    spoilForEver();
+    await time.runUntil(35_000);
+    expect(lines.filter((line) => line.includes("cannot be read")).length).toEqual(3);
+  });
 });
--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -183,7 +183,8 @@
   /** Writes a runner's entry into the platform's list. */
   listRunner(runner: RunnerStandin, service: string, state: "ready" | "draining"): void {
     const address = this.#runnerAddresses.get(runner.id);
-    this.store.put("servers", runner.id, { service, address, zone: "zone-a", slots: 8, state, sequence: 1 });
+    const row = { service, address, zone: "zone-a", version: "1", slots: 8, state };
+    this.store.put("servers", runner.id, { ...row, "cold-remaining-ms": 0, sequence: 1 });
   }
 
   /** Starts one gateway more. */
