Tell the starts of a runner apart when it starts again under its name

Cause: the name under which the platform lists a runner stood for one start of its process: health, pace, requests in flight, connections, who holds a prompt and who may have run a request were carried over to a process that knows nothing of them, and an entry that the process before wrote late counted. Pools of connections to runners that had left stayed open until a pool of another one was opened.

Change: an entry's id is made of the name and the time of the start, where it tells one; RunnerEntry.name is what the list and the header on the wire know. A later start replaces the known one at once, an earlier one is passed over (startOrder). Requests under way at a start that has ended are broken off, so that streams go on elsewhere; those at a runner that left the list end. The time that a lapsed entry has to return is cancelled when it returns.

--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -91,7 +91,7 @@
     const { exchange, body, deadlineMs, lastEventId, urgency, tenant, hidesKey } = request;
     const headers = parts.context.platform.calls.headersForRunner(exchange.rawHeaders, {
       deadlineMs,
-      expectedRunner: runner.id,
+      expectedRunner: runner.name,
       lastEventId,
       urgency,
       tenant,
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -62,7 +62,7 @@
     this.#rates = new RateHost(context, this.#members, this.#partitions, this.#rpc);
     this.#routing = new RoutingWatch(context, health);
     this.#runners = new RunnerWatch(context, health, this.#board);
-    this.#connections = new RunnerConnections(this.#board);
+    this.#connections = new RunnerConnections();
     this.#ingress = new IngressServer(context);
     this.#entry = new EntryServer(context, this.#members, () => this.state === "ready");
     const client = new PartitionClient(context, this.#members, this.#partitions, this.#rpc, health);
@@ -78,6 +78,8 @@
       this.#announceReady();
     };
     this.#runners.onReady = () => this.#announceReady();
+    this.#runners.onLeft = (runner) => this.#connections.retire(runner);
+    this.#runners.onEnded = (runner) => this.#connections.breakOff(runner);
     this.#members.selfReport = () => ({
       state: this.state,
       storeDirect: this.#store.isDirect,
--- a/src/gateway/runners/runner-connections.ts
+++ b/src/gateway/runners/runner-connections.ts
@@ -1,9 +1,8 @@
-/** Connections to runners: a pool for each incarnation, closed when it is gone. */
+/** Connections to runners: a pool for each incarnation, closed when it is gone from the list. */
 
 import type { Pool } from "undici";
 import { openPool } from "../../ports/http/connection-pool.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
-import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 
 /** Connections of this gateway to one runner, all requests in flight included. */
@@ -17,18 +16,12 @@
 
 /** See the module's comment. */
 export class RunnerConnections {
-  readonly #board: RunnerBoard;
   readonly #pools = new Map<RunnerId, Pool>();
 
-  constructor(board: RunnerBoard) {
-    this.#board = board;
-  }
-
   /** The pool of a runner. */
   pool(runner: RunnerEntry): Pool {
     const known = this.#pools.get(runner.id);
     if (known) return known;
-    this.#closeGone();
     const pool = openPool(runner.address, {
       connections: MAX_CONNECTIONS,
       connectTimeout: CONNECT_TIMEOUT_MS,
@@ -40,6 +33,16 @@
     return pool;
   }
 
+  /** A runner has left: requests under way there still end. */
+  retire(id: RunnerId): void {
+    void this.#take(id)?.close();
+  }
+
+  /** A runner has ended: nothing more comes of requests under way there. */
+  breakOff(id: RunnerId): void {
+    void this.#take(id)?.destroy(new Error("the runner has started again"));
+  }
+
   /** Ends all connections. */
   async close(): Promise<void> {
     const pools = [...this.#pools.values()];
@@ -47,13 +50,9 @@
     await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
-  /** Requests under way at a runner that is gone from the list still end. */
-  #closeGone(): void {
-    const listed = new Set(this.#board.entries().map((entry) => entry.id));
-    for (const [id, pool] of this.#pools) {
-      if (listed.has(id)) continue;
-      this.#pools.delete(id);
-      void pool.close();
-    }
+  #take(id: RunnerId): Pool | undefined {
+    const pool = this.#pools.get(id);
+    this.#pools.delete(id);
+    return pool;
   }
 }
--- a/src/gateway/runners/runner-watch.ts
+++ b/src/gateway/runners/runner-watch.ts
@@ -1,6 +1,13 @@
-/** Keeps the board of runners in line with the platform's list. */
+/**
+ * Keeps the board of runners in line with the platform's list. The list names runners, the board keeps their starts: a
+ * runner that starts again under its name replaces the one before.
+ */
+import type { TimerHandle } from "../../runtime/clock.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
+import type { RunnerName } from "../../scheduling/ids/runner-name.ts";
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
+import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+import { startOrder } from "../../scheduling/runner-board/start-order.ts";
 import { TableFollower, type TableListener } from "../configuration/table-follower.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import { UnreadableRows } from "../store/unreadable-rows.ts";
@@ -24,11 +31,17 @@
   readonly #board: RunnerBoard;
   readonly #follower: TableFollower;
   readonly #unreadable: UnreadableRows;
-  /** Runners whose entries went missing in an outage of the store. */
-  readonly #lapsed = new Set<RunnerId>();
+  /** The start of each listed runner that the board has. */
+  readonly #listed = new Map<RunnerName, RunnerEntry>();
+  /** Runners whose entries went missing in an outage of the store, with the end of the time to return. */
+  readonly #lapsed = new Map<RunnerName, TimerHandle>();
   #read = false;
   /** Called each time that the list has been read whole. */
   onReady: () => void = () => undefined;
+  /** Called when a runner is gone from the list; it may still serve what it has. */
+  onLeft: (runner: RunnerId) => void = () => undefined;
+  /** Called when a runner has started again: this start of it has ended. */
+  onEnded: (runner: RunnerId) => void = () => undefined;
 
   constructor(context: GatewayContext, health: StoreHealth, board: RunnerBoard) {
     this.#context = context;
@@ -36,16 +49,16 @@
     this.#board = board;
     const listener: TableListener = {
       onTable: (rows) => {
-        const listed = new Set<string>(rows.map((row) => row.key));
-        for (const { id } of board.entries()) if (!listed.has(id)) this.#removed(id);
-        for (const row of rows) this.#written(row.key as RunnerId, row.value);
+        const keys = new Set<string>(rows.map((row) => row.key));
+        for (const name of this.#listed.keys()) if (!keys.has(name)) this.#removed(name);
+        for (const row of rows) this.#written(row.key as RunnerName, row.value);
         this.#read = true;
         this.onReady();
       },
       onChanges: (changes) => {
         for (const { key, value } of changes) {
-          if (value === undefined) this.#removed(key as RunnerId);
-          else this.#written(key as RunnerId, value);
+          if (value === undefined) this.#removed(key as RunnerName);
+          else this.#written(key as RunnerName, value);
         }
       },
     };
@@ -68,32 +81,69 @@
     this.#follower.stop();
   }
 
-  #written(id: RunnerId, value: Buffer): void {
-    this.#lapsed.delete(id);
-    const entry = this.#context.platform.records.parseRunner(id, value);
-    if (entry) this.#board.upsert(entry);
-    else this.#spoilt(id);
+  #written(name: RunnerName, value: Buffer): void {
+    this.#returned(name);
+    const entry = this.#context.platform.records.parseRunner(name, value);
+    const known = this.#listed.get(name);
+    if (!entry) return this.#spoilt(name, known);
+    if (!known) return this.#list(entry);
+    switch (startOrder(known, entry)) {
+      case "same":
+        return this.#list(entry);
+      case "later":
+        this.#replaced(known, entry);
+        return this.#list(entry);
+      case "earlier":
+        return;
+      case "unknown":
+        return this.#spoilt(name, known);
+    }
+  }
+
+  #list(entry: RunnerEntry): void {
+    this.#listed.set(entry.name, entry);
+    this.#board.upsert(entry);
   }
 
   /** Somebody else has written the row: until its runner writes it again, that takes nothing new. */
-  #spoilt(id: RunnerId): void {
-    this.#unreadable.note(id);
-    const known = this.#board.ready(id);
-    if (known) this.#board.upsert({ ...known, state: "draining" });
+  #spoilt(name: RunnerName, known: RunnerEntry | undefined): void {
+    this.#unreadable.note(name);
+    if (known) this.#list({ ...known, state: "draining" });
+  }
+
+  #replaced(known: RunnerEntry, { id, address }: RunnerEntry): void {
+    this.#context.log.info({ runner: id, address, before: known.id }, "runner started again");
+    this.#board.remove(known.id);
+    this.onEnded(known.id);
   }
 
   /** An entry is gone: at once, or, when the store has only just come back, unless it returns soon. */
-  #removed(id: RunnerId): void {
+  #removed(name: RunnerName): void {
+    const known = this.#listed.get(name);
+    if (!known) return;
     const graceMs = RETURN_GRACE_MS - this.#health.reachableForMs;
-    if (graceMs <= 0) return this.#board.remove(id);
-    if (this.#lapsed.has(id)) return;
-    this.#lapsed.add(id);
+    if (graceMs <= 0) return this.#unlist(known);
+    if (this.#lapsed.has(name)) return;
     this.#context.log.info(
-      { runner: id, graceMs: Math.round(graceMs) },
+      { runner: known.id, graceMs: Math.round(graceMs) },
       "runner's entry lapsed in an outage",
     );
-    this.#context.clock.schedule(graceMs, () => {
-      if (this.#lapsed.delete(id)) this.#board.remove(id);
+    const timer = this.#context.clock.schedule(graceMs, () => {
+      this.#lapsed.delete(name);
+      this.#unlist(known);
     });
+    this.#lapsed.set(name, timer);
+  }
+
+  #returned(name: RunnerName): void {
+    const timer = this.#lapsed.get(name);
+    if (timer) this.#context.clock.cancel(timer);
+    this.#lapsed.delete(name);
+  }
+
+  #unlist({ name, id }: RunnerEntry): void {
+    this.#listed.delete(name);
+    this.#board.remove(id);
+    this.onLeft(id);
   }
 }
--- a/src/ports/call-protocol.ts
+++ b/src/ports/call-protocol.ts
@@ -2,7 +2,7 @@
 import type { KeyDigest } from "../scheduling/ids/key-digest.ts";
 import type { ProgramId } from "../scheduling/ids/program-id.ts";
 import type { RequestId } from "../scheduling/ids/request-id.ts";
-import type { RunnerId } from "../scheduling/ids/runner-id.ts";
+import type { RunnerName } from "../scheduling/ids/runner-name.ts";
 import type { TenantName } from "../scheduling/ids/tenant-name.ts";
 import type { Urgency } from "../scheduling/urgency/urgency.ts";
 
@@ -41,8 +41,8 @@
 export interface RunnerRequestContext {
   /** Time that is left for the runner, in ms. */
   readonly deadlineMs: number;
-  /** Only this incarnation of a runner may run the request. */
-  readonly expectedRunner: RunnerId;
+  /** Only this runner may run the request. */
+  readonly expectedRunner: RunnerName;
   /** The runner goes on after this event; undefined for a run from the start, whatever the caller said. */
   readonly lastEventId: number | undefined;
   /** Among requests that wait at the runner; undefined where nothing is known of it. */
--- a/src/ports/platform-records.ts
+++ b/src/ports/platform-records.ts
@@ -7,10 +7,10 @@
   readonly configurationTable: string;
   /** Key of the newest configuration in it. */
   readonly configurationKey: string;
-  /** Table of the runners, one row each under its identifier. */
+  /** Table of the runners, one row each under its name. */
   readonly runnerTable: string;
   /** Throws when the row is not a configuration. */
   parseConfiguration(value: Buffer): RoutingConfiguration;
   /** Undefined when the row is no entry of a runner: anybody may have written it. */
-  parseRunner(id: string, value: Buffer): RunnerEntry | undefined;
+  parseRunner(name: string, value: Buffer): RunnerEntry | undefined;
 }
--- a/src/scheduling/runner-board/runner-entry.ts
+++ b/src/scheduling/runner-board/runner-entry.ts
@@ -1,9 +1,14 @@
 import type { RunnerId } from "../ids/runner-id.ts";
+import type { RunnerName } from "../ids/runner-name.ts";
 
 /** What the platform's list says of one incarnation of a runner. */
 export interface RunnerEntry {
   /** Unique per start of the runner. */
   readonly id: RunnerId;
+  /** The name under which the platform lists it. */
+  readonly name: RunnerName;
+  /** Unix time of its start, in ms, by its own clock; undefined where entries do not tell. */
+  readonly bornMs: number | undefined;
   readonly pool: string;
   /** IP address and port. */
   readonly address: string;
--- a/test/contract/runner-board.test.ts
+++ b/test/contract/runner-board.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
+import type { RunnerName } from "../../src/scheduling/ids/runner-name.ts";
 import { RunnerBoard } from "../../src/scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../src/scheduling/runner-board/runner-entry.ts";
 
@@ -13,6 +14,8 @@
 describe("runner board", () => {
   const entry = (id: RunnerId, more: Partial<RunnerEntry> = {}): RunnerEntry => ({
     id,
+    name: id as string as RunnerName,
+    bornMs: undefined,
     pool: "p",
     address: "127.0.0.1:1",
     zone: "z",
--- /dev/null
+++ b/test/contract/runner-connections.test.ts
@@ -0,0 +1,67 @@
+/** Connections to runners that leave, and to those that have ended. */
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { expect } from "earl";
+import { RunnerConnections } from "../../src/gateway/runners/runner-connections.ts";
+import { sendRequest } from "../../src/ports/http/http-exchange.ts";
+import { SystemClock } from "../../src/runtime/clock.ts";
+import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
+import type { RunnerName } from "../../src/scheduling/ids/runner-name.ts";
+import type { RunnerEntry } from "../../src/scheduling/runner-board/runner-entry.ts";
+import { RunnerStandin } from "../../standins/platform/runner-standin.ts";
+
+const ID = "runner-1#1" as RunnerId;
+const NAME = "runner-1" as RunnerName;
+/** How long the runner takes for an answer, in ms. */
+const ANSWER_MS = 300;
+
+describe("connections to runners", () => {
+  let runner: RunnerStandin;
+  let entry: RunnerEntry;
+  let connections: RunnerConnections;
+
+  beforeEach(async () => {
+    runner = new RunnerStandin(NAME);
+    runner.stepMs = ANSWER_MS;
+    const address = await runner.listen();
+    entry = { id: ID, name: NAME, bornMs: 1, pool: "p", address, zone: "z", slots: 1, state: "ready" };
+    connections = new RunnerConnections();
+  });
+
+  afterEach(async () => {
+    await connections.close();
+    runner.close();
+  });
+
+  /** Sends a request, does something once the runner has it, and says how and when the request ended. */
+  async function askAnd(act: () => void): Promise<{ end: string; afterMs: number }> {
+    const clock = new SystemClock();
+    const sentMs = clock.monotonicMs();
+    const ended = new Promise<string>((resolve) => {
+      const listener = {
+        onHead: () => true,
+        onData: () => undefined,
+        onEnd: () => resolve("answered"),
+        onFailed: (error: Error, sent: boolean) => resolve(`${sent ? "broken" : "unsent"}: ${error.message}`),
+      };
+      const request = { method: "GET", path: "/", headers: ["X-Request-Id", "r"], body: Buffer.alloc(0) };
+      sendRequest(connections.pool(entry), request, listener);
+    });
+    while (runner.ran.length === 0) await new Promise((resolve) => setTimeout(resolve, 5));
+    act();
+    const end = await ended;
+    return { end, afterMs: clock.monotonicMs() - sentMs };
+  }
+
+  it("lets requests end at a runner that leaves the list", async () => {
+    const { end } = await askAnd(() => connections.retire(ID));
+    expect(end).toEqual("answered");
+  });
+
+  it("breaks requests off at once whose runner has started again, and keeps no pool of it", async () => {
+    const before = connections.pool(entry);
+    const { end, afterMs } = await askAnd(() => connections.breakOff(ID));
+    expect(end).toEqual("broken: the runner has started again");
+    expect(afterMs < ANSWER_MS).toEqual(true);
+    expect(connections.pool(entry) === before).toEqual(false);
+  });
+});
