Check the gateways' own rows, and neither end nor grant by one that cannot be read

Cause: rows of owners, accounts, turns and gateways were cast to what they should be. Bytes that are no record ended the take-over of a partition for good, and the search for other gateways; an account of another shape was an empty budget; a configuration that could not be read ended the watch, after which keys were not trusted any more.

Change: each kind is checked where it is decoded. An owner's row that can't be read may name anybody: the partition is taken over as from an owner that may live on. Nothing is granted from an account that can't be read (503), and it stays as it is. A turn says 503, a gateway's row is passed over. A configuration leaves the one before in force, and is no proof that this is the newest. All are counted, with a line for 10 s.

--- a/bench/simulation/gateways/gateway-world.ts
+++ b/bench/simulation/gateways/gateway-world.ts
@@ -119,7 +119,8 @@
     for (let partition = 0; partition < PARTITIONS; partition += 1) {
       const { table, part } = ownerKey(partition);
       const [row] = this.store.model.read(table, part, "", undefined);
-      if (row) owners.push([partition, decodeOwner(Buffer.from(row.value ?? "", "base64")).instance]);
+      const owner = row && decodeOwner(Buffer.from(row.value ?? "", "base64"));
+      if (owner) owners.push([partition, owner.instance]);
     }
     return owners;
   }
--- a/src/gateway/configuration/routing-watch.ts
+++ b/src/gateway/configuration/routing-watch.ts
@@ -5,7 +5,9 @@
  */
 import { SnapshotRelay } from "../../coordination/snapshot-relay/index.ts";
 import { RouteTable } from "../../scheduling/routing/route-table.ts";
+import type { RoutingConfiguration } from "../../scheduling/routing/routing-configuration.ts";
 import type { GatewayContext } from "../gateway-context.ts";
+import { UnreadableRows } from "../store/unreadable-rows.ts";
 import type { StoreHealth } from "../store-health.ts";
 import { TableFollower } from "./table-follower.ts";
 
@@ -27,13 +29,17 @@
   readonly #context: GatewayContext;
   readonly #follower: TableFollower;
   readonly #snapshot = new SnapshotRelay(NO_RELAY_MS);
+  readonly #unreadable: UnreadableRows;
   #table: RouteTable | undefined;
+  /** Whether the store has a configuration that can't be read: it may be newer than the one in force. */
+  #isSpoilt = false;
   /** Called when a newer configuration has come into force. */
   onChanged: (table: RouteTable) => void = () => undefined;
 
   constructor(context: GatewayContext, health: StoreHealth) {
     this.#context = context;
     const { configurationTable, configurationKey } = context.platform.records;
+    this.#unreadable = new UnreadableRows(context, configurationTable);
     const take = (rows: readonly { readonly key: string; readonly value: Buffer | undefined }[]) => {
       for (const { key, value } of rows) if (key === configurationKey && value) this.#take(value);
     };
@@ -75,7 +81,7 @@
   }
 
   #confirm(askedAtMs: number): void {
-    if (!this.#table) return;
+    if (!this.#table || this.#isSpoilt) return;
     this.#snapshot.read(
       String(this.#table.configuration.version),
       askedAtMs,
@@ -84,12 +90,23 @@
   }
 
   #take(value: Buffer): void {
-    const { records } = this.#context.platform;
-    const configuration = records.parseConfiguration(value);
+    const configuration = this.#parse(value);
+    this.#isSpoilt = configuration === undefined;
+    if (!configuration) return;
     const { version } = configuration;
     if (this.#table && this.#table.configuration.version >= version) return;
     this.#table = new RouteTable(configuration);
     this.#context.log.info({ version, routes: configuration.routes.length }, "configuration in force");
     this.onChanged(this.#table);
   }
+
+  #parse(value: Buffer): RoutingConfiguration | undefined {
+    const { records } = this.#context.platform;
+    try {
+      return records.parseConfiguration(value);
+    } catch {
+      this.#unreadable.note(records.configurationKey);
+      return undefined;
+    }
+  }
 }
--- a/src/gateway/members/member-registry.ts
+++ b/src/gateway/members/member-registry.ts
@@ -2,9 +2,12 @@
  * Gateways in the store: each writes its address when it starts and reads those of the others, so that they find each
  * other when no seed is up. Nothing else depends on these rows.
  */
-import { decode, encode } from "cbor-x";
+import { encode } from "cbor-x";
+import { isAddress } from "../../ports/is-address.ts";
 import { delay } from "../../runtime/clock.ts";
 import type { GatewayContext } from "../gateway-context.ts";
+import { decodeRecord } from "../store/decode-record.ts";
+import { UnreadableRows } from "../store/unreadable-rows.ts";
 import type { MemberDirectory } from "./member-directory.ts";
 
 const TABLE = "gateways";
@@ -25,12 +28,14 @@
   readonly #context: GatewayContext;
   readonly #members: MemberDirectory;
   readonly #address: string;
+  readonly #unreadable: UnreadableRows;
   #stopped = false;
 
   constructor(context: GatewayContext, members: MemberDirectory, address: string) {
     this.#context = context;
     this.#members = members;
     this.#address = address;
+    this.#unreadable = new UnreadableRows(context, TABLE);
   }
 
   start(): void {
@@ -67,9 +72,18 @@
     const outcome = await this.#context.platform.store.read({ table: TABLE, part: "" });
     if (outcome.type !== "rows") return false;
     const nowMs = this.#context.clock.wallMs();
-    const rows = outcome.rows.map(({ value }) => decode(value) as GatewayRow);
-    const live = rows.filter(({ writtenWallMs }) => nowMs - writtenWallMs < STALE_MS);
+    const rows = outcome.rows.map(({ key, value }) => this.#decode(key, value));
+    const live = rows
+      .filter((row) => row !== undefined)
+      .filter(({ writtenWallMs }) => nowMs - writtenWallMs < STALE_MS);
     this.#members.knowAll(live.map(({ address }) => address));
     return true;
   }
+
+  #decode(key: string, value: Buffer): GatewayRow | undefined {
+    const { address, writtenWallMs } = decodeRecord(value) ?? {};
+    if (isAddress(address) && typeof writtenWallMs === "number") return { address, writtenWallMs };
+    this.#unreadable.note(key);
+    return undefined;
+  }
 }
--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -28,6 +28,13 @@
   readonly inherited: Set<RequestId>;
 }
 
+/** What the store has of the accounts of a partition's programs. */
+export interface StoredAccounts {
+  readonly accounts: ReadonlyMap<ProgramId, StoredAccount>;
+  /** Programs whose rows can't be read. */
+  readonly unreadable: ReadonlySet<ProgramId>;
+}
+
 const WHOLE_PROGRAM = "";
 
 /** How much earlier than its asker gives up the owner says that a grant is not recorded yet, in ms. */
@@ -54,18 +61,21 @@
   readonly epoch: number;
   readonly #context: GatewayContext;
   readonly #programs = new Map<ProgramId, ProgramState>();
+  /** Programs whose accounts can't be read: all of their budgets may be spent, and nothing is granted. */
+  readonly #unreadable: ReadonlySet<ProgramId>;
   readonly #turns: RetainedTurns;
   readonly #writer: PartitionWriter;
   #releasing = false;
 
   /** @param stored the accounts of the partition's programs, as the store has them */
-  constructor(parts: OwnedPartitionParts, stored: ReadonlyMap<ProgramId, StoredAccount>) {
+  constructor(parts: OwnedPartitionParts, stored: StoredAccounts) {
     this.#context = parts.context;
     this.partition = parts.partition;
     this.epoch = parts.epoch;
     this.#turns = new RetainedTurns(parts.context, () => parts.health.newestVersion, parts.findTurn);
     this.#writer = new PartitionWriter(parts);
-    for (const [program, account] of stored)
+    this.#unreadable = stored.unreadable;
+    for (const [program, account] of stored.accounts)
       this.#remember(
         program,
         new TokenAccount(account),
@@ -76,6 +86,8 @@
   /** Answers whether a turn may run; see {@link AdmitTurnRequest}. */
   async admit(request: AdmitTurnRequest): Promise<AdmitTurnResponse | typeof MOVED> {
     if (this.#releasing) return MOVED;
+    if (request.budget && this.#unreadable.has(request.program))
+      return { type: "unavailable", detail: "the program's account cannot be read" };
     const program = this.#program(request.program);
     let reserved = this.#reserve(program, request);
     if (reserved === "exhausted" && (await this.#settleInherited(program))) {
--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -19,13 +19,15 @@
 import type { FindTurnResponse, GatewayRpcSchema, RetainedTurnContent } from "../gateway-messages.ts";
 import type { Member } from "../members/member.ts";
 import type { MemberDirectory } from "../members/member-directory.ts";
+import { UnreadableRows } from "../store/unreadable-rows.ts";
 import type { StoreHealth } from "../store-health.ts";
-import { MOVED, OwnedPartition } from "./owned-partition.ts";
+import { MOVED, OwnedPartition, type StoredAccounts } from "./owned-partition.ts";
 import {
   decodeAccount,
   decodeOwner,
   encodeOwner,
   NOBODY,
+  type OwnerRow,
   ownerKey,
   partOf,
   TABLES,
@@ -36,6 +38,8 @@
 import { TurnWriter } from "./turn-writer.ts";
 
 const FIRST_COMMIT = 0;
+/** Stands for the incarnation that an owner's row names that can't be read: it may live on. */
+const UNKNOWN_OWNER = "?";
 /** Bytes of turns that a gateway keeps because they were answered through it. */
 const MAX_ANSWERED_BYTES = 4 * 1024 * 1024;
 
@@ -71,6 +75,8 @@
   readonly #answered = new TurnCache(MAX_ANSWERED_BYTES);
   /** What is left of the limits of a partition's tenants; nothing of them is admitted here after it. */
   handOverRates: (partition: number) => RateHandOver | undefined = () => undefined;
+  readonly #unreadableOwners: UnreadableRows;
+  readonly #unreadableAccounts: UnreadableRows;
   #claimAfterMs = 0;
   #stop: () => void = () => undefined;
   #stopping = false;
@@ -84,6 +90,8 @@
     this.#context = context;
     this.#members = members;
     this.#health = health;
+    this.#unreadableOwners = new UnreadableRows(context, TABLES.owners);
+    this.#unreadableAccounts = new UnreadableRows(context, TABLES.accounts);
     this.#turnWriter = new TurnWriter(context, new TransactionSender(context, health));
     this.#finder = new TurnFinder({
       context,
@@ -222,8 +230,8 @@
     });
     this.#health.note(outcome);
     if (outcome.type !== "committed") return undefined;
-    const lastOwner = row === undefined ? undefined : decodeOwner(row.value);
-    const before = lastOwner?.instance;
+    const lastOwner = row && this.#ownerIn(row);
+    const before = row && (lastOwner?.instance ?? UNKNOWN_OWNER);
     const isReleased = before === NOBODY;
     const rival = isReleased ? undefined : before;
     const takenOverAtMs = this.#context.clock.monotonicMs();
@@ -255,11 +263,19 @@
     return !again || again.row?.version !== row?.version;
   }
 
-  /** Whether the row names another gateway that is alive. */
+  /** Whether the row names another gateway that is alive, or may do so. */
   #namesOther(row: StoredRow | undefined): boolean {
     if (!row) return false;
-    const { instance } = decodeOwner(row.value);
-    return instance !== this.#context.instance && this.#members.mayOwn(instance);
+    const owner = this.#ownerIn(row);
+    if (!owner) return true;
+    return owner.instance !== this.#context.instance && this.#members.mayOwn(owner.instance);
+  }
+
+  /** What an owner's row says; undefined when it can't be read. */
+  #ownerIn(row: StoredRow): OwnerRow | undefined {
+    const owner = decodeOwner(row.value);
+    if (!owner) this.#unreadableOwners.note(row.part);
+    return owner;
   }
 
   /** Whether a gateway that is alive says that it owns the partition. */
@@ -268,8 +284,9 @@
     return owner !== undefined && this.#members.mayOwn(owner);
   }
 
-  async #readAccounts(partition: number, epoch: number): Promise<Map<ProgramId, StoredAccount> | undefined> {
+  async #readAccounts(partition: number, epoch: number): Promise<StoredAccounts | undefined> {
     const accounts = new Map<ProgramId, StoredAccount>();
+    const unreadable = new Set<ProgramId>();
     let from: string | undefined;
     for (;;) {
       const range = {
@@ -280,18 +297,23 @@
       const read = await this.#context.platform.store.read(range);
       this.#health.note(read);
       if (read.type !== "rows" || read.version < epoch) return undefined;
-      for (const row of read.rows) accounts.set(row.key as ProgramId, decodeAccount(row.value));
+      for (const { key, value } of read.rows) {
+        const account = decodeAccount(value);
+        if (account) accounts.set(key as ProgramId, account);
+        else unreadable.add(key as ProgramId);
+      }
       const last = read.rows.at(-1);
-      if (!read.more || !last) return accounts;
+      if (!read.more || !last) return this.#noteAccounts({ accounts, unreadable });
       from = `${last.key}\u0000`;
     }
   }
 
-  #adopt(
-    partition: number,
-    taken: PartitionOwnership,
-    accounts: ReadonlyMap<ProgramId, StoredAccount>,
-  ): void {
+  #noteAccounts(stored: StoredAccounts): StoredAccounts {
+    for (const program of stored.unreadable) this.#unreadableAccounts.note(program);
+    return stored;
+  }
+
+  #adopt(partition: number, taken: PartitionOwnership, stored: StoredAccounts): void {
     const { log, instance } = this.#context;
     const { epoch, isReleased } = taken;
     const owned: OwnedPartition = new OwnedPartition(
@@ -303,12 +325,12 @@
         findTurn: (turn) => this.#finder.find(turn),
         onLost: () => this.#onLost(owned),
       },
-      accounts,
+      stored,
     );
     this.#owned.set(partition, owned);
     this.#ownerships.set(partition, taken);
     this.#owners.learn(partition, { instance, epoch });
-    log.info({ partition, epoch, isReleased, programs: accounts.size }, "partition taken over");
+    log.info({ partition, epoch, isReleased, programs: stored.accounts.size }, "partition taken over");
     this.#members.tick();
   }
 
--- a/src/gateway/partitions/partition-rows.ts
+++ b/src/gateway/partitions/partition-rows.ts
@@ -1,10 +1,11 @@
-/** How partitions lie in the store: a part each, with the owner and the accounts. */
+/** How partitions lie in the store: a part each, with the owner and the accounts. Rows may be spoilt: each is checked. */
 
-import { decode, encode } from "cbor-x";
+import { encode } from "cbor-x";
 import type { RateHandOver } from "../../coordination/request-rate/index.ts";
 import type { StoredAccount } from "../../coordination/token-account/index.ts";
 import type { RowKey } from "../../ports/store/row-store.ts";
 import type { ProgramId } from "../../scheduling/ids/program-id.ts";
+import { decodeRecord } from "../store/decode-record.ts";
 
 const OWNER_KEY = "owner";
 /** What the owner's row names when the last owner has let go. */
@@ -42,14 +43,42 @@
   return encode(row);
 }
 
-export function decodeOwner(value: Buffer): OwnerRow {
-  return decode(value) as OwnerRow;
+/** Undefined when the row can't be read: then anybody may own the partition. */
+export function decodeOwner(value: Buffer): OwnerRow | undefined {
+  const { instance, commit, rates } = decodeRecord(value) ?? {};
+  if (typeof instance !== "string" || !isAmount(commit)) return undefined;
+  if (rates === undefined) return { instance, commit };
+  return isHandOver(rates) ? { instance, commit, rates } : undefined;
 }
 
 export function encodeAccount(account: StoredAccount): Buffer {
   return encode(account);
 }
 
-export function decodeAccount(value: Buffer): StoredAccount {
-  return decode(value) as StoredAccount;
+/** Undefined when the row can't be read: then all of the budget may be spent. */
+export function decodeAccount(value: Buffer): StoredAccount | undefined {
+  const { settled, ahead, open } = decodeRecord(value) ?? {};
+  // Less than nothing is set aside once a turn has generated more than it said.
+  if (!isAmount(settled) || !isNumber(ahead) || !isNumbered(open)) return undefined;
+  return open.every(([, most]) => isAmount(most)) ? { settled, ahead, open } : undefined;
+}
+
+function isHandOver(value: unknown): value is RateHandOver {
+  if (typeof value !== "object" || value === null) return false;
+  const { tokens, filledForMs } = value as Partial<RateHandOver>;
+  return isNumbered(tokens) && (filledForMs === undefined || isNumber(filledForMs));
+}
+
+/** Whether a value is a list of names, each with a number. */
+function isNumbered(value: unknown): value is [name: string, number: number][] {
+  if (!Array.isArray(value)) return false;
+  return value.every((pair) => Array.isArray(pair) && typeof pair[0] === "string" && isNumber(pair[1]));
+}
+
+function isAmount(value: unknown): value is number {
+  return isNumber(value) && value >= 0;
+}
+
+function isNumber(value: unknown): value is number {
+  return typeof value === "number" && Number.isFinite(value);
 }
--- a/src/gateway/partitions/retained-turns.ts
+++ b/src/gateway/partitions/retained-turns.ts
@@ -136,12 +136,9 @@
 
 /** What rows of the store say about a turn. */
 function contentOf(turn: RequestId, read: StoredRows, newestVersion: number): TurnLookup {
-  try {
-    const content = turnOf(turn, read.rows);
-    if (content) return { type: "found", content };
-  } catch (error) {
-    return unavailable(`the turn's rows cannot be read: ${String(error)}`);
-  }
+  const content = turnOf(turn, read.rows);
+  if (content === "unreadable") return unavailable("the turn's rows cannot be read");
+  if (content !== "absent") return { type: "found", content };
   if (read.version < newestVersion) return unavailable("the store's answer is old");
   return { type: "noSuchTurn" };
 }
--- a/src/gateway/partitions/turn-rows.ts
+++ b/src/gateway/partitions/turn-rows.ts
@@ -4,11 +4,12 @@
  * turn lies in the first of them, unless that did not answer. A turn is one row, or several when it is large.
  */
 
-import { decode, encode } from "cbor-x";
+import { encode } from "cbor-x";
 import type { RowKey, RowRange, StoredRow } from "../../ports/store/row-store.ts";
 import type { TextHash } from "../../runtime/text-hash.ts";
 import type { RequestId } from "../../scheduling/ids/request-id.ts";
 import type { RetainedTurnContent } from "../gateway-messages.ts";
+import { decodeRecord, type RecordFields } from "../store/decode-record.ts";
 
 const TABLE = "turns";
 /**
@@ -58,15 +59,26 @@
   return { table: TABLE, part, from: turn, until: `${turn}${AFTER_SEPARATOR}` };
 }
 
-/** The turn that rows of its range hold; undefined when they hold none. */
-export function turnOf(turn: RequestId, rows: readonly StoredRow[]): RetainedTurnContent | undefined {
+/** What rows of a turn's range hold. */
+export type TurnInRows = RetainedTurnContent | "absent" | "unreadable";
+
+/** The turn that rows of its range hold. */
+export function turnOf(turn: RequestId, rows: readonly StoredRow[]): TurnInRows {
   const numbered = rows.flatMap((row) => {
     const number = rowNumber(turn, row.key);
     return number === undefined ? [] : [{ number, value: row.value }];
   });
-  if (numbered.length === 0) return undefined;
+  if (numbered.length === 0) return "absent";
   numbered.sort((left, right) => left.number - right.number);
-  return decode(Buffer.concat(numbered.map(({ value }) => value))) as RetainedTurnContent;
+  const content = decodeRecord(Buffer.concat(numbered.map(({ value }) => value)));
+  return content && isTurn(content) ? content : "unreadable";
+}
+
+function isTurn(content: RecordFields): content is RecordFields & RetainedTurnContent {
+  const { previousTurn, tenant, input, output, tokens } = content;
+  const isNamed = [previousTurn, tenant].every((name) => name === undefined || typeof name === "string");
+  const hasBytes = [input, output].every((bytes) => bytes instanceof Uint8Array);
+  return isNamed && hasBytes && (tokens === undefined || Number.isFinite(tokens));
 }
 
 function rowNumber(turn: RequestId, key: string): number | undefined {
--- a/test/contract/owned-partition.test.ts
+++ b/test/contract/owned-partition.test.ts
@@ -4,7 +4,7 @@
 import { expect } from "earl";
 import type { GatewayContext } from "../../src/gateway/gateway-context.ts";
 import type { AdmitTurnRequest } from "../../src/gateway/gateway-messages.ts";
-import { OwnedPartition } from "../../src/gateway/partitions/owned-partition.ts";
+import { OwnedPartition, type StoredAccounts } from "../../src/gateway/partitions/owned-partition.ts";
 import { turnRows } from "../../src/gateway/partitions/turn-rows.ts";
 import { StoreHealth } from "../../src/gateway/store-health.ts";
 import type { ReadOutcome, TransactionOutcome } from "../../src/ports/store/row-store.ts";
@@ -35,14 +35,14 @@
   return { partition: 1, program: "program" as ProgramId, session: undefined, turn, budget: BUDGET, history };
 }
 
-function owner(): OwnedPartition {
+function owner(stored: StoredAccounts = { accounts: new Map(), unreadable: new Set() }): OwnedPartition {
   const health = new StoreHealth(context);
   const findTurn = async () => {
     await delay(context.clock, FIND_MS);
     return { type: "unavailable", detail: "none" } as const;
   };
   const onLost = () => undefined;
-  return new OwnedPartition({ context, health, partition: 1, epoch: 1, findTurn, onLost }, new Map());
+  return new OwnedPartition({ context, health, partition: 1, epoch: 1, findTurn, onLost }, stored);
 }
 
 async function committed(): Promise<TransactionOutcome> {
--- a/test/contract/turn-writer.test.ts
+++ b/test/contract/turn-writer.test.ts
@@ -160,8 +160,9 @@
     const stranger = turnRows(NAMED_A_B, content("stranger"), "t0").map((row) => ({ ...row, version: 1 }));
     expect(rows.length > 10).toEqual(true);
     const byKey = [...rows, ...stranger].sort((left, right) => (left.key < right.key ? -1 : 1));
-    expect(turnOf(NAMED_A, byKey)?.input.length).toEqual(600_000);
-    expect(turnOf(NAMED_A, stranger)).toEqual(undefined);
+    const found = turnOf(NAMED_A, byKey);
+    expect(typeof found === "string" ? found : found.input.length).toEqual(600_000);
+    expect(turnOf(NAMED_A, stranger)).toEqual("absent");
   });
 
   it("go into one transaction when they end at the same time in one part", async () => {
