Keep the connections of all gateways to a runner within what it takes

Cause: every gateway allowed itself 64 connections to each runner, whatever the runner takes from all of them together; RunnerPool.maxConnections was read and used by nobody. A runner resets those beyond, after which nobody can say whether a request has run.

Change: half of a runner's connections is shared out among the live gateways, half is lent to those that need more (connection-share.ts, pure). A runner without room is not chosen; the call goes to another. Pools with many idle connections beyond an equal share are closed once in 5 s, after their requests. A gauge counts connections.

Result: new tests, which the code before cannot run: tables, and a property over 600 requests at 1 to 40 gateways by which all together stay within the limit; idle ones beyond the share close, others stay.

--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -121,7 +121,7 @@
   }
 
   protected chooseRunner(preferred: RunnerId | undefined): RunnerEntry | undefined {
-    const { board, context } = this.parts;
+    const { board, connections, context } = this.parts;
     return board.choose({
       pool: this.pool.name,
       zone: context.settings.zone,
@@ -129,6 +129,7 @@
       preferred,
       nowMs: context.clock.monotonicMs(),
       sample: context.random.unit(),
+      mayTake: connections.room(this.pool.name),
     });
   }
 
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -62,7 +62,12 @@
     this.#rates = new RateHost(context, this.#members, this.#partitions, this.#rpc);
     this.#routing = new RoutingWatch(context, health);
     this.#runners = new RunnerWatch(context, health, this.#board);
-    this.#connections = new RunnerConnections();
+    this.#connections = new RunnerConnections({
+      clock,
+      board: this.#board,
+      gateways: () => this.#members.aliveCount + 1,
+      maxConnections: (pool) => this.#routing.routes?.pool(pool)?.maxConnections,
+    });
     this.#ingress = new IngressServer(context);
     this.#entry = new EntryServer(context, this.#members, () => this.state === "ready");
     const client = new PartitionClient(context, this.#members, this.#partitions, this.#rpc, health);
@@ -100,6 +105,7 @@
     const { listen } = this.#context.settings;
     this.#routing.start();
     this.#runners.start();
+    this.#connections.start();
     this.#members.start();
     this.#registry.start();
     this.#partitions.start();
@@ -143,6 +149,7 @@
       members: () => this.#members.aliveCount,
       partitions: () => this.#partitions.owned.length,
       requestsInProgress: () => this.#ingress.active,
+      runnerConnections: () => this.#connections.count,
       linesLeftOut: () => this.#callLog.leftOutTotal,
       configurationVersion: () => this.#routing.routes?.configuration.version ?? 0,
       storeReachable: () => this.#health.reachable,
--- a/src/gateway/runners/runner-connections.ts
+++ b/src/gateway/runners/runner-connections.ts
@@ -1,8 +1,14 @@
-/** Connections to runners: a pool for each incarnation, closed when it is gone from the list. */
+/**
+ * Connections to runners: a pool for each incarnation, closed when it is gone from the list. All gateways together keep to
+ * the connections that a runner takes; see `connection-share.ts`.
+ */
 
 import type { Pool } from "undici";
 import { openPool } from "../../ports/http/connection-pool.ts";
+import { type Clock, repeat } from "../../runtime/clock.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
+import { connectionShare, mayUseConnection } from "../../scheduling/runner-board/connection-share.ts";
+import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 
 /** Connections of this gateway to one runner, all requests in flight included. */
@@ -13,15 +19,52 @@
 /** A connection is given up this long before the time that the runner names, in ms. */
 const IDLE_MARGIN_MS = 500;
 const MAX_IDLE_MS = 600_000;
+/** Time between looks for idle connections beyond the share, in ms: longer than those rest that are opened in a burst. */
+const TRIM_MS = 5_000;
+/** Part of a pool's connections that has to be idle before it is closed for them. */
+const IDLE_PART = 0.5;
+
+/** What the connections depend on. */
+export interface RunnerConnectionsParts {
+  readonly clock: Clock;
+  readonly board: RunnerBoard;
+  /** Gateways that are alive, this one included. */
+  readonly gateways: () => number;
+  /** Connections that each runner of a pool takes from all gateways; undefined where that is not known. */
+  readonly maxConnections: (pool: string) => number | undefined;
+}
+
+interface OpenPool {
+  readonly pool: Pool;
+  /** The runner's. */
+  readonly poolName: string;
+}
 
 /** See the module's comment. */
 export class RunnerConnections {
-  readonly #pools = new Map<RunnerId, Pool>();
+  readonly #parts: RunnerConnectionsParts;
+  readonly #pools = new Map<RunnerId, OpenPool>();
+  #stop: () => void = () => undefined;
+
+  constructor(parts: RunnerConnectionsParts) {
+    this.#parts = parts;
+  }
+
+  start(): void {
+    this.#stop = repeat(this.#parts.clock, TRIM_MS, () => this.trim());
+  }
+
+  /** Connections that stand. */
+  get count(): number {
+    let count = 0;
+    for (const { pool } of this.#pools.values()) count += pool.stats.connected;
+    return count;
+  }
 
   /** The pool of a runner. */
   pool(runner: RunnerEntry): Pool {
     const known = this.#pools.get(runner.id);
-    if (known) return known;
+    if (known) return known.pool;
     const pool = openPool(runner.address, {
       connections: MAX_CONNECTIONS,
       connectTimeout: CONNECT_TIMEOUT_MS,
@@ -29,10 +72,32 @@
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       keepAliveMaxTimeout: MAX_IDLE_MS,
     });
-    this.#pools.set(runner.id, pool);
+    this.#pools.set(runner.id, { pool, poolName: runner.pool });
     return pool;
   }
 
+  /** Tells of each runner of a pool whether a connection is left for one request more. */
+  room(poolName: string): (runner: RunnerEntry) => boolean {
+    const { board, gateways, maxConnections } = this.#parts;
+    const most = maxConnections(poolName);
+    if (most === undefined) return () => true;
+    const gatewayCount = gateways();
+    return ({ id }) => {
+      const use = { own: board.ownLoad(id), total: board.load(id) };
+      return mayUseConnection(use, most, gatewayCount);
+    };
+  }
+
+  /** Closes pools that hold many idle connections beyond the share; their requests end first. */
+  trim(): void {
+    for (const [id, { pool, poolName }] of this.#pools) {
+      const most = this.#parts.maxConnections(poolName);
+      const { connected, running } = pool.stats;
+      if (most === undefined || connected <= connectionShare(most, this.#parts.gateways())) continue;
+      if (connected - running >= connected * IDLE_PART) this.retire(id);
+    }
+  }
+
   /** A runner has left: requests under way there still end. */
   retire(id: RunnerId): void {
     void this.#take(id)?.close();
@@ -45,13 +110,14 @@
 
   /** Ends all connections. */
   async close(): Promise<void> {
+    this.#stop();
     const pools = [...this.#pools.values()];
     this.#pools.clear();
-    await Promise.all(pools.map((pool) => pool.destroy()));
+    await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 
   #take(id: RunnerId): Pool | undefined {
-    const pool = this.#pools.get(id);
+    const pool = this.#pools.get(id)?.pool;
     this.#pools.delete(id);
     return pool;
   }
--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -100,6 +100,7 @@
       gauge("members", "Other gateways that are alive", gauges.members),
       gauge("partitions", "Partitions owned here", gauges.partitions),
       gauge("requests_in_progress", "Callers' requests without a whole answer", gauges.requestsInProgress),
+      gauge("runner_connections", "Connections to runners, idle ones included", gauges.runnerConnections),
       gauge("lines_left_out", "Lines of calls that were not written", gauges.linesLeftOut),
       gauge("configuration_version", "Version in force", gauges.configurationVersion),
       gauge("store_reachable", "1 while the store answers", () => (gauges.storeReachable() ? 1 : 0)),
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -129,7 +129,12 @@
 
   /** Requests under way at a runner, as far as known. */
   load(id: RunnerId): number {
-    return (this.#runners.get(id)?.health.inFlight ?? 0) + this.#reports.inFlight(id);
+    return this.ownLoad(id) + this.#reports.inFlight(id);
+  }
+
+  /** Requests of this node under way at a runner. */
+  ownLoad(id: RunnerId): number {
+    return this.#runners.get(id)?.health.inFlight ?? 0;
   }
 
   /**
--- /dev/null
+++ b/test/contract/connection-share.test.ts
@@ -0,0 +1,51 @@
+/** Which part of a runner's connections each gateway uses. */
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import { connectionShare, mayUseConnection } from "../../src/scheduling/runner-board/connection-share.ts";
+
+describe("share of a runner's connections", () => {
+  const SHARES: [maxConnections: number, gateways: number, share: number][] = [
+    [480, 1, 64],
+    [480, 0, 64],
+    [480, 20, 24],
+    [480, 74, 6],
+    [520, 300, 2],
+    [1, 74, 2],
+  ];
+  for (const [most, gateways, share] of SHARES) {
+    it(`of ${most} is ${share} with ${gateways} gateways`, () =>
+      expect(connectionShare(most, gateways)).toEqual(share));
+  }
+
+  const USES: [what: string, own: number, total: number, may: boolean][] = [
+    ["below the share, however full the runner is", 2, 480, true],
+    ["at the share, while less than half is in use", 3, 239, true],
+    ["at the share, while half is in use", 3, 240, false],
+    ["beyond the share, while less than half is in use", 63, 100, true],
+    ["at the most of one gateway", 64, 64, false],
+  ];
+  for (const [what, own, total, may] of USES) {
+    it(`${may ? "allows" : "denies"} one request more ${what}`, () =>
+      expect(mayUseConnection({ own, total }, 480, 74)).toEqual(may));
+  }
+
+  it("keeps what all gateways use within what the runner takes, when each knows what the others do", () => {
+    const gateways = fc.integer({ min: 1, max: 40 });
+    const asks = fc.array(fc.nat(39), { maxLength: 600 });
+    fc.assert(
+      fc.property(gateways, fc.integer({ min: 160, max: 300 }), asks, (count, most, askers) => {
+        const own = Array.from({ length: count }, () => 0);
+        let total = 0;
+        for (const asker of askers) {
+          const gateway = asker % count;
+          const used = own[gateway] ?? 0;
+          if (!mayUseConnection({ own: used, total }, most, count)) continue;
+          own[gateway] = used + 1;
+          total += 1;
+        }
+        expect(total <= most).toEqual(true);
+      }),
+    );
+  });
+});
--- a/test/contract/runner-connections.test.ts
+++ b/test/contract/runner-connections.test.ts
@@ -6,11 +6,14 @@
 import { SystemClock } from "../../src/runtime/clock.ts";
 import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
 import type { RunnerName } from "../../src/scheduling/ids/runner-name.ts";
+import { RunnerBoard } from "../../src/scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../src/scheduling/runner-board/runner-entry.ts";
 import { RunnerStandin } from "../../standins/platform/runner-standin.ts";
 
 const ID = "runner-1#1" as RunnerId;
 const NAME = "runner-1" as RunnerName;
+/** Connections that the runner takes from all gateways. */
+const MAX_CONNECTIONS = 12;
 /** How long the runner takes for an answer, in ms. */
 const ANSWER_MS = 300;
 
@@ -18,13 +21,23 @@
   let runner: RunnerStandin;
   let entry: RunnerEntry;
   let connections: RunnerConnections;
+  let board: RunnerBoard;
+  let gateways: number;
 
   beforeEach(async () => {
     runner = new RunnerStandin(NAME);
     runner.stepMs = ANSWER_MS;
     const address = await runner.listen();
     entry = { id: ID, name: NAME, bornMs: 1, pool: "p", address, zone: "z", slots: 1, state: "ready" };
-    connections = new RunnerConnections();
+    board = new RunnerBoard();
+    board.upsert(entry);
+    gateways = 1;
+    connections = new RunnerConnections({
+      clock: new SystemClock(),
+      board,
+      gateways: () => gateways,
+      maxConnections: (pool) => (pool === "p" ? MAX_CONNECTIONS : undefined),
+    });
   });
 
   afterEach(async () => {
@@ -32,11 +45,9 @@
     runner.close();
   });
 
-  /** Sends a request, does something once the runner has it, and says how and when the request ended. */
-  async function askAnd(act: () => void): Promise<{ end: string; afterMs: number }> {
-    const clock = new SystemClock();
-    const sentMs = clock.monotonicMs();
-    const ended = new Promise<string>((resolve) => {
+  /** Sends a request; resolves with how it ended. */
+  function ask(): Promise<string> {
+    return new Promise<string>((resolve) => {
       const listener = {
         onHead: () => true,
         onData: () => undefined,
@@ -46,6 +57,13 @@
       const request = { method: "GET", path: "/", headers: ["X-Request-Id", "r"], body: Buffer.alloc(0) };
       sendRequest(connections.pool(entry), request, listener);
     });
+  }
+
+  /** Sends a request, does something once the runner has it, and says how and when the request ended. */
+  async function askAnd(act: () => void): Promise<{ end: string; afterMs: number }> {
+    const clock = new SystemClock();
+    const sentMs = clock.monotonicMs();
+    const ended = ask();
     while (runner.ran.length === 0) await new Promise((resolve) => setTimeout(resolve, 5));
     act();
     const end = await ended;
@@ -64,4 +82,28 @@
     expect(afterMs < ANSWER_MS).toEqual(true);
     expect(connections.pool(entry) === before).toEqual(false);
   });
+
+  it("closes idle ones that go beyond the share, and no others", async () => {
+    await Promise.all([ask(), ask(), ask(), ask()]);
+    expect(connections.count).toEqual(4);
+    gateways = 3;
+    connections.trim();
+    expect(connections.count).toEqual(4);
+    gateways = 4;
+    connections.trim();
+    expect(connections.count).toEqual(0);
+    expect(await ask()).toEqual("answered");
+  });
+
+  it("have room as the share and the use of all allow", () => {
+    gateways = 3;
+    const rooms = Array.from({ length: 4 }, () => {
+      const room = connections.room("p")(entry);
+      board.started(ID, 0, 1);
+      return room;
+    });
+    expect(rooms).toEqual([true, true, true, true]);
+    board.report("other", { inFlight: [[ID, 2]], failing: [] }, 0);
+    expect([connections.room("p")(entry), connections.room("unknown")(entry)]).toEqual([false, true]);
+  });
 });
