--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -47,6 +47,12 @@
     STORE_BUCKETS_S,
     "outcome",
   );
+  readonly #unreadableRows = new Counter({
+    name: "tulipwheel_gateway_unreadable_rows_total",
+    help: "Times that a row of the store could not be read, by table",
+    labelNames: ["table"],
+    registers: [],
+  });
   #server: MetricsServer | undefined;
 
   /** @param address where to serve, IP:port */
@@ -82,6 +88,10 @@
     this.#writes.observe({ outcome }, elapsedMs / MS_PER_S);
   }
 
+  override rowUnreadable(table: string): void {
+    this.#unreadableRows.inc({ table });
+  }
+
   override async serve(gauges: GatewayGauges, isReady: () => boolean): Promise<void> {
     const gauge = (name: string, help: string, read: () => number) => {
       return { name: `gateway_${name}`, help, type: "gauge" as const, read };
@@ -90,6 +100,7 @@
       gauge("members", "Other gateways that are alive", gauges.members),
       gauge("partitions", "Partitions owned here", gauges.partitions),
       gauge("requests_in_progress", "Callers' requests without a whole answer", gauges.requestsInProgress),
+      gauge("runner_connections", "Connections to runners, idle ones included", gauges.runnerConnections),
       gauge("lines_left_out", "Lines of calls that were not written", gauges.linesLeftOut),
       gauge("configuration_version", "Version in force", gauges.configurationVersion),
       gauge("store_reachable", "1 while the store answers", () => (gauges.storeReachable() ? 1 : 0)),
@@ -104,6 +115,7 @@
       this.#rateTimes,
       this.#retentions,
       this.#writes,
+      this.#unreadableRows,
     ])
       metrics.register(metric);
     this.#server = new MetricsServer(metrics, isReady);
--- a/src/ports/platform-records.ts
+++ b/src/ports/platform-records.ts
@@ -1,4 +1,3 @@
-import type { RunnerId } from "../scheduling/ids/runner-id.ts";
 import type { RoutingConfiguration } from "../scheduling/routing/routing-configuration.ts";
 import type { RunnerEntry } from "../scheduling/runner-board/runner-entry.ts";
 
@@ -8,10 +7,10 @@
   readonly configurationTable: string;
   /** Key of the newest configuration in it. */
   readonly configurationKey: string;
-  /** Table of the runners, one row each under its identifier. */
+  /** Table of the runners, one row each under its name. */
   readonly runnerTable: string;
   /** Throws when the row is not a configuration. */
   parseConfiguration(value: Buffer): RoutingConfiguration;
-  /** Throws when the row is not a runner. */
-  parseRunner(id: RunnerId, value: Buffer): RunnerEntry;
+  /** Undefined when the row is no entry of a runner: anybody may have written it. */
+  parseRunner(name: string, value: Buffer): RunnerEntry | undefined;
 }
--- a/test/contract/runner-watch.test.ts
+++ b/test/contract/runner-watch.test.ts
@@ -1,7 +1,8 @@
-/** The list of runners through outages of the store: what lapsed meanwhile, and what is gone. */
+/** The list of runners: what lapsed in an outage of the store, and what is gone; who started again; rows of others. */
 
 import { beforeEach, describe, it } from "node:test";
 import { expect } from "earl";
+import { pino } from "pino";
 import { SharedStore, SimulatedRowStore } from "../../bench/simulation/gateways/simulated-row-store.ts";
 import { SimulatedProcess, VirtualTime } from "../../bench/simulation/virtual-time.ts";
 import { RunnerWatch } from "../../src/gateway/runners/runner-watch.ts";
@@ -15,6 +16,15 @@
 const OTHER = "runner-2" as RunnerId;
 const UNUSED = "127.0.0.1:1";
 const TABLE = "servers";
+const WHOLE_ROW = {
+  service: "pool",
+  address: UNUSED,
+  zone: "zone-a",
+  version: "v1",
+  slots: 4,
+  state: "ready",
+  "cold-remaining-ms": 0,
+};
 /** Runners renew their entries this often, in ms. */
 const RENEW_MS = 1_200;
 
@@ -22,12 +32,17 @@
 let store: SharedStore;
 let board: RunnerBoard;
 let sequence: number;
+let ended: RunnerId[];
+let lines: string[];
 
-function write(id: string): void {
+function write(id: string, more: Record<string, unknown> = {}): void {
   sequence += 1;
-  const entry = { service: "pool", address: UNUSED, zone: "zone-a", slots: 4, state: "ready", sequence };
-  const value = Buffer.from(JSON.stringify(entry)).toString("base64");
-  store.model.transact({ conditions: [], puts: [{ table: TABLE, part: "", key: id, value }], removes: [] });
+  writeBytes(id, Buffer.from(JSON.stringify({ ...WHOLE_ROW, sequence, ...more })));
+}
+
+function writeBytes(key: string, bytes: Buffer): void {
+  const value = bytes.toString("base64");
+  store.model.transact({ conditions: [], puts: [{ table: TABLE, part: "", key, value }], removes: [] });
 }
 
 function lapse(id: string): void {
@@ -47,11 +62,16 @@
     sequence = 0;
     const clock = new SimulatedProcess("gateway", "zone-a", time);
     const context = await gatewayContext("gateway", UNUSED);
+    lines = [];
+    const log = pino({}, { write: (line: string) => void lines.push(line) });
     const platform = { ...context.platform, store: new SimulatedRowStore(store, clock) };
-    const simulated = { ...context, clock, platform };
+    const simulated = { ...context, clock, platform, log };
     write(RUNNER);
     renewForEver(OTHER);
-    new RunnerWatch(simulated, new StoreHealth(simulated), board).start();
+    const watch = new RunnerWatch(simulated, new StoreHealth(simulated), board);
+    ended = [];
+    watch.onEnded = (runner) => ended.push(runner);
+    watch.start();
     await time.runUntil(5_000);
   });
 
@@ -86,4 +106,64 @@
       expect(board.ready(RUNNER)).toEqual(undefined);
     });
   }
+
+  const [FIRST, SECOND] = ["runner-1#1000", "runner-1#2000"] as [RunnerId, RunnerId];
+  const STARTS: [what: string, born: (number | undefined)[], listed: RunnerId, ended: RunnerId[]][] = [
+    ["writes again", [1_000, 1_000], FIRST, [RUNNER]],
+    ["starts again", [1_000, 2_000], SECOND, [RUNNER, FIRST]],
+    ["starts again, and a write of before comes late", [1_000, 2_000, 1_000], SECOND, [RUNNER, FIRST]],
+    ["never tells its start", [undefined, undefined], RUNNER, []],
+  ];
+  for (const [what, born, listed, gone] of STARTS) {
+    it(`knows the start of a runner that ${what}`, async () => {
+      for (const [index, start] of born.entries()) {
+        time.after(index * 1_000, () => write(RUNNER, { born: start }));
+      }
+      await time.runUntil(9_000);
+      expect(board.ready(listed)?.name as string).toEqual(RUNNER);
+      expect(ended).toEqual(gone);
+      expect(gone.filter((id) => board.listed(id))).toEqual([]);
+    });
+  }
+
+  it("asks nothing new of a start that has ended, and thinks nothing ill of the next", async () => {
+    const nowMs = 6_000;
+    write(RUNNER, { born: 1_000 });
+    await time.runUntil(nowMs);
+    const pending = board.started(FIRST, nowMs, 100);
+    board.report("other gateway", { inFlight: [[FIRST, 3]], failing: [[FIRST, 0, 4]] }, nowMs);
+    expect([board.load(FIRST), board.isOutlier(FIRST, nowMs)]).toEqual([4, true]);
+    write(RUNNER, { born: 2_000 });
+    await time.runUntil(7_000);
+    board.ended(pending, "failure", 7_000);
+    expect([board.load(SECOND), board.isOutlier(SECOND, 7_000)]).toEqual([0, false]);
+  });
+
+  const SPOILT: [what: string, spoil: () => void][] = [
+    ["bytes that are no text", () => writeBytes(RUNNER, Buffer.from([0xff, 0xfe, 0]))],
+    ["a state that is not known", () => write(RUNNER, { state: "asleep" })],
+    ["no time of a start that was told before", () => write(RUNNER)],
+  ];
+  for (const [what, spoil] of SPOILT) {
+    it(`gives a runner nothing new while its row has ${what}, and all others work`, async () => {
+      write(RUNNER, { born: 1_000 });
+      time.after(1_000, spoil);
+      await time.runUntil(7_000);
+      expect([board.ready(FIRST), board.listed(FIRST)]).toEqual([undefined, true]);
+      expect(board.ready(OTHER) !== undefined).toEqual(true);
+      write(RUNNER, { born: 1_000 });
+      await time.runUntil(8_000);
+      expect(board.ready(FIRST) !== undefined).toEqual(true);
+    });
+  }
+
+  it("notes rows that it cannot read without end in few lines", async () => {
+    const spoilForEver = () => {
+      writeBytes("nobody", Buffer.from("[]"));
+      time.after(500, spoilForEver);
+    };
+    spoilForEver();
+    await time.runUntil(35_000);
+    expect(lines.filter((line) => line.includes("cannot be read")).length).toEqual(3);
+  });
 });
