Hand out scarce places in an order, and refuse by forecast who cannot have one

Cause: runners take calls in the order of their arrival, and programs are refused by chance, so that in overload callers are late and refused both.

Change: scheduling/place-queue, pure: a dispatcher of a group of runners with weighted fair queueing between tenants, aged priorities, begun programs and least slack first within a tenant, memory for tokens, leases that end by themselves, and a forecast by which calls are refused at once with times to come back that follow each other.

--- /dev/null
+++ b/src/scheduling/place-queue/place-queue.ts
@@ -0,0 +1,80 @@
+/**
+ * Calls that wait for a place of a group of runners, and their order: priority, then fairness between tenants, then what a
+ * tenant's own programs need. It looks at every call each time; forecasts keep their number low. Pure.
+ */
+import { agedRank, goesBefore, goesBeforeAmongOwn } from "./call-order.ts";
+import type { TenantShare } from "./tenant-share.ts";
+import type { WaitingCall } from "./waiting-call.ts";
+
+/** See the module's comment. */
+export class PlaceQueue {
+  readonly #waiting = new Map<number, WaitingCall>();
+
+  /** Calls that wait. */
+  get size(): number {
+    return this.#waiting.size;
+  }
+
+  /** Every call that waits. */
+  calls(): IterableIterator<WaitingCall> {
+    return this.#waiting.values();
+  }
+
+  /** The call that waits for a lease. */
+  get(lease: number): WaitingCall | undefined {
+    return this.#waiting.get(lease);
+  }
+
+  add(waiting: WaitingCall): void {
+    this.#waiting.set(waiting.lease, waiting);
+  }
+
+  remove(waiting: WaitingCall): void {
+    this.#waiting.delete(waiting.lease);
+  }
+
+  /**
+   * The call that gets the next place.
+   *
+   * @param passed calls that are passed over
+   */
+  first(nowMs: number, passed: ReadonlySet<WaitingCall>): WaitingCall | undefined {
+    let first: WaitingCall | undefined;
+    for (const waiting of this.#waiting.values()) {
+      if (passed.has(waiting)) continue;
+      if (!first || goesBefore(waiting, first, nowMs)) first = waiting;
+    }
+    return first;
+  }
+
+  /**
+   * How many of the calls that wait get a place before one that comes now, if nobody else comes.
+   *
+   * @param holdingMs how long calls hold their places
+   */
+  aheadOf(comer: WaitingCall, holdingMs: number, nowMs: number): number {
+    const rank = agedRank(comer, nowMs);
+    const others: TenantShare[] = [];
+    let ahead = 0;
+    let ownAhead = 0;
+    for (const waiting of this.#waiting.values()) {
+      if (waiting === comer) continue;
+      const otherRank = agedRank(waiting, nowMs);
+      if (otherRank > rank) continue;
+      if (otherRank < rank) ahead += 1;
+      else if (waiting.share === comer.share) ownAhead += goesBeforeAmongOwn(waiting, comer, nowMs) ? 1 : 0;
+      else {
+        if (waiting.share.counted === 0) others.push(waiting.share);
+        waiting.share.counted += 1;
+      }
+    }
+    // Where the comer's tenant will be by the time that the comer is its next call.
+    const turnAtMs = comer.share.usedMs + (ownAhead * holdingMs) / comer.share.weight;
+    for (const share of others) {
+      const served = Math.ceil(((turnAtMs - share.usedMs) * share.weight) / holdingMs);
+      ahead += Math.max(0, Math.min(share.counted, served));
+      share.counted = 0;
+    }
+    return ahead + ownAhead;
+  }
+}
--- /dev/null
+++ b/src/scheduling/place-queue/runner-room.ts
@@ -0,0 +1,92 @@
+/** Which runners of a group have room for a call: places, and memory for its tokens. Pure. */
+import type { RunnerId } from "../ids/runner-id.ts";
+import type { RunnerEntry } from "../runner-board/runner-entry.ts";
+import type { LeaseBook } from "./lease-book.ts";
+import type { PlaceCall } from "./place-call.ts";
+import type { RunnerGroup } from "./runner-group.ts";
+import type { TurnedAway } from "./turned-away.ts";
+
+/**
+ * How long a place lies idle from the end of a call until the next one arrives, in ms: three messages between machines that
+ * are busy. Runners get so much more work that they do not wait meanwhile.
+ */
+const HAND_OVER_MS = 6;
+
+/** Places of a group, and those of them that are free. */
+export interface GroupRoom {
+  readonly places: number;
+  readonly free: number;
+  /** How many places come free in a ms while all are taken. */
+  readonly freedPerMs: number;
+}
+
+/** See the module's comment. */
+export class RunnerRoom {
+  readonly #group: RunnerGroup;
+  readonly #leases: LeaseBook;
+  readonly #turnedAway: TurnedAway;
+  readonly #learnsUntilMs: number;
+
+  /** @param learnsUntilMs until when leases of an earlier dispatcher may be out */
+  constructor(group: RunnerGroup, leases: LeaseBook, turnedAway: TurnedAway, learnsUntilMs: number) {
+    this.#group = group;
+    this.#leases = leases;
+    this.#turnedAway = turnedAway;
+    this.#learnsUntilMs = learnsUntilMs;
+  }
+
+  /** Room of the whole group. */
+  total(holdingMs: number, nowMs: number): GroupRoom {
+    let places = 0;
+    let free = 0;
+    let freedPerMs = 0;
+    for (const runner of this.#group.runners()) {
+      const own = Math.max(0, placesOf(runner, holdingMs) - this.#group.unplaced(runner.id));
+      places += own;
+      free += this.#free(runner, holdingMs, nowMs);
+      // A runner that is slow, or hangs, shows by calls that are held for long before any of them is over.
+      freedPerMs += own / Math.max(1, holdingMs, this.#leases.meanAgeMs(runner.id, nowMs));
+    }
+    return { places, free, freedPerMs };
+  }
+
+  /** The runner that a call gets now; undefined when none has room for it. */
+  runnerFor(call: PlaceCall, holdingMs: number, nowMs: number): RunnerEntry | undefined {
+    const eligible = new Set<RunnerId>();
+    let least = Number.POSITIVE_INFINITY;
+    for (const runner of this.#group.runners()) {
+      const mayTake = !call.excluded.includes(runner.id) && this.#fits(runner.id, call.tokens);
+      if (!mayTake || this.#free(runner, holdingMs, nowMs) < 1) continue;
+      eligible.add(runner.id);
+      least = Math.min(least, this.#taken(runner.id, nowMs));
+    }
+    if (eligible.size === 0) return undefined;
+    // What the board knows of loads is older than the leases: among free runners those are filled evenly.
+    const isLeastTaken = (id: RunnerId) => this.#taken(id, nowMs) <= least + 1;
+    return this.#group.choose(call, nowMs, ({ id }) => {
+      return eligible.has(id) && (id === call.preferred || isLeastTaken(id));
+    });
+  }
+
+  #free(runner: RunnerEntry, holdingMs: number, nowMs: number): number {
+    if (this.#turnedAway.has(runner.id, nowMs)) return 0;
+    return Math.max(0, placesOf(runner, holdingMs) - this.#taken(runner.id, nowMs));
+  }
+
+  #taken(runner: RunnerId, nowMs: number): number {
+    const known = this.#leases.use(runner).leases + this.#group.unplaced(runner);
+    return nowMs < this.#learnsUntilMs ? Math.max(known, this.#group.load(runner)) : known;
+  }
+
+  /** More at once than fits into a runner's memory makes it drop what it has read. */
+  #fits(runner: RunnerId, tokens: number): boolean {
+    const { memoryTokens } = this.#group;
+    if (memoryTokens === undefined) return true;
+    const use = this.#leases.use(runner);
+    return use.leases === 0 || use.tokens + tokens <= memoryTokens;
+  }
+}
+
+function placesOf({ slots }: RunnerEntry, holdingMs: number): number {
+  return slots + Math.round((slots * HAND_OVER_MS) / Math.max(1, holdingMs));
+}
--- /dev/null
+++ b/test/contract/place-dispatcher.test.ts
@@ -0,0 +1,263 @@
+/** Who gets the next place, who is refused, and what becomes of leases that are not given back. */
+import { beforeEach, describe, it } from "node:test";
+import { expect } from "earl";
+import type { ProgramId } from "../../src/scheduling/ids/program-id.ts";
+import type { RequestId } from "../../src/scheduling/ids/request-id.ts";
+import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
+import type { TenantName } from "../../src/scheduling/ids/tenant-name.ts";
+import {
+  type PlaceCall,
+  type PlaceDecision,
+  PlaceDispatcher,
+} from "../../src/scheduling/place-queue/index.ts";
+import { FakeGroup } from "./support/place-load.ts";
+
+const GATEWAY = "gateway#1";
+const HELD = { heldMs: 200, turnedAway: false };
+
+describe("place dispatcher", () => {
+  let group: FakeGroup;
+  let dispatcher: PlaceDispatcher;
+  let asked: number;
+
+  beforeEach(() => start(1, 2));
+
+  function start(runners: number, slots: number, learnsUntilMs = 0): void {
+    asked = 0;
+    group = new FakeGroup(runners, slots);
+    dispatcher = new PlaceDispatcher({ group, weightOf: () => 1, firstLease: 1, learnsUntilMs });
+  }
+
+  function ask(nowMs: number, more: Partial<PlaceCall> = {}, holder = GATEWAY): PlaceDecision {
+    asked += 1;
+    const call: PlaceCall = {
+      request: `q${asked}` as RequestId,
+      route: "turn",
+      tenant: "t" as TenantName,
+      program: `p${asked}` as ProgramId,
+      rank: 0,
+      hasBegun: true,
+      dueInMs: 3_000,
+      patienceMs: 2_000,
+      tokens: 0,
+      preferred: undefined,
+      excluded: [],
+      ...more,
+    };
+    return dispatcher.ask(call, holder, nowMs);
+  }
+
+  const leaseOf = (decision: PlaceDecision) => (decision.type === "refused" ? 0 : decision.lease);
+  const fill = (count: number) => Array.from({ length: count }, () => leaseOf(ask(0)));
+  const settled = (nowMs: number) => dispatcher.settle(nowMs).map(({ lease }) => lease);
+
+  /** The order in which calls that wait get a place, by the index of their question. */
+  function orderOf(nowMs: number, calls: readonly Partial<PlaceCall>[]): number[] {
+    const held = fill(2);
+    const leases = calls.map((call) => leaseOf(ask(1, call)));
+    const order: number[] = [];
+    for (let next = held.pop(); next !== undefined && order.length < calls.length; next = order.at(-1)) {
+      dispatcher.giveBack({ lease: order.length === 0 ? next : (leases[next] as number), ...HELD }, nowMs);
+      order.push(...settled(nowMs).map((lease) => leases.indexOf(lease)));
+    }
+    return order;
+  }
+
+  it("hands out as many places as runners have, and then one for each that comes back", () => {
+    const [first] = fill(2);
+    const waits = ask(0);
+    expect(waits).toLooseEqual({ type: "queued", lease: 3, expectedMs: 100 });
+    expect(settled(50)).toEqual([]);
+    dispatcher.giveBack({ lease: first as number, ...HELD }, 100);
+    expect(dispatcher.settle(100)).toEqual([
+      {
+        holder: GATEWAY,
+        lease: 3,
+        decision: {
+          type: "granted",
+          runner: "r0" as RunnerId,
+          lease: 3,
+          leaseMs: 2_000,
+          waitedMs: 100,
+          behind: "t" as TenantName,
+        },
+      },
+    ]);
+  });
+
+  it("prefers what is important, and after a while what has waited", () => {
+    expect(orderOf(2, [{ rank: 2 }, { rank: 0 }, { rank: 1 }])).toEqual([1, 2, 0]);
+    start(1, 2);
+    fill(2);
+    const low = leaseOf(ask(0, { rank: 2 }));
+    const high = leaseOf(ask(600, { rank: 0, tenant: "other" as TenantName }));
+    dispatcher.giveBack({ lease: 1, ...HELD }, 601);
+    expect([low, high]).toEqual([3, 4]);
+    // Both count alike now, and the tenant of the important one has had nothing yet.
+    expect(settled(601)).toEqual([4]);
+    dispatcher.giveBack({ lease: 2, ...HELD }, 602);
+    expect(settled(602)).toEqual([3]);
+  });
+
+  it("prefers among a tenant's calls those of begun programs, then those in time, then the least slack", () => {
+    const calls = [
+      { hasBegun: false, dueInMs: 20_000 },
+      { dueInMs: 2_000 },
+      { dueInMs: 100 },
+      { dueInMs: 1_000 },
+    ];
+    expect(orderOf(2, calls)).toEqual([3, 1, 2, 0]);
+  });
+
+  it("gives tenants places in turn, by what they have used", () => {
+    const tenant = "small" as TenantName;
+    expect(orderOf(2, [{}, {}, {}, { tenant }])[0]).toEqual(3);
+  });
+
+  it("refuses at once what cannot have a place in its time, each with a later time to come back", () => {
+    fill(2);
+    for (let count = 0; count < 10; count += 1) ask(0);
+    const refusals = [ask(0, { patienceMs: 500 }), ask(0, { patienceMs: 500 }), ask(0, { patienceMs: 500 })];
+    const times = refusals.map((refusal) => (refusal.type === "refused" ? refusal.retryAfterMs : 0));
+    expect(times).toEqual([800, 900, 1_000]);
+  });
+
+  it("lets programs begin only while others hardly wait", () => {
+    fill(2);
+    expect(ask(0, { hasBegun: false, dueInMs: 6_000 }).type).toEqual("queued");
+    expect(ask(0, { hasBegun: false, dueInMs: 2_000 })).toLooseEqual({
+      type: "refused",
+      reason: "program-too-late",
+      retryAfterMs: 50,
+    });
+    expect(ask(0, { hasBegun: false, program: undefined, dueInMs: 2_000 }).type).toEqual("queued");
+  });
+
+  it("expects longer waits when calls are held for longer, before any of them is over", () => {
+    fill(2);
+    expect(ask(0)).toLooseEqual({ type: "queued", lease: 3, expectedMs: 100 });
+    expect(ask(1_000)).toLooseEqual({ type: "queued", lease: 4, expectedMs: 1_000 });
+  });
+
+  it("refuses those that have waited as long as they can", () => {
+    fill(2);
+    ask(0, { patienceMs: 400 });
+    expect(dispatcher.settle(399)).toEqual([]);
+    expect(dispatcher.settle(400).map(({ decision }) => decision.type)).toEqual(["refused"]);
+    expect(dispatcher.waiting).toEqual(0);
+  });
+
+  it("keeps within a runner's memory, and lets others pass a large call for a while only", () => {
+    group.memoryTokens = 100;
+    ask(0, { tokens: 60 });
+    const large = leaseOf(ask(0, { tokens: 50 }));
+    expect(ask(10, { tokens: 40 }).type).toEqual("queued");
+    expect(settled(10)).toEqual([3]);
+    dispatcher.giveBack({ lease: 3, ...HELD }, 200);
+    ask(200, { tokens: 10 });
+    expect(settled(200)).toEqual([]);
+    dispatcher.giveBack({ lease: 1, ...HELD }, 201);
+    expect(settled(201)).toEqual([large, 4]);
+  });
+
+  it("fills runners evenly, and goes to the one that holds the prompt", () => {
+    start(3, 2);
+    const runners = [ask(0), ask(0), ask(0), ask(0, { preferred: "r2" as RunnerId })].map((decision) =>
+      decision.type === "granted" ? decision.runner : decision.type,
+    );
+    expect(runners.slice(0, 2)).toEqual(["r0" as RunnerId, "r0" as RunnerId]);
+    expect(runners.slice(2)).toEqual(["r1" as RunnerId, "r2" as RunnerId]);
+  });
+
+  it("gives nothing to a runner that turned a call away, for longer each time, and other runners to the call", () => {
+    start(2, 1);
+    const first = leaseOf(ask(0));
+    dispatcher.giveBack({ lease: first, heldMs: 2, turnedAway: true }, 0);
+    const request = "q1" as RequestId;
+    expect(ask(1, { request, excluded: ["r0" as RunnerId] })).toLooseEqual({
+      type: "granted",
+      runner: "r1" as RunnerId,
+      lease: 2,
+      leaseMs: 2_000,
+      waitedMs: 0,
+    });
+    const waits = leaseOf(ask(1));
+    expect(settled(49)).toEqual([]);
+    expect(settled(50)).toEqual([waits]);
+    dispatcher.giveBack({ lease: waits, heldMs: 2, turnedAway: true }, 60);
+    ask(60);
+    expect(settled(159)).toEqual([]);
+    expect(settled(160)).toEqual([4]);
+  });
+
+  it("refuses a call that has met every runner", () => {
+    expect(ask(0, { excluded: ["r0" as RunnerId] })).toLooseEqual({
+      type: "refused",
+      reason: "no-runner",
+      retryAfterMs: 250,
+    });
+  });
+
+  describe("when something is lost", () => {
+    it("repeats its answer to a question that comes again", () => {
+      const granted = ask(0);
+      ask(0);
+      const waits = ask(0);
+      expect(ask(5, { request: "q1" as RequestId })).toLooseEqual({ ...granted, leaseMs: 1_995 });
+      expect(leaseOf(ask(5, { request: "q3" as RequestId }))).toEqual(leaseOf(waits));
+      expect([dispatcher.leased, dispatcher.waiting]).toEqual([2, 1]);
+    });
+
+    it("ends leases that nobody gives back, and none of a number that it has not given out", () => {
+      fill(2);
+      ask(0, { patienceMs: 10_000 });
+      dispatcher.giveBack({ lease: 77, ...HELD }, 1);
+      dispatcher.endLeases(1_999);
+      expect(settled(1_999)).toEqual([]);
+      dispatcher.endLeases(2_000);
+      expect(settled(2_000)).toEqual([3]);
+    });
+
+    it("takes back what a gateway that is gone held and waited for", () => {
+      ask(0, {}, "dead");
+      ask(0);
+      ask(0, {}, "dead");
+      const waits = leaseOf(ask(0));
+      dispatcher.dropHolder("dead");
+      expect(settled(1)).toEqual([waits]);
+      expect([dispatcher.leased, dispatcher.waiting]).toEqual([2, 0]);
+    });
+
+    it("forgets a question whose answer came too late for its asker", () => {
+      fill(2);
+      ask(0);
+      dispatcher.withdraw("q1" as RequestId, 1);
+      dispatcher.withdraw("q3" as RequestId, 1);
+      expect([dispatcher.leased, dispatcher.waiting]).toEqual([1, 0]);
+    });
+
+    it("counts all that heartbeats tell of while leases of an earlier dispatcher may be out", () => {
+      start(1, 2, 1_000);
+      group.loadAt.set("r0" as RunnerId, 2);
+      expect(ask(0).type).toEqual("queued");
+      expect(settled(999)).toEqual([]);
+      expect(settled(1_000)).toEqual([1]);
+    });
+
+    it("counts calls that no dispatcher placed", () => {
+      group.unplacedAt.set("r0" as RunnerId, 1);
+      expect([ask(0).type, ask(0).type]).toEqual(["granted", "queued"]);
+    });
+
+    it("hands out nothing of a runner that is gone", () => {
+      start(2, 1);
+      fill(2);
+      const waits = leaseOf(ask(0));
+      group.entries.pop();
+      dispatcher.giveBack({ lease: 2, ...HELD }, 1);
+      expect(settled(1)).toEqual([]);
+      dispatcher.giveBack({ lease: 1, ...HELD }, 2);
+      expect(settled(2)).toEqual([waits]);
+    });
+  });
+});
