Let a gateway hand out the places of a group of runners to all others

Cause: gateways know each other's requests by heartbeats only, so that each sends to the same idle runner, and nobody can order callers of all gateways.

Change: gateway/places: runners of a pool are dealt into groups by rendezvous hashing, and each group's dispatcher is the gateway that hashing prefers among those that are ready and speak the protocol. A question is answered at once, also when its call has to wait, so that a dispatcher that is gone costs 30 ms; overdue calls ask again. Heartbeats tell how many requests a dispatcher has placed, so that those which none has placed are counted beside the leases.

Measured: contract tests on virtual time, one failure each (dispatcher killed, frozen and woken, gateway with leases killed, grant lost, answers late, all restarted, two dispatchers, older builds): 10 of 10 pass; without a failure no runner ever has more than its slots. Nothing asks yet.

--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -6,6 +6,13 @@
 import type { RequestId } from "../scheduling/ids/request-id.ts";
 import type { RunnerId } from "../scheduling/ids/runner-id.ts";
 import type { TenantName } from "../scheduling/ids/tenant-name.ts";
+import type {
+  PlaceCall,
+  PlaceDecision,
+  PlaceGrant,
+  PlaceRefused,
+  ReturnedPlace,
+} from "../scheduling/place-queue/index.ts";
 import type { NodeReport } from "../scheduling/runner-board/node-report.ts";
 import type { StoreCall, StoreCallOutcome } from "./store/store-call.ts";
 
@@ -153,54 +160,23 @@
   readonly call: PlaceCall;
 }
 
-/** What a dispatcher has to know of a call. */
-export interface PlaceCall {
-  readonly request: RequestId;
-  readonly route: string;
-  readonly tenant: TenantName | undefined;
-  readonly program: ProgramId | undefined;
-  /** Of tenant and route together, 0 the most important. */
-  readonly rank: number;
-  /** Whether the call goes on with a program that has begun. */
-  readonly hasBegun: boolean;
-  /** Time until the program, or the call that is none's, should be over, in ms; may be negative. */
-  readonly dueInMs: number;
-  /** How long the asker waits for a place at most, in ms. */
-  readonly patienceMs: number;
-  /** Tokens of the prompt and of what may be generated; 0 where the call is none of a model. */
-  readonly tokens: number;
-  /** The runner that holds most of the prompt. */
-  readonly preferred: RunnerId | undefined;
-  /** Runners that the call has met already. */
-  readonly excluded: readonly RunnerId[];
-}
+/** What the dispatcher says at once. */
+export type AskPlaceResponse = PlaceDecision;
 
-/** The dispatcher's answer. */
-export type AskPlaceResponse =
-  /** The call may be sent to the runner until the lease ends by itself. */
-  | {
-      readonly type: "granted";
-      readonly runner: RunnerId;
-      readonly lease: number;
-      readonly leaseMs: number;
-      readonly waitedMs: number;
-    }
-  /** There will be no place in the call's time. */
-  | { readonly type: "refused"; readonly retryAfterMs: number; readonly reason: string };
+/** Tells what has become of a call that was queued. */
+export interface PlaceSettled {
+  readonly type: "placeSettled";
+  readonly lease: number;
+  /** Moved: another gateway hands out the places now. */
+  readonly decision: PlaceGrant | PlaceRefused | { readonly type: "moved" };
+}
 
 /** Gives places back. What is lost on the way is made good by the end of the lease. */
 export interface ReturnPlaces {
   readonly type: "returnPlaces";
   readonly returned: readonly ReturnedPlace[];
-}
-
-/** A place that is given back. */
-export interface ReturnedPlace {
-  readonly lease: number;
-  /** How long the call held the place, in ms. */
-  readonly heldMs: number;
-  /** Whether the runner turned the call away. */
-  readonly turnedAway: boolean;
+  /** Calls that asked, and have had no answer in time: they want none any more. */
+  readonly withdrawn?: readonly RequestId[];
 }
 
 /** Requests between gateways. */
@@ -218,6 +194,7 @@
 export type GatewayMessage =
   | Heartbeat
   | MemberDigest
+  | PlaceSettled
   | ReturnPlaces
   | RpcRequest<GatewayRpcSchema>
   | RpcResponse<GatewayRpcSchema>;
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -17,10 +17,12 @@
   MemberDigest,
   MemberStatus,
 } from "../gateway-messages.ts";
+import { PLACES_PROTOCOL, PROTOCOL } from "../protocol.ts";
 import type { StoreRelay } from "../store/relayed-row-store.ts";
 import type { StoreHealth } from "../store-health.ts";
 import { DigestSender } from "./digest-sender.ts";
 import { DigestSequences } from "./digest-sequences.ts";
+import type { DispatcherCandidate } from "./dispatcher-candidate.ts";
 import { planHeartbeats } from "./heartbeat-plan.ts";
 import type { HeartbeatPlan } from "./heartbeat-targets.ts";
 import { nameOf } from "./instance-name.ts";
@@ -278,6 +280,21 @@
     return candidates;
   }
 
+  /** The gateways that may hand out places: the store is not needed for it, a build that knows of it is. */
+  dispatcherCandidates(): DispatcherCandidate[] {
+    const candidates = this.#view
+      .alive()
+      .filter(({ status }) => status.state === "ready" && (status.protocol ?? 0) >= PLACES_PROTOCOL)
+      .map(({ status, hash, instance, address }) => ({ name: status.name, hash, instance, address }));
+    if (this.selfReport().state === "ready") candidates.push(this.#ownCandidate);
+    return candidates;
+  }
+
+  get #ownCandidate(): DispatcherCandidate {
+    const { settings, instance } = this.#context;
+    return { name: settings.name, hash: this.#selfHash, instance, address: this.#transport.self.address };
+  }
+
   /** Addresses for a caller: live and ready gateways, those of its zone if there are enough. */
   callerAddresses(zone: string | undefined): string[] {
     const { settings } = this.#context;
@@ -353,7 +370,14 @@
     const last = this.#lastStatus;
     if (last && sameStatus(last, changing)) return last;
     const revision = (last?.revision ?? 0) + 1;
-    this.#lastStatus = { revision, name, zone, callerAddress: listen.callers, ...changing };
+    this.#lastStatus = {
+      revision,
+      name,
+      zone,
+      callerAddress: listen.callers,
+      protocol: PROTOCOL,
+      ...changing,
+    };
     return this.#lastStatus;
   }
 
@@ -374,8 +398,19 @@
   storeReachable,
   storeDirect,
   owned,
+  protocol,
 }: Heartbeat): MemberStatus {
-  return { revision, name, zone, callerAddress, state, storeReachable, storeDirect, owned };
+  return {
+    revision,
+    name,
+    zone,
+    callerAddress,
+    state,
+    storeReachable,
+    storeDirect,
+    owned,
+    ...(protocol === undefined ? {} : { protocol }),
+  };
 }
 
 function isEligible(status: Pick<MemberStatus, "state" | "storeReachable">): boolean {
--- /dev/null
+++ b/src/gateway/places/board-group.ts
@@ -0,0 +1,65 @@
+/** A group of runners as the dispatcher's own board knows them. */
+import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
+import { type PlaceCall, RunnerGroup } from "../../scheduling/place-queue/index.ts";
+import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
+import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type { RunnerGroups } from "./runner-groups.ts";
+
+const NONE: ReadonlySet<RunnerId> = new Set();
+
+/** What a {@link BoardGroup} looks at. */
+export interface BoardGroupParts {
+  readonly context: GatewayContext;
+  readonly board: RunnerBoard;
+  readonly groups: RunnerGroups;
+  /** Tokens that fit into a runner's memory, by the configuration in force. */
+  readonly memoryTokens: (pool: string) => number | undefined;
+}
+
+/** See the module's comment. */
+export class BoardGroup extends RunnerGroup {
+  readonly #parts: BoardGroupParts;
+  readonly #pool: string;
+  readonly #index: number;
+
+  constructor(parts: BoardGroupParts, pool: string, index: number) {
+    super();
+    this.#parts = parts;
+    this.#pool = pool;
+    this.#index = index;
+  }
+
+  override runners(): readonly RunnerEntry[] {
+    return this.#parts.groups.of(this.#pool)[this.#index]?.runners ?? [];
+  }
+
+  override unplaced(runner: RunnerId): number {
+    return this.#parts.board.unplaced(runner);
+  }
+
+  override load(runner: RunnerId): number {
+    return this.#parts.board.load(runner);
+  }
+
+  override get memoryTokens(): number | undefined {
+    return this.#parts.memoryTokens(this.#pool);
+  }
+
+  override choose(
+    { preferred }: PlaceCall,
+    nowMs: number,
+    mayTake: (runner: RunnerEntry) => boolean,
+  ): RunnerEntry | undefined {
+    const { board, context } = this.#parts;
+    return board.choose({
+      pool: this.#pool,
+      zone: context.settings.zone,
+      excluded: NONE,
+      preferred,
+      nowMs,
+      sample: context.random.unit(),
+      mayTake,
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/places/place-client.ts
@@ -0,0 +1,298 @@
+/**
+ * Asks dispatchers for places on behalf of this gateway's calls. A dispatcher answers at once, also when the call has to
+ * wait; one that does not is left alone, and the call is placed by this gateway's own board.
+ */
+import type { TimerHandle } from "../../runtime/clock.ts";
+import type { RpcEndpoint, RpcReply } from "../../runtime/rpc.ts";
+import type { Sender, Transport } from "../../runtime/transport.ts";
+import type { PlaceDecision, PlaceGrant, PlaceRefused } from "../../scheduling/place-queue/index.ts";
+import type { RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
+import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type { GatewayMessage, GatewayRpcSchema, PlaceSettled } from "../gateway-messages.ts";
+import type { DispatcherCandidate } from "../members/dispatcher-candidate.ts";
+import type { DispatcherDirectory } from "./dispatcher-directory.ts";
+import { DispatcherSilence } from "./dispatcher-silence.ts";
+import { GroupChoice } from "./group-choice.ts";
+import { HeldPlace } from "./held-place.ts";
+import { type PlaceAsker, PlaceQuestion } from "./place-question.ts";
+import { PlaceReturns } from "./place-returns.ts";
+import type { PlaceVerdict } from "./place-verdict.ts";
+import type { PoolScarcity } from "./pool-scarcity.ts";
+import type { RunnerGroups } from "./runner-groups.ts";
+
+/** How long an answer may take, in ms: many times what a message takes, and little of what a call may last. */
+const ANSWER_MS = 30;
+/** A call that has waited for so many times what was announced, and a few ms, asks whether its dispatcher is there. */
+const OVERDUE_FACTOR = 1.5;
+const OVERDUE_MS = 20;
+/** How often calls that wait are looked at, in ms. */
+const TICK_MS = 20;
+/** Dispatchers that a call tries because those before said that others are. */
+const MOST_MOVES = 2;
+
+/** What a {@link PlaceClient} works with. */
+export interface PlaceClientParts {
+  readonly context: GatewayContext;
+  readonly board: RunnerBoard;
+  readonly groups: RunnerGroups;
+  readonly scarcity: PoolScarcity;
+  readonly dispatchers: DispatcherDirectory;
+  readonly rpc: RpcEndpoint<GatewayRpcSchema>;
+  readonly transport: Pick<Transport<GatewayMessage>, "send">;
+}
+
+interface EarlyGrant {
+  readonly grant: PlaceGrant;
+  readonly address: string;
+}
+
+/** See the module's comment. */
+export class PlaceClient {
+  readonly #parts: PlaceClientParts;
+  readonly #context: GatewayContext;
+  readonly #choice: GroupChoice;
+  readonly #returns: PlaceReturns;
+  readonly #silence = new DispatcherSilence();
+  /** Questions that wait, by their lease. */
+  readonly #waiting = new Map<number, PlaceQuestion>();
+  /** Grants that overtook the answer by which their call is queued. */
+  readonly #early = new Map<number, EarlyGrant>();
+  #unanswered = 0;
+  #timer: TimerHandle | undefined;
+
+  constructor(parts: PlaceClientParts) {
+    this.#parts = parts;
+    this.#context = parts.context;
+    this.#choice = new GroupChoice(parts.groups, parts.context.random);
+    this.#returns = new PlaceReturns(parts.context.clock, parts.transport);
+  }
+
+  /** Whether calls of a pool ask for a place now. */
+  isDispatched(pool: RunnerPool): boolean {
+    return this.#parts.scarcity.isScarce(pool.name);
+  }
+
+  /** Asks for a place. The verdict may come before this returns. */
+  ask(asker: PlaceAsker): PlaceQuestion {
+    const question = new PlaceQuestion(asker, this.#nowMs);
+    this.#send(question);
+    return question;
+  }
+
+  /** The call wants no place any more. */
+  giveUp(question: PlaceQuestion): void {
+    if (question.isOver) return;
+    this.#leaveQueue(question);
+    question.state = "over";
+    const { lease, dispatcher } = question;
+    if (lease !== undefined && dispatcher) this.#giveBackUnused(dispatcher.address, lease);
+  }
+
+  /** A dispatcher tells what has become of a call that waited. */
+  onSettled({ lease, decision }: PlaceSettled, { address }: Sender): void {
+    const question = this.#waiting.get(lease);
+    if (question) {
+      this.#leaveQueue(question);
+      if (decision.type === "moved") this.#move(question);
+      else this.#onDecision(question, decision);
+    } else if (decision.type === "granted") {
+      if (this.#unanswered > 0) this.#early.set(lease, { grant: decision, address });
+      else this.#giveBackUnused(address, lease);
+    }
+  }
+
+  /** A gateway is gone: whoever waits there asks the next one. */
+  forget(instance: string): void {
+    this.#parts.dispatchers.forget();
+    this.#silence.clear(instance);
+    for (const question of this.#waitingAt(instance)) {
+      this.#leaveQueue(question);
+      this.#move(question);
+    }
+  }
+
+  #send(question: PlaceQuestion): void {
+    const { asker } = question;
+    const group = this.#choice.choose(asker.pool.name, asker.describe(), this.#nowMs);
+    if (group === undefined) return this.#placeAlone(question, "no runner is known");
+    void this.#askGroup(question, group);
+  }
+
+  async #askGroup(question: PlaceQuestion, group: number): Promise<void> {
+    const { asker } = question;
+    const pool = asker.pool.name;
+    const dispatcher = this.#parts.dispatchers.of(pool, group);
+    if (!dispatcher) return this.#placeAlone(question, "nobody hands out places");
+    question.group = group;
+    question.dispatcher = dispatcher;
+    if (this.#silence.has(dispatcher.instance, this.#nowMs))
+      return this.#placeAlone(question, "the dispatcher is silent");
+    this.#returns.flush(dispatcher.address);
+    const request = { pool, group, call: asker.describe() };
+    this.#unanswered += 1;
+    const reply = await this.#parts.rpc.ask(dispatcher.address, "askPlace", request, ANSWER_MS);
+    this.#unanswered -= 1;
+    if (question.isOver) this.#onLateReply(question, dispatcher, reply);
+    else this.#onReply(question, dispatcher, reply);
+    if (this.#unanswered === 0) this.#giveBackEarly();
+  }
+
+  #onReply(
+    question: PlaceQuestion,
+    dispatcher: DispatcherCandidate,
+    reply: RpcReply<"askPlace", GatewayRpcSchema>,
+  ): void {
+    if (reply.type === "done") {
+      this.#silence.clear(dispatcher.instance);
+      this.#leaveQueue(question);
+      return this.#onDecision(question, reply.body);
+    }
+    if (reply.type === "timeout") return this.#onMissed(question, dispatcher);
+    this.#leaveQueue(question);
+    this.#move(question);
+  }
+
+  /** The call was given up, or settled, while its question was under way. */
+  #onLateReply(
+    { lease, asker }: PlaceQuestion,
+    { address }: DispatcherCandidate,
+    reply: RpcReply<"askPlace", GatewayRpcSchema>,
+  ): void {
+    if (reply.type === "timeout") return this.#returns.withdraw(address, asker.describe().request);
+    if (reply.type !== "done" || reply.body.type === "refused") return;
+    if (reply.body.lease !== lease) this.#giveBackUnused(address, reply.body.lease);
+  }
+
+  #onMissed(question: PlaceQuestion, dispatcher: DispatcherCandidate): void {
+    const { instance, address } = dispatcher;
+    const silent = this.#silence.noteMissed(instance, this.#nowMs) ? this.#waitingAt(instance) : [];
+    for (const one of new Set([question, ...silent])) {
+      this.#leaveQueue(one);
+      this.#returns.withdraw(address, one.asker.describe().request);
+      this.#placeAlone(one, "the dispatcher does not answer");
+    }
+  }
+
+  #onDecision(question: PlaceQuestion, decision: PlaceDecision): void {
+    switch (decision.type) {
+      case "granted":
+        return this.#onGranted(question, decision);
+      case "refused":
+        return this.#onRefused(question, decision);
+      case "queued":
+        return this.#onQueued(question, decision.lease, decision.expectedMs);
+    }
+  }
+
+  #onGranted(question: PlaceQuestion, { runner, lease, behind }: PlaceGrant): void {
+    const { dispatcher, group, asker } = question;
+    if (!dispatcher) return;
+    question.lease = lease;
+    if (question.expectedMs === undefined) this.#choice.note(asker.pool.name, group, 0, this.#nowMs);
+    const entry = this.#parts.board.ready(runner);
+    if (!entry) {
+      this.#giveBackUnused(dispatcher.address, lease);
+      return this.#placeAlone(question, `the runner ${runner} is not known here`);
+    }
+    const place = new HeldPlace(lease, dispatcher.address, this.#context.clock, this.#returns);
+    this.#settle(question, { type: "granted", runner: entry, place }, { behind });
+  }
+
+  /** A program that has begun is given one more chance, at other runners. */
+  #onRefused(question: PlaceQuestion, { reason, retryAfterMs }: PlaceRefused): void {
+    const { group, asker } = question;
+    const pool = asker.pool.name;
+    const call = asker.describe();
+    this.#choice.note(pool, group, call.patienceMs + retryAfterMs, this.#nowMs);
+    const other =
+      call.hasBegun && !question.hasTriedOther
+        ? this.#choice.other(pool, call, group, this.#nowMs)
+        : undefined;
+    if (other === undefined)
+      return this.#settle(question, { type: "refused", reason, retryAfterMs }, { reason });
+    question.hasTriedOther = true;
+    void this.#askGroup(question, other);
+  }
+
+  #onQueued(question: PlaceQuestion, lease: number, expectedMs: number): void {
+    question.state = "queued";
+    question.lease = lease;
+    question.expectedMs ??= expectedMs;
+    question.overdueAtMs = this.#nowMs + expectedMs * OVERDUE_FACTOR + OVERDUE_MS;
+    this.#choice.note(question.asker.pool.name, question.group, expectedMs, this.#nowMs);
+    const early = this.#early.get(lease);
+    this.#early.delete(lease);
+    if (early) return this.#onGranted(question, early.grant);
+    this.#waiting.set(lease, question);
+    this.#timer ??= this.#context.clock.schedule(TICK_MS, () => this.#tick());
+  }
+
+  /** Calls that have waited for too long ask again: a dispatcher that is there says how long it will be. */
+  #tick(): void {
+    this.#timer = undefined;
+    const nowMs = this.#nowMs;
+    for (const question of [...this.#waiting.values()]) {
+      if (nowMs < question.overdueAtMs || question.isOver) continue;
+      question.overdueAtMs = nowMs + ANSWER_MS + TICK_MS;
+      void this.#askGroup(question, question.group);
+    }
+    if (this.#waiting.size > 0) this.#timer ??= this.#context.clock.schedule(TICK_MS, () => this.#tick());
+  }
+
+  /** Another gateway is the dispatcher. */
+  #move(question: PlaceQuestion): void {
+    this.#parts.dispatchers.forget();
+    question.lease = undefined;
+    question.moves += 1;
+    if (question.moves > MOST_MOVES) this.#placeAlone(question, "nobody hands out places");
+    else this.#send(question);
+  }
+
+  #placeAlone(question: PlaceQuestion, reason: string): void {
+    this.#leaveQueue(question);
+    this.#settle(question, { type: "alone" }, { reason });
+  }
+
+  #settle(
+    question: PlaceQuestion,
+    verdict: PlaceVerdict,
+    { reason, behind }: { readonly reason?: string; readonly behind?: string | undefined },
+  ): void {
+    if (question.isOver) return;
+    question.state = "over";
+    const { asker, dispatcher, group, lease, expectedMs, askedAtMs } = question;
+    const record = {
+      verdict: verdict.type,
+      ...(reason === undefined ? {} : { reason }),
+      ...(dispatcher === undefined ? {} : { dispatcher: dispatcher.instance, group }),
+      ...(lease === undefined ? {} : { lease }),
+      ...(expectedMs === undefined ? {} : { expectedMs: Math.round(expectedMs) }),
+      ...(behind === undefined ? {} : { behind }),
+      waitedMs: Math.round(this.#nowMs - askedAtMs),
+    };
+    this.#context.metrics.placed(asker.pool.name, record);
+    asker.onVerdict(verdict, record);
+  }
+
+  #leaveQueue(question: PlaceQuestion): void {
+    if (question.lease !== undefined) this.#waiting.delete(question.lease);
+  }
+
+  #waitingAt(instance: string): PlaceQuestion[] {
+    return [...this.#waiting.values()].filter(({ dispatcher }) => dispatcher?.instance === instance);
+  }
+
+  #giveBackEarly(): void {
+    for (const [lease, { address }] of this.#early) this.#giveBackUnused(address, lease);
+    this.#early.clear();
+  }
+
+  #giveBackUnused(address: string, lease: number): void {
+    this.#returns.add(address, { lease, heldMs: 0, turnedAway: false });
+  }
+
+  get #nowMs(): number {
+    return this.#context.clock.monotonicMs();
+  }
+}
--- /dev/null
+++ b/src/gateway/places/place-group.ts
@@ -0,0 +1,8 @@
+import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
+
+/** Runners of a pool whose places one dispatcher hands out. */
+export interface PlaceGroup {
+  readonly index: number;
+  readonly runners: readonly RunnerEntry[];
+  readonly places: number;
+}
--- /dev/null
+++ b/src/gateway/places/pool-scarcity.ts
@@ -0,0 +1,62 @@
+/**
+ * Whether the places of a pool are scarce, so that they are handed out by dispatchers: the pool has few for each gateway,
+ * and most are taken. Far from that, a question before each call would cost more than it saves.
+ */
+import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
+import type { GatewayContext } from "../gateway-context.ts";
+import type { RunnerGroups } from "./runner-groups.ts";
+
+/**
+ * Share of the places that are taken from which on they are scarce. News of load is up to two heartbeats old: a burst that
+ * begins there must find dispatchers at work before the rest is taken.
+ */
+const SCARCE_FROM = 0.7;
+/** Share below which they no longer are. */
+const SCARCE_UNTIL = 0.5;
+/** How long an answer is kept, in ms: loads of other gateways change no faster. */
+const TTL_MS = 50;
+
+interface KnownPool {
+  readonly atMs: number;
+  readonly isScarce: boolean;
+}
+
+/** See the module's comment. */
+export class PoolScarcity {
+  readonly #context: GatewayContext;
+  readonly #board: RunnerBoard;
+  readonly #groups: RunnerGroups;
+  readonly #liveGateways: () => number;
+  readonly #pools = new Map<string, KnownPool>();
+
+  /** @param liveGateways how many gateways are alive, this one included */
+  constructor(context: GatewayContext, board: RunnerBoard, groups: RunnerGroups, liveGateways: () => number) {
+    this.#context = context;
+    this.#board = board;
+    this.#groups = groups;
+    this.#liveGateways = liveGateways;
+  }
+
+  /** Whether dispatchers hand out the places of a pool now. */
+  isScarce(pool: string): boolean {
+    const { dispatchBelow } = this.#context.settings.places;
+    if (dispatchBelow === 0) return false;
+    const nowMs = this.#context.clock.monotonicMs();
+    const known = this.#pools.get(pool);
+    if (known && nowMs - known.atMs < TTL_MS) return known.isScarce;
+    const isScarce = this.#hasFew(pool, dispatchBelow) && this.#isBusy(pool, known?.isScarce ?? false);
+    if (isScarce !== (known?.isScarce ?? false))
+      this.#context.log.info({ pool, isScarce }, "places scarce or not");
+    this.#pools.set(pool, { atMs: nowMs, isScarce });
+    return isScarce;
+  }
+
+  #hasFew(pool: string, dispatchBelow: number): boolean {
+    const places = this.#groups.of(pool).reduce((sum, group) => sum + group.places, 0);
+    return places < dispatchBelow * this.#liveGateways();
+  }
+
+  #isBusy(pool: string, wasScarce: boolean): boolean {
+    return this.#board.occupancy(pool) >= (wasScarce ? SCARCE_UNTIL : SCARCE_FROM);
+  }
+}
--- /dev/null
+++ b/src/gateway/places/tenant-weights.ts
@@ -0,0 +1,35 @@
+/**
+ * How much of scarce places is a tenant's, relative to others: by the limits on requests, which say how large operators
+ * take each tenant to be. A tenant without a limit counts as one of average size.
+ */
+import type { TenantName } from "../../scheduling/ids/tenant-name.ts";
+import type { RouteTable } from "../../scheduling/routing/route-table.ts";
+
+/** See the module's comment. */
+export class TenantWeights {
+  readonly #routes: () => RouteTable | undefined;
+  #of: RouteTable | undefined;
+  #weights: ReadonlyMap<TenantName, number> = new Map();
+
+  constructor(routes: () => RouteTable | undefined) {
+    this.#routes = routes;
+  }
+
+  /** A positive number; 1 for a tenant of average size, and for calls without a tenant. */
+  of(tenant: TenantName | undefined): number {
+    const routes = this.#routes();
+    if (routes !== this.#of) {
+      this.#of = routes;
+      this.#weights = weightsOf(routes);
+    }
+    return tenant === undefined ? 1 : (this.#weights.get(tenant) ?? 1);
+  }
+}
+
+function weightsOf(routes: RouteTable | undefined): ReadonlyMap<TenantName, number> {
+  const limited = (routes?.configuration.tenants ?? []).flatMap(({ name, limit }) => {
+    return limit === undefined || limit.perSecond <= 0 ? [] : [{ name, perSecond: limit.perSecond }];
+  });
+  const sum = limited.reduce((total, { perSecond }) => total + perSecond, 0);
+  return new Map(limited.map(({ name, perSecond }) => [name, (perSecond * limited.length) / sum]));
+}
--- a/src/gateway/telemetry/gateway-metrics.ts
+++ b/src/gateway/telemetry/gateway-metrics.ts
@@ -1,5 +1,7 @@
 import type { CallEnd } from "./call-end.ts";
+import type { DispatchedPlaces } from "./dispatched-places.ts";
 import type { GatewayGauges } from "./gateway-gauges.ts";
+import type { PlaceRecord } from "./place-record.ts";
 
 /** Counts what a gateway does. */
 export abstract class GatewayMetrics {
@@ -15,6 +17,10 @@
   abstract retained(heldBy: string, elapsedMs: number): void;
   /** A write of a partition was answered, or not. */
   abstract storeWritten(outcome: string, elapsedMs: number): void;
+  /** A call of a pool that asked for a place has its verdict. */
+  abstract placed(pool: string, place: PlaceRecord): void;
+  /** What this gateway hands out of a group of a pool's runners, as of now. */
+  abstract dispatched(pool: string, group: number, places: DispatchedPlaces): void;
   /** Serves what was counted; returns the address. */
   abstract serve(gauges: GatewayGauges, isReady: () => boolean): Promise<void>;
   /** Serves no more. */
--- a/src/gateway/telemetry/no-metrics.ts
+++ b/src/gateway/telemetry/no-metrics.ts
@@ -8,6 +8,8 @@
   override rated(): void {}
   override retained(): void {}
   override storeWritten(): void {}
+  override placed(): void {}
+  override dispatched(): void {}
   override async serve(): Promise<void> {}
   override close(): void {}
 }
--- /dev/null
+++ b/src/gateway/telemetry/place-record.ts
@@ -0,0 +1,16 @@
+/** What a dispatcher said of a call, or why none was asked. */
+export interface PlaceRecord {
+  readonly verdict: "granted" | "refused" | "alone";
+  /** Why it was refused, or placed by its gateway alone. */
+  readonly reason?: string;
+  /** The gateway that was asked, and for which group of the pool's runners. */
+  readonly dispatcher?: string;
+  readonly group?: number;
+  readonly lease?: number;
+  /** The wait that the dispatcher expected, in whole ms; undefined when the call did not wait. */
+  readonly expectedMs?: number;
+  /** Whose call got a place last before this one. */
+  readonly behind?: string;
+  /** From the question until the verdict, in whole ms. */
+  readonly waitedMs: number;
+}
--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -1,10 +1,12 @@
 /** Counters and latency histograms as Prometheus text, at the metrics address of the settings. */
-import { Counter, Histogram } from "prom-client";
+import { Counter, Gauge, Histogram } from "prom-client";
 import { ProcessMetrics } from "../../telemetry/metrics.ts";
 import { MetricsServer } from "../../telemetry/metrics-server.ts";
 import type { CallEnd } from "./call-end.ts";
+import type { DispatchedPlaces } from "./dispatched-places.ts";
 import type { GatewayGauges } from "./gateway-gauges.ts";
 import { GatewayMetrics } from "./gateway-metrics.ts";
+import type { PlaceRecord } from "./place-record.ts";
 
 const MS_PER_S = 1_000;
 const CALL_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10];
@@ -47,6 +49,30 @@
     STORE_BUCKETS_S,
     "outcome",
   );
+  readonly #placed = new Counter({
+    name: "tulipwheel_gateway_places_total",
+    help: "Calls that asked for a place, by pool, verdict (granted, refused or alone) and reason",
+    labelNames: ["pool", "verdict", "reason"],
+    registers: [],
+  });
+  readonly #placeWaits = histogram(
+    "place_wait_seconds",
+    "Time until a place was granted",
+    CALL_BUCKETS_S,
+    "pool",
+  );
+  readonly #placeForecasts = histogram(
+    "place_forecast_error_seconds",
+    "How far the wait for a place was from what was forecast, by direction: longer or shorter",
+    CALL_BUCKETS_S,
+    "direction",
+  );
+  readonly #dispatched = new Gauge({
+    name: "tulipwheel_gateway_dispatched_places",
+    help: "Of the places that this gateway hands out: all, those leased, and calls that wait, by pool and group",
+    labelNames: ["pool", "group", "state"],
+    registers: [],
+  });
   #server: MetricsServer | undefined;
 
   /** @param address where to serve, IP:port */
@@ -82,6 +108,23 @@
     this.#writes.observe({ outcome }, elapsedMs / MS_PER_S);
   }
 
+  override placed(pool: string, place: PlaceRecord): void {
+    const { verdict, reason = "", waitedMs, expectedMs } = place;
+    this.#placed.inc({ pool, verdict, reason: verdict === "refused" ? reason : "" });
+    if (verdict !== "granted") return;
+    this.#placeWaits.observe({ pool }, waitedMs / MS_PER_S);
+    if (expectedMs === undefined) return;
+    const direction = waitedMs > expectedMs ? "longer" : "shorter";
+    this.#placeForecasts.observe({ direction }, Math.abs(waitedMs - expectedMs) / MS_PER_S);
+  }
+
+  override dispatched(pool: string, group: number, { places, leased, waiting }: DispatchedPlaces): void {
+    const labels = { pool, group: String(group) };
+    this.#dispatched.set({ ...labels, state: "all" }, places);
+    this.#dispatched.set({ ...labels, state: "leased" }, leased);
+    this.#dispatched.set({ ...labels, state: "waiting" }, waiting);
+  }
+
   override async serve(gauges: GatewayGauges, isReady: () => boolean): Promise<void> {
     const gauge = (name: string, help: string, read: () => number) => {
       return { name: `gateway_${name}`, help, type: "gauge" as const, read };
@@ -104,6 +147,10 @@
       this.#rateTimes,
       this.#retentions,
       this.#writes,
+      this.#placed,
+      this.#placeWaits,
+      this.#placeForecasts,
+      this.#dispatched,
     ])
       metrics.register(metric);
     this.#server = new MetricsServer(metrics, isReady);
--- a/src/scheduling/runner-board/pending-request.ts
+++ b/src/scheduling/runner-board/pending-request.ts
@@ -6,6 +6,8 @@
   readonly startedAtMs: number;
   /** Silence after which the request speaks against its runner. */
   readonly patienceMs: number;
+  /** Whether a dispatcher has placed it. */
+  readonly isLeased: boolean;
   /** Whether the head of the answer has come. */
   answered: boolean;
 }
--- a/src/scheduling/runner-board/report-totals.ts
+++ b/src/scheduling/runner-board/report-totals.ts
@@ -11,6 +11,7 @@
 
 interface RunnerTotal {
   inFlight: number;
+  leased: number;
   successTenths: number;
   failureTenths: number;
 }
@@ -36,6 +37,11 @@
     return this.#totals.get(runner)?.inFlight ?? 0;
   }
 
+  /** Requests in flight at a runner from all other nodes that a dispatcher has placed. */
+  leased(runner: RunnerId): number {
+    return this.#totals.get(runner)?.leased ?? 0;
+  }
+
   /** Outcomes that other nodes have met at a runner lately. */
   outcomes(runner: RunnerId): OutcomeCounts {
     const total = this.#totals.get(runner);
@@ -85,12 +91,17 @@
     return totals.#asReport();
   }
 
-  #add({ inFlight, failing }: NodeReport, sign: 1 | -1): void {
+  #add({ inFlight, leased = [], failing }: NodeReport, sign: 1 | -1): void {
     for (const [runner, count] of inFlight) {
       const total = this.#total(runner);
       total.inFlight += sign * count;
       this.#dropIfEmpty(runner, total);
     }
+    for (const [runner, count] of leased) {
+      const total = this.#total(runner);
+      total.leased += sign * count;
+      this.#dropIfEmpty(runner, total);
+    }
     for (const [runner, successes, failures] of failing) {
       const total = this.#total(runner);
       total.successTenths += sign * Math.round(successes * TENTHS);
@@ -100,26 +111,29 @@
   }
 
   #dropIfEmpty(runner: RunnerId, total: RunnerTotal): void {
-    const isEmpty = total.inFlight === 0 && total.successTenths === 0 && total.failureTenths === 0;
+    const { inFlight, leased, successTenths, failureTenths } = total;
+    const isEmpty = inFlight === 0 && leased === 0 && successTenths === 0 && failureTenths === 0;
     if (isEmpty) this.#totals.delete(runner);
   }
 
   #total(runner: RunnerId): RunnerTotal {
     const known = this.#totals.get(runner);
     if (known) return known;
-    const total = { inFlight: 0, successTenths: 0, failureTenths: 0 };
+    const total = { inFlight: 0, leased: 0, successTenths: 0, failureTenths: 0 };
     this.#totals.set(runner, total);
     return total;
   }
 
   #asReport(): NodeReport {
     const inFlight: [RunnerId, number][] = [];
+    const leased: [RunnerId, number][] = [];
     const failing: [RunnerId, number, number][] = [];
     for (const [runner, total] of this.#totals) {
       if (total.inFlight > 0) inFlight.push([runner, total.inFlight]);
+      if (total.leased > 0) leased.push([runner, total.leased]);
       if (total.failureTenths > 0)
         failing.push([runner, total.successTenths / TENTHS, total.failureTenths / TENTHS]);
     }
-    return { inFlight, failing };
+    return leased.length === 0 ? { inFlight, failing } : { inFlight, leased, failing };
   }
 }
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -132,6 +132,13 @@
     return (this.#runners.get(id)?.health.inFlight ?? 0) + this.#reports.inFlight(id);
   }
 
+  /** Requests under way at a runner that no dispatcher has placed, as far as known. */
+  unplaced(id: RunnerId): number {
+    const health = this.#runners.get(id)?.health;
+    const own = health ? health.inFlight - health.leased : 0;
+    return own + this.#reports.inFlight(id) - this.#reports.leased(id);
+  }
+
   /**
    * Requests under way at the runners of a pool, as far as known, as a share of the places that they have: beyond 1 some
    * wait. 0 where the pool has no runner.
@@ -152,9 +159,10 @@
    * Counts a request that leaves for a runner; call {@link ended} when it is over.
    *
    * @param patienceMs silence after which the request speaks against the runner, in ms
+   * @param isLeased whether a dispatcher has placed it
    */
-  started(runner: RunnerId, nowMs: number, patienceMs: number): PendingRequest {
-    const pending = { runner, startedAtMs: nowMs, patienceMs, answered: false };
+  started(runner: RunnerId, nowMs: number, patienceMs: number, isLeased = false): PendingRequest {
+    const pending = { runner, startedAtMs: nowMs, patienceMs, isLeased, answered: false };
     this.#runners.get(runner)?.health.begin(pending);
     return pending;
   }
@@ -184,13 +192,15 @@
   /** This node's report to the others, for the heartbeat. */
   ownReport(nowMs: number): NodeReport {
     const inFlight: [RunnerId, number][] = [];
+    const leased: [RunnerId, number][] = [];
     const failing: [RunnerId, number, number][] = [];
     for (const [id, { health }] of this.#runners) {
       if (health.inFlight > 0) inFlight.push([id, health.inFlight]);
+      if (health.leased > 0) leased.push([id, health.leased]);
       const { successes, failures } = health.counts(nowMs);
       if (failures >= MIN_REPORTED_FAILURES) failing.push([id, rounded(successes), rounded(failures)]);
     }
-    return { inFlight, failing };
+    return leased.length === 0 ? { inFlight, failing } : { inFlight, leased, failing };
   }
 
   /** Records another node's report. */
--- a/src/scheduling/runner-board/runner-health.ts
+++ b/src/scheduling/runner-board/runner-health.ts
@@ -11,6 +11,7 @@
 /** See the module's comment. */
 export class RunnerHealth {
   readonly #pending = new Set<PendingRequest>();
+  #leased = 0;
   #successes = 0;
   #failures = 0;
   #fadedAtMs = 0;
@@ -22,9 +23,15 @@
     return this.#pending.size;
   }
 
+  /** Requests in flight that a dispatcher has placed. */
+  get leased(): number {
+    return this.#leased;
+  }
+
   /** A request leaves for the runner. */
   begin(pending: PendingRequest): void {
     this.#pending.add(pending);
+    if (pending.isLeased) this.#leased += 1;
   }
 
   /** How long the runner took for one step of its work: an answer, or an event of a stream. */
@@ -37,6 +44,7 @@
   /** The request is over. One that is given up on counts as failed if it had been silent for too long. */
   end(pending: PendingRequest, outcome: RequestOutcome, nowMs: number): void {
     if (!this.#pending.delete(pending)) return;
+    if (pending.isLeased) this.#leased -= 1;
     this.#fade(nowMs);
     if (outcome === "success") this.#successes += 1;
     if (outcome === "failure" || (outcome === "abandoned" && isSilent(pending, nowMs))) this.#failures += 1;
--- /dev/null
+++ b/test/contract/places.test.ts
@@ -0,0 +1,182 @@
+/** Dispatchers and those who ask them, when one part fails at a time. */
+import { before, describe, it } from "node:test";
+import { expect } from "earl";
+import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
+import { type PlacedCall, PlaceFleet, type PlaceMember } from "./support/place-fleet.ts";
+
+const SETTLE_MS = 3_000;
+/** Longest time until all know of a loss that nobody announced. */
+const DETECTION_MS = 3_000;
+/** What a call loses at most to a dispatcher that does not answer, beyond the wait that was announced. */
+const FALL_BACK_MS = 150;
+
+const verdictsOf = (calls: readonly PlacedCall[]) => new Set(calls.map(({ verdict }) => verdict));
+
+describe("places", () => {
+  let hash: TextHash;
+  before(async () => {
+    hash = await loadTextHash();
+  });
+
+  /** A fleet whose gateways know each other. */
+  async function settled(
+    gateways: number,
+    runners: number,
+    slots: number,
+    old?: number[],
+  ): Promise<PlaceFleet> {
+    const fleet = new PlaceFleet(hash, gateways, runners, slots, old);
+    await fleet.time.runUntil(SETTLE_MS);
+    return fleet;
+  }
+
+  async function pass(fleet: PlaceFleet, ms: number): Promise<void> {
+    await fleet.time.runUntil(fleet.time.nowMs + ms);
+  }
+
+  /** A gateway that is not the dispatcher. */
+  function askerOf(fleet: PlaceFleet): PlaceMember {
+    const dispatcher = fleet.dispatcherOf(fleet.at(0));
+    return fleet.members.find((member) => member !== dispatcher) as PlaceMember;
+  }
+
+  const callOf = (fleet: PlaceFleet, holdMs: number) => (member: PlaceMember) => fleet.call(member, holdMs);
+
+  it("are handed out so that no runner gets more than it works on, whoever asks", async () => {
+    const fleet = await settled(6, 2, 3);
+    const calls = [1, 2, 3, 4].flatMap(() => fleet.members.map(callOf(fleet, 150)));
+    await pass(fleet, 1_500);
+    expect(verdictsOf(calls)).toEqual(new Set(["granted" as const]));
+    expect(fleet.mostBusy).toEqual(3);
+    // 24 calls at six places, 150 ms each and what handing over takes.
+    expect(Math.max(...calls.map(({ record }) => record?.waitedMs ?? 0))).toBeLessThan(600);
+  });
+
+  it("go to those that wait when a call is given up", async () => {
+    const fleet = await settled(3, 1, 1);
+    const asker = askerOf(fleet);
+    fleet.call(asker, 300);
+    await pass(fleet, 10);
+    const [first, second] = [fleet.call(asker, 100), fleet.call(asker, 100)];
+    await pass(fleet, 10);
+    asker.client.giveUp(first.question);
+    await pass(fleet, 330);
+    expect([first.verdict, second.verdict]).toEqual([undefined, "granted"]);
+  });
+
+  it("are taken by each gateway alone when the dispatcher is killed, until another one is known", async () => {
+    const fleet = await settled(4, 1, 1);
+    const asker = askerOf(fleet);
+    fleet.call(asker, 400);
+    await pass(fleet, 10);
+    const waits = fleet.call(asker, 50);
+    await pass(fleet, 10);
+    expect(waits.question.state).toEqual("queued");
+    fleet.dispatcherOf(asker).process.kill();
+    const comes = fleet.call(asker, 50);
+    await pass(fleet, FALL_BACK_MS);
+    expect(comes.verdict).toEqual("alone");
+    await pass(fleet, 1.5 * (waits.question.expectedMs ?? 0));
+    expect(waits.verdict).toEqual("alone");
+    await pass(fleet, DETECTION_MS);
+    const later = fleet.call(asker, 50);
+    await pass(fleet, 50);
+    expect(later.verdict).toEqual("granted");
+  });
+
+  it("are handed out anew by a dispatcher that froze for longer than its leases and woke", async () => {
+    const fleet = await settled(4, 1, 2);
+    const asker = askerOf(fleet);
+    const dispatcher = fleet.dispatcherOf(asker);
+    const held = [fleet.call(asker, 100), fleet.call(asker, 100)];
+    await pass(fleet, 20);
+    dispatcher.process.freeze();
+    await pass(fleet, 6_000);
+    expect(verdictsOf(held)).toEqual(new Set(["granted" as const]));
+    dispatcher.process.wake();
+    await pass(fleet, DETECTION_MS);
+    expect(fleet.dispatcherOf(asker)).toEqual(dispatcher);
+    const calls = [1, 2, 3].map(() => fleet.call(asker, 100));
+    await pass(fleet, 400);
+    expect(verdictsOf(calls)).toEqual(new Set(["granted" as const]));
+    expect(fleet.mostBusy).toEqual(2);
+  });
+
+  it("come back when the gateway that holds them dies", async () => {
+    const fleet = await settled(4, 1, 1);
+    const asker = askerOf(fleet);
+    const dispatcher = fleet.dispatcherOf(asker);
+    const holder = fleet.members.find((member) => member !== asker && member !== dispatcher) as PlaceMember;
+    fleet.call(holder, 60_000);
+    await pass(fleet, 20);
+    holder.process.kill();
+    await pass(fleet, DETECTION_MS);
+    const next = fleet.call(asker, 50);
+    await pass(fleet, 50);
+    expect(next.verdict).toEqual("granted");
+  });
+
+  it("are granted again when the grant was lost on the way", async () => {
+    const fleet = await settled(3, 1, 1);
+    const asker = askerOf(fleet);
+    const dispatcher = fleet.dispatcherOf(asker);
+    fleet.call(dispatcher, 150);
+    await pass(fleet, 10);
+    const waits = fleet.call(asker, 50);
+    await pass(fleet, 100);
+    fleet.network.cut(dispatcher.name, asker.name);
+    await pass(fleet, 80);
+    fleet.network.heal(dispatcher.name, asker.name);
+    await pass(fleet, 300);
+    expect(waits.verdict).toEqual("granted");
+    expect(fleet.mostBusy).toEqual(1);
+  });
+
+  it("are granted though the answer that a call waits comes late, and none is lost", async () => {
+    const fleet = await settled(3, 1, 1);
+    const asker = askerOf(fleet);
+    fleet.network.conditions.reordering = 0.5;
+    const calls = Array.from({ length: 10 }, () => fleet.call(asker, 40));
+    await pass(fleet, 2_500);
+    fleet.network.conditions.reordering = 0;
+    expect(calls.every(({ verdict }) => verdict !== undefined)).toEqual(true);
+    const last = fleet.call(asker, 40);
+    await pass(fleet, 30);
+    expect(last.verdict).toEqual("granted");
+  });
+
+  it("are handed out again soon after all gateways were restarted at once", async () => {
+    const fleet = await settled(5, 2, 2);
+    for (const { process } of fleet.members) process.kill();
+    for (const index of fleet.members.keys()) fleet.start(index);
+    await pass(fleet, SETTLE_MS);
+    const calls = [1, 2].flatMap(() => fleet.members.map(callOf(fleet, 100)));
+    await pass(fleet, 1_000);
+    expect(verdictsOf(calls)).toEqual(new Set(["granted" as const]));
+    expect(fleet.mostBusy).toEqual(2);
+  });
+
+  it("are handed out twice at most while two gateways take themselves for the dispatcher", async () => {
+    const fleet = await settled(4, 1, 2);
+    const [left, right] = [fleet.members.slice(0, 2), fleet.members.slice(2)];
+    for (const one of left)
+      for (const other of right) {
+        fleet.network.cut(one.name, other.name);
+        fleet.network.cut(other.name, one.name);
+      }
+    await pass(fleet, DETECTION_MS);
+    const calls = [1, 2].flatMap(() => fleet.members.map(callOf(fleet, 100)));
+    await pass(fleet, 1_000);
+    expect(verdictsOf(calls)).toEqual(new Set(["granted" as const]));
+    expect(fleet.mostBusy).toEqual(4);
+  });
+
+  it("are handed out by gateways that know how, beside older ones", async () => {
+    const fleet = await settled(6, 1, 1, [0, 1, 2, 3, 4]);
+    const young = fleet.at(5);
+    expect(fleet.dispatcherOf(young)).toEqual(young);
+    const call = fleet.call(young, 50);
+    await pass(fleet, 20);
+    expect(call.verdict).toEqual("granted");
+  });
+});
--- /dev/null
+++ b/test/contract/support/place-fleet.ts
@@ -0,0 +1,212 @@
+/** Gateways that compete for the places of a few runners, on virtual time: members, dispatchers and askers, no HTTP. */
+import { pino } from "pino";
+import { SimulatedNetwork } from "../../../bench/simulation/simulated-network.ts";
+import { SimulatedProcess, VirtualTime } from "../../../bench/simulation/virtual-time.ts";
+import type { GatewayContext, GatewayPlatform } from "../../../src/gateway/gateway-context.ts";
+import type { GatewayMessage, GatewayRpcSchema } from "../../../src/gateway/gateway-messages.ts";
+import { gatewaySettingsSchema } from "../../../src/gateway/gateway-settings.ts";
+import { MemberDirectory } from "../../../src/gateway/members/member-directory.ts";
+import { DispatcherDirectory } from "../../../src/gateway/places/dispatcher-directory.ts";
+import { PlaceClient } from "../../../src/gateway/places/place-client.ts";
+import { PlaceHost } from "../../../src/gateway/places/place-host.ts";
+import type { PlaceQuestion } from "../../../src/gateway/places/place-question.ts";
+import type { PlaceVerdict } from "../../../src/gateway/places/place-verdict.ts";
+import type { PoolScarcity } from "../../../src/gateway/places/pool-scarcity.ts";
+import { RunnerGroups } from "../../../src/gateway/places/runner-groups.ts";
+import { TenantWeights } from "../../../src/gateway/places/tenant-weights.ts";
+import { StoreHealth } from "../../../src/gateway/store-health.ts";
+import { NoMetrics } from "../../../src/gateway/telemetry/no-metrics.ts";
+import type { PlaceRecord } from "../../../src/gateway/telemetry/place-record.ts";
+import { SeededRandomSource } from "../../../src/runtime/random-source.ts";
+import { RpcEndpoint } from "../../../src/runtime/rpc.ts";
+import type { TextHash } from "../../../src/runtime/text-hash.ts";
+import type { RequestId } from "../../../src/scheduling/ids/request-id.ts";
+import type { RunnerId } from "../../../src/scheduling/ids/runner-id.ts";
+import type { PlaceCall } from "../../../src/scheduling/place-queue/index.ts";
+import { RunnerBoard } from "../../../src/scheduling/runner-board/runner-board.ts";
+
+export const POOL = { name: "p", maxConnections: 100, engine: undefined };
+const ALWAYS_SCARCE = { isScarce: () => true } as unknown as PoolScarcity;
+const NO_CALL = {
+  route: "turn",
+  tenant: undefined,
+  program: undefined,
+  rank: 0,
+  hasBegun: true,
+  dueInMs: 5_000,
+  patienceMs: 1_500,
+  tokens: 0,
+  preferred: undefined,
+  excluded: [],
+};
+
+/** One gateway. */
+export interface PlaceMember {
+  readonly name: string;
+  readonly instance: string;
+  readonly process: SimulatedProcess;
+  readonly board: RunnerBoard;
+  readonly client: PlaceClient;
+  readonly dispatchers: DispatcherDirectory;
+}
+
+/** What has become of a call. */
+export interface PlacedCall {
+  readonly question: PlaceQuestion;
+  verdict: PlaceVerdict["type"] | undefined;
+  record: PlaceRecord | undefined;
+  runner: RunnerId | undefined;
+}
+
+/** See the module's comment. */
+export class PlaceFleet {
+  readonly time = new VirtualTime();
+  readonly network = new SimulatedNetwork<GatewayMessage>(this.time, new SeededRandomSource(1));
+  readonly members: PlaceMember[] = [];
+  /** Calls at a runner now, and the most there ever were. */
+  readonly busy = new Map<RunnerId, number>();
+  mostBusy = 0;
+  readonly #hash: TextHash;
+  readonly #runners: readonly RunnerId[];
+  readonly #slots: number;
+  readonly #old: ReadonlySet<number>;
+  #count = 0;
+
+  /** @param old gateways of a build that knows no dispatchers */
+  constructor(hash: TextHash, count: number, runners: number, slots: number, old: readonly number[] = []) {
+    this.#hash = hash;
+    this.#runners = Array.from({ length: runners }, (_, index) => `r${index}` as RunnerId);
+    this.#slots = slots;
+    this.#old = new Set(old);
+    for (let index = 0; index < count; index += 1) this.start(index);
+  }
+
+  /** Starts a gateway, for the first time or anew. */
+  start(index: number): void {
+    this.#count += 1;
+    const name = `gateway-${index}`;
+    const instance = `${name}#${this.#count}`;
+    const process = new SimulatedProcess(name, "zone", this.time);
+    const peers = addressOf(index);
+    const settings = gatewaySettingsSchema.parse({
+      name,
+      region: "region",
+      zone: "zone",
+      listen: { callers: peers, readiness: peers, directory: peers, peers },
+      seeds: [0, 1, 2].map(addressOf),
+      store: peers,
+    });
+    const context: GatewayContext = {
+      settings,
+      instance,
+      clock: process,
+      random: new SeededRandomSource(this.#count),
+      hash: this.#hash,
+      log: pino({ level: "silent" }),
+      metrics: new NoMetrics(),
+      platform: {} as GatewayPlatform,
+    };
+    const transport = this.network.attach(process, { instance, address: peers });
+    const members = new MemberDirectory(context, transport, new StoreHealth(context));
+    const rpc = new RpcEndpoint<GatewayRpcSchema>(transport, process, context.random);
+    const board = new RunnerBoard();
+    for (const id of this.#runners)
+      board.upsert({ id, pool: POOL.name, address: "a", zone: "zone", slots: this.#slots, state: "ready" });
+    const groups = new RunnerGroups(context, board);
+    const dispatchers = new DispatcherDirectory(context, members);
+    const parts = { context, board, groups, dispatchers, rpc, transport };
+    const weights = new TenantWeights(() => undefined);
+    const host = new PlaceHost({ ...parts, weights, memoryTokens: () => undefined });
+    const client = new PlaceClient({ ...parts, scarcity: ALWAYS_SCARCE });
+    members.selfReport = () => ({
+      state: "ready",
+      storeDirect: false,
+      owned: [],
+      runners: board.ownReport(process.monotonicMs()),
+    });
+    members.onLoads = (source, report) => board.report(source, report, process.monotonicMs());
+    members.sumLoads = (sources) => board.sumReports(sources);
+    members.onLost = (member) => {
+      board.dropReport(member.instance);
+      host.forget(member.instance);
+      client.forget(member.instance);
+      rpc.abandon(member.address);
+    };
+    const isOld = this.#old.has(index);
+    transport.onMessage((message, from) => {
+      if (message.type === "heartbeat") members.onHeartbeat(this.#asSent(message), from);
+      else if (message.type === "memberDigest") members.onDigest(message, from);
+      else if (isOld) return;
+      else if (message.type === "placeSettled") client.onSettled(message, from);
+      else if (message.type === "returnPlaces") host.onReturned(message);
+      else if (message.type === "rpcRequest") void rpc.onRequest(message, from);
+      else if (message.type === "rpcResponse") rpc.onResponse(message);
+    });
+    this.members[index] = { name, instance, process, board, client, dispatchers };
+    members.start();
+    host.start();
+  }
+
+  /** A gateway. */
+  at(index: number): PlaceMember {
+    return this.members[index] as PlaceMember;
+  }
+
+  /** The gateway that another one takes for the dispatcher. */
+  dispatcherOf(member: PlaceMember): PlaceMember {
+    const name = member.dispatchers.of(POOL.name, 0)?.name;
+    return this.members.find((other) => other.name === name) as PlaceMember;
+  }
+
+  /** Has a gateway make a call that holds its place for so long. */
+  call(member: PlaceMember, holdMs: number, more: Partial<PlaceCall> = {}): PlacedCall {
+    this.#count += 1;
+    const request = `q${this.#count}` as RequestId;
+    const placed = { verdict: undefined, record: undefined, runner: undefined } as unknown as PlacedCall;
+    const question = member.client.ask({
+      pool: POOL,
+      describe: () => ({ ...NO_CALL, request, ...more }),
+      onVerdict: (verdict, record) => {
+        Object.assign(placed, { verdict: verdict.type, record });
+        this.#run(member, verdict, placed, holdMs);
+      },
+    });
+    return Object.assign(placed, { question });
+  }
+
+  #run(member: PlaceMember, verdict: PlaceVerdict, placed: PlacedCall, holdMs: number): void {
+    if (verdict.type === "refused") return;
+    const { board, process } = member;
+    const choice = { pool: POOL.name, zone: "zone", excluded: new Set<RunnerId>(), preferred: undefined };
+    const isGranted = verdict.type === "granted";
+    const nowMs = process.monotonicMs();
+    const runner = isGranted ? verdict.runner : board.choose({ ...choice, nowMs, sample: 0.5 });
+    if (!runner) return;
+    placed.runner = runner.id;
+    const pending = board.started(runner.id, nowMs, 1_000, isGranted);
+    this.#noteBusy(runner.id, 1);
+    this.time.after(holdMs, () => this.#noteBusy(runner.id, -1));
+    process.schedule(holdMs, () => {
+      board.ended(pending, "success", process.monotonicMs());
+      if (isGranted) verdict.place.giveBack(false);
+    });
+  }
+
+  #noteBusy(runner: RunnerId, change: number): void {
+    const busy = (this.busy.get(runner) ?? 0) + change;
+    this.busy.set(runner, busy);
+    this.mostBusy = Math.max(this.mostBusy, busy);
+  }
+
+  /** Builds that know no dispatchers do not say which protocol they speak. */
+  #asSent<Kind extends Extract<GatewayMessage, { type: "heartbeat" }>>(heartbeat: Kind): Kind {
+    const index = this.members.findIndex(({ name }) => name === heartbeat.name);
+    if (!this.#old.has(index)) return heartbeat;
+    const { protocol: _, ...older } = heartbeat;
+    return older as Kind;
+  }
+}
+
+function addressOf(index: number): string {
+  return `10.0.0.${index + 1}:7000`;
+}
