Ask a dispatcher for a place before a call's first send while places are scarce

Cause: no gateway queues; a call goes to a runner at once, or to up to twelve, or is refused by chance, also when others hold places that it could have had.

Change: routed calls, those that may not be repeated too, ask for a place before they are sent, give it back when the try is over, and ask again without the runner that turned them away. A call that may have run never asks, so that a refusal that says not run stays true. Chance decides on programs only where no dispatcher does. What is at the runners when places begin to be handed out is expected to end as calls do, since what heartbeats tell of it is old.

--- a/src/cli/logs/call-entry.ts
+++ b/src/cli/logs/call-entry.ts
@@ -1,4 +1,5 @@
 import type { AdmissionRecord } from "../../gateway/telemetry/admission-record.ts";
+import type { PlacedRecord } from "../../gateway/telemetry/placed-record.ts";
 import type { RateRecord } from "../../gateway/telemetry/rate-record.ts";
 import type { RetentionRecord } from "../../gateway/telemetry/retention-record.ts";
 import type { TryRecord } from "../../gateway/telemetry/try-record.ts";
@@ -19,6 +20,7 @@
   readonly elapsedMs: number;
   readonly firstByteMs?: number;
   readonly admission?: AdmissionRecord;
+  readonly places?: readonly PlacedRecord[];
   readonly retention?: RetentionRecord;
   readonly tries?: readonly TryRecord[];
 }
--- a/src/cli/logs/tell-story.ts
+++ b/src/cli/logs/tell-story.ts
@@ -2,6 +2,7 @@
 
 import { nameOf } from "../../gateway/members/instance-name.ts";
 import type { AdmissionRecord } from "../../gateway/telemetry/admission-record.ts";
+import type { PlacedRecord } from "../../gateway/telemetry/placed-record.ts";
 import type { RateRecord } from "../../gateway/telemetry/rate-record.ts";
 import type { RetentionRecord } from "../../gateway/telemetry/retention-record.ts";
 import { type CallEntry, isCallEntry } from "./call-entry.ts";
@@ -52,7 +53,18 @@
 }
 
 function linesOfCall(call: CallEntry): StoryLine[] {
-  const { node, request, route, configuration, tenant, rate, admission, retention, tries = [] } = call;
+  const {
+    node,
+    request,
+    route,
+    configuration,
+    tenant,
+    rate,
+    admission,
+    places = [],
+    retention,
+    tries = [],
+  } = call;
   const arrivedMs = call.time - call.elapsedMs;
   const at = (sinceMs: number, text: string): StoryLine => ({ time: arrivedMs + sinceMs, node, text });
   const program = call.program === undefined ? "" : ` of program ${call.program}`;
@@ -61,6 +73,7 @@
   const lines = [at(0, arrival)];
   if (rate) lines.push(at(rate.atMs + rate.elapsedMs, rateText(request, rate)));
   if (admission) lines.push(at(admission.elapsedMs, admissionText(request, admission)));
+  for (const place of places) lines.push(at(place.atMs + place.waitedMs, placeText(request, place)));
   for (const one of tries) {
     const grounds = `${one.load} in flight, ${Math.round(100 * one.failureRate)}% failing`;
     lines.push(at(one.atMs, `${request} is sent to ${one.runner} (${grounds})`));
@@ -91,6 +104,17 @@
   return `${request}${before}: partition ${partition}, owned by ${whose}, says ${answer}${spent} after ${elapsedMs} ms`;
 }
 
+function placeText(request: string, place: PlacedRecord): string {
+  const { verdict, reason, dispatcher, group, lease, expectedMs, behind, waitedMs } = place;
+  const forecast = expectedMs === undefined ? "" : `, ${expectedMs} ms expected`;
+  const after = behind === undefined ? "" : `, behind tenant ${behind}`;
+  const by = dispatcher === undefined ? "" : ` by ${dispatcher} for group ${group}`;
+  const which = verdict === "granted" ? `, lease ${lease}` : "";
+  const why = reason === undefined ? "" : ` (${reason})`;
+  const what = verdict === "alone" ? "is placed by its gateway alone" : `is ${verdict} a place`;
+  return `${request} ${what}${why}${by}${which} after ${waitedMs} ms${forecast}${after}`;
+}
+
 function retentionText(
   request: string,
   { heldBy, atMs, elapsedMs }: RetentionRecord,
--- a/src/coordination/adaptive-timeout/adaptive-timeout.ts
+++ b/src/coordination/adaptive-timeout/adaptive-timeout.ts
@@ -3,9 +3,15 @@
  * times its deviation, as in TCP's retransmission timer (RFC 6298). Doubles with each call that is not answered. Pure.
  */
 
-const FIRST_MS = 250;
-const MIN_MS = 100;
-const MAX_MS = 1_000;
+/** Between which times a time-out moves, and where it begins. */
+export interface TimeoutBounds {
+  readonly firstMs: number;
+  readonly minMs: number;
+  readonly maxMs: number;
+}
+
+/** For calls of a store that works on several at a time. */
+const USUAL_BOUNDS: TimeoutBounds = { firstMs: 250, minMs: 100, maxMs: 1_000 };
 /** Weight of the newest sample in the smoothed time. */
 const TIME_WEIGHT = 0.25;
 /** Weight of the newest sample in the smoothed deviation. */
@@ -14,9 +20,15 @@
 
 /** See the module's comment. Times in ms. */
 export class AdaptiveTimeout {
+  readonly #bounds: TimeoutBounds;
   #smoothedMs: number | undefined;
   #deviationMs = 0;
-  #currentMs = FIRST_MS;
+  #currentMs: number;
+
+  constructor(bounds = USUAL_BOUNDS) {
+    this.#bounds = bounds;
+    this.#currentMs = bounds.firstMs;
+  }
 
   /** How long to wait now. */
   get currentMs(): number {
@@ -33,15 +45,15 @@
       this.#deviationMs += (Math.abs(difference) - this.#deviationMs) * DEVIATION_WEIGHT;
       this.#smoothedMs += difference * TIME_WEIGHT;
     }
-    this.#currentMs = bounded(this.#smoothedMs + DEVIATIONS * this.#deviationMs);
+    this.#currentMs = this.#bounded(this.#smoothedMs + DEVIATIONS * this.#deviationMs);
   }
 
   /** A call was not answered in the time that this gave. */
   expired(): void {
-    this.#currentMs = bounded(2 * this.#currentMs);
+    this.#currentMs = this.#bounded(2 * this.#currentMs);
   }
-}
 
-function bounded(timeMs: number): number {
-  return Math.min(MAX_MS, Math.max(MIN_MS, timeMs));
+  #bounded(timeMs: number): number {
+    return Math.min(this.#bounds.maxMs, Math.max(this.#bounds.minMs, timeMs));
+  }
 }
--- a/src/coordination/adaptive-timeout/index.ts
+++ b/src/coordination/adaptive-timeout/index.ts
@@ -1,1 +1,1 @@
-export { AdaptiveTimeout } from "./adaptive-timeout.ts";
+export { AdaptiveTimeout, type TimeoutBounds } from "./adaptive-timeout.ts";
--- a/src/gateway/calls/plain-call.ts
+++ b/src/gateway/calls/plain-call.ts
@@ -12,8 +12,13 @@
   }
 
   protected override next(): void {
-    const runner = this.chooseRunner(undefined);
-    if (!runner) return this.#giveUp("no runner can take the call");
+    this.seekRunner(undefined, (runner) => {
+      if (runner) this.#sendTo(runner);
+      else this.#giveUp("no runner can take the call");
+    });
+  }
+
+  #sendTo(runner: RunnerEntry): void {
     let head: HttpAnswerHead | undefined;
     const chunks: Buffer[] = [];
     const tried = this.tryAt(runner, this.exchange.body, this.call.lastEventId, {
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -3,11 +3,15 @@
 import type { CallContext } from "../../ports/call-protocol.ts";
 import type { TimerHandle } from "../../runtime/clock.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
+import type { PlaceCall } from "../../scheduling/place-queue/index.ts";
 import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { Tenant } from "../../scheduling/routing/tenant.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
+import type { HeldPlace } from "../places/held-place.ts";
+import type { PlaceQuestion } from "../places/place-question.ts";
+import type { PlaceVerdict } from "../places/place-verdict.ts";
 import type { CallEnd } from "../telemetry/call-end.ts";
 import { CallRecord } from "../telemetry/call-record.ts";
 import type { RateRecord } from "../telemetry/rate-record.ts";
@@ -41,11 +45,21 @@
 const GATEWAY_TIMEOUT = 504;
 /** When callers of a request that was not run should come back, in ms; up to as much again is added at random. */
 const RETRY_AFTER_MS = 100;
+/**
+ * When programs should come back that were refused because the runners are full, in ms; up to as much again is added at
+ * random. About the time of a turn: by then some programs have ended, and the decision is made anew.
+ */
+const PROGRAM_RETRY_AFTER_MS = 250;
 /** A runner that is silent for so many times the route's target has a fault, or is overloaded. */
 const PATIENCE_FACTOR = 3;
 const MIN_PATIENCE_MS = 400;
 /** How often a runner that stays silent is looked at again, in ms. */
 const SILENCE_POLL_MS = 200;
+/**
+ * Longest wait for a place, in ms. Callers take a stream that stays silent for much longer for lost, and their new try would
+ * begin behind all others.
+ */
+const MOST_PLACE_WAIT_MS = 1_500;
 /** Tries at runners within one call, whatever became of them. */
 const MAX_TRIES = 12;
 
@@ -71,6 +85,9 @@
   protected readonly record: CallRecord;
   readonly #hidesKey: boolean;
   #tries = 0;
+  #question: PlaceQuestion | undefined;
+  /** The place of the present try; undefined where no dispatcher gave it. */
+  #place: HeldPlace | undefined;
   #timer: TimerHandle | undefined;
   #silenceTimer: TimerHandle | undefined;
   #over = false;
@@ -120,6 +137,92 @@
     return this.deadlineAtMs - this.parts.context.clock.monotonicMs();
   }
 
+  /** Whether the call goes on with a program that has begun. */
+  protected get hasBegun(): boolean {
+    return this.call.program !== undefined;
+  }
+
+  /** Tokens that the call takes up of a runner's memory. */
+  protected get tokens(): number {
+    const { promptTokens = 0, maxGeneratedTokens = 0 } = this.call;
+    return this.pool.engine === undefined ? 0 : promptTokens + maxGeneratedTokens;
+  }
+
+  /** Whether a call that no dispatcher decides on may be sent; called before its first try. */
+  protected mayBegin(): boolean {
+    return true;
+  }
+
+  /**
+   * Finds the runner for a try. While places are scarce, a dispatcher is asked for one; a call that may have run is not: it
+   * must not wait behind others, nor be refused as not run.
+   */
+  protected seekRunner(
+    preferred: RunnerId | undefined,
+    send: (runner: RunnerEntry | undefined) => void,
+  ): void {
+    const { places } = this.parts;
+    if (this.mayHaveRun.size > 0 || !places.isDispatched(this.pool)) return this.#goAlone(preferred, send);
+    const atMs = this.elapsedMs;
+    const question = places.ask({
+      pool: this.pool,
+      describe: () => this.#describe(preferred),
+      onVerdict: (verdict, record) => {
+        this.#question = undefined;
+        this.record.places.push({ ...record, atMs });
+        this.#onPlace(verdict, preferred, send);
+      },
+    });
+    if (!question.isOver) this.#question = question;
+  }
+
+  #goAlone(preferred: RunnerId | undefined, send: (runner: RunnerEntry | undefined) => void): void {
+    if (this.#tries === 0 && !this.mayBegin()) {
+      const detail = "the runners have no place for more programs";
+      return this.refuse("overloaded", detail, PROGRAM_RETRY_AFTER_MS);
+    }
+    send(this.chooseRunner(preferred));
+  }
+
+  #onPlace(
+    verdict: PlaceVerdict,
+    preferred: RunnerId | undefined,
+    send: (runner: RunnerEntry | undefined) => void,
+  ): void {
+    switch (verdict.type) {
+      case "granted":
+        this.#place = verdict.place;
+        return send(verdict.runner);
+      case "refused":
+        return this.fail(
+          UNAVAILABLE,
+          "overloaded",
+          `no place in time: ${verdict.reason}`,
+          verdict.retryAfterMs,
+        );
+      case "alone":
+        return this.#goAlone(preferred, send);
+    }
+  }
+
+  #describe(preferred: RunnerId | undefined): PlaceCall {
+    const { call, leftMs, elapsedMs } = this;
+    const programMs = call.program?.deadlineMs;
+    return {
+      request: call.requestId,
+      route: this.route.name,
+      tenant: this.tenant?.name,
+      program: call.program?.id,
+      rank: this.rank,
+      hasBegun: this.hasBegun,
+      dueInMs: programMs === undefined ? leftMs : programMs - elapsedMs,
+      patienceMs: Math.max(0, Math.min(MOST_PLACE_WAIT_MS, leftMs)),
+      tokens: this.tokens,
+      preferred,
+      excluded: [...this.excluded, ...this.silent],
+    };
+  }
+
   protected chooseRunner(preferred: RunnerId | undefined): RunnerEntry | undefined {
     const { board, context } = this.parts;
     return board.choose({
@@ -140,7 +243,10 @@
     listener: AttemptListener,
   ): boolean {
     this.#tries += 1;
-    if (this.#tries > MAX_TRIES) return false;
+    if (this.#tries > MAX_TRIES) {
+      this.#returnPlace(false);
+      return false;
+    }
     const { exchange, call, leftMs } = this;
     const patienceMs = Math.max(MIN_PATIENCE_MS, this.route.targetLatencyMs * PATIENCE_FACTOR);
     const streaming = this.route.kind === "streaming";
@@ -152,6 +258,7 @@
       lastEventId,
       streaming,
       patienceMs,
+      isLeased: this.#place !== undefined,
       urgency: this.urgency,
       tenant: this.tenant?.name,
       hidesKey: this.#hidesKey,
@@ -168,6 +275,7 @@
     else this.excluded.add(runner.id);
     const last = this.record.tries.at(-1);
     if (last) last.failure = failure.type === "notRun" ? `not run, status ${failure.status}` : failure.detail;
+    this.#returnPlace(failure.type !== "broken");
     this.endTry();
   }
 
@@ -180,10 +288,16 @@
 
   /** The runner has done with the present try. */
   protected endTry(): void {
+    this.#returnPlace(false);
     const last = this.record.tries.at(-1);
     if (last) last.elapsedMs ??= this.elapsedMs - last.atMs;
   }
 
+  #returnPlace(turnedAway: boolean): void {
+    this.#place?.giveBack(turnedAway);
+    this.#place = undefined;
+  }
+
   /** Time since the call arrived, in whole ms. */
   protected get elapsedMs(): number {
     return Math.round(this.parts.context.clock.monotonicMs() - this.exchange.arrivedAtMs);
@@ -215,6 +329,7 @@
     if (this.#over) return;
     this.#over = true;
     this.endTry();
+    if (this.#question) this.parts.places.giveUp(this.#question);
     const { elapsedMs, record } = this;
     this.parts.callLog.ended(record, end, elapsedMs);
     this.parts.context.metrics.callEnded(record.route, end, elapsedMs, record.firstByteMs);
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -14,6 +14,7 @@
 import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
+import type { PlaceClient } from "../places/place-client.ts";
 import type { RunnerConnections } from "../runners/runner-connections.ts";
 import type { CallLog } from "../telemetry/call-log.ts";
 
@@ -40,6 +41,7 @@
   readonly board: RunnerBoard;
   readonly connections: RunnerConnections;
   readonly callLog: CallLog;
+  readonly places: PlaceClient;
 }
 
 /** What one try sends. */
@@ -54,6 +56,8 @@
   readonly streaming: boolean;
   /** Silence after which the try speaks against its runner, in ms. */
   readonly patienceMs: number;
+  /** Whether a dispatcher has placed it. */
+  readonly isLeased: boolean;
   /** Among requests that wait at the runner; undefined where nothing is known of it. */
   readonly urgency: Urgency | undefined;
   /** For whom the request is made; undefined where it needs no key. */
@@ -87,7 +91,7 @@
     this.#parts = parts;
     this.#request = request;
     this.#listener = listener;
-    this.#pending = parts.board.started(runner.id, this.#nowMs, request.patienceMs);
+    this.#pending = parts.board.started(runner.id, this.#nowMs, request.patienceMs, request.isLeased);
     const { exchange, body, deadlineMs, lastEventId, urgency, tenant, hidesKey } = request;
     const headers = parts.context.platform.calls.headersForRunner(exchange.rawHeaders, {
       deadlineMs,
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -22,11 +22,6 @@
 const PAYMENT_REQUIRED = 402;
 const NOT_FOUND = 404;
 const FIRST_FAILURE_STATUS = 300;
-/**
- * When programs should come back that were refused because the runners are full, in ms; up to as much again is added at
- * random. About the time of a turn: by then some programs have ended, and the decision is made anew.
- */
-const PROGRAM_RETRY_AFTER_MS = 250;
 /** Output and input bytes are kept as they came. */
 const ENCODING = "latin1";
 
@@ -59,8 +54,16 @@
   }
 
   protected override next(): void {
-    const runner = this.#nextRunner();
-    if (!runner) return this.#giveUp("no runner can take the turn");
+    const same = this.#sameRunner();
+    if (same) return this.#sendTo(same);
+    if (this.#runnersLeft <= 0) return this.#giveUp("no runner can take the turn");
+    this.seekRunner(this.#preferred, (runner) => {
+      if (runner) this.#sendTo(runner);
+      else this.#giveUp("no runner can take the turn");
+    });
+  }
+
+  #sendTo(runner: RunnerEntry): void {
     this.#splitter.reset();
     const tried = this.tryAt(runner, this.#body(), this.#lastEventId, this.#listenerFor(runner));
     if (!tried) this.#giveUp("too many runners refused the turn");
@@ -119,9 +122,13 @@
     else if (this.#admitted) this.onOver();
   }
 
+  protected override get hasBegun(): boolean {
+    return this.#preferred !== undefined;
+  }
+
   /** Whether the turn goes on with a program, or the runners have a place for one more. */
-  #mayBegin(): boolean {
-    if (this.#preferred !== undefined) return true;
+  protected override mayBegin(): boolean {
+    if (!this.#isTurn || this.hasBegun) return true;
     const { board, context } = this.parts;
     const occupancy = board.occupancy(this.pool.name);
     const { admission } = this.record;
@@ -149,12 +156,7 @@
       case "granted":
         this.#history = answer.history;
         this.#preferred = answer.runner;
-        if (this.#mayBegin()) return this.next();
-        return this.refuse(
-          "overloaded",
-          "the runners have no place for more programs",
-          PROGRAM_RETRY_AFTER_MS,
-        );
+        return this.next();
       case "exhausted":
         return this.fail(
           PAYMENT_REQUIRED,
@@ -168,15 +170,11 @@
     }
   }
 
-  #nextRunner(): RunnerEntry | undefined {
+  /** A stream goes on where it ran, as long as that runner is there: another one would be one more that runs it. */
+  #sameRunner(): RunnerEntry | undefined {
     const last = this.#lastRunner;
-    // A stream goes on where it ran, as long as that runner is there: another one would be one more that runs it.
-    const mayGoBack = last !== undefined && !this.excluded.has(last) && !this.silent.has(last);
-    if (mayGoBack && this.mayHaveRun.has(last)) {
-      const same = this.parts.board.ready(last);
-      if (same) return same;
-    }
-    return this.#runnersLeft > 0 ? this.chooseRunner(this.#preferred) : undefined;
+    if (last === undefined || this.excluded.has(last) || this.silent.has(last)) return undefined;
+    return this.mayHaveRun.has(last) ? this.parts.board.ready(last) : undefined;
   }
 
   /** How many runners more may run the turn; those that are gone do not count. */
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -14,6 +14,12 @@
 import { MemberRegistry } from "./members/member-registry.ts";
 import { PartitionClient } from "./partitions/partition-client.ts";
 import { PartitionHost } from "./partitions/partition-host.ts";
+import { DispatcherDirectory } from "./places/dispatcher-directory.ts";
+import { PlaceClient } from "./places/place-client.ts";
+import { PlaceHost } from "./places/place-host.ts";
+import { PoolScarcity } from "./places/pool-scarcity.ts";
+import { RunnerGroups } from "./places/runner-groups.ts";
+import { TenantWeights } from "./places/tenant-weights.ts";
 import { RateClient } from "./rates/rate-client.ts";
 import { RateHost } from "./rates/rate-host.ts";
 import { RunnerConnections } from "./runners/runner-connections.ts";
@@ -35,6 +41,8 @@
   readonly #registry: MemberRegistry;
   readonly #partitions: PartitionHost;
   readonly #rates: RateHost;
+  readonly #placeHost: PlaceHost;
+  readonly #places: PlaceClient;
   readonly #routing: RoutingWatch;
   readonly #runners: RunnerWatch;
   readonly #board = new RunnerBoard();
@@ -68,7 +76,24 @@
     const client = new PartitionClient(context, this.#members, this.#partitions, this.#rpc, health);
     this.#callLog = new CallLog(context.log, context.clock);
     this.#health = health;
-    const parts = { context, board: this.#board, connections: this.#connections, callLog: this.#callLog };
+    const groups = new RunnerGroups(context, this.#board);
+    const dispatchers = new DispatcherDirectory(context, this.#members);
+    const places = { context, board: this.#board, groups, dispatchers, rpc: this.#rpc, transport };
+    this.#placeHost = new PlaceHost({
+      ...places,
+      weights: new TenantWeights(() => this.#routing.routes),
+      memoryTokens: (pool) => this.#routing.routes?.pool(pool)?.engine?.cacheTokens,
+    });
+    const liveGateways = () => this.#members.aliveCount + 1;
+    const scarcity = new PoolScarcity(context, this.#board, groups, liveGateways);
+    this.#places = new PlaceClient({ ...places, scarcity });
+    const parts = {
+      context,
+      board: this.#board,
+      connections: this.#connections,
+      callLog: this.#callLog,
+      places: this.#places,
+    };
     const rates = new RateClient(context, this.#members, this.#partitions, this.#rpc);
     const routes = () => (this.#canServe ? this.#routing.routes : undefined);
     const calls = new CallService(parts, client, rates, routes, () => this.#routing.isCurrent);
@@ -102,6 +127,7 @@
     this.#registry.start();
     this.#partitions.start();
     this.#rates.start();
+    this.#placeHost.start();
     await this.#entry.listen([listen.readiness, listen.directory]);
     await this.#ingress.listen(listen.callers);
     await this.#serveMetrics();
@@ -161,6 +187,8 @@
     this.#members.onLost = (member) => {
       this.#partitions.forget(member);
       this.#board.dropReport(member.instance);
+      this.#placeHost.forget(member.instance);
+      this.#places.forget(member.instance);
       this.#store.forgetRelay(member.instance);
       this.#rpc.abandon(member.address);
     };
@@ -174,6 +202,10 @@
           return this.#members.onHeartbeat(message, from);
         case "memberDigest":
           return this.#members.onDigest(message, from);
+        case "placeSettled":
+          return this.#places.onSettled(message, from);
+        case "returnPlaces":
+          return this.#placeHost.onReturned(message);
         case "rpcRequest":
           return void this.#rpc.onRequest(message, from);
         case "rpcResponse":
--- a/src/gateway/places/board-group.ts
+++ b/src/gateway/places/board-group.ts
@@ -42,6 +42,10 @@
     return this.#parts.board.load(runner);
   }
 
+  override usualMs(): number | undefined {
+    return this.#parts.board.usualMs(this.#pool);
+  }
+
   override get memoryTokens(): number | undefined {
     return this.#parts.memoryTokens(this.#pool);
   }
--- a/src/gateway/places/place-client.ts
+++ b/src/gateway/places/place-client.ts
@@ -2,6 +2,7 @@
  * Asks dispatchers for places on behalf of this gateway's calls. A dispatcher answers at once, also when the call has to
  * wait; one that does not is left alone, and the call is placed by this gateway's own board.
  */
+import { AdaptiveTimeout, type TimeoutBounds } from "../../coordination/adaptive-timeout/index.ts";
 import type { TimerHandle } from "../../runtime/clock.ts";
 import type { RpcEndpoint, RpcReply } from "../../runtime/rpc.ts";
 import type { Sender, Transport } from "../../runtime/transport.ts";
@@ -21,8 +22,11 @@
 import type { PoolScarcity } from "./pool-scarcity.ts";
 import type { RunnerGroups } from "./runner-groups.ts";
 
-/** How long an answer may take, in ms: many times what a message takes, and little of what a call may last. */
-const ANSWER_MS = 30;
+/**
+ * How long an answer may take, in ms: several times what answers took lately. Too short, and calls go past a dispatcher that
+ * is only busy; too long, and each loses as much to one that is gone.
+ */
+const ANSWER_BOUNDS: TimeoutBounds = { firstMs: 60, minMs: 20, maxMs: 150 };
 /** A call that has waited for so many times what was announced, and a few ms, asks whether its dispatcher is there. */
 const OVERDUE_FACTOR = 1.5;
 const OVERDUE_MS = 20;
@@ -53,6 +57,7 @@
   readonly #context: GatewayContext;
   readonly #choice: GroupChoice;
   readonly #returns: PlaceReturns;
+  readonly #answerTime = new AdaptiveTimeout(ANSWER_BOUNDS);
   readonly #silence = new DispatcherSilence();
   /** Questions that wait, by their lease. */
   readonly #waiting = new Map<number, PlaceQuestion>();
@@ -131,8 +136,12 @@
     this.#returns.flush(dispatcher.address);
     const request = { pool, group, call: asker.describe() };
     this.#unanswered += 1;
-    const reply = await this.#parts.rpc.ask(dispatcher.address, "askPlace", request, ANSWER_MS);
+    const askedAtMs = this.#nowMs;
+    const { currentMs } = this.#answerTime;
+    const reply = await this.#parts.rpc.ask(dispatcher.address, "askPlace", request, currentMs);
     this.#unanswered -= 1;
+    if (reply.type !== "timeout") this.#answerTime.answered(this.#nowMs - askedAtMs);
+    else if (this.#nowMs - askedAtMs >= currentMs) this.#answerTime.expired();
     if (question.isOver) this.#onLateReply(question, dispatcher, reply);
     else this.#onReply(question, dispatcher, reply);
     if (this.#unanswered === 0) this.#giveBackEarly();
@@ -234,7 +243,7 @@
     const nowMs = this.#nowMs;
     for (const question of [...this.#waiting.values()]) {
       if (nowMs < question.overdueAtMs || question.isOver) continue;
-      question.overdueAtMs = nowMs + ANSWER_MS + TICK_MS;
+      question.overdueAtMs = nowMs + this.#answerTime.currentMs + TICK_MS;
       void this.#askGroup(question, question.group);
     }
     if (this.#waiting.size > 0) this.#timer ??= this.#context.clock.schedule(TICK_MS, () => this.#tick());
--- a/src/gateway/places/place-host.ts
+++ b/src/gateway/places/place-host.ts
@@ -24,7 +24,7 @@
 const TICK_MS = 20;
 /** How often leases, roles and metrics are looked at, in ms. */
 const TIDY_MS = 250;
-/** Leases of an earlier dispatcher show in reports for so many heartbeats: the gateway's own, and a relay's. */
+/** What reports tell may be so many heartbeats old: the gateway's own, and a relay's. */
 const LEARNED_HEARTBEATS = 2;
 /** Groups for which nobody has asked for so long are forgotten, in ms. */
 const IDLE_MS = 10_000;
@@ -109,7 +109,7 @@
       group: new BoardGroup(this.#parts, pool, index),
       weightOf: (tenant) => this.#parts.weights.of(tenant),
       firstLease: LEASE_BLOCK * random.below(LEASE_BLOCKS),
-      learnsUntilMs: nowMs + LEARNED_HEARTBEATS * settings.timing.heartbeatMs,
+      learningMs: LEARNED_HEARTBEATS * settings.timing.heartbeatMs,
     });
     const begun = { pool, index, dispatcher, askedAtMs: nowMs };
     this.#groups.set(key, begun);
--- a/src/gateway/telemetry/call-record.ts
+++ b/src/gateway/telemetry/call-record.ts
@@ -1,6 +1,7 @@
 /** What was decided about one call, on which grounds, and what came of it: the content of its line in the log. */
 import type { AdmissionRecord } from "./admission-record.ts";
 import type { CallEnd } from "./call-end.ts";
+import type { PlacedRecord } from "./placed-record.ts";
 import type { RateRecord } from "./rate-record.ts";
 import type { RetentionRecord } from "./retention-record.ts";
 import type { TryRecord } from "./try-record.ts";
@@ -16,6 +17,8 @@
   tenant: string | undefined;
   /** Undefined where the tenant has no limit. */
   rate: RateRecord | undefined;
+  /** What came of each question for a place. */
+  readonly places: PlacedRecord[] = [];
   readonly tries: TryRecord[] = [];
   admission: AdmissionRecord | undefined;
   retention: RetentionRecord | undefined;
@@ -31,8 +34,9 @@
 
   /** The fields of its line. */
   line(end: CallEnd, elapsedMs: number): object {
-    const { request, program, route, configuration, tenant, rate, admission, retention, tries, firstByteMs } =
+    const { request, program, route, configuration, tenant, rate, admission, places, retention, tries } =
       this;
+    const { firstByteMs } = this;
     return {
       request,
       program,
@@ -44,6 +48,7 @@
       firstByteMs,
       rate,
       admission,
+      places: places.length === 0 ? undefined : places,
       retention,
       tries,
     };
--- a/src/scheduling/place-queue/place-dispatcher.ts
+++ b/src/scheduling/place-queue/place-dispatcher.ts
@@ -48,8 +48,8 @@
   readonly weightOf: (tenant: TenantName | undefined) => number;
   /** Leases are counted from here on; far from those of other dispatchers, so that none takes another's for its own. */
   readonly firstLease: number;
-  /** Until when leases of an earlier dispatcher may be out, in ms of the monotonic clock. */
-  readonly learnsUntilMs: number;
+  /** How old what is told of requests that no dispatcher has placed may be, in ms. */
+  readonly learningMs: number;
 }
 
 /** See the module's comment. */
@@ -64,14 +64,17 @@
   readonly #room: RunnerRoom;
   /** Leases of requests, also of those that wait. */
   readonly #byRequest = new Map<RequestId, number>();
+  readonly #learningMs: number;
+  #askedAtMs = Number.NEGATIVE_INFINITY;
   #nextLease: number;
   #servedLast: TenantName | undefined;
 
-  constructor({ group, weightOf, firstLease, learnsUntilMs }: PlaceDispatcherParts) {
+  constructor({ group, weightOf, firstLease, learningMs }: PlaceDispatcherParts) {
     this.#group = group;
     this.#shares = new TenantShares(weightOf);
-    this.#room = new RunnerRoom(group, this.#leases, this.#turnedAway, learnsUntilMs);
+    this.#room = new RunnerRoom(group, this.#leases, this.#turnedAway, learningMs);
     this.#nextLease = firstLease;
+    this.#learningMs = learningMs;
   }
 
   /** Calls that wait. */
@@ -91,6 +94,9 @@
 
   /** Whether a call gets a place. A question that is repeated gets the answer as it stands. */
   ask(call: PlaceCall, holder: string, nowMs: number): PlaceDecision {
+    // While nobody asks, gateways place their calls alone.
+    if (nowMs - this.#askedAtMs > this.#learningMs) this.#room.inherit(nowMs);
+    this.#askedAtMs = nowMs;
     const before = this.#repeated(call, nowMs);
     if (before) return before;
     const comer = this.#comer(call, holder, nowMs);
--- a/src/scheduling/place-queue/runner-room.ts
+++ b/src/scheduling/place-queue/runner-room.ts
@@ -11,6 +11,8 @@
  * are busy. Runners get so much more work that they do not wait meanwhile.
  */
 const HAND_OVER_MS = 6;
+/** Part of a runner's slots that may be handed out on top for it: more would wait there, ahead of what is more urgent. */
+const MOST_ON_TOP = 0.25;
 
 /** Places of a group, and those of them that are free. */
 export interface GroupRoom {
@@ -25,14 +27,26 @@
   readonly #group: RunnerGroup;
   readonly #leases: LeaseBook;
   readonly #turnedAway: TurnedAway;
-  readonly #learnsUntilMs: number;
+  readonly #learningMs: number;
+  /** Requests at runners when places began to be handed out. */
+  #inherited: ReadonlyMap<RunnerId, number> = new Map();
+  #inheritedAtMs = Number.NEGATIVE_INFINITY;
 
-  /** @param learnsUntilMs until when leases of an earlier dispatcher may be out */
-  constructor(group: RunnerGroup, leases: LeaseBook, turnedAway: TurnedAway, learnsUntilMs: number) {
+  /** @param learningMs how old what is told of requests that no dispatcher has placed may be */
+  constructor(group: RunnerGroup, leases: LeaseBook, turnedAway: TurnedAway, learningMs: number) {
     this.#group = group;
     this.#leases = leases;
     this.#turnedAway = turnedAway;
-    this.#learnsUntilMs = learnsUntilMs;
+    this.#learningMs = learningMs;
+  }
+
+  /**
+   * Places begin to be handed out here: what is at the runners now was placed by others, and ends as calls do. Reports that
+   * are no newer say nothing of what is still there.
+   */
+  inherit(nowMs: number): void {
+    this.#inherited = new Map(this.#group.runners().map(({ id }) => [id, this.#group.load(id)]));
+    this.#inheritedAtMs = nowMs;
   }
 
   /** Room of the whole group. */
@@ -41,11 +55,11 @@
     let free = 0;
     let freedPerMs = 0;
     for (const runner of this.#group.runners()) {
-      const own = Math.max(0, placesOf(runner, holdingMs) - this.#group.unplaced(runner.id));
-      places += own;
+      const all = placesOf(runner, holdingMs);
+      places += all;
       free += this.#free(runner, holdingMs, nowMs);
       // A runner that is slow, or hangs, shows by calls that are held for long before any of them is over.
-      freedPerMs += own / Math.max(1, holdingMs, this.#leases.meanAgeMs(runner.id, nowMs));
+      freedPerMs += all / Math.max(1, holdingMs, this.#leases.meanAgeMs(runner.id, nowMs));
     }
     return { places, free, freedPerMs };
   }
@@ -74,8 +88,15 @@
   }
 
   #taken(runner: RunnerId, nowMs: number): number {
-    const known = this.#leases.use(runner).leases + this.#group.unplaced(runner);
-    return nowMs < this.#learnsUntilMs ? Math.max(known, this.#group.load(runner)) : known;
+    return this.#leases.use(runner).leases + this.#placedByOthers(runner, nowMs);
+  }
+
+  #placedByOthers(runner: RunnerId, nowMs: number): number {
+    const sinceMs = nowMs - this.#inheritedAtMs;
+    if (sinceMs >= this.#learningMs) return this.#group.unplaced(runner);
+    const usualMs = this.#group.usualMs();
+    const remaining = usualMs === undefined ? 1 : Math.max(0, 1 - sinceMs / usualMs);
+    return Math.ceil((this.#inherited.get(runner) ?? 0) * remaining);
   }
 
   /** More at once than fits into a runner's memory makes it drop what it has read. */
@@ -88,5 +109,6 @@
 }
 
 function placesOf({ slots }: RunnerEntry, holdingMs: number): number {
-  return slots + Math.round((slots * HAND_OVER_MS) / Math.max(1, holdingMs));
+  const onTop = Math.round((slots * HAND_OVER_MS) / Math.max(1, holdingMs));
+  return slots + Math.min(onTop, Math.floor(slots * MOST_ON_TOP));
 }
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -42,6 +42,8 @@
 /** How long the usual pace of a pool counts, in ms. */
 const PACE_TTL_MS = 200;
 const REPORT_DIGITS = 10;
+/** Weight of the newest request in how long requests usually take. */
+const USUAL_WEIGHT = 0.1;
 
 interface RunnerState {
   entry: RunnerEntry;
@@ -79,6 +81,8 @@
   readonly #reports = new ReportTotals(REPORT_TTL_MS);
   /** By pool. */
   readonly #usualPaces = new Map<string, UsualPace>();
+  /** How long requests of a pool that went well took lately, in ms. */
+  readonly #usualMs = new Map<string, number>();
 
   /** Adds or updates an entry of the list. */
   upsert(entry: RunnerEntry): void {
@@ -174,7 +178,19 @@
 
   /** Counts the end of a request. */
   ended(pending: PendingRequest, outcome: RequestOutcome, nowMs: number): void {
-    this.#runners.get(pending.runner)?.health.end(pending, outcome, nowMs);
+    const state = this.#runners.get(pending.runner);
+    if (!state) return;
+    state.health.end(pending, outcome, nowMs);
+    if (outcome !== "success") return;
+    const { pool } = state.entry;
+    const tookMs = nowMs - pending.startedAtMs;
+    const before = this.#usualMs.get(pool) ?? tookMs;
+    this.#usualMs.set(pool, before + (tookMs - before) * USUAL_WEIGHT);
+  }
+
+  /** How long a request of a pool usually takes, in ms; undefined when none was seen here. */
+  usualMs(pool: string): number | undefined {
+    return this.#usualMs.get(pool);
   }
 
   /** Passes over a runner for a while, after it refused a connection or was full. */
--- a/standins/platform/runner-standin.ts
+++ b/standins/platform/runner-standin.ts
@@ -56,6 +56,9 @@
   /** Time between events, and before a plain answer, in ms. */
   stepMs = 1;
   readonly ran: RanRequest[] = [];
+  /** The most requests that ran at once. */
+  mostBusy = 0;
+  #busy = 0;
   readonly #server: Server;
 
   constructor(id: string) {
@@ -125,7 +128,10 @@
       cancelled: false,
     };
     this.ran.push(ran);
+    this.#busy += 1;
+    this.mostBusy = Math.max(this.mostBusy, this.#busy);
     response.on("close", () => {
+      this.#busy -= 1;
       ran.cancelled = !response.writableFinished;
     });
     return ran;
--- a/test/contract/log-story.test.ts
+++ b/test/contract/log-story.test.ts
@@ -101,6 +101,33 @@
     ]);
   });
 
+  it("tells how long a call waited for a place, behind whom, and why one had none", () => {
+    const placed = {
+      ...ANSWERED,
+      request: "r7",
+      places: [
+        { verdict: "alone", reason: "the dispatcher does not answer", atMs: 20, waitedMs: 30 },
+        {
+          verdict: "granted",
+          dispatcher: "gateway-d#1",
+          group: 2,
+          lease: 5,
+          expectedMs: 35,
+          behind: "shop",
+          atMs: 50,
+          waitedMs: 40,
+        },
+        { verdict: "refused", reason: "wait-too-long", dispatcher: "d#1", group: 0, atMs: 90, waitedMs: 2 },
+      ],
+    };
+    const story = tellStory(parseLog(line("gateway-a", 500, placed)), "r7").map(({ text }) => text);
+    expect(story.filter((text) => text.includes("plac"))).toEqual([
+      "r7 is placed by its gateway alone (the dispatcher does not answer) after 30 ms",
+      "r7 is granted a place by gateway-d#1 for group 2, lease 5 after 40 ms, 35 ms expected, behind tenant shop",
+      "r7 is refused a place (wait-too-long) by d#1 for group 0 after 2 ms",
+    ]);
+  });
+
   it("tells nothing of what no line names", () => {
     expect(tellStory(parseLog(TEXT), "r3")).toEqual([]);
   });
--- /dev/null
+++ b/test/process/places.test.ts
@@ -0,0 +1,110 @@
+/** Places that dispatchers hand out, at gateways that are separate processes. */
+import { after, before, describe, it } from "node:test";
+import { expect } from "earl";
+import type { PlacedRecord } from "../../src/gateway/telemetry/placed-record.ts";
+import type { RunnerStandin } from "../../standins/platform/runner-standin.ts";
+import { call, newRequestId, turn } from "./support/gateway-caller.ts";
+import { GatewayCluster, PATHS, pause, type TestGateway } from "./support/gateway-cluster.ts";
+import { TestAddresses } from "./support/test-addresses.ts";
+
+const SLOTS = 8;
+/** Calls that may be on their way to a runner whose calls are short, beyond those that it works on. */
+const ON_TOP = 2;
+/** Two heartbeats, and what starts and messages take on a busy machine. */
+const HEARD_MS = 1_300;
+/** Calls that take all places run for so long: others hear of them, and wait for not much longer. */
+const FILL_MS = 1.6 * HEARD_MS;
+/** Time in which the log is written. */
+const FLUSHED_MS = 400;
+
+class DispatchedCluster extends GatewayCluster {
+  static async open(gateways: number, engines: number, services: number): Promise<DispatchedCluster> {
+    const cluster = new DispatchedCluster(new TestAddresses());
+    await cluster.startAll(gateways, engines, services);
+    return cluster;
+  }
+
+  protected override get tenancySettings(): object {
+    return { places: { dispatchBelow: 1_000 } };
+  }
+}
+
+interface CallLine {
+  readonly msg: string;
+  readonly request: string;
+  readonly places?: readonly PlacedRecord[];
+}
+
+describe("gateways whose runners have few places", () => {
+  let cluster: DispatchedCluster;
+  before(async () => {
+    cluster = await DispatchedCluster.open(3, 1, 1);
+  });
+  after(() => cluster.stop());
+
+  const gateway = (index: number) => cluster.gateways[index % cluster.gateways.length] as TestGateway;
+
+  /** Takes all places with calls that no dispatcher has placed, until all gateways have heard of them. */
+  async function fill(
+    runner: RunnerStandin,
+    stepMs: number,
+    send: (index: number) => Promise<unknown>,
+  ): Promise<void> {
+    runner.stepMs = stepMs;
+    for (let index = 0; index < SLOTS; index += 1) void send(index);
+    await pause(HEARD_MS);
+    runner.stepMs = 100;
+  }
+
+  function linesOf(prefix: string): CallLine[] {
+    const lines = [...cluster.logs().values()].flatMap((log) => log.split("\n"));
+    const parsed = lines.flatMap((line) => (line.startsWith("{") ? [JSON.parse(line) as CallLine] : []));
+    return parsed.filter(({ request }) => request?.startsWith(prefix));
+  }
+
+  it("let calls wait for a place, refuse those that cannot, and send a runner no more than it works on", async () => {
+    const [service] = cluster.services as [RunnerStandin];
+    await fill(service, FILL_MS, (index) => call(gateway(index), PATHS.unsafe, newRequestId(), 5_000));
+    const waiting = Array.from({ length: 40 }, (_, index) =>
+      call(gateway(index), PATHS.unsafe, `waits-${index}`, 5_000),
+    );
+    await pause(100);
+    const startedMs = performance.now();
+    const late = await Promise.all(
+      Array.from({ length: 20 }, (_, index) => call(gateway(index), PATHS.unsafe, `late-${index}`, 150)),
+    );
+    expect(performance.now() - startedMs).toBeLessThan(1_000);
+    expect(new Set(late.map(({ status }) => status))).toEqual(new Set([503]));
+    expect(late.every(({ headers }) => Number(headers["retry-after"]) > 0)).toEqual(true);
+    const answers = await Promise.all(waiting);
+    expect(answers.filter(({ status }) => status !== 200 && status !== 503)).toEqual([]);
+    expect(answers.filter(({ status }) => status === 200).length).toBeGreaterThan(20);
+    await pause(FLUSHED_MS);
+    expect(new Set(service.ran.map(({ id }) => id)).size).toEqual(service.ran.length);
+    expect(service.ran.filter(({ id }) => id.startsWith("late-"))).toEqual([]);
+    const granted = linesOf("waits-").flatMap(({ places = [] }) => places);
+    expect(granted.filter(({ verdict }) => verdict === "granted").length).toBeGreaterThan(20);
+    // On a busy machine an answer of the dispatcher may come too late for some: these are placed beside it.
+    const alone = granted.filter(({ verdict }) => verdict === "alone").length;
+    expect(service.mostBusy).toBeLessThanOrEqual(SLOTS + alone);
+    expect(new Set(granted.map(({ dispatcher }) => dispatcher)).size).toEqual(1);
+    expect(Math.max(...granted.map(({ waitedMs }) => waitedMs))).toBeGreaterThan(100);
+  });
+
+  it("go on with programs that have begun, and let others begin when there is room", async () => {
+    const [engine] = cluster.engines as [RunnerStandin];
+    const first = await turn(gateway(0), PATHS.turn, newRequestId(), { program: "begun" });
+    expect(first.status).toEqual(200);
+    await fill(engine, FILL_MS / engine.events, (index) =>
+      turn(gateway(index), PATHS.turn, newRequestId(), { program: `fills-${index}`, deadlineMs: 15_000 }),
+    );
+    engine.stepMs = 10;
+    const began = turn(gateway(1), PATHS.turn, "second-turn", { program: "begun" });
+    expect((await began).status).toEqual(200);
+    await pause(FLUSHED_MS);
+    const alone = linesOf("").flatMap(({ places = [] }) =>
+      places.filter(({ verdict }) => verdict === "alone"),
+    );
+    expect(engine.mostBusy).toBeLessThanOrEqual(SLOTS + ON_TOP + alone.length);
+  });
+});
