--- /dev/null
+++ b/bench/mutations/place-mutations.ts
@@ -0,0 +1,113 @@
+/** Deliberate breaks of how scarce places are shared out; contract tests on virtual time must notice. */
+import type { Mutation } from "./mutation.ts";
+
+const LOAD = "test/contract/place-load.test.ts";
+const DISPATCHER = "test/contract/place-dispatcher.test.ts";
+const FLEET = "test/contract/places.test.ts";
+
+export const PLACE_MUTATIONS: readonly Mutation[] = [
+  {
+    promise: "places",
+    name: "places: a lease takes up no place",
+    edits: [
+      {
+        file: "src/scheduling/place-queue/lease-book.ts",
+        from: "use.leases += sign;",
+        to: "use.leases += 0 * sign;",
+      },
+    ],
+    script: FLEET,
+    args: [],
+  },
+  {
+    promise: "places",
+    name: "places: a lease never ends by itself",
+    edits: [
+      {
+        file: "src/scheduling/place-queue/place-dispatcher.ts",
+        from: "if (nowMs >= lease.endsAtMs) this.#end",
+        to: "if (nowMs >= lease.endsAtMs * 1e6) this.#end",
+      },
+    ],
+    script: DISPATCHER,
+    args: [],
+  },
+  {
+    promise: "places",
+    name: "places: what a lost gateway held is not taken back",
+    edits: [
+      {
+        file: "src/gateway/places/place-host.ts",
+        from: "group.dispatcher.dropHolder(instance);",
+        to: "",
+      },
+    ],
+    script: FLEET,
+    args: [],
+  },
+  {
+    promise: "places",
+    name: "places: a new dispatcher counts nothing of what is out",
+    edits: [
+      {
+        file: "src/scheduling/place-queue/place-dispatcher.ts",
+        from: "> this.#learningMs) this.#room.inherit(nowMs);",
+        to: "> 1e9) this.#room.inherit(nowMs);",
+      },
+    ],
+    script: DISPATCHER,
+    args: [],
+  },
+  {
+    promise: "fair share",
+    name: "places: tenants are served in the order of their calls",
+    edits: [
+      {
+        file: "src/scheduling/place-queue/tenant-shares.ts",
+        from: "const share = this.#shares.get(tenant) ?? this.#add(tenant);",
+        to: "const share = this.#shares.get(undefined) ?? this.#add(undefined && tenant);",
+      },
+    ],
+    script: LOAD,
+    args: [],
+  },
+  {
+    promise: "fair share",
+    name: "places: a rank never rises",
+    edits: [
+      {
+        file: "src/scheduling/place-queue/call-order.ts",
+        from: "const AGING_MS = 250;",
+        to: "const AGING_MS = 250_000;",
+      },
+    ],
+    script: DISPATCHER,
+    args: [],
+  },
+  {
+    promise: "told at once",
+    name: "places: nobody is refused by forecast",
+    edits: [
+      {
+        file: "src/scheduling/place-queue/place-dispatcher.ts",
+        from: "return timeForMs(Math.max(0, ahead + 1 - room.free), room);",
+        to: "return 0 * ahead + timeForMs(0, room);",
+      },
+    ],
+    script: LOAD,
+    args: [],
+  },
+  {
+    promise: "a dispatcher's failure",
+    name: "places: a call waits for a dispatcher for ever",
+    edits: [
+      {
+        file: "src/gateway/places/place-client.ts",
+        from: "if (nowMs < question.overdueAtMs || question.isOver) continue;",
+        to: "if (nowMs < question.overdueAtMs * 1e6) continue;",
+      },
+    ],
+    script: FLEET,
+    args: [],
+  },
+];
--- a/src/gateway/places/place-host.ts
+++ b/src/gateway/places/place-host.ts
@@ -15,7 +15,6 @@
   PlaceSettled,
   ReturnPlaces,
 } from "../gateway-messages.ts";
-import { Standstill } from "../standstill.ts";
 import { BoardGroup, type BoardGroupParts } from "./board-group.ts";
 import type { DispatcherDirectory } from "./dispatcher-directory.ts";
 import type { TenantWeights } from "./tenant-weights.ts";
@@ -51,7 +50,6 @@
 export class PlaceHost {
   readonly #parts: PlaceHostParts;
   readonly #context: GatewayContext;
-  readonly #standstill: Standstill;
   readonly #groups = new Map<string, HostedGroup>();
   /** Where the gateways that have asked are reached, by instance. */
   readonly #addresses = new Map<string, string>();
@@ -60,7 +58,6 @@
   constructor(parts: PlaceHostParts) {
     this.#parts = parts;
     this.#context = parts.context;
-    this.#standstill = new Standstill(parts.context.settings.timing.suspectMs);
     parts.rpc.handle("askPlace", async (request, from) => this.#ask(request, from));
   }
 
@@ -70,7 +67,6 @@
 
   /** Takes places back. Their leases tell whose they are. */
   onReturned({ returned, withdrawn = [] }: ReturnPlaces): void {
-    this.#noticePause();
     const nowMs = this.#nowMs;
     for (const group of this.#groups.values()) {
       for (const place of returned) group.dispatcher.giveBack(place, nowMs);
@@ -89,7 +85,6 @@
   }
 
   #ask({ pool, group, call }: AskPlaceRequest, { instance, address }: Sender): AskPlaceResponse {
-    this.#noticePause();
     if (!this.#parts.dispatchers.isSelf(pool, group)) throw new RedirectSignal(undefined);
     const hosted = this.#hosted(pool, group);
     hosted.askedAtMs = this.#nowMs;
@@ -134,7 +129,6 @@
 
   #tick(): void {
     this.#timer = undefined;
-    this.#noticePause();
     let waiting = 0;
     for (const group of this.#groups.values()) {
       this.#settle(group);
@@ -144,7 +138,6 @@
   }
 
   #tidy(): void {
-    this.#noticePause();
     const nowMs = this.#nowMs;
     for (const [key, group] of this.#groups) {
       const { pool, index, dispatcher, askedAtMs } = group;
@@ -174,13 +167,6 @@
     this.#context.log.info({ pool, group: index, waiting: waiting.length }, "hands out places no more");
   }
 
-  /** A process that stood still may have a successor, and its leases have ended or been replaced: it begins anew. */
-  #noticePause(): void {
-    if (!this.#standstill.look(this.#nowMs) || this.#groups.size === 0) return;
-    this.#context.log.warn({ groups: this.#groups.size }, "stood still, forgets who has places");
-    this.#groups.clear();
-  }
-
   get #nowMs(): number {
     return this.#context.clock.monotonicMs();
   }
