Count loads by reports that are not too old, and log what callers wait for

Change: scarcity drops old reports itself. A dispatcher with a queue writes a line a second with its places, what is free, leased, placed by others, and runners that are paused. Programs whose turns no owner admits have no first turn.

--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -122,13 +122,14 @@
     else if (this.#admitted) this.onOver();
   }
 
+  /** Nobody knows that of programs whose turns no owner admits: none of their turns is taken for the first. */
   protected override get hasBegun(): boolean {
-    return this.#preferred !== undefined;
+    return !this.#isTurn || this.#preferred !== undefined;
   }
 
   /** Whether the turn goes on with a program, or the runners have a place for one more. */
   protected override mayBegin(): boolean {
-    if (!this.#isTurn || this.hasBegun) return true;
+    if (this.hasBegun) return true;
     const { board, context } = this.parts;
     const occupancy = board.occupancy(this.pool.name);
     const { admission } = this.record;
--- a/src/gateway/places/place-host.ts
+++ b/src/gateway/places/place-host.ts
@@ -25,6 +25,7 @@
 const TIDY_MS = 250;
 /** What reports tell may be so many heartbeats old: the gateway's own, and a relay's. */
 const LEARNED_HEARTBEATS = 2;
+const LOG_EVERY_MS = 1_000;
 /** Groups for which nobody has asked for so long are forgotten, in ms. */
 const IDLE_MS = 10_000;
 /** Leases are counted from a random multiple of this on. */
@@ -44,6 +45,7 @@
   readonly index: number;
   readonly dispatcher: PlaceDispatcher;
   askedAtMs: number;
+  loggedAtMs: number;
 }
 
 /** See the module's comment. */
@@ -106,7 +108,7 @@
       firstLease: LEASE_BLOCK * random.below(LEASE_BLOCKS),
       learningMs: LEARNED_HEARTBEATS * settings.timing.heartbeatMs,
     });
-    const begun = { pool, index, dispatcher, askedAtMs: nowMs };
+    const begun = { pool, index, dispatcher, askedAtMs: nowMs, loggedAtMs: nowMs };
     this.#groups.set(key, begun);
     log.info({ pool, group: index }, "hands out places");
     return begun;
@@ -149,6 +151,7 @@
       }
       this.#settle(group);
       const { leased, waiting } = dispatcher;
+      if (waiting > 0) this.#logQueue(group);
       this.#context.metrics.dispatched(pool, index, {
         places: dispatcher.room(nowMs).places,
         leased,
@@ -157,6 +160,18 @@
     }
   }
 
+  /** What callers wait for, at most once a second and group. */
+  #logQueue(group: HostedGroup): void {
+    const nowMs = this.#nowMs;
+    if (nowMs - group.loggedAtMs < LOG_EVERY_MS) return;
+    group.loggedAtMs = nowMs;
+    const { pool, index, dispatcher } = group;
+    const { places, free, placedByOthers, paused } = dispatcher.room(nowMs);
+    const { leased, waiting } = dispatcher;
+    const state = { pool, group: index, places, free, leased, placedByOthers, paused, waiting };
+    this.#context.log.info(state, "calls wait for places");
+  }
+
   /** Another gateway hands out the places now, or nobody asks any more. */
   #letGo(key: string, { pool, index, dispatcher }: HostedGroup): void {
     this.#groups.delete(key);
--- a/src/gateway/places/pool-scarcity.ts
+++ b/src/gateway/places/pool-scarcity.ts
@@ -44,7 +44,9 @@
     const nowMs = this.#context.clock.monotonicMs();
     const known = this.#pools.get(pool);
     if (known && nowMs - known.atMs < TTL_MS) return known.isScarce;
-    const isScarce = this.#hasFew(pool, dispatchBelow) && this.#isBusy(pool, known?.isScarce ?? false);
+    // Nothing else looks at reports while dispatchers choose the runners.
+    this.#board.dropStale(nowMs);
+    const isScarce = this.#isBusy(pool, known?.isScarce ?? false) && this.#hasFew(pool, dispatchBelow);
     if (isScarce !== (known?.isScarce ?? false))
       this.#context.log.info({ pool, isScarce }, "places scarce or not");
     this.#pools.set(pool, { atMs: nowMs, isScarce });
--- a/src/scheduling/place-queue/runner-room.ts
+++ b/src/scheduling/place-queue/runner-room.ts
@@ -18,6 +18,10 @@
 export interface GroupRoom {
   readonly places: number;
   readonly free: number;
+  /** Taken by calls that this dispatcher has not placed. */
+  readonly placedByOthers: number;
+  /** Runners that get nothing now, since they turned calls away. */
+  readonly paused: number;
   /** How many places come free in a ms while all are taken. */
   readonly freedPerMs: number;
 }
@@ -53,15 +57,19 @@
   total(holdingMs: number, nowMs: number): GroupRoom {
     let places = 0;
     let free = 0;
+    let placedByOthers = 0;
+    let paused = 0;
     let freedPerMs = 0;
     for (const runner of this.#group.runners()) {
       const all = placesOf(runner, holdingMs);
       places += all;
       free += this.#free(runner, holdingMs, nowMs);
+      placedByOthers += this.#placedByOthers(runner.id, nowMs);
+      if (this.#turnedAway.has(runner.id, nowMs)) paused += 1;
       // A runner that is slow, or hangs, shows by calls that are held for long before any of them is over.
       freedPerMs += all / Math.max(1, holdingMs, this.#leases.meanAgeMs(runner.id, nowMs));
     }
-    return { places, free, freedPerMs };
+    return { places, free, placedByOthers, paused, freedPerMs };
   }
 
   /** The runner that a call gets now; undefined when none has room for it. */
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -143,6 +143,11 @@
     return own + this.#reports.inFlight(id) - this.#reports.leased(id);
   }
 
+  /** Drops reports of other nodes that are too old to count; a choice does so by itself. */
+  dropStale(nowMs: number): void {
+    this.#reports.dropStale(nowMs);
+  }
+
   /**
    * Requests under way at the runners of a pool, as far as known, as a share of the places that they have: beyond 1 some
    * wait. 0 where the pool has no runner.
