--- a/src/gateway/telemetry/no-metrics.ts
+++ b/src/gateway/telemetry/no-metrics.ts
@@ -9,6 +9,8 @@
   override retained(): void {}
   override storeWritten(): void {}
   override rowUnreadable(): void {}
+  override placed(): void {}
+  override dispatched(): void {}
   override async serve(): Promise<void> {}
   override close(): void {}
 }
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -42,6 +42,8 @@
 /** How long the usual pace of a pool counts, in ms. */
 const PACE_TTL_MS = 200;
 const REPORT_DIGITS = 10;
+/** Weight of the newest request in how long requests usually take. */
+const USUAL_WEIGHT = 0.1;
 
 interface RunnerState {
   entry: RunnerEntry;
@@ -79,6 +81,8 @@
   readonly #reports = new ReportTotals(REPORT_TTL_MS);
   /** By pool. */
   readonly #usualPaces = new Map<string, UsualPace>();
+  /** How long requests of a pool that went well took lately, in ms. */
+  readonly #usualMs = new Map<string, number>();
 
   /** Adds or updates an entry of the list. */
   upsert(entry: RunnerEntry): void {
@@ -137,6 +141,18 @@
     return this.#runners.get(id)?.health.inFlight ?? 0;
   }
 
+  /** Requests under way at a runner that no dispatcher has placed, as far as known. */
+  unplaced(id: RunnerId): number {
+    const health = this.#runners.get(id)?.health;
+    const own = health ? health.inFlight - health.leased : 0;
+    return own + this.#reports.inFlight(id) - this.#reports.leased(id);
+  }
+
+  /** Drops reports of other nodes that are too old to count; a choice does so by itself. */
+  dropStale(nowMs: number): void {
+    this.#reports.dropStale(nowMs);
+  }
+
   /**
    * Requests under way at the runners of a pool, as far as known, as a share of the places that they have: beyond 1 some
    * wait. 0 where the pool has no runner.
@@ -157,9 +173,10 @@
    * Counts a request that leaves for a runner; call {@link ended} when it is over.
    *
    * @param patienceMs silence after which the request speaks against the runner, in ms
+   * @param isLeased whether a dispatcher has placed it
    */
-  started(runner: RunnerId, nowMs: number, patienceMs: number): PendingRequest {
-    const pending = { runner, startedAtMs: nowMs, patienceMs, answered: false };
+  started(runner: RunnerId, nowMs: number, patienceMs: number, isLeased = false): PendingRequest {
+    const pending = { runner, startedAtMs: nowMs, patienceMs, isLeased, answered: false };
     this.#runners.get(runner)?.health.begin(pending);
     return pending;
   }
@@ -171,7 +188,19 @@
 
   /** Counts the end of a request. */
   ended(pending: PendingRequest, outcome: RequestOutcome, nowMs: number): void {
-    this.#runners.get(pending.runner)?.health.end(pending, outcome, nowMs);
+    const state = this.#runners.get(pending.runner);
+    if (!state) return;
+    state.health.end(pending, outcome, nowMs);
+    if (outcome !== "success") return;
+    const { pool } = state.entry;
+    const tookMs = nowMs - pending.startedAtMs;
+    const before = this.#usualMs.get(pool) ?? tookMs;
+    this.#usualMs.set(pool, before + (tookMs - before) * USUAL_WEIGHT);
+  }
+
+  /** How long a request of a pool usually takes, in ms; undefined when none was seen here. */
+  usualMs(pool: string): number | undefined {
+    return this.#usualMs.get(pool);
   }
 
   /** Passes over a runner for a while, after it refused a connection or was full. */
@@ -189,13 +218,15 @@
   /** This node's report to the others, for the heartbeat. */
   ownReport(nowMs: number): NodeReport {
     const inFlight: [RunnerId, number][] = [];
+    const leased: [RunnerId, number][] = [];
     const failing: [RunnerId, number, number][] = [];
     for (const [id, { health }] of this.#runners) {
       if (health.inFlight > 0) inFlight.push([id, health.inFlight]);
+      if (health.leased > 0) leased.push([id, health.leased]);
       const { successes, failures } = health.counts(nowMs);
       if (failures >= MIN_REPORTED_FAILURES) failing.push([id, rounded(successes), rounded(failures)]);
     }
-    return { inFlight, failing };
+    return leased.length === 0 ? { inFlight, failing } : { inFlight, leased, failing };
   }
 
   /** Records another node's report. */
