Choose runners by the time in which a call is expected to be over

Runners were weighed by requests against slots; a pace up to twice the usual one cost nothing, was known from this gateway's own calls alone, and was forgotten after 3 s. A runner at 1.7 times the usual time got as many calls as one at 0.7.

With balance.byExpectedTime a call costs what it is expected to take there: its steps at the runner's pace, the wait, the reading of its prompt. Paces are told with heartbeats and digests; the median of what gateways tell counts, and a long average outlives it.

The old way stays as CostByLoad, unchanged, and is what the setting gives when off.

--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -5,6 +5,7 @@
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { Tenant } from "../../scheduling/routing/tenant.ts";
+import type { RunnerChoice } from "../../scheduling/runner-board/runner-choice.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
@@ -70,6 +71,8 @@
   /** What goes into the log when the call is over. */
   protected readonly record: CallRecord;
   readonly #hidesKey: boolean;
+  /** What the present runner was chosen by. */
+  #choice: RunnerChoice | undefined;
   #tries = 0;
   #timer: TimerHandle | undefined;
   #silenceTimer: TimerHandle | undefined;
@@ -122,14 +125,16 @@
 
   protected chooseRunner(preferred: RunnerId | undefined): RunnerEntry | undefined {
     const { board, context } = this.parts;
-    return board.choose({
+    this.#choice = {
       pool: this.pool.name,
       zone: context.settings.zone,
       excluded: this.silent.size === 0 ? this.excluded : new Set([...this.excluded, ...this.silent]),
       preferred,
+      promptTokens: this.call.promptTokens,
       nowMs: context.clock.monotonicMs(),
       sample: context.random.unit(),
-    });
+    };
+    return board.choose(this.#choice);
   }
 
   /** Sends the call to a runner; false when it has been tried too often. */
@@ -155,6 +160,8 @@
       urgency: this.urgency,
       tenant: this.tenant?.name,
       hidesKey: this.#hidesKey,
+      work: this.route.name,
+      isCached: this.#choice?.preferred === runner.id,
     };
     this.#noteTry(runner);
     this.attempt = new RunnerAttempt(this.parts, runner, request, listener);
@@ -175,7 +182,9 @@
     const { board, context } = this.parts;
     const load = board.load(runner.id);
     const failureRate = roundedShare(board.failureRate(runner.id, context.clock.monotonicMs()));
-    this.record.tries.push({ runner: runner.id, load, failureRate, atMs: this.elapsedMs });
+    const expectedMs = this.#choice && board.expectedMs(runner.id, this.#choice);
+    const expected = expectedMs === undefined ? {} : { expectedMs: Math.round(expectedMs) };
+    this.record.tries.push({ runner: runner.id, load, failureRate, ...expected, atMs: this.elapsedMs });
   }
 
   /** The runner has done with the present try. */
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -60,6 +60,10 @@
   readonly tenant: TenantName | undefined;
   /** Whether the runner must not see what authorizes the caller. */
   readonly hidesKey: boolean;
+  /** The kind of work: its route. */
+  readonly work: string;
+  /** Whether the runner is believed to hold most of the prompt. */
+  readonly isCached: boolean;
 }
 
 const MISDIRECTED = 421;
@@ -75,6 +79,8 @@
   readonly #listener: AttemptListener;
   readonly #exchange: HttpExchange;
   readonly #pending: PendingRequest;
+  /** Requests at the runner when this one came. */
+  readonly #load: number;
   #over = false;
   #status = 0;
   #firstByteMs = 0;
@@ -87,6 +93,7 @@
     this.#parts = parts;
     this.#request = request;
     this.#listener = listener;
+    this.#load = parts.board.load(runner.id);
     this.#pending = parts.board.started(runner.id, this.#nowMs, request.patienceMs);
     const { exchange, body, deadlineMs, lastEventId, urgency, tenant, hidesKey } = request;
     const headers = parts.context.platform.calls.headersForRunner(exchange.rawHeaders, {
@@ -177,11 +184,20 @@
 
   /** Events of a stream come as they are made; another answer is one step. */
   #notePace(): void {
-    const { board } = this.#parts;
+    const { streaming, work, isCached, call } = this.#request;
+    if (streaming && this.#chunks < MIN_PACED_EVENTS) return;
     const nowMs = this.#nowMs;
-    if (!this.#request.streaming) board.paced(this.runner.id, nowMs - this.#pending.startedAtMs, nowMs);
-    else if (this.#chunks >= MIN_PACED_EVENTS)
-      board.paced(this.runner.id, (nowMs - this.#firstByteMs) / this.#chunks, nowMs);
+    const { startedAtMs } = this.#pending;
+    const timing = {
+      work,
+      steps: streaming ? this.#chunks : 1,
+      workMs: nowMs - (streaming ? this.#firstByteMs : startedAtMs),
+      firstMs: this.#firstByteMs - startedAtMs,
+      promptTokens: call.promptTokens,
+      wasCached: isCached,
+      load: this.#load,
+    };
+    this.#parts.board.timed(this.runner.id, timing, nowMs);
   }
 
   get #nowMs(): number {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -2,6 +2,8 @@
 import { delay } from "../runtime/clock.ts";
 import { RpcEndpoint } from "../runtime/rpc.ts";
 import type { TcpTransport } from "../runtime/tcp-transport.ts";
+import { CostByLoad } from "../scheduling/runner-board/cost-by-load.ts";
+import { CostByTime } from "../scheduling/runner-board/cost-by-time.ts";
 import { RunnerBoard } from "../scheduling/runner-board/runner-board.ts";
 import { CallService } from "./calls/call-service.ts";
 import { RoutingWatch } from "./configuration/routing-watch.ts";
@@ -37,7 +39,7 @@
   readonly #rates: RateHost;
   readonly #routing: RoutingWatch;
   readonly #runners: RunnerWatch;
-  readonly #board = new RunnerBoard();
+  readonly #board: RunnerBoard;
   readonly #connections: RunnerConnections;
   readonly #ingress: IngressServer;
   readonly #entry: EntryServer;
@@ -56,6 +58,8 @@
     const context = { ...given, platform: { ...given.platform, store: this.#store } };
     this.#context = context;
     const health = new StoreHealth(context);
+    const { byExpectedTime } = context.settings.balance;
+    this.#board = new RunnerBoard(byExpectedTime ? new CostByTime() : new CostByLoad());
     this.#members = new MemberDirectory(context, transport, health);
     this.#registry = new MemberRegistry(context, this.#members, transport.self.address);
     this.#partitions = new PartitionHost(context, this.#members, health, this.#rpc);
--- a/src/gateway/telemetry/try-record.ts
+++ b/src/gateway/telemetry/try-record.ts
@@ -5,6 +5,8 @@
   readonly load: number;
   /** Part of the requests of the last seconds that failed there, 0 to 1. */
   readonly failureRate: number;
+  /** In how many ms it was expected to be over; left out where runners are chosen by load. */
+  readonly expectedMs?: number;
   /** Since the call arrived, in ms. */
   readonly atMs: number;
   /** How long the try took, in ms; undefined while it goes on. */
--- a/src/scheduling/runner-board/report-totals.ts
+++ b/src/scheduling/runner-board/report-totals.ts
@@ -5,10 +5,13 @@
 import type { RunnerId } from "../ids/runner-id.ts";
 import type { NodeReport } from "./node-report.ts";
 import type { OutcomeCounts } from "./outcome-counts.ts";
+import { ToldPaces } from "./told-paces.ts";
 
 /** Outcomes are told in tenths; whole numbers of them add up without rounding. */
 const TENTHS = 10;
 
+type Paces = NonNullable<NodeReport["paces"]>;
+
 interface RunnerTotal {
   inFlight: number;
   successTenths: number;
@@ -25,6 +28,7 @@
   readonly #ttlMs: number;
   readonly #reports = new Map<string, ReportOfNode>();
   readonly #totals = new Map<RunnerId, RunnerTotal>();
+  readonly #paces = new ToldPaces();
 
   /** @param ttlMs how long a report counts, in ms */
   constructor(ttlMs: number) {
@@ -43,11 +47,17 @@
     return { successes: total.successTenths / TENTHS, failures: total.failureTenths / TENTHS };
   }
 
+  /** What other nodes have told of a runner's pace lately, in ms; one number each. */
+  pacesMs(runner: RunnerId): number[] {
+    return this.#paces.of(runner);
+  }
+
   /** A node's report replaces the one before. */
   set(node: string, report: NodeReport, nowMs: number): void {
     this.delete(node);
     this.#reports.set(node, { report, atMs: nowMs });
     this.#add(report, 1);
+    if (report.paces) this.#paces.add(node, report.paces);
   }
 
   /** Drops a node's report. */
@@ -56,6 +66,7 @@
     if (!known) return;
     this.#reports.delete(node);
     this.#add(known.report, -1);
+    if (known.report.paces) this.#paces.delete(node, known.report.paces);
   }
 
   /** Drops reports that are too old. They lie in the order in which they came. */
@@ -66,23 +77,25 @@
     }
   }
 
-  /** The reports of some nodes, as one. */
+  /** The reports of some nodes, as one: of paces it has the medians. */
   sum(nodes: readonly string[]): NodeReport {
     const sum = new ReportTotals(this.#ttlMs);
     for (const node of nodes) {
       const known = this.#reports.get(node);
-      if (known) sum.#add(known.report, 1);
+      if (!known) continue;
+      sum.#add(known.report, 1);
+      if (known.report.paces) sum.#paces.add(node, known.report.paces);
     }
-    return sum.#asReport();
+    return sum.#asReport(sum.#paces.medians());
   }
 
-  /** A sum of reports without one of its parts. */
+  /** A sum of reports without one of its parts; paces stay, since a median has no parts. */
   static difference(sum: NodeReport, part: NodeReport): NodeReport {
     if (part.inFlight.length === 0 && part.failing.length === 0) return sum;
     const totals = new ReportTotals(Number.POSITIVE_INFINITY);
     totals.#add(sum, 1);
     totals.#add(part, -1);
-    return totals.#asReport();
+    return totals.#asReport(sum.paces ?? []);
   }
 
   #add({ inFlight, failing }: NodeReport, sign: 1 | -1): void {
@@ -112,7 +125,7 @@
     return total;
   }
 
-  #asReport(): NodeReport {
+  #asReport(paces: Paces): NodeReport {
     const inFlight: [RunnerId, number][] = [];
     const failing: [RunnerId, number, number][] = [];
     for (const [runner, total] of this.#totals) {
@@ -120,6 +133,6 @@
       if (total.failureTenths > 0)
         failing.push([runner, total.successTenths / TENTHS, total.failureTenths / TENTHS]);
     }
-    return { inFlight, failing };
+    return paces.length === 0 ? { inFlight, failing } : { inFlight, failing, paces };
   }
 }
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -3,88 +3,60 @@
  * from the other nodes, and what this node has met itself. Pure: time comes in as a value.
  */
 import type { RunnerId } from "../ids/runner-id.ts";
+import type { CallTiming } from "./call-timing.ts";
+import { CostByLoad } from "./cost-by-load.ts";
+import { median } from "./median.ts";
 import type { NodeReport } from "./node-report.ts";
 import type { PendingRequest } from "./pending-request.ts";
 import { ReportTotals } from "./report-totals.ts";
 import type { RequestOutcome } from "./request-outcome.ts";
+import type { RunnerCandidate } from "./runner-candidate.ts";
+import type { RunnerChoice } from "./runner-choice.ts";
+import type { RunnerCost } from "./runner-cost.ts";
 import type { RunnerEntry } from "./runner-entry.ts";
 import { RunnerHealth } from "./runner-health.ts";
+import type { RunnerLoads } from "./runner-loads.ts";
+import { RunnerPace } from "./runner-pace.ts";
 
 /** How long a runner that refused a connection, or left, is passed over, in ms. */
 const AVOID_MS = 1_000;
-/** Cost of a runner that is being avoided: taken only when nothing else is left. */
-const AVOIDED_COST = 1_000_000;
-/** What distance costs, as a share of a slot. */
-const OTHER_ZONE_COST = 0.3;
-/**
- * What a prompt costs that is not cached yet, as a share of all slots. Reading it anew holds up the whole batch, for as
- * much of the runner's time as several turns take: under load, calls that leave the holder for a free place elsewhere
- * take more capacity than they find.
- */
-const COLD_PROMPT_COST = 2.5;
-/** What each request beyond the slots costs, as a share of all slots. */
-const QUEUED_COST = 4;
-/** What a runner costs at which every request fails, as a share of all slots. */
-const FAILING_COST = 4;
 /** Outcomes that are assumed to have been good, so that one failure alone says little. */
 const ASSUMED_SUCCESSES = 2;
-/** What a runner costs for each time that its steps take as long again as those of the pool. */
-const SLOW_COST = 0.25;
-/** A pace up to this many times as slow as the pool's costs nothing. */
-const TOLERATED_SLOWNESS = 2;
-const MAX_SLOW_COST = 2;
 /** Runners with less than this of failures are not worth a report. */
 const MIN_REPORTED_FAILURES = 0.2;
 /** How far an outlier's part of failures lies above that of the others. */
 const OUTLIER_MARGIN = 0.25;
 /** How long a report counts, in ms. */
 const REPORT_TTL_MS = 3_000;
-/** How long the usual pace of a pool counts, in ms. */
-const PACE_TTL_MS = 200;
+/** Paces of runners that were used since then are told to other nodes, in ms: about twice, with heartbeats. */
+const TOLD_PACE_MS = 1_000;
+/** Paces from here on are told as whole numbers, in ms: what is lost is less than they vary from call to call. */
+const WHOLE_PACE_MS = 10;
 const REPORT_DIGITS = 10;
 
-interface RunnerState {
+interface RunnerState extends RunnerCandidate {
   entry: RunnerEntry;
-  readonly health: RunnerHealth;
   avoidUntilMs: number;
   leaving: boolean;
 }
 
-/** How long runners of a pool usually take for a step, as of a moment. */
-interface UsualPace {
-  readonly atMs: number;
-  readonly paceMs: number;
-}
-
-/** What a choice depends on. */
-export interface RunnerChoice {
-  readonly pool: string;
-  /** The zone of this node. */
-  readonly zone: string;
-  /** Runners that this request has met already. */
-  readonly excluded: ReadonlySet<RunnerId>;
-  /** Runner that holds most of the prompt, if any is known to. */
-  readonly preferred: RunnerId | undefined;
-  readonly nowMs: number;
-  /** Breaks ties: a number in [0, 1). */
-  readonly sample: number;
-  /** Runners that may be chosen; all of the pool when left out. */
-  readonly mayTake?: (runner: RunnerEntry) => boolean;
-}
-
 /** See the module's comment. */
-export class RunnerBoard {
+export class RunnerBoard implements RunnerLoads {
+  readonly #cost: RunnerCost;
   readonly #runners = new Map<RunnerId, RunnerState>();
   /** What other nodes tell. */
   readonly #reports = new ReportTotals(REPORT_TTL_MS);
-  /** By pool. */
-  readonly #usualPaces = new Map<string, UsualPace>();
+
+  /** @param cost how runners are weighed against each other */
+  constructor(cost: RunnerCost = new CostByLoad()) {
+    this.#cost = cost;
+  }
 
   /** Adds or updates an entry of the list. */
   upsert(entry: RunnerEntry): void {
     const known = this.#runners.get(entry.id);
     if (known) known.entry = entry;
-    else this.#runners.set(entry.id, { entry, health: new RunnerHealth(), avoidUntilMs: 0, leaving: false });
+    else this.#runners.set(entry.id, newState(entry));
   }
 
   /** Removes an entry that is gone from the list. */
@@ -114,11 +86,12 @@
     let best: RunnerState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     const candidates = this.#candidates(choice);
-    const usualMs = this.#usualPaceMs(candidates, choice);
+    if (candidates.length === 0) return undefined;
+    const costOf = this.#cost.among(candidates, choice, this);
     const start = Math.floor(choice.sample * candidates.length);
     for (let index = 0; index < candidates.length; index += 1) {
       const state = candidates[(start + index) % candidates.length] as RunnerState;
-      const cost = this.#costOf(state, choice, usualMs);
+      const cost = costOf(state, index);
       if (cost < bestCost) {
         best = state;
         bestCost = cost;
@@ -127,6 +100,12 @@
     return best?.entry;
   }
 
+  /** In how many ms a request is expected to be over at a runner; undefined where that is not estimated. */
+  expectedMs(id: RunnerId, choice: RunnerChoice): number | undefined {
+    const state = this.#runners.get(id);
+    return state && this.#cost.expectedMs(state, choice, this);
+  }
+
   /** Requests under way at a runner, as far as known. */
   load(id: RunnerId): number {
     return (this.#runners.get(id)?.health.inFlight ?? 0) + this.#reports.inFlight(id);
@@ -159,9 +138,12 @@
     return pending;
   }
 
-  /** Records how long a runner took for one step of its work, in ms. */
-  paced(runner: RunnerId, stepMs: number, nowMs: number): void {
-    this.#runners.get(runner)?.health.pace(stepMs, nowMs);
+  /** Takes in how long a call took that went well. */
+  timed(runner: RunnerId, timing: CallTiming, nowMs: number): void {
+    const state = this.#runners.get(runner);
+    if (!state) return;
+    state.health.pace(this.#cost.observe(state, timing, nowMs), nowMs);
+    if (this.#cost.sharesPaces) this.#learnPace(state, nowMs);
   }
 
   /** Counts the end of a request. */
@@ -190,12 +172,18 @@
       const { successes, failures } = health.counts(nowMs);
       if (failures >= MIN_REPORTED_FAILURES) failing.push([id, rounded(successes), rounded(failures)]);
     }
-    return { inFlight, failing };
+    const paces = this.#cost.sharesPaces ? this.#ownPaces(nowMs) : [];
+    return paces.length === 0 ? { inFlight, failing } : { inFlight, failing, paces };
   }
 
   /** Records another node's report. */
   report(node: string, report: NodeReport, nowMs: number): void {
     this.#reports.set(node, report, nowMs);
+    if (!this.#cost.sharesPaces) return;
+    for (const [id] of report.paces ?? []) {
+      const state = this.#runners.get(id);
+      if (state) this.#learnPace(state, nowMs);
+    }
   }
 
   /** The reports of some nodes, as one. */
@@ -208,13 +196,23 @@
     this.#reports.delete(node);
   }
 
-  /** The median pace of the candidates, looked at only now and then: it changes slowly. */
-  #usualPaceMs(candidates: readonly RunnerState[], { pool, nowMs }: RunnerChoice): number | undefined {
-    const known = this.#usualPaces.get(pool);
-    if (known && nowMs - known.atMs < PACE_TTL_MS) return known.paceMs;
-    const paceMs = usualPaceMs(candidates, nowMs);
-    if (paceMs !== undefined) this.#usualPaces.set(pool, { atMs: nowMs, paceMs });
-    return paceMs;
+  /** Of what this node and the others have seen lately, the median counts: one that is slow itself defames nobody. */
+  #learnPace({ entry, health, pace }: RunnerState, nowMs: number): void {
+    const paces = this.#reports.pacesMs(entry.id);
+    const own = health.paceMs(nowMs);
+    if (own !== undefined) paces.push(own);
+    const paceMs = median(paces);
+    if (paceMs !== undefined) pace.learn(paceMs, paces.length, nowMs);
+  }
+
+  #ownPaces(nowMs: number): [RunnerId, number][] {
+    const paces: [RunnerId, number][] = [];
+    for (const [id, { health }] of this.#runners) {
+      const paceMs = health.paceMs(nowMs);
+      if (paceMs !== undefined && nowMs - health.pacedAtMs <= TOLD_PACE_MS)
+        paces.push([id, roundedPace(paceMs)]);
+    }
+    return paces;
   }
 
   #candidates(choice: RunnerChoice): RunnerState[] {
@@ -229,8 +227,10 @@
 
   /** Part of the requests of the last seconds that failed at a runner, as all nodes see it: 0 to 1. */
   failureRate(id: RunnerId, nowMs: number): number {
-    const own = this.#runners.get(id)?.health.counts(nowMs);
+    const health = this.#runners.get(id)?.health;
     const others = this.#reports.outcomes(id);
+    if (!health?.hasFailures(nowMs) && others.failures === 0) return 0;
+    const own = health?.counts(nowMs);
     const successes = (own?.successes ?? 0) + others.successes;
     const failures = (own?.failures ?? 0) + others.failures;
     return failures / (failures + successes + ASSUMED_SUCCESSES);
@@ -248,37 +248,26 @@
     const usual = rates[Math.floor(rates.length / 2)] ?? 0;
     return this.failureRate(id, nowMs) >= usual + OUTLIER_MARGIN;
   }
+}
 
-  #costOf(state: RunnerState, choice: RunnerChoice, usualMs: number | undefined): number {
-    const { entry } = state;
-    const load = this.load(entry.id);
-    const beyond = Math.max(0, load + 1 - entry.slots);
-    let cost = (load + beyond * QUEUED_COST) / entry.slots;
-    if (entry.zone !== choice.zone) cost += OTHER_ZONE_COST;
-    if (choice.preferred !== undefined && choice.preferred !== entry.id) cost += COLD_PROMPT_COST;
-    if (choice.nowMs < state.avoidUntilMs) cost += AVOIDED_COST;
-    cost += this.failureRate(entry.id, choice.nowMs) * FAILING_COST;
-    return cost + slownessCost(state.health.paceMs(choice.nowMs), usualMs);
-  }
+function newState(entry: RunnerEntry): RunnerState {
+  return {
+    entry,
+    health: new RunnerHealth(),
+    pace: new RunnerPace(),
+    avoidUntilMs: 0,
+    leaving: false,
+  };
 }
 
 function isReady(state: RunnerState): boolean {
   return state.entry.state === "ready" && !state.leaving;
 }
 
-/** The median pace of the candidates; undefined when too few are known. */
-function usualPaceMs(candidates: readonly RunnerState[], nowMs: number): number | undefined {
-  const times = candidates.flatMap(({ health }) => health.paceMs(nowMs) ?? []);
-  times.sort((left, right) => left - right);
-  return times.length >= 2 ? times[Math.floor((times.length - 1) / 2)] : undefined;
-}
-
-function slownessCost(paceMs: number | undefined, usualMs: number | undefined): number {
-  if (paceMs === undefined || usualMs === undefined || usualMs <= 0) return 0;
-  const beyond = Math.max(0, paceMs / usualMs - TOLERATED_SLOWNESS);
-  return Math.min(MAX_SLOW_COST, beyond * SLOW_COST);
-}
-
 function rounded(count: number): number {
   return Math.round(count * REPORT_DIGITS) / REPORT_DIGITS;
 }
+
+function roundedPace(paceMs: number): number {
+  return paceMs >= WHOLE_PACE_MS ? Math.round(paceMs) : rounded(paceMs);
+}
--- a/src/scheduling/runner-board/runner-health.ts
+++ b/src/scheduling/runner-board/runner-health.ts
@@ -50,6 +50,18 @@
     return { successes: this.#successes, failures: this.#failures + silent };
   }
 
+  /** Whether any request failed lately, or is silent for too long. */
+  hasFailures(nowMs: number): boolean {
+    if (this.#failures > 0) return true;
+    for (const pending of this.#pending) if (isSilent(pending, nowMs)) return true;
+    return false;
+  }
+
+  /** When the pace was last seen, in ms of the monotonic clock. */
+  get pacedAtMs(): number {
+    return this.#pacedAtMs;
+  }
+
   /** Average time of one step, in ms; undefined when none was seen lately. */
   paceMs(nowMs: number): number | undefined {
     return nowMs - this.#pacedAtMs <= HALF_LIFE_MS ? this.#paceMs : undefined;
--- a/test/contract/report-totals.test.ts
+++ b/test/contract/report-totals.test.ts
@@ -89,4 +89,19 @@
       }),
     );
   });
+
+  it("tell the median of what several nodes say of a runner's pace", () => {
+    const totals = new ReportTotals(TTL_MS);
+    const paced = (paceMs: number) => ({
+      inFlight: [],
+      failing: [],
+      paces: [[RUNNERS[0] as RunnerId, paceMs] as const],
+    });
+    for (const [index, paceMs] of [20, 400, 30].entries())
+      totals.set(NODES[index] as string, paced(paceMs), 0);
+    expect(totals.sum(["a", "b", "c"])).toEqual(paced(30));
+    expect(ReportTotals.difference(totals.sum(["a", "b", "c"]), paced(30))).toEqual(paced(30));
+    totals.delete("c");
+    expect(totals.pacesMs(RUNNERS[0] as RunnerId)).toEqual([20, 400]);
+  });
 });
--- a/test/contract/runner-board.test.ts
+++ b/test/contract/runner-board.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
+import type { CallTiming } from "../../src/scheduling/runner-board/call-timing.ts";
 import { RunnerBoard } from "../../src/scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../src/scheduling/runner-board/runner-entry.ts";
 
@@ -89,7 +90,11 @@
       [B, 25],
       [C, 25],
     ] as const)
-      board.paced(id, stepMs, 10);
+      board.timed(id, timing(stepMs), 10);
+  }
+  function timing(workMs: number): CallTiming {
+    const unknown = { promptTokens: undefined, wasCached: false };
+    return { work: "w", steps: 1, workMs, firstMs: workMs, load: 0, ...unknown };
   }
   for (const [name, against] of EVIDENCE) {
     it(`passes over a runner that ${name}, until that is long ago`, () => {
