Name gateways to callers by what they can take, and others when a zone is short

The directory named all ready gateways of the caller's zone alike: one of a quarter of a core got what one of a whole core got, and a zone at its peak kept all its callers while the next one rested.

With balance.byHeadroom a gateway says a step from 0 to 4, moved by how busy its event loop is, its memory and its calls in progress, by one each two seconds and with a dead band. It travels with the next heartbeat or digest and causes no messages of its own. The directory names gateways in proportion within the zone, four at least, and those of zones that are not short where the better half of the caller's zone is.

Alike and idle gateways are all named, as before.

--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -183,6 +183,7 @@
     const load = board.load(runner.id);
     const failureRate = roundedShare(board.failureRate(runner.id, context.clock.monotonicMs()));
     const expectedMs = this.#choice && board.expectedMs(runner.id, this.#choice);
+    if (expectedMs !== undefined) context.metrics.tryExpected(expectedMs);
     const expected = expectedMs === undefined ? {} : { expectedMs: Math.round(expectedMs) };
     this.record.tries.push({ runner: runner.id, load, failureRate, ...expected, atMs: this.elapsedMs });
   }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -2,6 +2,7 @@
 import { delay } from "../runtime/clock.ts";
 import { RpcEndpoint } from "../runtime/rpc.ts";
 import type { TcpTransport } from "../runtime/tcp-transport.ts";
+import { FULL_HEADROOM } from "../scheduling/caller-spread/headroom.ts";
 import { CostByLoad } from "../scheduling/runner-board/cost-by-load.ts";
 import { CostByTime } from "../scheduling/runner-board/cost-by-time.ts";
 import { RunnerBoard } from "../scheduling/runner-board/runner-board.ts";
@@ -12,6 +13,7 @@
 import type { GatewaySettings } from "./gateway-settings.ts";
 import { EntryServer } from "./ingress/entry-server.ts";
 import { IngressServer } from "./ingress/ingress-server.ts";
+import { HeadroomWatch } from "./members/headroom-watch.ts";
 import { MemberDirectory } from "./members/member-directory.ts";
 import { MemberRegistry } from "./members/member-registry.ts";
 import { PartitionClient } from "./partitions/partition-client.ts";
@@ -42,6 +44,8 @@
   readonly #board: RunnerBoard;
   readonly #connections: RunnerConnections;
   readonly #ingress: IngressServer;
+  /** Undefined where callers are told of all gateways alike. */
+  readonly #headroom: HeadroomWatch | undefined;
   readonly #entry: EntryServer;
   readonly #callLog: CallLog;
   readonly #health: StoreHealth;
@@ -68,6 +72,8 @@
     this.#runners = new RunnerWatch(context, health, this.#board);
     this.#connections = new RunnerConnections(this.#board);
     this.#ingress = new IngressServer(context);
+    const { byHeadroom } = context.settings.balance;
+    if (byHeadroom) this.#headroom = new HeadroomWatch(context, () => this.#ingress.active);
     this.#entry = new EntryServer(context, this.#members, () => this.state === "ready");
     const client = new PartitionClient(context, this.#members, this.#partitions, this.#rpc, health);
     this.#callLog = new CallLog(context.log, context.clock);
@@ -87,6 +93,7 @@
       storeDirect: this.#store.isDirect,
       owned: this.#partitions.owned,
       runners: this.#board.ownReport(context.clock.monotonicMs()),
+      headroom: this.#headroom?.headroom,
     });
     this.#wireMembers();
   }
@@ -106,6 +113,7 @@
     this.#registry.start();
     this.#partitions.start();
     this.#rates.start();
+    this.#headroom?.start();
     await this.#entry.listen([listen.readiness, listen.directory]);
     await this.#ingress.listen(listen.callers);
     await this.#serveMetrics();
@@ -145,6 +153,7 @@
       members: () => this.#members.aliveCount,
       partitions: () => this.#partitions.owned.length,
       requestsInProgress: () => this.#ingress.active,
+      headroom: () => this.#headroom?.headroom ?? FULL_HEADROOM,
       linesLeftOut: () => this.#callLog.leftOutTotal,
       configurationVersion: () => this.#routing.routes?.configuration.version ?? 0,
       storeReachable: () => this.#health.reachable,
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -2,6 +2,7 @@
 
 import type { RateAnswer, RateLimit } from "../coordination/request-rate/index.ts";
 import type { RpcRequest, RpcResponse } from "../messages/rpc-messages.ts";
+import type { Headroom } from "../scheduling/caller-spread/headroom.ts";
 import type { ProgramId } from "../scheduling/ids/program-id.ts";
 import type { RequestId } from "../scheduling/ids/request-id.ts";
 import type { RunnerId } from "../scheduling/ids/runner-id.ts";
@@ -30,7 +31,7 @@
   /** Newest version of the protocol between gateways that it speaks; undefined for builds older than the field. */
   readonly protocol?: number;
   /** Callers that it can take beside those it has, in coarse steps; undefined for builds that do not tell. */
-  readonly headroom?: number;
+  readonly headroom?: Headroom;
 }
 
 /** A gateway says that it is alive, and what others need to know of it. */
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -7,6 +7,7 @@
 import { repeat } from "../../runtime/clock.ts";
 import type { DisconnectReason } from "../../runtime/disconnect-reason.ts";
 import type { Sender, Transport } from "../../runtime/transport.ts";
+import type { Headroom } from "../../scheduling/caller-spread/headroom.ts";
 import { EMPTY_REPORT } from "../../scheduling/runner-board/empty-report.ts";
 import type { NodeReport } from "../../scheduling/runner-board/node-report.ts";
 import type { GatewayContext } from "../gateway-context.ts";
@@ -19,6 +20,7 @@
 } from "../gateway-messages.ts";
 import type { StoreRelay } from "../store/relayed-row-store.ts";
 import type { StoreHealth } from "../store-health.ts";
+import { CallerDirectory, type NamedGateway } from "./caller-directory.ts";
 import { DigestSender } from "./digest-sender.ts";
 import { DigestSequences } from "./digest-sequences.ts";
 import { planHeartbeats } from "./heartbeat-plan.ts";
@@ -50,6 +52,8 @@
   readonly storeDirect: boolean;
   readonly owned: readonly (readonly [number, number])[];
   readonly runners: NodeReport;
+  /** Left out where callers are told of all gateways alike. */
+  readonly headroom?: Headroom | undefined;
 }
 
 type MemberTransport = Transport<GatewayMessage> & { disconnect(address: string): void };
@@ -63,6 +67,7 @@
   readonly #startedMs: number;
   readonly #view: MemberView;
   readonly #digests: DigestSender;
+  readonly #callers: CallerDirectory;
   readonly #sequences = new DigestSequences();
   readonly #known = new Set<string>();
   readonly #seeds: readonly string[];
@@ -101,6 +106,7 @@
       },
     });
     this.#startedMs = context.clock.monotonicMs();
+    this.#callers = new CallerDirectory(context);
     this.#digests = new DigestSender(context, transport, this.#view, (sources) => this.sumLoads(sources));
     this.#selfHash = context.hash.hash32(context.settings.name);
     this.#seeds = context.settings.seeds.filter((seed) => seed !== transport.self.address);
@@ -278,19 +284,30 @@
     return candidates;
   }
 
-  /** Addresses for a caller: live and ready gateways, those of its zone if there are enough. */
+  /** Addresses for a caller: live and ready gateways, those of its zone first, as the settings say. */
   callerAddresses(zone: string | undefined): string[] {
-    const { settings } = this.#context;
+    const ready = this.#readyGateways();
+    if (this.#context.settings.balance.byHeadroom) return this.#callers.addresses(ready, zone);
+    const near = ready.filter((gateway) => gateway.zone === zone);
+    const chosen = near.length >= MIN_IN_ZONE ? near : ready;
+    return chosen.slice(0, MAX_ADDRESSES).map((gateway) => gateway.address);
+  }
+
+  #readyGateways(): NamedGateway[] {
+    const { settings, clock } = this.#context;
+    const nowMs = clock.monotonicMs();
     const ready = this.#view
       .alive()
       .filter(({ status }) => status.state === "ready")
-      .map(({ status }) => ({ zone: status.zone, address: status.callerAddress }));
-    if (this.selfReport().state === "ready") {
-      ready.push({ zone: settings.zone, address: settings.listen.callers });
+      .map(({ status: { zone, callerAddress, headroom }, heardSinceMs }) => {
+        return { zone, address: callerAddress, headroom, knownForMs: nowMs - heardSinceMs };
+      });
+    const { state, headroom } = this.selfReport();
+    if (state === "ready") {
+      const { zone, listen } = settings;
+      ready.push({ zone, address: listen.callers, headroom, knownForMs: nowMs - this.#startedMs });
     }
-    const near = ready.filter((gateway) => gateway.zone === zone);
-    const chosen = near.length >= MIN_IN_ZONE ? near : ready;
-    return chosen.slice(0, MAX_ADDRESSES).map((gateway) => gateway.address);
+    return ready;
   }
 
   get #looksForSeeds(): boolean {
@@ -347,13 +364,14 @@
     });
   }
 
-  #status({ state, storeDirect, owned }: SelfReport): MemberStatus {
+  #status({ state, storeDirect, owned, headroom }: SelfReport): MemberStatus {
     const { name, zone, listen } = this.#context.settings;
     const changing = { state, storeReachable: this.#health.reachable, storeDirect, owned };
     const last = this.#lastStatus;
-    if (last && sameStatus(last, changing)) return last;
+    if (last && sameStatus(last, changing) && last.headroom === headroom) return last;
     const revision = (last?.revision ?? 0) + 1;
-    this.#lastStatus = { revision, name, zone, callerAddress: listen.callers, ...changing };
+    const told = headroom === undefined ? {} : { headroom };
+    this.#lastStatus = { revision, name, zone, callerAddress: listen.callers, ...changing, ...told };
     return this.#lastStatus;
   }
 
@@ -374,8 +392,10 @@
   storeReachable,
   storeDirect,
   owned,
+  headroom,
 }: Heartbeat): MemberStatus {
-  return { revision, name, zone, callerAddress, state, storeReachable, storeDirect, owned };
+  const told = headroom === undefined ? {} : { headroom };
+  return { revision, name, zone, callerAddress, state, storeReachable, storeDirect, owned, ...told };
 }
 
 function isEligible(status: Pick<MemberStatus, "state" | "storeReachable">): boolean {
--- a/src/gateway/members/member-view.ts
+++ b/src/gateway/members/member-view.ts
@@ -7,6 +7,7 @@
 import type { MemberDigest, MemberStatus } from "../gateway-messages.ts";
 import { Standstill } from "../standstill.ts";
 import type { Member } from "./member.ts";
+import { sameStatus } from "./same-status.ts";
 import { type RelayVouchers, Vouchers } from "./vouchers.ts";
 
 /** Told of what changes. */
@@ -208,10 +209,9 @@
     if (isNew) this.#context.log.info({ peer: status.name, instance, address }, "peer heard");
     const isBack = this.#lost.delete(instance);
     this.#members.set(address, member);
-    if (!unchanged || isBack) {
-      this.#aliveNow = undefined;
-      this.#listener.onChanged();
-    }
+    if (!unchanged || isBack) this.#aliveNow = undefined;
+    const isUrgent = isBack || isNew || !earlier || !sameStatus(earlier.status, member.status);
+    if (isUrgent) this.#listener.onChanged();
     return member;
   }
 
--- a/src/gateway/members/same-status.ts
+++ b/src/gateway/members/same-status.ts
@@ -3,7 +3,7 @@
 /** What a gateway may say differently of itself from one moment to the next. */
 export type ChangingStatus = Pick<MemberStatus, "state" | "storeReachable" | "storeDirect" | "owned">;
 
-/** Whether a gateway says the same of itself as before. */
+/** Whether a gateway says the same of itself as before, but for its headroom, which is no news that others wait for. */
 export function sameStatus(left: ChangingStatus, right: ChangingStatus): boolean {
   return (
     left.state === right.state &&
--- a/src/gateway/telemetry/gateway-gauges.ts
+++ b/src/gateway/telemetry/gateway-gauges.ts
@@ -3,6 +3,7 @@
   readonly members: () => number;
   readonly partitions: () => number;
   readonly requestsInProgress: () => number;
+  readonly headroom: () => number;
   readonly linesLeftOut: () => number;
   readonly configurationVersion: () => number;
   readonly storeReachable: () => boolean;
--- a/src/gateway/telemetry/gateway-metrics.ts
+++ b/src/gateway/telemetry/gateway-metrics.ts
@@ -7,6 +7,10 @@
   abstract callEnded(route: string, end: CallEnd, elapsedMs: number, firstByteMs: number | undefined): void;
   /** A try at a runner is over. */
   abstract tryEnded(outcome: string, elapsedMs: number): void;
+  /** A try began that was expected to be over in so many ms. */
+  abstract tryExpected(expectedMs: number): void;
+  /** A gateway of a zone was named to a caller, whose zone may be unknown. */
+  abstract named(zone: string, callerZone: string | undefined): void;
   /** An owner answered, or could not be asked. */
   abstract admitted(answer: string, elapsedMs: number): void;
   /** The owner of a tenant's limit answered for one request, or could not be asked. */
--- a/src/gateway/telemetry/no-metrics.ts
+++ b/src/gateway/telemetry/no-metrics.ts
@@ -4,6 +4,8 @@
 export class NoMetrics extends GatewayMetrics {
   override callEnded(): void {}
   override tryEnded(): void {}
+  override tryExpected(): void {}
+  override named(): void {}
   override admitted(): void {}
   override rated(): void {}
   override retained(): void {}
--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -22,6 +22,17 @@
   readonly #callTimes = histogram("call_seconds", "Time from a call's arrival to its end", CALL_BUCKETS_S);
   readonly #firstBytes = histogram("first_byte_seconds", "Time to the first byte handed on", CALL_BUCKETS_S);
   readonly #tries = histogram("try_seconds", "Time of a try at a runner", CALL_BUCKETS_S, "outcome");
+  readonly #expected = histogram(
+    "try_expected_seconds",
+    "Time in which a try at a runner was expected to be over",
+    CALL_BUCKETS_S,
+  );
+  readonly #named = new Counter({
+    name: "tulipwheel_gateway_named_total",
+    help: "Gateways named to callers, by their zone and that of the caller",
+    labelNames: ["zone", "caller_zone"],
+    registers: [],
+  });
   readonly #admissions = histogram(
     "admission_seconds",
     "Time until the owner's answer",
@@ -65,6 +76,14 @@
     this.#tries.observe({ outcome }, elapsedMs / MS_PER_S);
   }
 
+  override tryExpected(expectedMs: number): void {
+    this.#expected.observe(expectedMs / MS_PER_S);
+  }
+
+  override named(zone: string, callerZone: string | undefined): void {
+    this.#named.inc({ zone, caller_zone: callerZone ?? "" });
+  }
+
   override admitted(answer: string, elapsedMs: number): void {
     this.#admissions.observe({ answer }, elapsedMs / MS_PER_S);
   }
@@ -90,6 +109,7 @@
       gauge("members", "Other gateways that are alive", gauges.members),
       gauge("partitions", "Partitions owned here", gauges.partitions),
       gauge("requests_in_progress", "Callers' requests without a whole answer", gauges.requestsInProgress),
+      gauge("headroom", "Part of the usual callers that it can take, 4 for all", gauges.headroom),
       gauge("lines_left_out", "Lines of calls that were not written", gauges.linesLeftOut),
       gauge("configuration_version", "Version in force", gauges.configurationVersion),
       gauge("store_reachable", "1 while the store answers", () => (gauges.storeReachable() ? 1 : 0)),
@@ -99,6 +119,8 @@
       this.#callTimes,
       this.#firstBytes,
       this.#tries,
+      this.#expected,
+      this.#named,
       this.#admissions,
       this.#rated,
       this.#rateTimes,
--- /dev/null
+++ b/src/scheduling/caller-spread/headroom-control.ts
@@ -0,0 +1,62 @@
+/**
+ * Moves a gateway's headroom towards what it can take. Gateways of one zone differ in cores, and nobody tells them how much:
+ * each gets fewer callers while it is busy, and more while it is idle. The marks leave room in which nothing changes, since
+ * each change is news for all other gateways. Pure.
+ */
+import type { GatewayPressure } from "./gateway-pressure.ts";
+import { FULL_HEADROOM, type Headroom } from "./headroom.ts";
+
+/** Above the upper mark a call waits for the loop for longer than its own work takes, below the lower one hardly ever. */
+const BUSY = { upper: 0.7, lower: 0.45 };
+/** The rest is for what a garbage collection frees late, and for answers to slow readers. */
+const MEMORY = { upper: 0.85, lower: 0.75 };
+const CALLS = { upper: 1, lower: 0.7 };
+/** A loop that is busy for so much of the time cannot keep up: two steps at once. */
+const CHOKED = 0.95;
+/** Least time between two changes, in ms: callers and other gateways have followed the one before by then. */
+const CHANGE_MS = 2_000;
+/** What a gateway that stood still takes at first: its callers' requests have piled up meanwhile. */
+const AFTER_STANDSTILL: Headroom = 1;
+/** Weight of the newest look in the average share of busy time. */
+const LOOK_WEIGHT = 0.4;
+
+interface Marks {
+  readonly upper: number;
+  readonly lower: number;
+}
+
+/** See the module's comment. */
+export class HeadroomControl {
+  #headroom: Headroom = FULL_HEADROOM;
+  #changedAtMs = Number.NEGATIVE_INFINITY;
+  #busy = 0;
+
+  /** What the gateway can take. */
+  get headroom(): Headroom {
+    return this.#headroom;
+  }
+
+  /** Takes in a look at the gateway; looks come evenly, several in the time between two changes. */
+  look(pressure: GatewayPressure, nowMs: number): void {
+    this.#busy += (pressure.busy - this.#busy) * LOOK_WEIGHT;
+    if (pressure.stoodStill) return this.#set(Math.min(this.#headroom, AFTER_STANDSTILL), nowMs);
+    if (nowMs - this.#changedAtMs < CHANGE_MS) return;
+    const { memory, calls } = pressure;
+    this.#set(this.#headroom + changeOf(this.#busy, memory, calls), nowMs);
+  }
+
+  #set(headroom: Headroom, nowMs: number): void {
+    const bounded = Math.min(FULL_HEADROOM, Math.max(0, headroom));
+    if (bounded === this.#headroom) return;
+    this.#headroom = bounded;
+    this.#changedAtMs = nowMs;
+  }
+}
+
+function changeOf(busy: number, memory: number, calls: number): number {
+  if (busy > CHOKED) return -2;
+  const isAbove = (share: number, { upper }: Marks) => share > upper;
+  if (isAbove(busy, BUSY) || isAbove(memory, MEMORY) || isAbove(calls, CALLS)) return -1;
+  const isBelow = (share: number, { lower }: Marks) => share < lower;
+  return isBelow(busy, BUSY) && isBelow(memory, MEMORY) && isBelow(calls, CALLS) ? 1 : 0;
+}
