Weigh sixteen runners for a call by expected time, and take in what is told of a runner five times a second

Each choice by expected time weighed all runners of the pool, and each report taken in computed medians for every runner that it names.

The long average halves in 4 s rather than 5: a runner that recovered would have got less of its share back in 10 s than the test asks for.

The story of a request shows what was expected of a try.

--- a/src/cli/logs/tell-story.ts
+++ b/src/cli/logs/tell-story.ts
@@ -22,6 +22,7 @@
   "configuration in force",
   "lines of calls left out",
   "unexpected error",
+  "headroom changed",
 ];
 
 /**
@@ -62,7 +63,8 @@
   if (rate) lines.push(at(rate.atMs + rate.elapsedMs, rateText(request, rate)));
   if (admission) lines.push(at(admission.elapsedMs, admissionText(request, admission)));
   for (const one of tries) {
-    const grounds = `${one.load} in flight, ${Math.round(100 * one.failureRate)}% failing`;
+    const expected = one.expectedMs === undefined ? "" : `, ${one.expectedMs} ms expected`;
+    const grounds = `${one.load} in flight, ${Math.round(100 * one.failureRate)}% failing${expected}`;
     lines.push(at(one.atMs, `${request} is sent to ${one.runner} (${grounds})`));
     if (one.failure !== undefined)
       lines.push(
--- a/src/scheduling/runner-board/cost-by-load.ts
+++ b/src/scheduling/runner-board/cost-by-load.ts
@@ -37,6 +37,7 @@
 /** See the module's comment. */
 export class CostByLoad extends RunnerCost {
   override readonly sharesPaces = false;
+  override readonly mostWeighed = Number.POSITIVE_INFINITY;
   /** By pool. */
   readonly #usualPaces = new Map<string, UsualPace>();
 
--- a/src/scheduling/runner-board/cost-by-time.ts
+++ b/src/scheduling/runner-board/cost-by-time.ts
@@ -32,6 +32,8 @@
  */
 const SPREAD_MS = 40;
 const FULL_SPREAD_MS = 250;
+/** Among so many there are nearly always some of the fast ones of the own zone, and weighing takes processor time. */
+const MOST_WEIGHED = 16;
 /** A runner is taken to be at most so many times faster or slower than the usual one. */
 const MOST_SLOWNESS = 8;
 /** Requests that come and go between reports: so near to its slots, a runner may already have more than them. */
@@ -63,6 +65,7 @@
 /** See the module's comment. */
 export class CostByTime extends RunnerCost {
   override readonly sharesPaces = true;
+  override readonly mostWeighed = MOST_WEIGHED;
   /** By pool. */
   readonly #times = new Map<string, PoolTimes>();
   readonly #usualStates = new Map<string, UsualState>();
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -30,6 +30,8 @@
 const REPORT_TTL_MS = 3_000;
 /** Paces of runners that were used since then are told to other nodes, in ms: about twice, with heartbeats. */
 const TOLD_PACE_MS = 1_000;
+/** Reports of several nodes come together: what they tell of a runner is taken in once in this time, in ms. */
+const LEARN_MS = 200;
 /** Paces from here on are told as whole numbers, in ms: what is lost is less than they vary from call to call. */
 const WHOLE_PACE_MS = 10;
 const REPORT_DIGITS = 10;
@@ -83,14 +85,12 @@
   /** The best runner for a request; undefined when none may take it. */
   choose(choice: RunnerChoice): RunnerEntry | undefined {
     this.#reports.dropStale(choice.nowMs);
-    let best: RunnerState | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
     const candidates = this.#candidates(choice);
     if (candidates.length === 0) return undefined;
     const costOf = this.#cost.among(candidates, choice, this);
-    const start = Math.floor(choice.sample * candidates.length);
-    for (let index = 0; index < candidates.length; index += 1) {
-      const state = candidates[(start + index) % candidates.length] as RunnerState;
+    let best: RunnerState | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const [index, state] of drawn(candidates, this.#cost.mostWeighed, choice).entries()) {
       const cost = costOf(state, index);
       if (cost < bestCost) {
         best = state;
@@ -182,7 +182,7 @@
     if (!this.#cost.sharesPaces) return;
     for (const [id] of report.paces ?? []) {
       const state = this.#runners.get(id);
-      if (state) this.#learnPace(state, nowMs);
+      if (state && nowMs - state.pace.learnedAtMs >= LEARN_MS) this.#learnPace(state, nowMs);
     }
   }
 
@@ -260,6 +260,22 @@
   };
 }
 
+/** The candidates from a random one on; or some of them, drawn evenly over their order, and the preferred one. */
+function drawn(
+  candidates: readonly RunnerState[],
+  most: number,
+  { sample, preferred }: RunnerChoice,
+): RunnerState[] {
+  const { length } = candidates;
+  const start = Math.floor(sample * length);
+  if (length <= most) return [...candidates.slice(start), ...candidates.slice(0, start)];
+  const some = Array.from({ length: most }, (_, index) => {
+    return candidates[(start + Math.floor((index * length) / most)) % length] as RunnerState;
+  });
+  const holder = candidates.find(({ entry }) => entry.id === preferred);
+  return holder === undefined || some.includes(holder) ? some : [...some, holder];
+}
+
 function isReady(state: RunnerState): boolean {
   return state.entry.state === "ready" && !state.leaving;
 }
--- a/src/scheduling/runner-board/runner-cost.ts
+++ b/src/scheduling/runner-board/runner-cost.ts
@@ -11,6 +11,9 @@
   /** Whether the paces that this node sees are told to others. */
   abstract readonly sharesPaces: boolean;
 
+  /** Of more runners than this, only so many are weighed, drawn at random, and the one that is preferred. */
+  abstract readonly mostWeighed: number;
+
   /** The cost of one request at each of some runners. */
   abstract among(
     candidates: readonly RunnerCandidate[],
--- a/src/scheduling/runner-board/runner-pace.ts
+++ b/src/scheduling/runner-board/runner-pace.ts
@@ -4,7 +4,7 @@
  */
 
 /** Time in which the long average takes in half of a change, in ms: many times as long as a slow moment. */
-const LONG_HALF_LIFE_MS = 5_000;
+const LONG_HALF_LIFE_MS = 4_000;
 /** Time in which what was seen lately loses half of its weight, in ms: about as long as a slow moment. */
 const RECENT_HALF_LIFE_MS = 1_000;
 /** Time in which a runner that nobody uses is believed to come halfway back to its pool, in ms: it may have recovered. */
@@ -16,7 +16,7 @@
   #recentMs = 0;
   #learned = 0;
   #sources = 0;
-  #learnedAtMs = 0;
+  #learnedAtMs = Number.NEGATIVE_INFINITY;
 
   /**
    * Takes in a pace that was seen lately.
@@ -34,6 +34,11 @@
     this.#learnedAtMs = nowMs;
   }
 
+  /** When something was taken in last, in ms of the monotonic clock. */
+  get learnedAtMs(): number {
+    return this.#learnedAtMs;
+  }
+
   /** The long average; undefined where nothing was ever seen. */
   get longMs(): number | undefined {
     return this.#longMs;
