--- a/src/cli/logs/tell-story.ts
+++ b/src/cli/logs/tell-story.ts
@@ -23,6 +23,7 @@
   "configuration in force",
   "lines of calls left out",
   "unexpected error",
+  "headroom changed",
 ];
 
 /**
@@ -75,7 +76,8 @@
   if (admission) lines.push(at(admission.elapsedMs, admissionText(request, admission)));
   for (const place of places) lines.push(at(place.atMs + place.waitedMs, placeText(request, place)));
   for (const one of tries) {
-    const grounds = `${one.load} in flight, ${Math.round(100 * one.failureRate)}% failing`;
+    const expected = one.expectedMs === undefined ? "" : `, ${one.expectedMs} ms expected`;
+    const grounds = `${one.load} in flight, ${Math.round(100 * one.failureRate)}% failing${expected}`;
     lines.push(at(one.atMs, `${request} is sent to ${one.runner} (${grounds})`));
     if (one.failure !== undefined)
       lines.push(
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -6,6 +6,7 @@
 import type { PlaceCall } from "../../scheduling/place-queue/index.ts";
 import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { Tenant } from "../../scheduling/routing/tenant.ts";
+import type { RunnerChoice } from "../../scheduling/runner-board/runner-choice.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
@@ -84,6 +85,10 @@
   /** What goes into the log when the call is over. */
   protected readonly record: CallRecord;
   readonly #hidesKey: boolean;
+  /** What the present runner was chosen by; undefined where a dispatcher chose it. */
+  #choice: RunnerChoice | undefined;
+  /** The runner that holds most of the prompt, if any is known to. */
+  #holder: RunnerId | undefined;
   #tries = 0;
   #question: PlaceQuestion | undefined;
   /** The place of the present try; undefined where no dispatcher gave it. */
@@ -161,6 +166,7 @@
     preferred: RunnerId | undefined,
     send: (runner: RunnerEntry | undefined) => void,
   ): void {
+    this.#holder = preferred;
     const { places } = this.parts;
     if (this.mayHaveRun.size > 0 || !places.isDispatched(this.pool)) return this.#goAlone(preferred, send);
     const atMs = this.elapsedMs;
@@ -192,6 +198,7 @@
     switch (verdict.type) {
       case "granted":
         this.#place = verdict.place;
+        this.#choice = undefined;
         return send(verdict.runner);
       case "refused":
         return this.fail(
@@ -225,15 +232,17 @@
 
   protected chooseRunner(preferred: RunnerId | undefined): RunnerEntry | undefined {
     const { board, connections, context } = this.parts;
-    return board.choose({
+    this.#choice = {
       pool: this.pool.name,
       zone: context.settings.zone,
       excluded: this.silent.size === 0 ? this.excluded : new Set([...this.excluded, ...this.silent]),
       preferred,
+      promptTokens: this.call.promptTokens,
       nowMs: context.clock.monotonicMs(),
       sample: context.random.unit(),
       mayTake: connections.room(this.pool.name),
-    });
+    };
+    return board.choose(this.#choice);
   }
 
   /** Sends the call to a runner; false when it has been tried too often. */
@@ -263,6 +272,8 @@
       urgency: this.urgency,
       tenant: this.tenant?.name,
       hidesKey: this.#hidesKey,
+      work: this.route.name,
+      isCached: this.#holder === runner.id,
     };
     this.#noteTry(runner);
     this.attempt = new RunnerAttempt(this.parts, runner, request, listener);
@@ -284,7 +295,10 @@
     const { board, context } = this.parts;
     const load = board.load(runner.id);
     const failureRate = roundedShare(board.failureRate(runner.id, context.clock.monotonicMs()));
-    this.record.tries.push({ runner: runner.id, load, failureRate, atMs: this.elapsedMs });
+    const expectedMs = this.#choice && board.expectedMs(runner.id, this.#choice);
+    if (expectedMs !== undefined) context.metrics.tryExpected(expectedMs);
+    const expected = expectedMs === undefined ? {} : { expectedMs: Math.round(expectedMs) };
+    this.record.tries.push({ runner: runner.id, load, failureRate, ...expected, atMs: this.elapsedMs });
   }
 
   /** The runner has done with the present try. */
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -2,6 +2,9 @@
 import { delay } from "../runtime/clock.ts";
 import { RpcEndpoint } from "../runtime/rpc.ts";
 import type { TcpTransport } from "../runtime/tcp-transport.ts";
+import { FULL_HEADROOM } from "../scheduling/caller-spread/headroom.ts";
+import { CostByLoad } from "../scheduling/runner-board/cost-by-load.ts";
+import { CostByTime } from "../scheduling/runner-board/cost-by-time.ts";
 import { RunnerBoard } from "../scheduling/runner-board/runner-board.ts";
 import { CallService } from "./calls/call-service.ts";
 import { RoutingWatch } from "./configuration/routing-watch.ts";
@@ -10,6 +13,7 @@
 import type { GatewaySettings } from "./gateway-settings.ts";
 import { EntryServer } from "./ingress/entry-server.ts";
 import { IngressServer } from "./ingress/ingress-server.ts";
+import { HeadroomWatch } from "./members/headroom-watch.ts";
 import { MemberDirectory } from "./members/member-directory.ts";
 import { MemberRegistry } from "./members/member-registry.ts";
 import { PartitionClient } from "./partitions/partition-client.ts";
@@ -45,9 +49,11 @@
   readonly #places: PlaceClient;
   readonly #routing: RoutingWatch;
   readonly #runners: RunnerWatch;
-  readonly #board = new RunnerBoard();
+  readonly #board: RunnerBoard;
   readonly #connections: RunnerConnections;
   readonly #ingress: IngressServer;
+  /** Undefined where callers are told of all gateways alike. */
+  readonly #headroom: HeadroomWatch | undefined;
   readonly #entry: EntryServer;
   readonly #callLog: CallLog;
   readonly #health: StoreHealth;
@@ -64,6 +70,8 @@
     const context = { ...given, platform: { ...given.platform, store: this.#store } };
     this.#context = context;
     const health = new StoreHealth(context);
+    const { byExpectedTime } = context.settings.balance;
+    this.#board = new RunnerBoard(byExpectedTime ? new CostByTime() : new CostByLoad());
     this.#members = new MemberDirectory(context, transport, health);
     this.#registry = new MemberRegistry(context, this.#members, transport.self.address);
     this.#partitions = new PartitionHost(context, this.#members, health, this.#rpc);
@@ -77,6 +85,8 @@
       maxConnections: (pool) => this.#routing.routes?.pool(pool)?.maxConnections,
     });
     this.#ingress = new IngressServer(context);
+    const { byHeadroom } = context.settings.balance;
+    if (byHeadroom) this.#headroom = new HeadroomWatch(context, () => this.#ingress.active);
     this.#entry = new EntryServer(context, this.#members, () => this.state === "ready");
     const client = new PartitionClient(context, this.#members, this.#partitions, this.#rpc, health);
     this.#callLog = new CallLog(context.log, context.clock);
@@ -115,6 +125,7 @@
       storeDirect: this.#store.isDirect,
       owned: this.#partitions.owned,
       runners: this.#board.ownReport(context.clock.monotonicMs()),
+      headroom: this.#headroom?.headroom,
     });
     this.#wireMembers();
   }
@@ -136,6 +147,7 @@
     this.#partitions.start();
     this.#rates.start();
     this.#placeHost.start();
+    this.#headroom?.start();
     await this.#entry.listen([listen.readiness, listen.directory]);
     await this.#ingress.listen(listen.callers);
     await this.#serveMetrics();
@@ -176,6 +188,7 @@
       partitions: () => this.#partitions.owned.length,
       requestsInProgress: () => this.#ingress.active,
       runnerConnections: () => this.#connections.count,
+      headroom: () => this.#headroom?.headroom ?? FULL_HEADROOM,
       linesLeftOut: () => this.#callLog.leftOutTotal,
       configurationVersion: () => this.#routing.routes?.configuration.version ?? 0,
       storeReachable: () => this.#health.reachable,
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -7,6 +7,7 @@
 import { repeat } from "../../runtime/clock.ts";
 import type { DisconnectReason } from "../../runtime/disconnect-reason.ts";
 import type { Sender, Transport } from "../../runtime/transport.ts";
+import type { Headroom } from "../../scheduling/caller-spread/headroom.ts";
 import { EMPTY_REPORT } from "../../scheduling/runner-board/empty-report.ts";
 import type { NodeReport } from "../../scheduling/runner-board/node-report.ts";
 import type { GatewayContext } from "../gateway-context.ts";
@@ -20,6 +21,7 @@
 import { PLACES_PROTOCOL, PROTOCOL } from "../protocol.ts";
 import type { StoreRelay } from "../store/relayed-row-store.ts";
 import type { StoreHealth } from "../store-health.ts";
+import { CallerDirectory, type NamedGateway } from "./caller-directory.ts";
 import { DigestSender } from "./digest-sender.ts";
 import { DigestSequences } from "./digest-sequences.ts";
 import type { DispatcherCandidate } from "./dispatcher-candidate.ts";
@@ -52,6 +54,8 @@
   readonly storeDirect: boolean;
   readonly owned: readonly (readonly [number, number])[];
   readonly runners: NodeReport;
+  /** Left out where callers are told of all gateways alike. */
+  readonly headroom?: Headroom | undefined;
 }
 
 type MemberTransport = Transport<GatewayMessage> & { disconnect(address: string): void };
@@ -65,6 +69,7 @@
   readonly #startedMs: number;
   readonly #view: MemberView;
   readonly #digests: DigestSender;
+  readonly #callers: CallerDirectory;
   readonly #sequences = new DigestSequences();
   readonly #known = new Set<string>();
   readonly #seeds: readonly string[];
@@ -103,6 +108,7 @@
       },
     });
     this.#startedMs = context.clock.monotonicMs();
+    this.#callers = new CallerDirectory(context);
     this.#digests = new DigestSender(context, transport, this.#view, (sources) => this.sumLoads(sources));
     this.#selfHash = context.hash.hash32(context.settings.name);
     this.#seeds = context.settings.seeds.filter((seed) => seed !== transport.self.address);
@@ -295,19 +301,30 @@
     return { name: settings.name, hash: this.#selfHash, instance, address: this.#transport.self.address };
   }
 
-  /** Addresses for a caller: live and ready gateways, those of its zone if there are enough. */
+  /** Addresses for a caller: live and ready gateways, those of its zone first, as the settings say. */
   callerAddresses(zone: string | undefined): string[] {
-    const { settings } = this.#context;
+    const ready = this.#readyGateways();
+    if (this.#context.settings.balance.byHeadroom) return this.#callers.addresses(ready, zone);
+    const near = ready.filter((gateway) => gateway.zone === zone);
+    const chosen = near.length >= MIN_IN_ZONE ? near : ready;
+    return chosen.slice(0, MAX_ADDRESSES).map((gateway) => gateway.address);
+  }
+
+  #readyGateways(): NamedGateway[] {
+    const { settings, clock } = this.#context;
+    const nowMs = clock.monotonicMs();
     const ready = this.#view
       .alive()
       .filter(({ status }) => status.state === "ready")
-      .map(({ status }) => ({ zone: status.zone, address: status.callerAddress }));
-    if (this.selfReport().state === "ready") {
-      ready.push({ zone: settings.zone, address: settings.listen.callers });
+      .map(({ status: { zone, callerAddress, headroom }, heardSinceMs }) => {
+        return { zone, address: callerAddress, headroom, knownForMs: nowMs - heardSinceMs };
+      });
+    const { state, headroom } = this.selfReport();
+    if (state === "ready") {
+      const { zone, listen } = settings;
+      ready.push({ zone, address: listen.callers, headroom, knownForMs: nowMs - this.#startedMs });
     }
-    const near = ready.filter((gateway) => gateway.zone === zone);
-    const chosen = near.length >= MIN_IN_ZONE ? near : ready;
-    return chosen.slice(0, MAX_ADDRESSES).map((gateway) => gateway.address);
+    return ready;
   }
 
   get #looksForSeeds(): boolean {
@@ -364,11 +381,11 @@
     });
   }
 
-  #status({ state, storeDirect, owned }: SelfReport): MemberStatus {
+  #status({ state, storeDirect, owned, headroom }: SelfReport): MemberStatus {
     const { name, zone, listen } = this.#context.settings;
     const changing = { state, storeReachable: this.#health.reachable, storeDirect, owned };
     const last = this.#lastStatus;
-    if (last && sameStatus(last, changing)) return last;
+    if (last && sameStatus(last, changing) && last.headroom === headroom) return last;
     const revision = (last?.revision ?? 0) + 1;
     this.#lastStatus = {
       revision,
@@ -377,6 +394,7 @@
       callerAddress: listen.callers,
       protocol: PROTOCOL,
       ...changing,
+      ...(headroom === undefined ? {} : { headroom }),
     };
     return this.#lastStatus;
   }
@@ -399,6 +417,7 @@
   storeDirect,
   owned,
   protocol,
+  headroom,
 }: Heartbeat): MemberStatus {
   return {
     revision,
@@ -410,6 +429,7 @@
     storeDirect,
     owned,
     ...(protocol === undefined ? {} : { protocol }),
+    ...(headroom === undefined ? {} : { headroom }),
   };
 }
 
--- a/src/gateway/telemetry/gateway-gauges.ts
+++ b/src/gateway/telemetry/gateway-gauges.ts
@@ -4,6 +4,7 @@
   readonly partitions: () => number;
   readonly requestsInProgress: () => number;
   readonly runnerConnections: () => number;
+  readonly headroom: () => number;
   readonly linesLeftOut: () => number;
   readonly configurationVersion: () => number;
   readonly storeReachable: () => boolean;
