Prove starts of runners and spoilt rows end to end, and by breaks that tests must notice

Cause: nothing showed that gateways as processes act by a new start and by rows of others, and no deliberate break covered either: breaks are tried by the simulation, which has no runners.

Change: two process tests; breaks may name a file of tests in place of a simulation, and six do.

--- a/bench/mutations.ts
+++ b/bench/mutations.ts
@@ -11,11 +11,13 @@
 import type { Edit, Mutation } from "./mutations/mutation.ts";
 import { NODE_MUTATIONS } from "./mutations/node-mutations.ts";
 import { PLACE_MUTATIONS } from "./mutations/place-mutations.ts";
+import { RUNNER_MUTATIONS } from "./mutations/runner-mutations.ts";
 import { SOAK_MUTATIONS } from "./mutations/soak-mutations.ts";
 import { TENANT_MUTATIONS } from "./mutations/tenant-mutations.ts";
 
 const COPIED = ["src", "platform", "bench", "standins", "test", "package.json", "tsconfig.json"];
 const RUN_TIMEOUT_MS = 180_000;
+const TEST_FILE = ".test.ts";
 
 class MutationsCommand extends Command {
   static override paths = [Command.Default];
@@ -24,13 +26,15 @@
   jobs = Option.String("--jobs", "6", { description: "Breaks tried at once" });
 
   override async execute(): Promise<number> {
-    const queue = [
+    const all = [
       ...NODE_MUTATIONS,
       ...GATEWAY_MUTATIONS,
       ...TENANT_MUTATIONS,
       ...PLACE_MUTATIONS,
+      ...RUNNER_MUTATIONS,
       ...SOAK_MUTATIONS,
-    ].filter((mutation) => !this.only || mutation.name.includes(this.only));
+    ];
+    const queue = all.filter((mutation) => !this.only || mutation.name.includes(this.only));
     const results: string[] = [];
     let missed = 0;
     const work = async () => {
@@ -55,7 +59,7 @@
     for (const name of COPIED) await cp(name, join(folder, name), { recursive: true });
     await symlink(resolve("node_modules"), join(folder, "node_modules"));
     for (const edit of mutation.edits) await applyEdit(folder, edit);
-    if (mutation.script.endsWith(".test.ts")) return await failedTest(folder, mutation.script);
+    if (mutation.script.endsWith(TEST_FILE)) return await failedTest(folder, mutation.script);
     const output = await run(folder, [mutation.script, "--seed", "1", "--runs", runs, ...mutation.args]);
     const lines = output.split("\n");
     const at = lines.findIndex((line) => line.includes(" BROKEN"));
@@ -69,9 +73,9 @@
   }
 }
 
-/** Runs a contract test on a broken copy; returns the name of the first test that failed. */
+/** Runs a file of tests on a broken copy; returns the name of the first test that failed. */
 async function failedTest(folder: string, script: string): Promise<string | undefined> {
-  const output = await run(folder, ["--test", script]);
+  const output = await run(folder, ["--test", "--test-force-exit", "--test-reporter=tap", script]);
   if (!/^# tests /m.test(output)) return "the run did not finish";
   const failed = /^ *not ok \d+ - (.*)$/m.exec(output);
   return failed ? `\`${script}\`: ${failed[1]}` : undefined;
--- a/bench/mutations/mutation.ts
+++ b/bench/mutations/mutation.ts
@@ -12,12 +12,12 @@
   readonly promise: string;
   readonly name: string;
   readonly edits: readonly Edit[];
-  /** The simulation, the soak or the contract test that should notice. */
+  /** The simulation, the soak or the file of tests that should notice. */
   readonly script:
     | "bench/simulate.ts"
     | "bench/simulate-gateways.ts"
     | "test/soak/main.ts"
     | `test/contract/${string}.test.ts`;
-  /** Arguments of the simulation under which the break should show. */
+  /** Arguments of the simulation under which the break should show; none for tests. */
   readonly args: readonly string[];
 }
--- /dev/null
+++ b/bench/mutations/runner-mutations.ts
@@ -0,0 +1,83 @@
+/** Deliberate breaks of what gateways take for a runner, and of what they do with rows that are none. */
+import type { Mutation } from "./mutation.ts";
+
+export const RUNNER_MUTATIONS: readonly Mutation[] = [
+  {
+    promise: "runners",
+    name: "runner: the start of a runner is ignored",
+    edits: [
+      {
+        file: "platform/runner-row.ts",
+        from: "(born === undefined ? name :",
+        to: "(born !== 0 ? name :",
+      },
+    ],
+    script: "test/contract/runner-watch.test.ts",
+    args: [],
+  },
+  {
+    promise: "runners",
+    name: "runner: an entry of an earlier start replaces the known one",
+    edits: [
+      {
+        file: "src/scheduling/runner-board/start-order.ts",
+        from: 'return entry.bornMs > known.bornMs ? "later" : "earlier";',
+        to: 'return "later";',
+      },
+    ],
+    script: "test/contract/runner-watch.test.ts",
+    args: [],
+  },
+  {
+    promise: "runners",
+    name: "runner: the last entry stays in force when another writer has replaced its row",
+    edits: [
+      {
+        file: "src/gateway/runners/runner-watch.ts",
+        from: 'if (known) this.#list({ ...known, state: "draining" });',
+        to: "if (known) this.#list(known);",
+      },
+    ],
+    script: "test/contract/runner-watch.test.ts",
+    args: [],
+  },
+  {
+    promise: "runners",
+    name: "runner: an entry in an unknown state is used",
+    edits: [
+      {
+        file: "platform/runner-row.ts",
+        from: 'if (state !== "ready" && state !== "draining") return undefined;',
+        to: 'if (typeof state !== "string") return undefined;',
+      },
+    ],
+    script: "test/contract/runner-row.test.ts",
+    args: [],
+  },
+  {
+    promise: "runners",
+    name: "runner: gateways use all connections that they may",
+    edits: [
+      {
+        file: "src/scheduling/runner-board/connection-share.ts",
+        from: "if (use.own < connectionShare(maxConnections - lent, gateways)) return true;",
+        to: "if (gateways > 0 && use.own < MAX_SHARE) return true;",
+      },
+    ],
+    script: "test/contract/connection-share.test.ts",
+    args: [],
+  },
+  {
+    promise: "budget",
+    name: "row: an account that cannot be read is an empty one",
+    edits: [
+      {
+        file: "src/gateway/partitions/owned-partition.ts",
+        from: "this.#unreadable = stored.unreadable;",
+        to: "this.#unreadable = new Set();",
+      },
+    ],
+    script: "test/contract/spoilt-rows.test.ts",
+    args: [],
+  },
+];
--- a/test/process/gateway.test.ts
+++ b/test/process/gateway.test.ts
@@ -268,6 +268,35 @@
     expect([leaving.ran.length, staying.ran.length]).toEqual([0, 10]);
   });
 
+  it("take a stream at once from a runner that has started again under its name", async () => {
+    cluster = await GatewayCluster.start(1, 1, 0);
+    const [engine] = cluster.engines;
+    if (!engine) throw new Error("an engine was started");
+    cluster.listRunner(engine, "engine", "ready", { born: 1_000 });
+    await pause(500);
+    engine.fault = "silent";
+    engine.faultCount = 1;
+    const id = newRequestId();
+    const startedMs = performance.now();
+    const asked = turn(gateway(0), PATHS.turn, id, { program: "p" });
+    while (engine.ran.length === 0) await pause(10);
+    cluster.listRunner(engine, "engine", "ready", { born: 2_000 });
+    expect(await asked.then(({ status, body }) => [status, body])).toEqual([200, wholeStream(id, 4)]);
+    expect(performance.now() - startedMs < 2_000).toEqual(true);
+    expect(engine.ran.map((ran) => ran.headers["x-expect-instance"])).toEqual([engine.id, engine.id]);
+  });
+
+  it("send nothing to a runner of whose row another writer has left something else", async () => {
+    cluster = await GatewayCluster.start(1, 0, 3);
+    const [asleep, strange, staying] = cluster.services;
+    if (!asleep || !strange || !staying) throw new Error("three services were started");
+    cluster.listRunner(asleep, "api", "ready", { state: "asleep" });
+    cluster.listRunner(strange, "api", "ready", { slots: "8" });
+    await pause(500);
+    for (let count = 0; count < 10; count += 1) await call(gateway(0), PATHS.unsafe, newRequestId());
+    expect([asleep.ran.length, strange.ran.length, staying.ran.length]).toEqual([0, 0, 10]);
+  });
+
   it("without others, go on within what is reserved while the store is down, and answer at once beyond it", async () => {
     cluster = await GatewayCluster.start(1, 1, 1);
     const options = { program: "p", budget: 10_000, most: 40 };
--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -180,11 +180,16 @@
     return runner;
   }
 
-  /** Writes a runner's entry into the platform's list. */
-  listRunner(runner: RunnerStandin, service: string, state: "ready" | "draining"): void {
+  /** Writes a runner's entry into the platform's list; `more` holds fields that differ from what it usually says. */
+  listRunner(
+    runner: RunnerStandin,
+    service: string,
+    state: "ready" | "draining",
+    more: Readonly<Record<string, unknown>> = {},
+  ): void {
     const address = this.#runnerAddresses.get(runner.id);
     const row = { service, address, zone: "zone-a", version: "1", slots: 8, state };
-    this.store.put("servers", runner.id, { ...row, "cold-remaining-ms": 0, sequence: 1 });
+    this.store.put("servers", runner.id, { ...row, "cold-remaining-ms": 0, sequence: 1, ...more });
   }
 
   /** Starts one gateway more. */
