--- a/src/gateway/places/place-host.ts
+++ b/src/gateway/places/place-host.ts
@@ -23,8 +23,8 @@
 const TICK_MS = 20;
 /** How often leases, roles and metrics are looked at, in ms. */
 const TIDY_MS = 250;
-/** What reports tell may be so many heartbeats old: the gateway's own, and a relay's. */
-const LEARNED_HEARTBEATS = 2;
+/** What reports tell may be so many heartbeats old: the gateway's own, those of two relays, and one for the way. */
+const LEARNED_HEARTBEATS = 4;
 const LOG_EVERY_MS = 1_000;
 /** Groups for which nobody has asked for so long are forgotten, in ms. */
 const IDLE_MS = 10_000;
--- a/src/gateway/places/pool-scarcity.ts
+++ b/src/gateway/places/pool-scarcity.ts
@@ -13,12 +13,19 @@
 const SCARCE_FROM = 0.7;
 /** Share below which they no longer are. */
 const SCARCE_UNTIL = 0.5;
+/**
+ * How long places stay scarce at least, in ms: longer than news of load take. Gateways that change their minds by old news
+ * would send past the dispatchers what these have just handed out.
+ */
+const SCARCE_FOR_MS = 3_000;
 /** How long an answer is kept, in ms: loads of other gateways change no faster. */
 const TTL_MS = 50;
 
 interface KnownPool {
   readonly atMs: number;
   readonly isScarce: boolean;
+  /** Since when it is so. */
+  readonly sinceMs: number;
 }
 
 /** See the module's comment. */
@@ -46,10 +53,13 @@
     if (known && nowMs - known.atMs < TTL_MS) return known.isScarce;
     // Nothing else looks at reports while dispatchers choose the runners.
     this.#board.dropStale(nowMs);
-    const isScarce = this.#isBusy(pool, known?.isScarce ?? false) && this.#hasFew(pool, dispatchBelow);
-    if (isScarce !== (known?.isScarce ?? false))
-      this.#context.log.info({ pool, isScarce }, "places scarce or not");
-    this.#pools.set(pool, { atMs: nowMs, isScarce });
+    const wasScarce = known?.isScarce ?? false;
+    const isBusy =
+      this.#isBusy(pool, wasScarce) || (wasScarce && nowMs - (known?.sinceMs ?? 0) < SCARCE_FOR_MS);
+    const isScarce = isBusy && this.#hasFew(pool, dispatchBelow);
+    if (isScarce !== wasScarce) this.#context.log.info({ pool, isScarce }, "places scarce or not");
+    const sinceMs = known && isScarce === wasScarce ? known.sinceMs : nowMs;
+    this.#pools.set(pool, { atMs: nowMs, isScarce, sinceMs });
     return isScarce;
   }
 
--- a/src/scheduling/place-queue/call-order.ts
+++ b/src/scheduling/place-queue/call-order.ts
@@ -2,12 +2,12 @@
 import type { WaitingCall } from "./waiting-call.ts";
 
 /**
- * A call that has waited for so long counts as one rank more important, in ms: short beside what callers wait at most, so
- * that every rank gets places while they still wait.
+ * A call that has waited for so long counts as one rank more important, in ms: little beside what a program can spare at
+ * each of its turns. Ranks decide who begins; whoever has begun must not be late for them.
  */
-const AGING_MS = 250;
-/** Ranks beyond this are treated alike, so that aging makes up for them within a second. */
-const MOST_RANKS = 4;
+const AGING_MS = 50;
+/** Ranks beyond this are treated alike, so that aging makes up for them before callers give up. */
+const MOST_RANKS = 8;
 
 /** A call's rank, less what it has gained by waiting. */
 export function agedRank({ call, arrivedAtMs }: WaitingCall, nowMs: number): number {
