Drop old reports at dispatchers too

Cause: a dispatcher that places no calls of its own looks at reports only when it grants a place; what is too old then holds places back.

Change: it drops them each time that it looks at its leases.

Measured: place*.test.ts pass.

--- a/src/gateway/places/place-host.ts
+++ b/src/gateway/places/place-host.ts
@@ -141,6 +141,7 @@
 
   #tidy(): void {
     const nowMs = this.#nowMs;
+    this.#parts.board.dropStale(nowMs);
     for (const [key, group] of this.#groups) {
       const { pool, index, dispatcher, askedAtMs } = group;
       dispatcher.endLeases(nowMs);
