Let operators say from which load on dispatchers hand places out

Cause: the share of places taken from which on a pool is scarce was fixed.

Change: places.scarceFrom, 0.7 as before.

--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -88,6 +88,14 @@
     .describe(
       "Places of a pool for each live gateway below which dispatchers hand them out while they are scarce; 0: each gateway places its calls alone",
     ),
+  scarceFrom: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.7)
+    .describe(
+      "Share of a pool's places that are taken from which on they are scarce; until it falls to seven tenths of this",
+    ),
 });
 
 const balanceSchema = z.strictObject({
--- a/src/gateway/places/pool-scarcity.ts
+++ b/src/gateway/places/pool-scarcity.ts
@@ -6,13 +6,8 @@
 import type { GatewayContext } from "../gateway-context.ts";
 import type { RunnerGroups } from "./runner-groups.ts";
 
-/**
- * Share of the places that are taken from which on they are scarce. News of load is up to two heartbeats old: a burst that
- * begins there must find dispatchers at work before the rest is taken.
- */
-const SCARCE_FROM = 0.7;
-/** Share below which they no longer are. */
-const SCARCE_UNTIL = 0.5;
+/** Part of the share from which on places are scarce at which they no longer are. */
+const UNTIL_PART = 0.7;
 /**
  * How long places stay scarce at least, in ms: longer than news of load take. Gateways that change their minds by old news
  * would send past the dispatchers what these have just handed out.
@@ -69,6 +64,7 @@
   }
 
   #isBusy(pool: string, wasScarce: boolean): boolean {
-    return this.#board.occupancy(pool) >= (wasScarce ? SCARCE_UNTIL : SCARCE_FROM);
+    const { scarceFrom } = this.#context.settings.places;
+    return this.#board.occupancy(pool) >= (wasScarce ? UNTIL_PART * scarceFrom : scarceFrom);
   }
 }
--- a/test/contract/place-parts.test.ts
+++ b/test/contract/place-parts.test.ts
@@ -26,7 +26,7 @@
     nowMs = 0;
     const given = await gatewayContext("gateway", "127.0.0.1:1");
     const clock = Object.assign(Object.create(given.clock), { monotonicMs: () => nowMs });
-    context = { ...given, clock, settings: { ...given.settings, places: { dispatchBelow: 4 } } };
+    context = { ...given, clock, settings: given.settings };
     board = new RunnerBoard();
     groups = new RunnerGroups(context, board);
   });
@@ -43,7 +43,7 @@
 
   describe("scarcity", () => {
     function scarcity(gateways: number, dispatchBelow = 4): (atMs: number) => boolean {
-      const settings = { ...context.settings, places: { dispatchBelow } };
+      const settings = { ...context.settings, places: { dispatchBelow, scarceFrom: 0.7 } };
       const pools = new PoolScarcity({ ...context, settings }, board, groups, () => gateways);
       return (atMs) => {
         nowMs = atMs;
