--- a/test/contract/places.test.ts
+++ b/test/contract/places.test.ts
@@ -84,6 +84,22 @@
     expect(later.verdict).toEqual("granted");
   });
 
+  it("are waited for at the next dispatcher when one stops as planned", async () => {
+    const fleet = await settled(4, 1, 1);
+    const asker = askerOf(fleet);
+    const dispatcher = fleet.dispatcherOf(asker);
+    // The next dispatcher knows what is out from heartbeats only.
+    fleet.call(asker, 1_500);
+    await pass(fleet, 600);
+    const waits = fleet.call(asker, 50, { patienceMs: 3_000 });
+    await pass(fleet, 10);
+    dispatcher.stop();
+    await pass(fleet, 2_600);
+    expect(waits.verdict).toEqual("granted");
+    expect(waits.record?.dispatcher).not.toEqual(dispatcher.instance);
+    expect(fleet.mostBusy).toEqual(1);
+  });
+
   it("are handed out anew by a dispatcher that froze for longer than its leases and woke", async () => {
     const fleet = await settled(4, 1, 2);
     const asker = askerOf(fleet);
--- a/test/contract/support/place-fleet.ts
+++ b/test/contract/support/place-fleet.ts
@@ -3,7 +3,11 @@
 import { SimulatedNetwork } from "../../../bench/simulation/simulated-network.ts";
 import { SimulatedProcess, VirtualTime } from "../../../bench/simulation/virtual-time.ts";
 import type { GatewayContext, GatewayPlatform } from "../../../src/gateway/gateway-context.ts";
-import type { GatewayMessage, GatewayRpcSchema } from "../../../src/gateway/gateway-messages.ts";
+import type {
+  GatewayMessage,
+  GatewayRpcSchema,
+  GatewayState,
+} from "../../../src/gateway/gateway-messages.ts";
 import { gatewaySettingsSchema } from "../../../src/gateway/gateway-settings.ts";
 import { MemberDirectory } from "../../../src/gateway/members/member-directory.ts";
 import { DispatcherDirectory } from "../../../src/gateway/places/dispatcher-directory.ts";
@@ -48,6 +52,8 @@
   readonly board: RunnerBoard;
   readonly client: PlaceClient;
   readonly dispatchers: DispatcherDirectory;
+  /** Begins a planned stop. */
+  readonly stop: () => void;
 }
 
 /** What has become of a call. */
@@ -118,8 +124,9 @@
     const weights = new TenantWeights(() => undefined);
     const host = new PlaceHost({ ...parts, weights, memoryTokens: () => undefined });
     const client = new PlaceClient({ ...parts, scarcity: ALWAYS_SCARCE });
+    let state: GatewayState = "ready";
     members.selfReport = () => ({
-      state: "ready",
+      state,
       storeDirect: false,
       owned: [],
       runners: board.ownReport(process.monotonicMs()),
@@ -142,7 +149,11 @@
       else if (message.type === "rpcRequest") void rpc.onRequest(message, from);
       else if (message.type === "rpcResponse") rpc.onResponse(message);
     });
-    this.members[index] = { name, instance, process, board, client, dispatchers };
+    const stop = () => {
+      state = "stopping";
+      members.tick();
+    };
+    this.members[index] = { name, instance, process, board, client, dispatchers, stop };
     members.start();
     host.start();
   }
