--- a/src/gateway/places/pool-scarcity.ts
+++ b/src/gateway/places/pool-scarcity.ts
@@ -6,19 +6,21 @@
 import type { GatewayContext } from "../gateway-context.ts";
 import type { RunnerGroups } from "./runner-groups.ts";
 
+/** Part of the share from which on places are scarce at which they no longer are. */
+const UNTIL_PART = 0.7;
 /**
- * Share of the places that are taken from which on they are scarce. News of load is up to two heartbeats old: a burst that
- * begins there must find dispatchers at work before the rest is taken.
+ * How long places stay scarce at least, in ms: longer than news of load take. Gateways that change their minds by old news
+ * would send past the dispatchers what these have just handed out.
  */
-const SCARCE_FROM = 0.7;
-/** Share below which they no longer are. */
-const SCARCE_UNTIL = 0.5;
+const SCARCE_FOR_MS = 3_000;
 /** How long an answer is kept, in ms: loads of other gateways change no faster. */
 const TTL_MS = 50;
 
 interface KnownPool {
   readonly atMs: number;
   readonly isScarce: boolean;
+  /** Since when it is so. */
+  readonly sinceMs: number;
 }
 
 /** See the module's comment. */
@@ -46,10 +48,13 @@
     if (known && nowMs - known.atMs < TTL_MS) return known.isScarce;
     // Nothing else looks at reports while dispatchers choose the runners.
     this.#board.dropStale(nowMs);
-    const isScarce = this.#isBusy(pool, known?.isScarce ?? false) && this.#hasFew(pool, dispatchBelow);
-    if (isScarce !== (known?.isScarce ?? false))
-      this.#context.log.info({ pool, isScarce }, "places scarce or not");
-    this.#pools.set(pool, { atMs: nowMs, isScarce });
+    const wasScarce = known?.isScarce ?? false;
+    const isBusy =
+      this.#isBusy(pool, wasScarce) || (wasScarce && nowMs - (known?.sinceMs ?? 0) < SCARCE_FOR_MS);
+    const isScarce = isBusy && this.#hasFew(pool, dispatchBelow);
+    if (isScarce !== wasScarce) this.#context.log.info({ pool, isScarce }, "places scarce or not");
+    const sinceMs = known && isScarce === wasScarce ? known.sinceMs : nowMs;
+    this.#pools.set(pool, { atMs: nowMs, isScarce, sinceMs });
     return isScarce;
   }
 
@@ -59,6 +64,7 @@
   }
 
   #isBusy(pool: string, wasScarce: boolean): boolean {
-    return this.#board.occupancy(pool) >= (wasScarce ? SCARCE_UNTIL : SCARCE_FROM);
+    const { scarceFrom } = this.#context.settings.places;
+    return this.#board.occupancy(pool) >= (wasScarce ? UNTIL_PART * scarceFrom : scarceFrom);
   }
 }
