--- a/bench/simulation/gateways/member-fleet.ts
+++ b/bench/simulation/gateways/member-fleet.ts
@@ -12,6 +12,7 @@
 import type { TextHash } from "../../../src/runtime/text-hash.ts";
 import type { RunnerId } from "../../../src/scheduling/ids/runner-id.ts";
 import { RunnerBoard } from "../../../src/scheduling/runner-board/runner-board.ts";
+import type { RunnerCost } from "../../../src/scheduling/runner-board/runner-cost.ts";
 import { SimulatedNetwork } from "../simulated-network.ts";
 import { SimulatedProcess, VirtualTime } from "../virtual-time.ts";
 
@@ -27,6 +28,13 @@
   readonly board: RunnerBoard;
 }
 
+/** How members balance; as before where nothing is said. */
+export interface FleetBalance {
+  readonly newCost?: () => RunnerCost;
+  /** What a member can take now, by its index. */
+  readonly headroomOf?: (index: number) => number;
+}
+
 /** Runners that every member knows. */
 export const FLEET_RUNNERS = ["r1", "r2"] as [RunnerId, RunnerId];
 
@@ -38,6 +46,7 @@
   readonly #hash: TextHash;
   readonly #directMost: number;
   readonly #zones: number;
+  readonly #balance: FleetBalance;
   readonly #encoder = new Encoder({ structures: [] });
   #starts = 0;
   /** Messages that arrived. */
@@ -46,7 +55,14 @@
   readonly bytes = new Map<string, number>();
   weighs = false;
 
-  constructor(hash: TextHash, count: number, directMost: number, zones = DEFAULT_ZONES) {
+  constructor(
+    hash: TextHash,
+    count: number,
+    directMost: number,
+    zones = DEFAULT_ZONES,
+    balance: FleetBalance = {},
+  ) {
+    this.#balance = balance;
     this.#hash = hash;
     this.#directMost = directMost;
     this.#zones = zones;
@@ -69,6 +85,7 @@
       seeds: [0, 1, 2].map(fleetAddress),
       store: peers,
       membership: { directMost: this.#directMost },
+      balance: { byHeadroom: this.#balance.headroomOf !== undefined },
     });
     const instance = `${name}#${this.#starts}`;
     const context: GatewayContext = {
@@ -83,7 +100,7 @@
     };
     const transport = this.network.attach(process, { instance, address: peers });
     const directory = new MemberDirectory(context, transport, new StoreHealth(context));
-    const board = new RunnerBoard();
+    const board = new RunnerBoard(this.#balance.newCost?.());
     for (const id of FLEET_RUNNERS)
       board.upsert({ id, pool: "p", address: "a", zone, slots: 8, state: "ready" });
     directory.selfReport = () => ({
@@ -91,6 +108,7 @@
       storeDirect: false,
       owned: [],
       runners: board.ownReport(process.monotonicMs()),
+      headroom: this.#balance.headroomOf?.(index),
     });
     directory.onLoads = (source, report) => board.report(source, report, process.monotonicMs());
     directory.sumLoads = (sources) => board.sumReports(sources);
