Move a gateway's headroom from half of its time busy on, with marks that rise as it falls

The step fell above 0.7 of the time busy. A call waits for the loop for twice its own work by then, and for as long as its work at a half.

--- a/src/scheduling/caller-spread/headroom-control.ts
+++ b/src/scheduling/caller-spread/headroom-control.ts
@@ -6,8 +6,13 @@
 import type { GatewayPressure } from "./gateway-pressure.ts";
 import { FULL_HEADROOM, type Headroom } from "./headroom.ts";
 
-/** Above the upper mark a call waits for the loop for longer than its own work takes, below the lower one hardly ever. */
-const BUSY = { upper: 0.7, lower: 0.45 };
+/**
+ * Shares of busy time at which the headroom falls and rises, by step. At half a call waits for the loop as long as its own
+ * work takes, at 0.85 six times as long. The marks are higher the less headroom is left, so that steps still tell gateways
+ * apart when all are busy.
+ */
+const FALLS_ABOVE = [1, 0.85, 0.7, 0.6, 0.5];
+const RISES_BELOW = [0.65, 0.5, 0.4, 0.3, 0];
 /** The rest is for what a garbage collection frees late, and for answers to slow readers. */
 const MEMORY = { upper: 0.85, lower: 0.75 };
 const CALLS = { upper: 1, lower: 0.7 };
@@ -20,11 +25,6 @@
 /** Weight of the newest look in the average share of busy time. */
 const LOOK_WEIGHT = 0.4;
 
-interface Marks {
-  readonly upper: number;
-  readonly lower: number;
-}
-
 /** See the module's comment. */
 export class HeadroomControl {
   #headroom: Headroom = FULL_HEADROOM;
@@ -42,7 +42,7 @@
     if (pressure.stoodStill) return this.#set(Math.min(this.#headroom, AFTER_STANDSTILL), nowMs);
     if (nowMs - this.#changedAtMs < CHANGE_MS) return;
     const { memory, calls } = pressure;
-    this.#set(this.#headroom + changeOf(this.#busy, memory, calls), nowMs);
+    this.#set(this.#headroom + changeOf(this.#headroom, this.#busy, memory, calls), nowMs);
   }
 
   #set(headroom: Headroom, nowMs: number): void {
@@ -53,10 +53,10 @@
   }
 }
 
-function changeOf(busy: number, memory: number, calls: number): number {
+function changeOf(headroom: Headroom, busy: number, memory: number, calls: number): number {
   if (busy > CHOKED) return -2;
-  const isAbove = (share: number, { upper }: Marks) => share > upper;
-  if (isAbove(busy, BUSY) || isAbove(memory, MEMORY) || isAbove(calls, CALLS)) return -1;
-  const isBelow = (share: number, { lower }: Marks) => share < lower;
-  return isBelow(busy, BUSY) && isBelow(memory, MEMORY) && isBelow(calls, CALLS) ? 1 : 0;
+  const isShort = busy > (FALLS_ABOVE[headroom] ?? 1);
+  if (isShort || memory > MEMORY.upper || calls > CALLS.upper) return -1;
+  const isIdle = busy < (RISES_BELOW[headroom] ?? 0);
+  return isIdle && memory < MEMORY.lower && calls < CALLS.lower ? 1 : 0;
 }
