Read runners on only as callers take it, count what is held, and cut who takes nothing when memory is short

Cause: a piece for a caller was written without a look at what waits, a runner's stream was read as fast as it came, and bodies and answers of any number of requests were held whole. Some hundred callers that read nothing of long answers took a small machine over its memory. Change: a caller's exchange keeps what the system does not take yet and hands it over in pieces, so that it can be seen whether the caller takes anything; a stream is read on while less than a bound waits, which shrinks as memory runs short; a pool counts what is held by reason, and a pure policy says who is cut (nothing taken for two seconds, longest first, or a runner waits) and whether a request is refused by its head. The memory of the process comes from the platform through the template. Metrics for what is held and for cuts, a line for each cut.

--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -8,6 +8,7 @@
 import type { CallerHead } from "../ingress/caller-head.ts";
 import type { CallerProblem } from "../ingress/caller-problem.ts";
 import type { HeadVerdict } from "../ingress/head-verdict.ts";
+import { NO_ROOM } from "../ingress/no-room.ts";
 import type { PartitionClient } from "../partitions/partition-client.ts";
 import type { RateClient } from "../rates/rate-client.ts";
 import type { RateVerdict } from "../rates/rate-verdict.ts";
@@ -104,6 +105,7 @@
     if (needsKey && !this.#trustsKeys()) return this.#refuse(UNTRUSTED, call, route, routes);
     const tenant = needsKey && call.key !== undefined ? routes.tenantOf(call.key) : undefined;
     if (needsKey && !tenant) return this.#refuse(UNKNOWN_KEY, call, route, routes);
+    if (this.#parts.buffers.refuses(head.bodyBytes)) return this.#refuse(NO_ROOM, call, route, routes);
     const destination = { call, route, pool, tenant };
     return { type: "take", run: (exchange) => void this.#admit(exchange, destination, routes) };
   }
--- a/src/gateway/calls/plain-call.ts
+++ b/src/gateway/calls/plain-call.ts
@@ -20,7 +20,10 @@
       onHead: (answer) => {
         head = answer;
       },
-      onData: (chunk) => chunks.push(chunk),
+      onData: (chunk) => {
+        chunks.push(chunk);
+        this.exchange.buffers.add("collected", chunk.length);
+      },
       onEnd: () => this.#answer(head, Buffer.concat(chunks)),
       onFailed: (failure) => this.#onFailed(runner, failure),
     });
@@ -42,6 +45,7 @@
 
   #onFailed(runner: RunnerEntry, failure: AttemptFailure): void {
     this.attempt = undefined;
+    this.exchange.buffers.set("collected", 0);
     this.noteFailure(runner, failure);
     if (failure.type !== "broken") return this.next();
     const mayRepeat = this.route.kind === "safe" && this.mayHaveRun.size < this.route.maxAttempts;
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -85,6 +85,7 @@
     this.rank = start.rank;
     this.#hidesKey = start.hidesKey;
     const { requestId, program } = this.call;
+    this.exchange.buffers.request = requestId;
     this.record = new CallRecord(requestId, program?.id, this.route.name, start.configurationVersion);
     this.record.tenant = start.tenant?.name;
     this.record.rate = start.rate;
@@ -222,6 +223,7 @@
     this.#cancelSilenceTimer();
     this.attempt?.abort();
     this.onOver();
+    this.exchange.releaseCall();
   }
 
   /** Moves the call from a runner that is silent and fails other requests too. */
@@ -250,6 +252,6 @@
   }
 
   #onGone(): void {
-    this.finish({ status: 0, kind: "caller-gone" });
+    this.finish({ status: 0, kind: this.exchange.wasCut ? "slow-reader" : "caller-gone" });
   }
 }
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -12,6 +12,7 @@
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import type { Urgency } from "../../scheduling/urgency/urgency.ts";
+import type { BufferPool } from "../buffers/buffer-pool.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { RunnerConnections } from "../runners/runner-connections.ts";
@@ -40,6 +41,7 @@
   readonly board: RunnerBoard;
   readonly connections: RunnerConnections;
   readonly callLog: CallLog;
+  readonly buffers: BufferPool;
 }
 
 /** What one try sends. */
@@ -111,6 +113,16 @@
     this.#exchange.abort();
   }
 
+  /** Reads no more of the answer for now. */
+  pause(): void {
+    if (!this.#over) this.#exchange.pause();
+  }
+
+  /** Reads the answer on. */
+  resume(): void {
+    if (!this.#over) this.#exchange.resume();
+  }
+
   /** Whether nothing of an answer has come. */
   get silent(): boolean {
     return !this.#over && !this.#pending.answered;
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -50,6 +50,7 @@
   }
 
   protected override begin(): void {
+    this.exchange.onRoom(() => this.#holdRunner(false));
     // The answer is kept whole, and what an earlier try has handed to the caller is not known here.
     if (this.route.retainsTurns && this.#lastEventId !== undefined) {
       return this.refuse("cannot-resume", "Send the turn again from its start.");
@@ -81,6 +82,7 @@
   }
 
   protected override onOver(): void {
+    this.#holdRunner(false);
     if (this.#admitted) void this.#partitions.end(this.#endRequest());
   }
 
@@ -147,7 +149,7 @@
   #onAdmission(answer: AdmitTurnResponse): void {
     switch (answer.type) {
       case "granted":
-        this.#history = answer.history;
+        this.#takeHistory(answer.history);
         this.#preferred = answer.runner;
         if (this.#mayBegin()) return this.next();
         return this.refuse(
@@ -168,6 +170,13 @@
     }
   }
 
+  /** Takes what was said before; it is held twice, as it came and joined with the caller's input. */
+  #takeHistory(history: readonly Uint8Array[]): void {
+    this.#history = history;
+    const bytes = history.reduce((sum, { length }) => sum + length, 0);
+    this.exchange.buffers.add("bodies", 2 * bytes);
+  }
+
   #nextRunner(): RunnerEntry | undefined {
     const last = this.#lastRunner;
     // A stream goes on where it ran, as long as that runner is there: another one would be one more that runs it.
@@ -203,6 +212,7 @@
       onData: (chunk) => {
         if (failed()) failedBody.push(chunk);
         else for (const event of this.#splitter.push(chunk)) this.#forward(event, head);
+        if (this.exchange.isFull) this.#holdRunner(true);
       },
       onEnd: () => {
         if (failed()) this.#answerFailure(runner, head, Buffer.concat(failedBody));
@@ -219,7 +229,19 @@
     this.exchange.write(event.bytes);
     this.#events += 1;
     if (event.id !== undefined) this.#lastEventId = event.id;
-    if (this.route.retainsTurns) this.#output.push(event.data, "\n");
+    if (!this.route.retainsTurns) return;
+    this.#output.push(event.data, "\n");
+    this.exchange.buffers.add("outputs", event.data.length);
+  }
+
+  /** Has the runner wait while its caller takes too little, or go on. */
+  #holdRunner(waits: boolean): void {
+    const { buffers } = this.exchange;
+    if (buffers.holdsRunner === waits) return;
+    buffers.holdsRunner = waits;
+    this.parts.buffers.noteRunner(waits);
+    if (waits) this.attempt?.pause();
+    else this.attempt?.resume();
   }
 
   #start(head: HttpAnswerHead | undefined): void {
@@ -293,6 +315,7 @@
 
   #onFailed(runner: RunnerEntry, failure: AttemptFailure): void {
     this.attempt = undefined;
+    this.#holdRunner(false);
     this.noteFailure(runner, failure);
     if (failure.type === "broken") {
       this.#lastRunner = runner.id;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -2,7 +2,9 @@
 import { delay } from "../runtime/clock.ts";
 import { RpcEndpoint } from "../runtime/rpc.ts";
 import type { TcpTransport } from "../runtime/tcp-transport.ts";
+import type { BufferReason } from "../scheduling/buffers/buffer-reason.ts";
 import { RunnerBoard } from "../scheduling/runner-board/runner-board.ts";
+import { BufferPool } from "./buffers/buffer-pool.ts";
 import { CallService } from "./calls/call-service.ts";
 import { RoutingWatch } from "./configuration/routing-watch.ts";
 import type { GatewayContext } from "./gateway-context.ts";
@@ -39,6 +41,7 @@
   readonly #runners: RunnerWatch;
   readonly #board = new RunnerBoard();
   readonly #connections: RunnerConnections;
+  readonly #buffers: BufferPool;
   readonly #ingress: IngressServer;
   readonly #entry: EntryServer;
   readonly #callLog: CallLog;
@@ -63,12 +66,19 @@
     this.#routing = new RoutingWatch(context, health);
     this.#runners = new RunnerWatch(context, health, this.#board);
     this.#connections = new RunnerConnections(this.#board);
-    this.#ingress = new IngressServer(context);
+    this.#buffers = new BufferPool(context);
+    this.#ingress = new IngressServer(context, this.#buffers);
     this.#entry = new EntryServer(context, this.#members, () => this.state === "ready");
     const client = new PartitionClient(context, this.#members, this.#partitions, this.#rpc, health);
     this.#callLog = new CallLog(context.log, context.clock);
     this.#health = health;
-    const parts = { context, board: this.#board, connections: this.#connections, callLog: this.#callLog };
+    const parts = {
+      context,
+      board: this.#board,
+      connections: this.#connections,
+      callLog: this.#callLog,
+      buffers: this.#buffers,
+    };
     const rates = new RateClient(context, this.#members, this.#partitions, this.#rpc);
     const routes = () => (this.#canServe ? this.#routing.routes : undefined);
     const calls = new CallService(parts, client, rates, routes, () => this.#routing.isCurrent);
@@ -141,6 +151,7 @@
       members: () => this.#members.aliveCount,
       partitions: () => this.#partitions.owned.length,
       requestsInProgress: () => this.#ingress.active,
+      heldBytes: (reason: BufferReason) => this.#buffers.heldFor(reason),
       linesLeftOut: () => this.#callLog.leftOutTotal,
       configurationVersion: () => this.#routing.routes?.configuration.version ?? 0,
       storeReachable: () => this.#health.reachable,
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -109,6 +109,11 @@
     .min(0)
     .default(0)
     .describe("Most bytes held for callers and runners that read slowly; 0: a part of the machine's memory"),
+  memoryMb: z
+    .number()
+    .min(1)
+    .default(256)
+    .describe("Memory that this process may use, MB; 15 in 100 of it may be held for slow readers"),
 });
 
 /** Settings of a gateway process. */
--- a/src/gateway/ingress/caller-exchange.ts
+++ b/src/gateway/ingress/caller-exchange.ts
@@ -1,11 +1,18 @@
-/** One request of a caller and its answer. */
+/**
+ * One request of a caller and its answer. What the caller does not take yet waits here, so that it can be seen whether it
+ * takes anything: the system is handed only a little at a time.
+ */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
 import type { RawHeaders } from "../../ports/call-protocol.ts";
+import type { CallerBuffers } from "../buffers/caller-buffers.ts";
 import type { CallerHead } from "./caller-head.ts";
 import type { CallerProblem } from "./caller-problem.ts";
 
 const HTTP_PROBLEM = "application/json";
 const MS_PER_S = 1_000;
+const NO_BODY = Buffer.alloc(0);
+/** What the system is handed at a time, in bytes. */
+const PIECE_BYTES = 32_768;
 
 /** See the module's comment. */
 export class CallerExchange implements CallerHead {
@@ -15,22 +22,35 @@
   readonly host: string;
   readonly path: string;
   readonly headers: IncomingHttpHeaders;
+  readonly bodyBytes: number;
   readonly rawHeaders: RawHeaders;
-  readonly body: Buffer;
   /** Of the monotonic clock. */
   readonly arrivedAtMs: number;
+  /** What is held for this request. */
+  readonly buffers: CallerBuffers;
   readonly #response: ServerResponse;
   readonly #endsConnection: () => boolean;
+  #body: Buffer;
   #ended = false;
   #gone = false;
+  #cut = false;
   #onGone: () => void = () => undefined;
-
-  /** @param endsConnection whether an answer that begins now is the last on its connection */
+  #onRoom: () => void = () => undefined;
+  /** What the system has not been handed yet, oldest first. */
+  #queue: Buffer[] = [];
+  #queuedBytes = 0;
+  #writtenBytes = 0;
+
+  /**
+   * @param buffers counts what is held for the request
+   * @param endsConnection whether an answer that begins now is the last on its connection
+   */
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
     body: Buffer,
     head: CallerHead,
+    buffers: CallerBuffers,
     endsConnection: () => boolean,
   ) {
     this.method = request.method ?? "GET";
@@ -38,15 +58,39 @@
     this.host = head.host;
     this.path = head.path;
     this.headers = head.headers;
+    this.bodyBytes = head.bodyBytes;
     this.rawHeaders = request.rawHeaders;
-    this.body = body;
+    this.#body = body;
+    this.buffers = buffers;
     this.arrivedAtMs = head.arrivedAtMs;
     this.#response = response;
     this.#endsConnection = endsConnection;
+    buffers.follow({
+      unreadBytes: () => this.#unreadBytes,
+      movedBytes: () => this.#writtenBytes - this.#unreadBytes,
+      awaitsCaller: () => this.#unreadBytes > 0,
+      cut: () => this.#cutOff(),
+    });
+    response.on("drain", () => this.#handOver());
     response.on("close", () => this.#closed());
     if (response.destroyed || request.socket.destroyed) this.#gone = true;
   }
 
+  /** The request's body, until the call is over. */
+  get body(): Buffer {
+    return this.#body;
+  }
+
+  /** Whether the connection was ended because the caller took nothing. */
+  get wasCut(): boolean {
+    return this.#cut;
+  }
+
+  /** Whether so much waits for the caller that nothing more should be fetched for it. */
+  get isFull(): boolean {
+    return this.#unreadBytes > this.buffers.readAheadBytes;
+  }
+
   /** Whether the caller has left before its answer was whole. */
   get gone(): boolean {
     return this.#gone;
@@ -68,12 +112,31 @@
     if (this.#gone) action();
   }
 
+  /** Sets what is called when there is room again for what waits for the caller. */
+  onRoom(action: () => void): void {
+    this.#onRoom = action;
+    this.buffers.onLook = () => this.#noteRoom();
+  }
+
+  /** The call is over: the body is not needed any more. */
+  releaseCall(): void {
+    this.#body = NO_BODY;
+    this.buffers.releaseCall();
+  }
+
   /** Sends a whole answer. */
   answer(status: number, headers: RawHeaders, body: Buffer): void {
     if (this.#ended || this.#gone) return;
-    this.#ended = true;
     this.#writeHead(status, withLength(headers, body.length));
+    if (body.length > PIECE_BYTES) {
+      this.write(body);
+      this.end();
+      return;
+    }
+    this.#ended = true;
+    this.#writtenBytes += body.length;
     this.#response.end(body);
+    this.#countUnread();
   }
 
   /** Tells the caller why the system has no answer for it. */
@@ -94,14 +157,18 @@
   /** Sends a piece. */
   write(chunk: Buffer): void {
     if (this.#ended || this.#gone) return;
-    this.#response.write(chunk);
+    this.#writtenBytes += chunk.length;
+    if (this.#queue.length === 0 && chunk.length <= PIECE_BYTES && !this.#response.writableNeedDrain)
+      this.#response.write(chunk);
+    else this.#enqueue(chunk);
+    this.#countUnread();
   }
 
   /** The answer is whole. */
   end(): void {
     if (this.#ended || this.#gone) return;
     this.#ended = true;
-    this.#response.end();
+    if (this.#queue.length === 0) this.#response.end();
   }
 
   /** Ends the connection so that the answer cannot be taken for a whole one. */
@@ -116,7 +183,51 @@
     this.#response.writeHead(status, headers);
   }
 
+  get #unreadBytes(): number {
+    return this.#queuedBytes + this.#response.writableLength;
+  }
+
+  #countUnread(): void {
+    this.buffers.set("answers", this.#unreadBytes);
+  }
+
+  /** Keeps a chunk in pieces of a size at which the caller can be seen to take them. */
+  #enqueue(chunk: Buffer): void {
+    for (let start = 0; start < chunk.length; start += PIECE_BYTES)
+      this.#queue.push(chunk.subarray(start, start + PIECE_BYTES));
+    this.#queuedBytes += chunk.length;
+    if (!this.#response.writableNeedDrain) this.#handOver();
+  }
+
+  /** The system takes more. */
+  #handOver(): void {
+    let taken = 0;
+    while (taken < this.#queue.length) {
+      const piece = this.#queue[taken] as Buffer;
+      taken += 1;
+      this.#queuedBytes -= piece.length;
+      if (!this.#response.write(piece)) break;
+    }
+    this.#queue.splice(0, taken);
+    if (taken > 0 && this.#ended && this.#queue.length === 0) this.#response.end();
+    this.#countUnread();
+    this.#noteRoom();
+  }
+
+  #noteRoom(): void {
+    if (this.#unreadBytes <= this.buffers.readAheadBytes / 2) this.#onRoom();
+  }
+
+  /** The caller takes nothing: what waits for it is dropped. */
+  #cutOff(): void {
+    this.#cut = true;
+    this.#response.destroy();
+  }
+
   #closed(): void {
+    this.#queue = [];
+    this.#queuedBytes = 0;
+    this.buffers.close();
     if (this.#ended) return;
     this.#gone = true;
     this.#onGone();
--- a/src/gateway/ingress/caller-head.ts
+++ b/src/gateway/ingress/caller-head.ts
@@ -6,6 +6,8 @@
   /** Path without the query. */
   readonly path: string;
   readonly headers: IncomingHttpHeaders;
+  /** Length of the body, as far as the head says it. */
+  readonly bodyBytes: number;
   /** Of the monotonic clock, in ms. */
   readonly arrivedAtMs: number;
 }
--- a/src/gateway/ingress/ingress-server.ts
+++ b/src/gateway/ingress/ingress-server.ts
@@ -2,11 +2,14 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { CallerLimits } from "../../scheduling/routing/routing-configuration.ts";
+import type { BufferPool } from "../buffers/buffer-pool.ts";
+import { CallerBuffers } from "../buffers/caller-buffers.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import { CallerExchange } from "./caller-exchange.ts";
 import type { CallerHead } from "./caller-head.ts";
 import type { CallerProblem } from "./caller-problem.ts";
 import type { HeadVerdict } from "./head-verdict.ts";
+import { NO_ROOM } from "./no-room.ts";
 import { readBody } from "./read-body.ts";
 
 const MAX_HEADER_BYTES = 65_536;
@@ -35,6 +38,7 @@
 /** See the module's comment. */
 export class IngressServer {
   readonly #context: GatewayContext;
+  readonly #pool: BufferPool;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   #limits = FIRST_LIMITS;
@@ -43,8 +47,9 @@
   /** Called with the head of each request. */
   onHead: (head: CallerHead) => HeadVerdict = () => STARTING;
 
-  constructor(context: GatewayContext) {
+  constructor(context: GatewayContext, pool: BufferPool) {
     this.#context = context;
+    this.#pool = pool;
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
@@ -105,12 +110,15 @@
       this.#active -= 1;
     });
     const head = headOf(request, arrivedAtMs);
+    const buffers = new CallerBuffers(this.#pool);
+    response.on("close", () => buffers.close());
     const exchangeWith = (body: Buffer) =>
-      new CallerExchange(request, response, body, head, () => this.#stopping);
+      new CallerExchange(request, response, body, head, buffers, () => this.#stopping);
     const verdict = this.onHead(head);
     if (verdict.type === "refuse") return exchangeWith(NO_BODY).refuse(verdict.problem);
-    const outcome = await readBody(request, this.#limits.bodyBytes);
+    const outcome = await readBody(request, this.#limits.bodyBytes, buffers);
     if (outcome.type === "broken") return;
+    if (outcome.type === "noRoom") return exchangeWith(NO_BODY).refuse(NO_ROOM);
     if (outcome.type === "tooLarge") return exchangeWith(NO_BODY).refuse(BODY_TOO_LARGE);
     verdict.run(exchangeWith(outcome.body));
   }
@@ -120,7 +128,8 @@
   const { headers } = request;
   const host = (headers.host ?? "").split(":", 1)[0]?.toLowerCase() ?? "";
   const path = (request.url ?? "/").split("?", 1)[0] as string;
-  return { host, path, headers, arrivedAtMs };
+  const bodyBytes = Number(headers["content-length"] ?? 0);
+  return { host, path, headers, bodyBytes, arrivedAtMs };
 }
 
 /** Makes a server listen at `IP:port`. */
--- a/src/gateway/ingress/read-body.ts
+++ b/src/gateway/ingress/read-body.ts
@@ -1,26 +1,43 @@
 import type { IncomingMessage } from "node:http";
+import type { CallerBuffers } from "../buffers/caller-buffers.ts";
 
 /** How reading a request's body ended. */
 export type BodyOutcome =
   | { readonly type: "body"; readonly body: Buffer }
   | { readonly type: "tooLarge" }
+  /** There is no memory for it. */
+  | { readonly type: "noRoom" }
   /** The caller left, or broke the protocol, before the body was whole. */
   | { readonly type: "broken" };
 
-/** Reads a whole body of at most `limitBytes`. */
-export function readBody(request: IncomingMessage, limitBytes: number): Promise<BodyOutcome> {
+/** Reads a whole body of at most `limitBytes`, as far as there is memory for it. */
+export function readBody(
+  request: IncomingMessage,
+  limitBytes: number,
+  buffers: CallerBuffers,
+): Promise<BodyOutcome> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let length = 0;
+    buffers.follow({
+      unreadBytes: () => 0,
+      movedBytes: () => length,
+      awaitsCaller: () => length > 0,
+      cut: () => request.destroy(),
+    });
+    const refuse = (type: "tooLarge" | "noRoom") => {
+      resolve({ type });
+      chunks.length = 0;
+      buffers.releaseCall();
+      request.removeAllListeners("data");
+      request.resume();
+    };
     request.on("data", (chunk: Buffer) => {
       length += chunk.length;
-      if (length > limitBytes) {
-        resolve({ type: "tooLarge" });
-        request.removeAllListeners("data");
-        request.resume();
-        return;
-      }
+      if (length > limitBytes) return refuse("tooLarge");
       chunks.push(chunk);
+      buffers.add("bodies", chunk.length);
+      if (buffers.exhausted) refuse("noRoom");
     });
     request.on("end", () => {
       const [only] = chunks;
--- a/src/gateway/telemetry/gateway-gauges.ts
+++ b/src/gateway/telemetry/gateway-gauges.ts
@@ -1,8 +1,11 @@
+import type { BufferReason } from "../../scheduling/buffers/buffer-reason.ts";
+
 /** Numbers of the whole process, read when the metrics are. */
 export interface GatewayGauges {
   readonly members: () => number;
   readonly partitions: () => number;
   readonly requestsInProgress: () => number;
+  readonly heldBytes: (reason: BufferReason) => number;
   readonly linesLeftOut: () => number;
   readonly configurationVersion: () => number;
   readonly storeReachable: () => boolean;
--- a/src/gateway/telemetry/gateway-metrics.ts
+++ b/src/gateway/telemetry/gateway-metrics.ts
@@ -15,6 +15,8 @@
   abstract retained(heldBy: string, elapsedMs: number): void;
   /** A write of a partition was answered, or not. */
   abstract storeWritten(outcome: string, elapsedMs: number): void;
+  /** The connection of a caller that took nothing was ended. */
+  abstract readerCut(reason: "memoryShort" | "runnerWaits"): void;
   /** Serves what was counted; returns the address. */
   abstract serve(gauges: GatewayGauges, isReady: () => boolean): Promise<void>;
   /** Serves no more. */
--- a/src/gateway/telemetry/no-metrics.ts
+++ b/src/gateway/telemetry/no-metrics.ts
@@ -8,6 +8,7 @@
   override rated(): void {}
   override retained(): void {}
   override storeWritten(): void {}
+  override readerCut(): void {}
   override async serve(): Promise<void> {}
   override close(): void {}
 }
--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -47,6 +47,12 @@
     STORE_BUCKETS_S,
     "outcome",
   );
+  readonly #cuts = new Counter({
+    name: "tulipwheel_gateway_reader_cuts_total",
+    help: "Callers that took nothing and were cut, by what was short: memory, or the place of a runner that waits",
+    labelNames: ["reason"],
+    registers: [],
+  });
   #server: MetricsServer | undefined;
 
   /** @param address where to serve, IP:port */
@@ -82,6 +88,10 @@
     this.#writes.observe({ outcome }, elapsedMs / MS_PER_S);
   }
 
+  override readerCut(reason: "memoryShort" | "runnerWaits"): void {
+    this.#cuts.inc({ reason });
+  }
+
   override async serve(gauges: GatewayGauges, isReady: () => boolean): Promise<void> {
     const gauge = (name: string, help: string, read: () => number) => {
       return { name: `gateway_${name}`, help, type: "gauge" as const, read };
@@ -90,6 +100,10 @@
       gauge("members", "Other gateways that are alive", gauges.members),
       gauge("partitions", "Partitions owned here", gauges.partitions),
       gauge("requests_in_progress", "Callers' requests without a whole answer", gauges.requestsInProgress),
+      gauge("held_answers_bytes", "Answers that wait for callers", () => gauges.heldBytes("answers")),
+      gauge("held_collected_bytes", "Plain answers that are not whole", () => gauges.heldBytes("collected")),
+      gauge("held_bodies_bytes", "Bodies of requests and their histories", () => gauges.heldBytes("bodies")),
+      gauge("held_outputs_bytes", "Output of turns that are to be kept", () => gauges.heldBytes("outputs")),
       gauge("lines_left_out", "Lines of calls that were not written", gauges.linesLeftOut),
       gauge("configuration_version", "Version in force", gauges.configurationVersion),
       gauge("store_reachable", "1 while the store answers", () => (gauges.storeReachable() ? 1 : 0)),
@@ -104,6 +118,7 @@
       this.#rateTimes,
       this.#retentions,
       this.#writes,
+      this.#cuts,
     ])
       metrics.register(metric);
     this.#server = new MetricsServer(metrics, isReady);
--- a/src/ports/http/http-exchange.ts
+++ b/src/ports/http/http-exchange.ts
@@ -33,9 +33,13 @@
   onFailed(error: Error, sent: boolean): void;
 }
 
-/** Lets the sender give a request up. */
+/** Lets the sender give a request up, or make the other side wait. */
 export interface HttpExchange {
   abort(): void;
+  /** Reads no more of the answer; what has been read already may still come. */
+  pause(): void;
+  /** Reads on. */
+  resume(): void;
 }
 
 /** Sends a request. */
@@ -72,6 +76,14 @@
     this.#controller?.abort(new Error("given up"));
   }
 
+  pause(): void {
+    if (!this.#finished) this.#controller?.pause();
+  }
+
+  resume(): void {
+    if (!this.#finished) this.#controller?.resume();
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
     if (this.#aborted) controller.abort(new Error("given up"));
--- /dev/null
+++ b/src/scheduling/buffers/buffer-policy.ts
@@ -0,0 +1,66 @@
+/** Decides how far runners are read ahead of their callers, who is cut and who is refused when memory is short. */
+import type { WaitingCaller } from "./waiting-caller.ts";
+
+/**
+ * Part of the budget that reading ahead of callers fills at most, and below which nobody needs to be looked at. The rest is
+ * for what comes however little is read ahead: requests, plain answers, and one read from each runner.
+ */
+const AHEAD_PART = 0.25;
+/** Part of the budget from which on callers that take nothing are cut. */
+const SHORT_PART = 0.75;
+/** Part of the budget that is held at most once callers have been cut, so that not every new answer needs a cut. */
+const RELIEVED_PART = 0.5;
+/** Part of what is free to read ahead that may wait for one caller, so that some slow ones leave room for others. */
+const CALLER_PART = 0.125;
+/**
+ * Bytes that may wait for a caller however short memory is, about what a caller that reads takes at a time; and room that a
+ * new request needs for its answer.
+ */
+const MIN_AHEAD_BYTES = 32_768;
+/** Longer than a lost packet and its repetition, or a short standstill, keep a caller that reads from taking anything. */
+const STALLED_MS = 2_000;
+
+/** See the module's comment. */
+export class BufferPolicy {
+  readonly #mostBytes: number;
+
+  /** @param mostBytes what may be held for all callers together */
+  constructor(mostBytes: number) {
+    this.#mostBytes = mostBytes;
+  }
+
+  /** Whether so little is held that nobody needs to be looked at. */
+  isCalm(heldBytes: number): boolean {
+    return heldBytes < this.#mostBytes * AHEAD_PART;
+  }
+
+  /** Whether a request that brings so many bytes is refused. */
+  refuses(heldBytes: number, bodyBytes: number): boolean {
+    return this.exceeds(heldBytes + bodyBytes + MIN_AHEAD_BYTES);
+  }
+
+  /** Whether there is no room for so many bytes. */
+  exceeds(heldBytes: number): boolean {
+    return heldBytes > this.#mostBytes;
+  }
+
+  /** Bytes that may wait for one caller before its runner has to wait as well. */
+  readAheadBytes(heldBytes: number): number {
+    return Math.max(MIN_AHEAD_BYTES, (this.#mostBytes * AHEAD_PART - heldBytes) * CALLER_PART);
+  }
+
+  /** The callers that are cut now. */
+  cuts<Caller extends WaitingCaller>(callers: readonly Caller[], heldBytes: number): Caller[] {
+    const stalled = callers.filter(({ idleMs }) => idleMs >= STALLED_MS);
+    const cut = stalled.filter(({ holdsRunner }) => holdsRunner);
+    let left = cut.reduce((bytes, caller) => bytes - caller.heldBytes, heldBytes);
+    if (left <= this.#mostBytes * SHORT_PART) return cut;
+    const others = stalled.filter(({ holdsRunner }) => !holdsRunner);
+    for (const caller of others.sort((left, right) => right.idleMs - left.idleMs)) {
+      if (left <= this.#mostBytes * RELIEVED_PART) break;
+      cut.push(caller);
+      left -= caller.heldBytes;
+    }
+    return cut;
+  }
+}
--- a/standins/platform/runner-standin.ts
+++ b/standins/platform/runner-standin.ts
@@ -44,6 +44,8 @@
 }
 
 const MISDIRECTED = 421;
+/** With it a test asks for so many bytes more in each event. */
+const FILLING_HEADER = "x-test-filling-bytes";
 
 /** See the module's comment. */
 export class RunnerStandin {
@@ -55,6 +57,8 @@
   events = 4;
   /** Time between events, and before a plain answer, in ms. */
   stepMs = 1;
+  /** How long a stream may stay unread until it is reset, in ms. */
+  unreadMs = 5_000;
   readonly ran: RanRequest[] = [];
   readonly #server: Server;
 
@@ -139,21 +143,35 @@
   ): Promise<void> {
     response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
     const first = (ran.lastEventId ?? 0) + 1;
+    const filling = "x".repeat(Number(ran.headers[FILLING_HEADER] ?? 0));
     for (let event = first; event <= this.events; event += 1) {
       await pause(this.stepMs);
       if (response.destroyed) return;
-      const text = `id: ${event}\ndata: ${RunnerStandin.eventData(ran.id, event)}\n\n`;
+      const text = `id: ${event}\ndata: ${RunnerStandin.eventData(ran.id, event)}${filling}\n\n`;
       if (fault === "breakStream" && event > this.events / 2) {
         response.write(text.slice(0, text.length / 2));
         await pause(this.stepMs);
         response.socket?.resetAndDestroy();
         return;
       }
-      response.write(text);
+      if (!response.write(text) && !(await this.#drained(response))) return;
     }
     response.end();
   }
 
+  /** Waits until the answer is read on; false when it was not in time, or its connection has ended. */
+  #drained(response: ServerResponse): Promise<boolean> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => response.socket?.resetAndDestroy(), this.unreadMs);
+      const settle = () => {
+        clearTimeout(timer);
+        response.off("drain", settle).off("close", settle);
+        resolve(!response.destroyed);
+      };
+      response.on("drain", settle).on("close", settle);
+    });
+  }
+
   #answerPlain(
     text: string,
     headers: Record<string, string>,
--- /dev/null
+++ b/test/contract/caller-exchange.test.ts
@@ -0,0 +1,124 @@
+/** What waits for a caller that reads late: over a connection of which the test takes what it likes. */
+import { createServer, type Server } from "node:http";
+import { Duplex } from "node:stream";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { expect } from "earl";
+import { BufferPool } from "../../src/gateway/buffers/buffer-pool.ts";
+import { CallerBuffers } from "../../src/gateway/buffers/caller-buffers.ts";
+import { CallerExchange } from "../../src/gateway/ingress/caller-exchange.ts";
+import { gatewayContext } from "./support/gateway-parts.ts";
+
+const MOST_BYTES = 1_000_000;
+/** More than is read ahead for one caller. */
+const CHUNK = Buffer.alloc(100_000, "x");
+
+/** A connection whose other side takes a write only when the test says so. */
+class LateConnection extends Duplex {
+  taken = "";
+  #take: (() => void) | undefined;
+
+  override _read(): void {}
+
+  override _write(chunk: Buffer, _encoding: string, done: () => void): void {
+    this.#take = () => {
+      this.taken += chunk.toString("latin1");
+      done();
+    };
+  }
+
+  /** Takes what was written, as often as there is something. */
+  async takeAll(): Promise<void> {
+    for (;;) {
+      await new Promise((resolve) => setImmediate(resolve));
+      const take = this.#take;
+      if (!take) return;
+      this.#take = undefined;
+      take();
+    }
+  }
+}
+
+describe("an answer whose caller reads late", () => {
+  let server: Server;
+  let pool: BufferPool;
+  let buffers: CallerBuffers;
+  let connection: LateConnection;
+  let exchange: CallerExchange;
+
+  beforeEach(async () => {
+    const context = await gatewayContext("gateway", "127.0.0.1:1");
+    const settings = { ...context.settings, buffers: { mostBytes: MOST_BYTES, memoryMb: 1 } };
+    pool = new BufferPool({ ...context, settings });
+    buffers = new CallerBuffers(pool);
+    connection = new LateConnection();
+    server = createServer();
+    exchange = await new Promise((resolve) => {
+      server.on("request", (request, response) => {
+        const head = { host: "h", path: "/", headers: {}, bodyBytes: 0, arrivedAtMs: 0 };
+        resolve(new CallerExchange(request, response, Buffer.alloc(0), head, buffers, () => false));
+      });
+      server.emit("connection", connection);
+      connection.push("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    });
+  });
+
+  afterEach(() => {
+    connection.destroy();
+    server.close();
+  });
+
+  it("comes whole, in order, also when its end came long before", async () => {
+    exchange.start(200, []);
+    for (const letter of ["x", "y", "z"]) exchange.write(Buffer.alloc(100_000, letter));
+    exchange.end();
+    expect(pool.heldFor("answers") >= 300_000).toEqual(true);
+    await connection.takeAll();
+    const letters = connection.taken.slice(connection.taken.indexOf("\r\n\r\n")).replaceAll(/[^xyz]/g, "");
+    const expected = "x".repeat(100_000) + "y".repeat(100_000) + "z".repeat(100_000);
+    expect(letters === expected).toEqual(true);
+    expect(connection.taken.endsWith("0\r\n\r\n")).toEqual(true);
+    expect([exchange.gone, pool.heldBytes]).toEqual([false, 0]);
+  });
+
+  it("comes whole in one piece as well", async () => {
+    exchange.answer(200, [], CHUNK);
+    await connection.takeAll();
+    expect(connection.taken.endsWith(`\r\n\r\n${CHUNK.toString("latin1")}`)).toEqual(true);
+    expect(pool.heldBytes).toEqual(0);
+  });
+
+  it("is full until the caller has taken enough", async () => {
+    let room = 0;
+    exchange.onRoom(() => {
+      room += 1;
+    });
+    exchange.start(200, []);
+    exchange.write(CHUNK);
+    expect([exchange.isFull, room]).toEqual([true, 0]);
+    await connection.takeAll();
+    expect([exchange.isFull, room > 0]).toEqual([false, true]);
+  });
+
+  it("counts as idle only while nothing is taken, and is dropped when it is cut", async () => {
+    let isGone = false;
+    exchange.onGone(() => {
+      isGone = true;
+    });
+    exchange.start(200, []);
+    exchange.write(CHUNK);
+    buffers.look(250);
+    buffers.look(250);
+    expect(buffers.idleMs >= 250).toEqual(true);
+    exchange.write(CHUNK);
+    buffers.look(250);
+    expect(buffers.idleMs >= 500).toEqual(true);
+    const taking = connection.takeAll();
+    await new Promise((resolve) => setImmediate(resolve));
+    await new Promise((resolve) => setImmediate(resolve));
+    buffers.look(250);
+    expect(buffers.idleMs).toEqual(0);
+    buffers.cut();
+    await taking;
+    expect([isGone, exchange.wasCut, pool.heldBytes]).toEqual([true, true, 0]);
+  });
+});
--- a/test/contract/platform-settings.test.ts
+++ b/test/contract/platform-settings.test.ts
@@ -64,6 +64,17 @@
     }
   });
 
+  it("takes the memory of a process from the platform, where it says it", () => {
+    for (const [given, expected] of [
+      ["178", 178],
+      [undefined, 256],
+    ] as const) {
+      const filled = fill({ ...VALUES, "limits.memory-mb": given });
+      const [parsed] = parseYaml(filled, "settings", gatewaySettingsSchema, "invalid-settings");
+      expect(parsed?.value.buffers.memoryMb).toEqual(expected);
+    }
+  });
+
   it("takes the time that leaving runners serve on from the platform, where it says one", () => {
     for (const [given, expected] of [
       ["4000", 4_000],
--- a/test/process/support/child-process.ts
+++ b/test/process/support/child-process.ts
@@ -1,6 +1,9 @@
 import { type ChildProcess, spawn } from "node:child_process";
+import { readFile } from "node:fs/promises";
 import { createInterface } from "node:readline";
 
+const BYTES_PER_KILOBYTE = 1_024;
+
 /** A process of ours that a test started, and will end. */
 export class StartedProcess {
   readonly #child: ChildProcess;
@@ -43,6 +46,12 @@
     this.#child.stdout?.pause();
   }
 
+  /** The resident memory of the process that it shares with no other, in bytes. */
+  async memoryBytes(): Promise<number> {
+    const status = await readFile(`/proc/${this.#child.pid}/status`, "utf8");
+    return Number(/RssAnon:\s+(\d+)/.exec(status)?.[1]) * BYTES_PER_KILOBYTE;
+  }
+
   /** What was collected of standard output, and what the process wrote to standard error. */
   get written(): string {
     return this.#written.join("") + this.log;
--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -113,8 +113,8 @@
     return {};
   }
 
-  /** Settings of gateways that concern tenants; none unless a cluster says otherwise. */
-  protected get tenancySettings(): object {
+  /** Settings of gateways beside the usual ones; none unless a cluster says otherwise. */
+  protected get moreSettings(): object {
     return {};
   }
 
@@ -204,7 +204,7 @@
       seeds: this.gateways.slice(0, 3).map((gateway) => gateway.addresses.peers),
       store: await this.reach(this.#storeAddress, { side: "store", name }),
       partitions: PARTITIONS,
-      ...this.tenancySettings,
+      ...this.moreSettings,
     };
     const settingsFile = join(this.#folder, `${name}.yaml`);
     await writeFile(settingsFile, JSON.stringify(settings));
--- a/test/soak/soak-cluster.ts
+++ b/test/soak/soak-cluster.ts
@@ -75,7 +75,7 @@
     await super.stop();
   }
 
-  protected override get tenancySettings(): object {
+  protected override get moreSettings(): object {
     return { keys: { revokeMs: REVOKE_MS }, requestLimits: TOLERANCE };
   }
 
