--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -2,6 +2,7 @@
 import { delay } from "../runtime/clock.ts";
 import { RpcEndpoint } from "../runtime/rpc.ts";
 import type { TcpTransport } from "../runtime/tcp-transport.ts";
+import type { Sender } from "../runtime/transport.ts";
 import type { BufferReason } from "../scheduling/buffers/buffer-reason.ts";
 import { RunnerBoard } from "../scheduling/runner-board/runner-board.ts";
 import { BufferPool } from "./buffers/buffer-pool.ts";
@@ -47,6 +48,8 @@
   readonly #callLog: CallLog;
   readonly #health: StoreHealth;
   readonly #store: RelayedRowStore;
+  /** Types of messages that could not be taken in. */
+  readonly #passedOver = new Set<string>();
   #announcedReady = false;
   #stopping: Promise<void> | undefined;
 
@@ -179,18 +182,38 @@
       this.#rpc.abandon(address);
       this.#members.onDisconnected(address, reason);
     });
-    this.#transport.onMessage((message, from) => {
-      switch (message.type) {
-        case "heartbeat":
-          return this.#members.onHeartbeat(message, from);
-        case "memberDigest":
-          return this.#members.onDigest(message, from);
-        case "rpcRequest":
-          return void this.#rpc.onRequest(message, from);
-        case "rpcResponse":
-          return this.#rpc.onResponse(message);
-      }
-    });
+    this.#transport.onMessage((message, from) => this.#onMessage(message, from));
+  }
+
+  /** Other builds run beside this one: what they say and this one can't take in is passed over. */
+  #onMessage(message: GatewayMessage, from: Sender): void {
+    try {
+      this.#dispatch(message, from);
+    } catch (error) {
+      this.#notePassedOver(message.type, from, (error as Error).message);
+    }
+  }
+
+  #dispatch(message: GatewayMessage, from: Sender): void {
+    switch (message.type) {
+      case "heartbeat":
+        return this.#members.onHeartbeat(message, from);
+      case "memberDigest":
+        return this.#members.onDigest(message, from);
+      case "rpcRequest":
+        return void this.#rpc.onRequest(message, from);
+      case "rpcResponse":
+        return this.#rpc.onResponse(message);
+      default:
+        return this.#notePassedOver(message.type, from, "unknown type");
+    }
+  }
+
+  /** A line for the first message of a type. */
+  #notePassedOver(type: string, { instance }: Sender, reason: string): void {
+    if (this.#passedOver.has(type)) return;
+    this.#passedOver.add(type);
+    this.#context.log.warn({ type, from: instance, reason }, "message passed over");
   }
 
   async #stop(): Promise<void> {
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -27,6 +27,8 @@
 import { loadSourceOf } from "./load-source.ts";
 import type { Member } from "./member.ts";
 import { MemberView } from "./member-view.ts";
+import { knowsPart, type ProtocolPart } from "./protocol-part.ts";
+import { PROTOCOL_VERSION } from "./protocol-version.ts";
 import { sameStatus } from "./same-status.ts";
 
 /** Heartbeats to addresses where nobody is alive are sent only every so many times. */
@@ -148,6 +150,12 @@
     this.#repeatRelayed();
   }
 
+  /** Whether the gateway at an address, if it is known, may be asked for a part of the protocol. */
+  knows(address: string, part: ProtocolPart): boolean {
+    const member = this.#view.at(address);
+    return member !== undefined && knowsPart(member.status, part);
+  }
+
   /** Handles a heartbeat. */
   onHeartbeat(heartbeat: Heartbeat, from: Sender): void {
     const { address, instance } = from;
@@ -353,7 +361,8 @@
     const last = this.#lastStatus;
     if (last && sameStatus(last, changing)) return last;
     const revision = (last?.revision ?? 0) + 1;
-    this.#lastStatus = { revision, name, zone, callerAddress: listen.callers, ...changing };
+    const fixed = { name, zone, callerAddress: listen.callers, protocol: PROTOCOL_VERSION };
+    this.#lastStatus = { revision, ...fixed, ...changing };
     return this.#lastStatus;
   }
 
@@ -365,17 +374,9 @@
   }
 }
 
-function statusOf({
-  revision,
-  name,
-  zone,
-  callerAddress,
-  state,
-  storeReachable,
-  storeDirect,
-  owned,
-}: Heartbeat): MemberStatus {
-  return { revision, name, zone, callerAddress, state, storeReachable, storeDirect, owned };
+/** Fields of newer builds are kept, so that relays of this build pass them on. */
+function statusOf({ type, runners, peers, missedDigest, ...status }: Heartbeat): MemberStatus {
+  return status;
 }
 
 function isEligible(status: Pick<MemberStatus, "state" | "storeReachable">): boolean {
--- a/src/gateway/members/member-view.ts
+++ b/src/gateway/members/member-view.ts
@@ -197,11 +197,13 @@
     return best?.untilMs ?? Number.NEGATIVE_INFINITY;
   }
 
-  #remember(address: string, instance: string, status: MemberStatus): Member {
+  #remember(address: string, instance: string, told: MemberStatus): Member {
     const earlier = this.#members.get(address);
     const isNew = earlier?.instance !== instance;
     if (earlier && isNew) this.#lose(earlier);
-    const unchanged = earlier && !isNew && earlier.status.revision >= status.revision;
+    const status = earlier && !isNew ? withProtocol(told, earlier.status) : told;
+    const isNewer = !earlier || isNew || earlier.status.revision < status.revision;
+    const unchanged = !isNewer && earlier.status.protocol === status.protocol;
     const hash = earlier && !isNew ? earlier.hash : this.#context.hash.hash32(status.name);
     const heardSinceMs = earlier && !isNew ? earlier.heardSinceMs : this.#nowMs;
     const member = unchanged ? earlier : { address, instance, heardSinceMs, hash, status };
@@ -240,3 +242,10 @@
     this.#lost.delete(instance);
   }
 }
+
+/** A relay of an earlier build drops the version; it is the same for the life of an incarnation. */
+function withProtocol(status: MemberStatus, earlier: MemberStatus): MemberStatus {
+  const newest = status.revision < earlier.revision ? earlier : status;
+  const protocol = status.protocol ?? earlier.protocol;
+  return protocol === newest.protocol || protocol === undefined ? newest : { ...newest, protocol };
+}
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -19,7 +19,7 @@
   platformOf: (settings: GatewaySettings) => GatewayPlatform,
 ): Promise<void> {
   try {
-    const settings = await loadSettings(settingsFile, [], gatewaySettingsSchema);
+    const settings = await settingsOf(settingsFile);
     const gateway = await startGateway(settings, platformOf(settings));
     process.on("SIGTERM", () => void gateway.stop().then(() => process.exit(0)));
     process.on("SIGHUP", () => void reload(gateway, settingsFile));
@@ -33,8 +33,17 @@
 
 async function reload(gateway: GatewayDaemon, settingsFile: string | undefined): Promise<void> {
   try {
-    gateway.reload(await loadSettings(settingsFile, [], gatewaySettingsSchema));
+    gateway.reload(await settingsOf(settingsFile));
   } catch (error) {
     gateway.noteUnexpected(error);
   }
 }
+
+/** A file that was laid out for a newer build may have keys that this one does not know: it goes on without them. */
+function settingsOf(settingsFile: string | undefined): Promise<GatewaySettings> {
+  return loadSettings(settingsFile, [], gatewaySettingsSchema, (keys) => {
+    process.stderr.write(
+      `${settingsFile}: keys that this build does not know are passed over: ${keys.join(", ")}\n`,
+    );
+  });
+}
--- a/src/settings/load-settings.ts
+++ b/src/settings/load-settings.ts
@@ -1,5 +1,5 @@
 import { readFile } from "node:fs/promises";
-import { parse, stringify } from "yaml";
+import { type Document, parse, parseAllDocuments, stringify } from "yaml";
 import type { z } from "zod";
 import { configurationError } from "../errors/tulipwheel-error.ts";
 import { parseYaml } from "./parse-yaml.ts";
@@ -10,15 +10,23 @@
   readonly text: string;
 }
 
-/** Reads a settings file, lays the flags over it, and checks the whole. */
+/**
+ * Reads a settings file, lays the flags over it, and checks the whole.
+ *
+ * @param onUnknown told of keys that are passed over because the schema does not have them; without it they are errors
+ */
 export async function loadSettings<Schema extends z.ZodType>(
   file: string | undefined,
   overrides: readonly SettingOverride[],
   schema: Schema,
+  onUnknown?: (keys: readonly string[]) => void,
 ): Promise<z.infer<Schema>> {
   const text = file === undefined ? "" : await readSettingsFile(file);
   const merged = overrides.length === 0 ? text : applyOverrides(text, overrides);
-  return fromJson(merged, schema) ?? parseYaml(merged, file ?? "flags", schema, "invalid-settings")[0].value;
+  const valid = fromJson(merged, schema);
+  if (valid) return valid;
+  const known = onUnknown ? withoutUnknownKeys(merged, schema, onUnknown) : merged;
+  return parseYaml(known, file ?? "flags", schema, "invalid-settings")[0].value;
 }
 
 /**
@@ -69,3 +77,20 @@
   settings[key] = next;
   setAt(next, rest, value);
 }
+
+/** The settings as text without the keys that the schema does not have. */
+function withoutUnknownKeys(
+  text: string,
+  schema: z.ZodType,
+  onUnknown: (keys: readonly string[]) => void,
+): string {
+  const [document] = parseAllDocuments(text, { prettyErrors: false }) as Document.Parsed[];
+  if (!document || document.errors.length > 0) return text;
+  const unknown = (schema.safeParse(document.toJS()).error?.issues ?? []).flatMap((issue) =>
+    issue.code === "unrecognized_keys" ? issue.keys.map((key) => [...issue.path, key]) : [],
+  );
+  if (unknown.length === 0) return text;
+  for (const path of unknown) document.deleteIn(path);
+  onUnknown(unknown.map((path) => path.join(".")));
+  return document.toString();
+}
--- a/test/contract/settings.test.ts
+++ b/test/contract/settings.test.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { describe, it } from "node:test";
 import { expect } from "earl";
+import { stringify } from "yaml";
 import { ERROR_KINDS } from "../../src/errors/error-kinds.ts";
 import { problemOf } from "../../src/errors/tulipwheel-error.ts";
 import { loadSettings, parseOverride } from "../../src/settings/load-settings.ts";
@@ -110,6 +111,26 @@
     await rm(folder, { recursive: true });
   });
 
+  it("go on without keys of newer builds where the reader says so, and only without those", async () => {
+    const folder = await mkdtemp(join(tmpdir(), "tulipwheel-settings-"));
+    const node = await loadSettings(undefined, [...NODE, ...PLATFORM].map(parseOverride), nodeSettingsSchema);
+    const newer = { ...node, colour: 1, cluster: { ...node.cluster, shade: 2 } };
+    for (const [name, text] of [
+      ["settings.json", JSON.stringify(newer)],
+      ["settings.yaml", stringify(newer)],
+    ] as const) {
+      const file = join(folder, name);
+      const unknown: string[] = [];
+      const read = () => loadSettings(file, [], nodeSettingsSchema, (keys) => unknown.push(...keys));
+      await writeFile(file, text);
+      expect(await read()).toEqual(node);
+      expect(unknown.sort()).toEqual(["cluster.shade", "colour"]);
+      await writeFile(file, text.replace("platform", "platforms"));
+      await expect(read()).toBeRejectedWith(/platform/);
+    }
+    await rm(folder, { recursive: true });
+  });
+
   it("say which file cannot be read", async () => {
     await expect(loadSettings("none.yaml", [], nodeSettingsSchema)).toBeRejectedWith(
       /none\.yaml: cannot be read/,
--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -61,6 +61,8 @@
     metrics: string;
   };
   readonly settingsFile: string;
+  /** The program that its process runs from its next start on. */
+  script: string;
   process: StartedProcess;
 }
 
@@ -118,6 +120,11 @@
     return {};
   }
 
+  /** The program that gateways run when they are added. */
+  protected get firstScript(): string {
+    return ENTRY;
+  }
+
   async #startAll(gateways: number, engines: number, services: number): Promise<void> {
     this.#storeAddress = await this.store.listen();
     this.#folder = await mkdtemp(join(tmpdir(), "tulipwheel-"));
@@ -208,7 +215,9 @@
     };
     const settingsFile = join(this.#folder, `${name}.yaml`);
     await writeFile(settingsFile, JSON.stringify(settings));
-    const gateway: TestGateway = { name, addresses, settingsFile, process: startProcess(settingsFile) };
+    const script = this.firstScript;
+    const process = startProcess(script, settingsFile);
+    const gateway: TestGateway = { name, addresses, settingsFile, script, process };
     this.gateways.push(gateway);
     return gateway;
   }
@@ -217,7 +226,7 @@
   restart(gateway: TestGateway): void {
     const { name } = gateway;
     this.#earlierLogs.set(name, `${this.#earlierLogs.get(name) ?? ""}${gateway.process.written}`);
-    gateway.process = startProcess(gateway.settingsFile);
+    gateway.process = startProcess(gateway.script, gateway.settingsFile);
   }
 
   /** Kills all gateways; resolves once their processes have ended. */
@@ -306,6 +315,6 @@
   return { name, "api-keys": keys, priority: 0, "rate-per-s": rate, burst };
 }
 
-function startProcess(settingsFile: string): StartedProcess {
-  return new StartedProcess(ENTRY, [], { TULIPWHEEL_NODE_FILE: settingsFile }).collectOutput();
+function startProcess(script: string, settingsFile: string): StartedProcess {
+  return new StartedProcess(script, [], { TULIPWHEEL_NODE_FILE: settingsFile }).collectOutput();
 }
