--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -45,6 +45,7 @@
   }
 
   protected override begin(): void {
+    this.exchange.onRoom(() => this.#holdRunner(false));
     // The answer is kept whole, and what an earlier try has handed to the caller is not known here.
     if (this.route.retainsTurns && this.#lastEventId !== undefined) {
       return this.refuse("cannot-resume", "Send the turn again from its start.");
@@ -84,6 +85,7 @@
   }
 
   protected override onOver(): void {
+    this.#holdRunner(false);
     if (this.#admitted) void this.#partitions.end(this.#endRequest());
   }
 
@@ -155,7 +157,7 @@
   #onAdmission(answer: AdmitTurnResponse): void {
     switch (answer.type) {
       case "granted":
-        this.#history = answer.history;
+        this.#takeHistory(answer.history);
         this.#preferred = answer.runner;
         return this.next();
       case "exhausted":
@@ -171,6 +173,13 @@
     }
   }
 
+  /** Takes what was said before; it is held twice, as it came and joined with the caller's input. */
+  #takeHistory(history: readonly Uint8Array[]): void {
+    this.#history = history;
+    const bytes = history.reduce((sum, { length }) => sum + length, 0);
+    this.exchange.buffers.add("bodies", 2 * bytes);
+  }
+
   /** A stream goes on where it ran, as long as that runner is there: another one would be one more that runs it. */
   #sameRunner(): RunnerEntry | undefined {
     const last = this.#lastRunner;
@@ -202,6 +211,7 @@
       onData: (chunk) => {
         if (failed()) failedBody.push(chunk);
         else for (const event of this.#splitter.push(chunk)) this.#forward(event, head);
+        if (this.exchange.isFull) this.#holdRunner(true);
       },
       onEnd: () => {
         if (failed()) this.#answerFailure(runner, head, Buffer.concat(failedBody));
@@ -218,7 +228,19 @@
     this.exchange.write(event.bytes);
     this.#events += 1;
     if (event.id !== undefined) this.#lastEventId = event.id;
-    if (this.route.retainsTurns) this.#output.push(event.data, "\n");
+    if (!this.route.retainsTurns) return;
+    this.#output.push(event.data, "\n");
+    this.exchange.buffers.add("outputs", event.data.length);
+  }
+
+  /** Has the runner wait while its caller takes too little, or go on. */
+  #holdRunner(waits: boolean): void {
+    const { buffers } = this.exchange;
+    if (buffers.holdsRunner === waits) return;
+    buffers.holdsRunner = waits;
+    this.parts.buffers.noteRunner(waits);
+    if (waits) this.attempt?.pause();
+    else this.attempt?.resume();
   }
 
   #start(head: HttpAnswerHead | undefined): void {
@@ -298,6 +320,7 @@
 
   #onFailed(runner: RunnerEntry, failure: AttemptFailure): void {
     this.attempt = undefined;
+    this.#holdRunner(false);
     this.noteFailure(runner, failure);
     if (failure.type === "broken") {
       this.#lastRunner = runner.id;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -2,10 +2,13 @@
 import { delay } from "../runtime/clock.ts";
 import { RpcEndpoint } from "../runtime/rpc.ts";
 import type { TcpTransport } from "../runtime/tcp-transport.ts";
+import type { Sender } from "../runtime/transport.ts";
+import type { BufferReason } from "../scheduling/buffers/buffer-reason.ts";
 import { FULL_HEADROOM } from "../scheduling/caller-spread/headroom.ts";
 import { CostByLoad } from "../scheduling/runner-board/cost-by-load.ts";
 import { CostByTime } from "../scheduling/runner-board/cost-by-time.ts";
 import { RunnerBoard } from "../scheduling/runner-board/runner-board.ts";
+import { BufferPool } from "./buffers/buffer-pool.ts";
 import { CallService } from "./calls/call-service.ts";
 import { RoutingWatch } from "./configuration/routing-watch.ts";
 import type { GatewayContext } from "./gateway-context.ts";
@@ -51,6 +54,7 @@
   readonly #runners: RunnerWatch;
   readonly #board: RunnerBoard;
   readonly #connections: RunnerConnections;
+  readonly #buffers: BufferPool;
   readonly #ingress: IngressServer;
   /** Undefined where callers are told of all gateways alike. */
   readonly #headroom: HeadroomWatch | undefined;
@@ -58,6 +62,8 @@
   readonly #callLog: CallLog;
   readonly #health: StoreHealth;
   readonly #store: RelayedRowStore;
+  /** Types of messages that could not be taken in. */
+  readonly #passedOver = new Set<string>();
   #announcedReady = false;
   #stopping: Promise<void> | undefined;
 
@@ -84,7 +90,8 @@
       gateways: () => this.#members.aliveCount + 1,
       maxConnections: (pool) => this.#routing.routes?.pool(pool)?.maxConnections,
     });
-    this.#ingress = new IngressServer(context);
+    this.#buffers = new BufferPool(context);
+    this.#ingress = new IngressServer(context, this.#buffers);
     const { byHeadroom } = context.settings.balance;
     if (byHeadroom) this.#headroom = new HeadroomWatch(context, () => this.#ingress.active);
     this.#entry = new EntryServer(context, this.#members, () => this.state === "ready");
@@ -108,6 +115,7 @@
       connections: this.#connections,
       callLog: this.#callLog,
       places: this.#places,
+      buffers: this.#buffers,
     };
     const rates = new RateClient(context, this.#members, this.#partitions, this.#rpc);
     const routes = () => (this.#canServe ? this.#routing.routes : undefined);
@@ -189,6 +197,7 @@
       requestsInProgress: () => this.#ingress.active,
       runnerConnections: () => this.#connections.count,
       headroom: () => this.#headroom?.headroom ?? FULL_HEADROOM,
+      heldBytes: (reason: BufferReason) => this.#buffers.heldFor(reason),
       linesLeftOut: () => this.#callLog.leftOutTotal,
       configurationVersion: () => this.#routing.routes?.configuration.version ?? 0,
       storeReachable: () => this.#health.reachable,
@@ -218,22 +227,42 @@
       this.#rpc.abandon(address);
       this.#members.onDisconnected(address, reason);
     });
-    this.#transport.onMessage((message, from) => {
-      switch (message.type) {
-        case "heartbeat":
-          return this.#members.onHeartbeat(message, from);
-        case "memberDigest":
-          return this.#members.onDigest(message, from);
-        case "placeSettled":
-          return this.#places.onSettled(message, from);
-        case "returnPlaces":
-          return this.#placeHost.onReturned(message);
-        case "rpcRequest":
-          return void this.#rpc.onRequest(message, from);
-        case "rpcResponse":
-          return this.#rpc.onResponse(message);
-      }
-    });
+    this.#transport.onMessage((message, from) => this.#onMessage(message, from));
+  }
+
+  /** Other builds run beside this one: what they say and this one can't take in is passed over. */
+  #onMessage(message: GatewayMessage, from: Sender): void {
+    try {
+      this.#dispatch(message, from);
+    } catch (error) {
+      this.#notePassedOver(message.type, from, (error as Error).message);
+    }
+  }
+
+  #dispatch(message: GatewayMessage, from: Sender): void {
+    switch (message.type) {
+      case "heartbeat":
+        return this.#members.onHeartbeat(message, from);
+      case "memberDigest":
+        return this.#members.onDigest(message, from);
+      case "placeSettled":
+        return this.#places.onSettled(message, from);
+      case "returnPlaces":
+        return this.#placeHost.onReturned(message);
+      case "rpcRequest":
+        return void this.#rpc.onRequest(message, from);
+      case "rpcResponse":
+        return this.#rpc.onResponse(message);
+      default:
+        return this.#notePassedOver((message as GatewayMessage).type, from, "unknown type");
+    }
+  }
+
+  /** A line for the first message of a type. */
+  #notePassedOver(type: string, { instance }: Sender, reason: string): void {
+    if (this.#passedOver.has(type)) return;
+    this.#passedOver.add(type);
+    this.#context.log.warn({ type, from: instance, reason }, "message passed over");
   }
 
   async #stop(): Promise<void> {
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -18,7 +18,6 @@
   MemberDigest,
   MemberStatus,
 } from "../gateway-messages.ts";
-import { PLACES_PROTOCOL, PROTOCOL } from "../protocol.ts";
 import type { StoreRelay } from "../store/relayed-row-store.ts";
 import type { StoreHealth } from "../store-health.ts";
 import { CallerDirectory, type NamedGateway } from "./caller-directory.ts";
@@ -31,6 +30,8 @@
 import { loadSourceOf } from "./load-source.ts";
 import type { Member } from "./member.ts";
 import { MemberView } from "./member-view.ts";
+import { knowsPart, type ProtocolPart } from "./protocol-part.ts";
+import { PROTOCOL_VERSION } from "./protocol-version.ts";
 import { sameStatus } from "./same-status.ts";
 
 /** Heartbeats to addresses where nobody is alive are sent only every so many times. */
@@ -156,6 +157,12 @@
     this.#repeatRelayed();
   }
 
+  /** Whether the gateway at an address, if it is known, may be asked for a part of the protocol. */
+  knows(address: string, part: ProtocolPart): boolean {
+    const member = this.#view.at(address);
+    return member !== undefined && knowsPart(member.status, part);
+  }
+
   /** Handles a heartbeat. */
   onHeartbeat(heartbeat: Heartbeat, from: Sender): void {
     const { address, instance } = from;
@@ -290,7 +297,7 @@
   dispatcherCandidates(): DispatcherCandidate[] {
     const candidates = this.#view
       .alive()
-      .filter(({ status }) => status.state === "ready" && (status.protocol ?? 0) >= PLACES_PROTOCOL)
+      .filter(({ status }) => status.state === "ready" && knowsPart(status, "places"))
       .map(({ status, hash, instance, address }) => ({ name: status.name, hash, instance, address }));
     if (this.selfReport().state === "ready") candidates.push(this.#ownCandidate);
     return candidates;
@@ -387,15 +394,9 @@
     const last = this.#lastStatus;
     if (last && sameStatus(last, changing) && last.headroom === headroom) return last;
     const revision = (last?.revision ?? 0) + 1;
-    this.#lastStatus = {
-      revision,
-      name,
-      zone,
-      callerAddress: listen.callers,
-      protocol: PROTOCOL,
-      ...changing,
-      ...(headroom === undefined ? {} : { headroom }),
-    };
+    const fixed = { name, zone, callerAddress: listen.callers, protocol: PROTOCOL_VERSION };
+    const told = headroom === undefined ? {} : { headroom };
+    this.#lastStatus = { revision, ...fixed, ...changing, ...told };
     return this.#lastStatus;
   }
 
@@ -407,30 +408,9 @@
   }
 }
 
-function statusOf({
-  revision,
-  name,
-  zone,
-  callerAddress,
-  state,
-  storeReachable,
-  storeDirect,
-  owned,
-  protocol,
-  headroom,
-}: Heartbeat): MemberStatus {
-  return {
-    revision,
-    name,
-    zone,
-    callerAddress,
-    state,
-    storeReachable,
-    storeDirect,
-    owned,
-    ...(protocol === undefined ? {} : { protocol }),
-    ...(headroom === undefined ? {} : { headroom }),
-  };
+/** Fields of newer builds are kept, so that relays of this build pass them on. */
+function statusOf({ type, runners, peers, missedDigest, ...status }: Heartbeat): MemberStatus {
+  return status;
 }
 
 function isEligible(status: Pick<MemberStatus, "state" | "storeReachable">): boolean {
--- a/src/gateway/telemetry/gateway-gauges.ts
+++ b/src/gateway/telemetry/gateway-gauges.ts
@@ -1,3 +1,5 @@
+import type { BufferReason } from "../../scheduling/buffers/buffer-reason.ts";
+
 /** Numbers of the whole process, read when the metrics are. */
 export interface GatewayGauges {
   readonly members: () => number;
@@ -5,6 +7,7 @@
   readonly requestsInProgress: () => number;
   readonly runnerConnections: () => number;
   readonly headroom: () => number;
+  readonly heldBytes: (reason: BufferReason) => number;
   readonly linesLeftOut: () => number;
   readonly configurationVersion: () => number;
   readonly storeReachable: () => boolean;
--- a/src/gateway/telemetry/gateway-metrics.ts
+++ b/src/gateway/telemetry/gateway-metrics.ts
@@ -27,6 +27,8 @@
   abstract placed(pool: string, place: PlaceRecord): void;
   /** What this gateway hands out of a group of a pool's runners, as of now. */
   abstract dispatched(pool: string, group: number, places: DispatchedPlaces): void;
+  /** The connection of a caller that took nothing was ended. */
+  abstract readerCut(reason: "memoryShort" | "runnerWaits"): void;
   /** Serves what was counted; returns the address. */
   abstract serve(gauges: GatewayGauges, isReady: () => boolean): Promise<void>;
   /** Serves no more. */
--- a/src/gateway/telemetry/no-metrics.ts
+++ b/src/gateway/telemetry/no-metrics.ts
@@ -13,6 +13,7 @@
   override rowUnreadable(): void {}
   override placed(): void {}
   override dispatched(): void {}
+  override readerCut(): void {}
   override async serve(): Promise<void> {}
   override close(): void {}
 }
--- a/test/process/places.test.ts
+++ b/test/process/places.test.ts
@@ -24,7 +24,7 @@
     return cluster;
   }
 
-  protected override get tenancySettings(): object {
+  protected override get moreSettings(): object {
     return { places: { dispatchBelow: 1_000 } };
   }
 }
--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -61,6 +61,8 @@
     metrics: string;
   };
   readonly settingsFile: string;
+  /** The program that its process runs from its next start on. */
+  script: string;
   process: StartedProcess;
 }
 
@@ -113,11 +115,16 @@
     return {};
   }
 
-  /** Settings of gateways that concern tenants; none unless a cluster says otherwise. */
-  protected get tenancySettings(): object {
+  /** Settings of gateways beside the usual ones; none unless a cluster says otherwise. */
+  protected get moreSettings(): object {
     return {};
   }
 
+  /** The program that gateways run when they are added. */
+  protected get firstScript(): string {
+    return ENTRY;
+  }
+
   async #startAll(gateways: number, engines: number, services: number): Promise<void> {
     this.#storeAddress = await this.store.listen();
     this.#folder = await mkdtemp(join(tmpdir(), "tulipwheel-"));
@@ -210,11 +217,13 @@
       seeds: this.gateways.slice(0, 3).map((gateway) => gateway.addresses.peers),
       store: await this.reach(this.#storeAddress, { side: "store", name }),
       partitions: PARTITIONS,
-      ...this.tenancySettings,
+      ...this.moreSettings,
     };
     const settingsFile = join(this.#folder, `${name}.yaml`);
     await writeFile(settingsFile, JSON.stringify(settings));
-    const gateway: TestGateway = { name, addresses, settingsFile, process: startProcess(settingsFile) };
+    const script = this.firstScript;
+    const process = startProcess(script, settingsFile);
+    const gateway: TestGateway = { name, addresses, settingsFile, script, process };
     this.gateways.push(gateway);
     return gateway;
   }
@@ -223,7 +232,7 @@
   restart(gateway: TestGateway): void {
     const { name } = gateway;
     this.#earlierLogs.set(name, `${this.#earlierLogs.get(name) ?? ""}${gateway.process.written}`);
-    gateway.process = startProcess(gateway.settingsFile);
+    gateway.process = startProcess(gateway.script, gateway.settingsFile);
   }
 
   /** Kills all gateways; resolves once their processes have ended. */
@@ -312,6 +321,6 @@
   return { name, "api-keys": keys, priority: 0, "rate-per-s": rate, burst };
 }
 
-function startProcess(settingsFile: string): StartedProcess {
-  return new StartedProcess(ENTRY, [], { TULIPWHEEL_NODE_FILE: settingsFile }).collectOutput();
+function startProcess(script: string, settingsFile: string): StartedProcess {
+  return new StartedProcess(script, [], { TULIPWHEEL_NODE_FILE: settingsFile }).collectOutput();
 }
