--- a/bench/gateway-cost/cost-cluster.ts
+++ b/bench/gateway-cost/cost-cluster.ts
@@ -126,12 +126,13 @@
       files.push(file);
       this.gateways.push({ callers: callers as string, directory: directory as string } as CostGateway);
     }
+    // No other variable of this process: certificates that one names, for instance, are read at each start.
     for (const [index, file] of files.entries()) {
       const isProfiled = profileFolder !== undefined && index === gateways - 1;
       const profile = isProfiled ? ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`] : [];
       const child = spawn(process.execPath, [...flags, ...profile, bundle], {
         stdio: ["ignore", "ignore", "inherit"],
-        env: { ...process.env, [SETTINGS_VARIABLE]: file },
+        env: { PATH: process.env.PATH, [SETTINGS_VARIABLE]: file },
       });
       this.gateways[index] = { ...(this.gateways[index] as CostGateway), process: child };
     }
