--- a/bench/gateway-cost.ts
+++ b/bench/gateway-cost.ts
@@ -2,13 +2,14 @@
  * What a gateway's process costs among many: `npm run gateway-cost -- [--sizes 40,100] [--seconds 10] [--profile FOLDER]`.
  * Starts that many real processes of the bundle (`npm run build:gateway`) on the loopback, before stand-ins of the store
  * and of runners in this process, and reports processor time by part: a start, a second at rest, a turn, a plain call.
- * With `--profile` one gateway writes a CPU profile into a folder.
+ * With `--check BUNDLE` every other gateway runs an earlier build, and the costs of both and their ratios are said: beside
+ * each other both meet the same load of the machine. With `--profile` one gateway writes a CPU profile into a folder.
  */
 import { existsSync } from "node:fs";
 import { parseArgs } from "node:util";
 import { runtimeFlags } from "./build/runtime-flags.mjs";
 import { CostCluster } from "./gateway-cost/cost-cluster.ts";
-import { measureCosts } from "./gateway-cost/measure-costs.ts";
+import { type GatewayCosts, measureCosts } from "./gateway-cost/measure-costs.ts";
 
 const MS_PER_S = 1_000;
 const INVALID_INPUT = 2;
@@ -22,13 +23,16 @@
     turns: { type: "string", default: "2" },
     calls: { type: "string", default: "2" },
     bundle: { type: "string", default: "target/gateway.cjs" },
+    check: { type: "string" },
     profile: { type: "string" },
     flags: { type: "string" },
   },
 });
 
-if (!existsSync(values.bundle)) {
-  process.stderr.write(`${values.bundle} does not exist: run npm run build:gateway first.\n`);
+const bundles = values.check === undefined ? [values.bundle] : [values.check, values.bundle];
+for (const bundle of bundles) {
+  if (existsSync(bundle)) continue;
+  process.stderr.write(`${bundle} does not exist: run npm run build:gateway first.\n`);
   process.exit(INVALID_INPUT);
 }
 process.stdout.write("gateways  start ms  at rest ms/s  turn ms  call ms  failed  MB each\n");
@@ -37,7 +41,7 @@
     gateways,
     zones: Number(values.zones),
     runners: Number(values.runners),
-    bundle: values.bundle,
+    bundles,
     flags: values.flags?.split(" ") ?? runtimeFlags(),
     profileFolder: values.profile,
   });
@@ -47,17 +51,35 @@
       turnsPerSecond: Number(values.turns) * gateways,
       callsPerSecond: Number(values.calls) * gateways,
     });
-    const columns = [
-      String(gateways).padStart(8),
-      costs.startMs.toFixed(0).padStart(9),
-      costs.restMsPerSecond.toFixed(2).padStart(13),
-      costs.turnMs.toFixed(2).padStart(8),
-      costs.callMs.toFixed(2).padStart(8),
-      String(costs.failed).padStart(7),
-      costs.megabytes.toFixed(1).padStart(8),
-    ];
-    process.stdout.write(`${columns.join(" ")}\n`);
+    for (const cost of costs) process.stdout.write(`${line(String(gateways), cost)}\n`);
+    const [before, after] = costs;
+    if (before && after) process.stdout.write(`${line("ratio", ratiosOf(before, after))}\n`);
   } finally {
     await cluster.stop();
   }
 }
+
+function line(title: string, costs: GatewayCosts): string {
+  const columns = [
+    title.padStart(8),
+    costs.startMs.toFixed(2).padStart(9),
+    costs.restMsPerSecond.toFixed(2).padStart(13),
+    costs.turnMs.toFixed(2).padStart(8),
+    costs.callMs.toFixed(2).padStart(8),
+    String(costs.failed).padStart(7),
+    costs.megabytes.toFixed(2).padStart(8),
+  ];
+  return columns.join(" ");
+}
+
+/** Each cost of the later build as a part of the earlier one's. */
+function ratiosOf(before: GatewayCosts, after: GatewayCosts): GatewayCosts {
+  return {
+    startMs: after.startMs / before.startMs,
+    restMsPerSecond: after.restMsPerSecond / before.restMsPerSecond,
+    turnMs: after.turnMs / before.turnMs,
+    callMs: after.callMs / before.callMs,
+    failed: after.failed,
+    megabytes: after.megabytes / before.megabytes,
+  };
+}
--- a/bench/gateway-cost/cost-cluster.ts
+++ b/bench/gateway-cost/cost-cluster.ts
@@ -16,8 +16,8 @@
   readonly gateways: number;
   readonly zones: number;
   readonly runners: number;
-  /** The program that each gateway runs. */
-  readonly bundle: string;
+  /** The programs that gateways run, in turn: several are compared beside each other, under the same load. */
+  readonly bundles: readonly string[];
   /** Flags of the runtime. */
   readonly flags: readonly string[];
   /** Where one gateway writes a CPU profile; none when undefined. */
@@ -26,6 +26,7 @@
 
 /** One gateway's process. */
 export interface CostGateway {
+  readonly bundle: string;
   readonly callers: string;
   readonly directory: string;
   readonly process: ChildProcess;
@@ -69,26 +70,33 @@
     this.#timers.push(setInterval(() => this.#checkReadiness(), READINESS_MS));
   }
 
-  /** Processor time that all gateways have used so far, in ms. */
-  async processorMs(): Promise<number> {
-    const times = await Promise.all(
-      this.gateways.map(async ({ process }) => {
+  /** Processor time that gateways of a bundle have used so far, in ms; a mean. */
+  async processorMs(bundle: string): Promise<number> {
+    return mean(
+      this.#running(bundle).map(async ({ process }) => {
         const text = await readFile(`/proc/${process.pid}/schedstat`, "utf8");
         return Number(text.split(" ")[0]) / NANOSECONDS_PER_MS;
       }),
     );
-    return times.reduce((sum, time) => sum + time, 0);
   }
 
-  /** Resident memory of all gateways that is not shared with others, in MB. */
-  async megabytes(): Promise<number> {
-    const sizes = await Promise.all(
-      this.gateways.map(async ({ process }) => {
+  /** Resident memory of gateways of a bundle that is not shared with others, in MB; a mean. */
+  async megabytes(bundle: string): Promise<number> {
+    return mean(
+      this.#running(bundle).map(async ({ process }) => {
         const text = await readFile(`/proc/${process.pid}/status`, "utf8");
         return Number(/RssAnon:\s+(\d+)/.exec(text)?.[1] ?? 0) / KILOBYTES_PER_MEGABYTE;
       }),
     );
-    return sizes.reduce((sum, size) => sum + size, 0);
+  }
+
+  /** The programs that are compared. */
+  get bundles(): readonly string[] {
+    return this.#options.bundles;
+  }
+
+  #running(bundle: string): CostGateway[] {
+    return this.gateways.filter((gateway) => gateway.bundle === bundle);
   }
 
   async stop(): Promise<void> {
@@ -114,7 +122,7 @@
     const addresses = new TestAddresses();
     const seeds: string[] = [];
     const files: string[] = [];
-    const { gateways, zones, bundle, flags, profileFolder } = this.#options;
+    const { gateways, zones, bundles, flags, profileFolder } = this.#options;
     for (let index = 0; index < gateways; index += 1) {
       const name = `gateway-${index}`;
       const [callers, readiness, directory, peers] = [0, 1, 2, 3].map(() => addresses.next());
@@ -124,17 +132,23 @@
       const file = join(this.#folder, `${name}.yaml`);
       await writeFile(file, JSON.stringify(settings));
       files.push(file);
-      this.gateways.push({ callers: callers as string, directory: directory as string } as CostGateway);
+      const bundle = bundles[index % bundles.length] as string;
+      this.gateways.push({
+        bundle,
+        callers: callers as string,
+        directory: directory as string,
+      } as CostGateway);
     }
     // No other variable of this process: certificates that one names, for instance, are read at each start.
     for (const [index, file] of files.entries()) {
       const isProfiled = profileFolder !== undefined && index === gateways - 1;
       const profile = isProfiled ? ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`] : [];
-      const child = spawn(process.execPath, [...flags, ...profile, bundle], {
+      const gateway = this.gateways[index] as CostGateway;
+      const child = spawn(process.execPath, [...flags, ...profile, gateway.bundle], {
         stdio: ["ignore", "ignore", "inherit"],
         env: { PATH: process.env.PATH, [SETTINGS_VARIABLE]: file },
       });
-      this.gateways[index] = { ...(this.gateways[index] as CostGateway), process: child };
+      this.gateways[index] = { ...gateway, process: child };
     }
   }
 
@@ -173,6 +187,11 @@
   }
 }
 
+async function mean(numbers: readonly Promise<number>[]): Promise<number> {
+  const known = await Promise.all(numbers);
+  return known.reduce((sum, one) => sum + one, 0) / known.length;
+}
+
 function end(child: ChildProcess): Promise<void> {
   return new Promise((resolve) => {
     child.once("exit", () => resolve());
--- a/bench/gateway-cost/measure-costs.ts
+++ b/bench/gateway-cost/measure-costs.ts
@@ -32,47 +32,59 @@
 /** Time for the last requests of a part to end, in ms. */
 const DRAIN_MS = 500;
 
-/** See the module's comment. */
-export async function measureCosts(cluster: CostCluster, plan: CostPlan): Promise<GatewayCosts> {
+/** See the module's comment. Returns the costs of each bundle, in the order of the cluster's. */
+export async function measureCosts(cluster: CostCluster, plan: CostPlan): Promise<GatewayCosts[]> {
   await cluster.start();
   await wait(SETTLE_MS);
-  const gateways = cluster.gateways.length;
-  const startMs = (await cluster.processorMs()) / gateways;
-  const restMsPerSecond = await measureRest(cluster, plan.durationMs);
-  const load = new Load(cluster, plan.durationMs, restMsPerSecond);
-  const turnMs = await load.run(plan.turnsPerSecond, sampleTurn);
-  const callMs = await load.run(plan.callsPerSecond, sampleCall);
-  const megabytes = (await cluster.megabytes()) / gateways;
+  const starts = await processorTimes(cluster);
+  const rests = await measureRest(cluster, plan.durationMs);
+  const load = new Load(cluster, plan.durationMs, rests);
+  const turns = await load.run(plan.turnsPerSecond, sampleTurn);
+  const calls = await load.run(plan.callsPerSecond, sampleCall);
+  const sizes = await Promise.all(cluster.bundles.map((bundle) => cluster.megabytes(bundle)));
   await load.close();
-  return { startMs, restMsPerSecond, turnMs, callMs, failed: load.failed, megabytes };
+  return cluster.bundles.map((_, index) => ({
+    startMs: starts[index] as number,
+    restMsPerSecond: rests[index] as number,
+    turnMs: turns[index] as number,
+    callMs: calls[index] as number,
+    failed: load.failed,
+    megabytes: sizes[index] as number,
+  }));
 }
 
-async function measureRest(cluster: CostCluster, durationMs: number): Promise<number> {
-  const before = await cluster.processorMs();
+/** Of a gateway of each bundle so far, in ms. */
+function processorTimes(cluster: CostCluster): Promise<number[]> {
+  return Promise.all(cluster.bundles.map((bundle) => cluster.processorMs(bundle)));
+}
+
+async function measureRest(cluster: CostCluster, durationMs: number): Promise<number[]> {
+  const before = await processorTimes(cluster);
   await wait(durationMs);
-  const used = (await cluster.processorMs()) - before;
-  return (used / cluster.gateways.length / durationMs) * MS_PER_S;
+  const after = await processorTimes(cluster);
+  return after.map((time, index) => ((time - (before[index] as number)) / durationMs) * MS_PER_S);
 }
 
 /** Sends requests at a rate, to the gateways in turn. */
 class Load {
   readonly #cluster: CostCluster;
   readonly #durationMs: number;
-  readonly #restMsPerSecond: number;
+  /** Of a gateway of each bundle. */
+  readonly #restMsPerSecond: readonly number[];
   readonly #pools: Pool[];
   failed = 0;
 
-  constructor(cluster: CostCluster, durationMs: number, restMsPerSecond: number) {
+  constructor(cluster: CostCluster, durationMs: number, restMsPerSecond: readonly number[]) {
     this.#cluster = cluster;
     this.#durationMs = durationMs;
     this.#restMsPerSecond = restMsPerSecond;
     this.#pools = cluster.gateways.map(({ callers }) => new Pool(`http://${callers}`, { connections: 4 }));
   }
 
-  /** Processor time per request beyond that of gateways at rest, in ms. */
-  async run(perSecond: number, requestOf: (index: number) => SampleRequest): Promise<number> {
+  /** Processor time per request beyond that of gateways at rest, in ms, of each bundle. */
+  async run(perSecond: number, requestOf: (index: number) => SampleRequest): Promise<number[]> {
     const startedMs = performance.now();
-    const before = await this.#cluster.processorMs();
+    const before = await processorTimes(this.#cluster);
     let sent = 0;
     while (performance.now() - startedMs < this.#durationMs) {
       const due = ((performance.now() - startedMs) / MS_PER_S) * perSecond;
@@ -80,9 +92,13 @@
       await wait(5);
     }
     await wait(DRAIN_MS);
-    const used = (await this.#cluster.processorMs()) - before;
+    const after = await processorTimes(this.#cluster);
     const elapsedS = (performance.now() - startedMs) / MS_PER_S;
-    return (used - this.#restMsPerSecond * elapsedS * this.#pools.length) / sent;
+    const sentEach = sent / this.#pools.length;
+    return after.map((time, index) => {
+      const atRestMs = (this.#restMsPerSecond[index] as number) * elapsedS;
+      return (time - (before[index] as number) - atRestMs) / sentEach;
+    });
   }
 
   async close(): Promise<void> {
