Cut messages without a stream of objects behind each socket, and count requests in place of drawing them

Each message between gateways went through two streams of Node.js: the socket's and the one that cuts bytes into values. The values are now cut where the bytes come; what is not whole is kept and read again with the next bytes. Identifiers of requests are numbers that count up from a random start: 5 bytes in place of 13, no 12 draws.

--- a/src/messages/rpc-messages.ts
+++ b/src/messages/rpc-messages.ts
@@ -299,10 +299,13 @@
   readonly [Name in keyof Schema]: { request: unknown; response: unknown };
 };
 
+/** Chosen by whoever asks, and given back as it came: earlier builds send texts. */
+export type RpcId = number | string;
+
 /** A request on the wire. */
 export interface RpcRequest<Schema extends RpcSchemaShape<Schema> = RpcSchema> {
   readonly type: "rpcRequest";
-  readonly id: string;
+  readonly id: RpcId;
   readonly name: keyof Schema;
   readonly body: Schema[keyof Schema]["request"];
 }
@@ -317,6 +320,6 @@
 /** A response on the wire. */
 export interface RpcResponse<Schema extends RpcSchemaShape<Schema> = RpcSchema> {
   readonly type: "rpcResponse";
-  readonly id: string;
+  readonly id: RpcId;
   readonly result: RpcResult<Schema>;
 }
--- a/src/runtime/rpc.ts
+++ b/src/runtime/rpc.ts
@@ -5,6 +5,7 @@
   type TulipwheelErrorInstance,
 } from "../errors/tulipwheel-error.ts";
 import type {
+  RpcId,
   RpcRequest,
   RpcResponse,
   RpcResult,
@@ -43,7 +44,8 @@
   readonly timer: TimerHandle;
 }
 
-const REQUEST_ID_LENGTH = 12;
+/** Identifiers of requests begin below it, and count up. */
+const FIRST_ID_RANGE = 2 ** 31;
 
 type RpcTransport<Schema extends RpcSchemaShape<Schema>> = Pick<
   Transport<RpcRequest<Schema> | RpcResponse<Schema>>,
@@ -57,14 +59,15 @@
 export class RpcEndpoint<Schema extends RpcSchemaShape<Schema> = RpcSchema> {
   readonly #transport: RpcTransport<Schema>;
   readonly #clock: Clock;
-  readonly #random: RandomSource;
   readonly #handlers = new Map<keyof Schema, RpcHandler<keyof Schema, Schema>>();
-  readonly #pending = new Map<string, PendingRequest<Schema>>();
+  readonly #pending = new Map<RpcId, PendingRequest<Schema>>();
+  /** Begins at random: an answer to an earlier process at this address must not be taken for one to this. */
+  #lastId: number;
 
   constructor(transport: RpcTransport<Schema>, clock: Clock, random: RandomSource) {
     this.#transport = transport;
     this.#clock = clock;
-    this.#random = random;
+    this.#lastId = random.below(FIRST_ID_RANGE);
   }
 
   /** Sets who answers a kind of request. */
@@ -79,7 +82,8 @@
     body: Schema[Name]["request"],
     timeoutMs: number,
   ): Promise<RpcReply<Name, Schema>> {
-    const id = this.#random.token(REQUEST_ID_LENGTH);
+    this.#lastId += 1;
+    const id = this.#lastId;
     const result = await new Promise<RpcResult<Schema> | undefined>((resolve) => {
       const timer = this.#clock.schedule(timeoutMs, () => this.#settle(id, undefined));
       this.#pending.set(id, { address, resolve, timer });
@@ -119,7 +123,7 @@
     }
   }
 
-  #settle(id: string, result: RpcResult<Schema> | undefined): void {
+  #settle(id: RpcId, result: RpcResult<Schema> | undefined): void {
     const pending = this.#pending.get(id);
     if (!pending) return;
     this.#pending.delete(id);
--- a/src/runtime/tcp-transport.ts
+++ b/src/runtime/tcp-transport.ts
@@ -3,11 +3,12 @@
  * (cbor-x finds their ends). The first value names the sender, so that answers use the same connection.
  */
 import { createConnection, createServer, type Server, type Socket } from "node:net";
-import { DecoderStream, Encoder } from "cbor-x";
+import { Encoder } from "cbor-x";
 import type { Message } from "../messages/message.ts";
 import { ConnectPatience } from "./connect-patience.ts";
 import type { DisconnectReason } from "./disconnect-reason.ts";
 import type { MessageHandler, Sender, Transport } from "./transport.ts";
+import { ValueReader } from "./value-reader.ts";
 
 /** Messages of one turn of the event loop to one address. Only the first batch of a connection names the sender. */
 interface Batch<Kind> {
@@ -178,21 +179,29 @@
     const encoder = new Encoder({ sequential: true, structures: [] });
     const connection: Connection = { socket, encoder, introduced: false, peer: undefined };
     this.#sockets.add(socket);
-    const decoder = new DecoderStream();
-    decoder.on("data", (batch: Batch<Kind>) => this.#onBatch(batch, connection));
-    decoder.on("error", () => socket.destroy());
-    socket.on("data", (bytes: Buffer) => {
-      this.counters.bytesReceived += bytes.length;
-    });
+    const reader = new ValueReader();
+    socket.on("data", (bytes: Buffer) => this.#onBytes(bytes, reader, connection));
     socket.on("error", () => {
       this.counters.connectionErrors += 1;
     });
     socket.on("close", () => this.#sockets.delete(socket));
-    socket.pipe(decoder);
     return connection;
   }
 
-  #onBatch(batch: Batch<Kind>, connection: Connection): void {
+  #onBytes(bytes: Buffer, reader: ValueReader, connection: Connection): void {
+    this.counters.bytesReceived += bytes.length;
+    let batches: readonly unknown[];
+    try {
+      batches = reader.push(bytes);
+    } catch {
+      // Whoever is at the other end does not speak the protocol.
+      connection.socket.destroy();
+      return;
+    }
+    for (const batch of batches) this.#onBatch(batch, connection);
+  }
+
+  #onBatch(batch: unknown, connection: Connection): void {
     if (this.#closed || !isBatch<Kind>(batch)) return void connection.socket.destroy();
     if (batch.from) {
       connection.peer = batch.from;
