Start a gateway without the libraries that explain its settings, and without node:assert

Of the time in which a start runs JavaScript, building the settings' schema and checking them by it took a fifth to a quarter, node:assert (loaded by undici for one function) 6 ms and more, the YAML parser and node:fs/promises 2 each. The build now writes the schema as data, of the schema that stands in the code; valid settings in JSON are read by it. All others, and whatever it doesn't understand, go the old way, with the same messages; its libraries load then.

--- a/bench/build-gateway.mjs
+++ b/bench/build-gateway.mjs
@@ -4,9 +4,11 @@
  */
 import { spawnSync } from "node:child_process";
 import { rmSync } from "node:fs";
+import { resolve } from "node:path";
 import { build } from "esbuild";
 import { runtimeFlags } from "./build/runtime-flags.mjs";
 
+const SCHEMA_WRITER = "target/write-settings-schema.cjs";
 const CODE_CACHE = "target/gateway-bundle.code-cache";
 /** Longest time for the gateways that warm up, in ms. */
 const WARM_UP_TIMEOUT_MS = 60_000;
@@ -28,8 +30,18 @@
   },
 };
 
+/** Libraries check themselves with one function of node:assert, which loads a lot to explain failures. */
+const plainAssert = {
+  name: "plain-assert",
+  setup(build) {
+    build.onResolve({ filter: /^(node:)?assert$/ }, () => ({
+      path: resolve("bench/build/plain-assert.cjs"),
+    }));
+  },
+};
+
 /** Bundles an entry point into one file. */
-function bundle(entryPoint, outfile) {
+function bundle(entryPoint, outfile, define = {}) {
   return build({
     entryPoints: [entryPoint],
     outfile,
@@ -40,7 +52,8 @@
     charset: "ascii",
     legalComments: "none",
     logLevel: "warning",
-    plugins: [withoutOptional],
+    plugins: [withoutOptional, plainAssert],
+    define,
   });
 }
 
@@ -53,9 +66,18 @@
   return status === 0;
 }
 
+/** The schema of a gateway's settings, as JSON. */
+async function settingsSchema() {
+  await bundle("bench/build/write-settings-schema.ts", SCHEMA_WRITER);
+  const { stdout } = spawnSync(process.execPath, [SCHEMA_WRITER], { encoding: "utf8" });
+  rmSync(SCHEMA_WRITER);
+  return stdout;
+}
+
 rmSync(CODE_CACHE, { force: true });
+const define = { SETTINGS_SCHEMA: await settingsSchema() };
 await Promise.all([
-  bundle("platform/main.ts", "target/gateway-bundle.cjs"),
+  bundle("platform/main.ts", "target/gateway-bundle.cjs", define),
   bundle("src/launcher/main.ts", "target/gateway.cjs"),
   bundle("bench/build/write-code-cache.ts", "target/write-code-cache.cjs"),
 ]);
--- /dev/null
+++ b/bench/build/write-settings-schema.ts
@@ -0,0 +1,11 @@
+/** Writes the JSON Schema of a gateway's settings to standard output, without what is only for readers. */
+import * as z from "zod";
+import { gatewaySettingsSchema } from "../../src/gateway/gateway-settings.ts";
+
+const schema = z.toJSONSchema(gatewaySettingsSchema, {
+  io: "input",
+  override: ({ jsonSchema }) => {
+    delete jsonSchema.description;
+  },
+});
+process.stdout.write(JSON.stringify(schema));
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -1,12 +1,16 @@
 /** The life of a gateway's process: settings, start, signals, end. */
 import { TulipwheelError } from "../errors/tulipwheel-error.ts";
-import { loadSettings } from "../settings/load-settings.ts";
+import type { JsonSchema } from "../settings/read-by-schema.ts";
 import type { GatewayPlatform } from "./gateway-context.ts";
 import type { GatewayDaemon } from "./gateway-daemon.ts";
-import { type GatewaySettings, gatewaySettingsSchema } from "./gateway-settings.ts";
+import type { GatewaySettings } from "./gateway-settings.ts";
+import { loadGatewaySettings } from "./load-gateway-settings.ts";
 import { startGateway } from "./start-gateway.ts";
 
 const INVALID_SETTINGS = 2;
+/** Put here by the build; not defined where nothing is built. */
+declare const SETTINGS_SCHEMA: JsonSchema | undefined;
+const builtSchema = typeof SETTINGS_SCHEMA === "undefined" ? undefined : SETTINGS_SCHEMA;
 
 /**
  * Runs a gateway until it is told to stop. SIGTERM is a planned stop; SIGHUP reads the settings again and takes the
@@ -19,7 +23,7 @@
   platformOf: (settings: GatewaySettings) => GatewayPlatform,
 ): Promise<void> {
   try {
-    const settings = await loadSettings(settingsFile, [], gatewaySettingsSchema);
+    const settings = await loadGatewaySettings(settingsFile, builtSchema);
     const gateway = await startGateway(settings, platformOf(settings));
     process.on("SIGTERM", () => void gateway.stop().then(() => process.exit(0)));
     process.on("SIGHUP", () => void reload(gateway, settingsFile));
@@ -33,7 +37,7 @@
 
 async function reload(gateway: GatewayDaemon, settingsFile: string | undefined): Promise<void> {
   try {
-    gateway.reload(await loadSettings(settingsFile, [], gatewaySettingsSchema));
+    gateway.reload(await loadGatewaySettings(settingsFile, builtSchema));
   } catch (error) {
     gateway.noteUnexpected(error);
   }
--- /dev/null
+++ b/test/contract/read-by-schema.test.ts
@@ -0,0 +1,76 @@
+/** Settings read by the schema that the build makes, against the library that it is made with. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, describe, it } from "node:test";
+import { expect } from "earl";
+import * as z from "zod";
+import { gatewaySettingsSchema } from "../../src/gateway/gateway-settings.ts";
+import { loadGatewaySettings } from "../../src/gateway/load-gateway-settings.ts";
+import { type JsonSchema, readBySchema } from "../../src/settings/read-by-schema.ts";
+
+const SCHEMA = z.toJSONSchema(gatewaySettingsSchema, { io: "input" }) as JsonSchema;
+const ADDRESS = "10.1.0.38:8149";
+const LISTEN = { callers: ADDRESS, readiness: ADDRESS, directory: ADDRESS, peers: ADDRESS };
+const LEAST = { name: "one", region: "r", zone: "z", listen: LISTEN, store: ADDRESS };
+
+const VALID: readonly object[] = [
+  LEAST,
+  { ...LEAST, seeds: [ADDRESS], timing: { claimMs: 50, directoryTtlS: 0.5 }, logging: { level: "debug" } },
+  {
+    ...LEAST,
+    keys: { revokeMs: 5_000 },
+    requestLimits: { overage: 0.1, slack: 20 },
+    balance: { byHeadroom: true },
+  },
+];
+const INVALID: readonly unknown[] = [
+  null,
+  [],
+  { ...LEAST, name: undefined },
+  { ...LEAST, name: "No Name" },
+  { ...LEAST, colour: "red" },
+  { ...LEAST, constructor: 1 },
+  { ...LEAST, seeds: ["nowhere"] },
+  { ...LEAST, seeds: null },
+  { ...LEAST, partitions: 0 },
+  { ...LEAST, partitions: 1.5 },
+  { ...LEAST, partitions: "64" },
+  { ...LEAST, timing: { directoryTtlS: Number.POSITIVE_INFINITY } },
+  { ...LEAST, logging: { level: "loud" } },
+  { ...LEAST, balance: { byHeadroom: "yes" } },
+];
+
+const folder = mkdtempSync(join(tmpdir(), "tulipwheel-settings-"));
+const file = join(folder, "settings.json");
+
+describe("settings by the build's schema", () => {
+  after(() => rmSync(folder, { recursive: true }));
+
+  it("are what the library gives, defaults included", () => {
+    for (const value of VALID)
+      expect(readBySchema(value, SCHEMA) as object).toEqual(gatewaySettingsSchema.parse(value) as object);
+  });
+
+  it("are not read where the library finds a fault", () => {
+    for (const value of INVALID) {
+      expect(gatewaySettingsSchema.safeParse(value).success).toEqual(false);
+      expect(readBySchema(value, SCHEMA)).toEqual(undefined);
+    }
+  });
+
+  it("are not read by a schema with keywords that are not known", () => {
+    const schema = { ...SCHEMA, minProperties: 1 } as JsonSchema;
+    expect(readBySchema(LEAST, schema)).toEqual(undefined);
+  });
+
+  it("keep their messages where something is wrong, and may be YAML", async () => {
+    writeFileSync(file, JSON.stringify({ ...LEAST, colour: "red" }));
+    await expect(loadGatewaySettings(file, SCHEMA)).toBeRejectedWith(/settings\.json:1: .*colour/);
+    writeFileSync(
+      file,
+      `name: one\nregion: r\nzone: z\nstore: ${ADDRESS}\nlisten: ${JSON.stringify(LISTEN)}\n`,
+    );
+    expect(await loadGatewaySettings(file, SCHEMA)).toEqual(gatewaySettingsSchema.parse(LEAST));
+  });
+});
