--- a/bench/gateway-cost.ts
+++ b/bench/gateway-cost.ts
@@ -35,7 +35,9 @@
   process.stderr.write(`${bundle} does not exist: run npm run build:gateway first.\n`);
   process.exit(INVALID_INPUT);
 }
-process.stdout.write("gateways  start ms  at rest ms/s  turn ms  call ms  failed  MB each\n");
+process.stdout.write(
+  "gateways  start ms  at rest ms/s  turn ms  call ms  at rest writes/s  turn writes  failed  MB each\n",
+);
 for (const gateways of values.sizes.split(",").map(Number)) {
   const cluster = new CostCluster({
     gateways,
@@ -66,6 +68,8 @@
     costs.restMsPerSecond.toFixed(2).padStart(13),
     costs.turnMs.toFixed(2).padStart(8),
     costs.callMs.toFixed(2).padStart(8),
+    costs.restWritesPerSecond.toFixed(2).padStart(17),
+    costs.turnWrites.toFixed(2).padStart(12),
     String(costs.failed).padStart(7),
     costs.megabytes.toFixed(2).padStart(8),
   ];
@@ -79,6 +83,8 @@
     restMsPerSecond: after.restMsPerSecond / before.restMsPerSecond,
     turnMs: after.turnMs / before.turnMs,
     callMs: after.callMs / before.callMs,
+    restWritesPerSecond: after.restWritesPerSecond / before.restWritesPerSecond,
+    turnWrites: after.turnWrites / before.turnWrites,
     failed: after.failed,
     megabytes: after.megabytes / before.megabytes,
   };
--- a/bench/gateway-cost/cost-cluster.ts
+++ b/bench/gateway-cost/cost-cluster.ts
@@ -80,6 +80,16 @@
     );
   }
 
+  /** System calls by which gateways of a bundle have written so far, to connections, the log and files; a mean. */
+  async writes(bundle: string): Promise<number> {
+    return mean(
+      this.#running(bundle).map(async ({ process }) => {
+        const text = await readFile(`/proc/${process.pid}/io`, "utf8");
+        return Number(/syscw:\s+(\d+)/.exec(text)?.[1] ?? 0);
+      }),
+    );
+  }
+
   /** Resident memory of gateways of a bundle that is not shared with others, in MB; a mean. */
   async megabytes(bundle: string): Promise<number> {
     return mean(
--- a/bench/gateway-cost/measure-costs.ts
+++ b/bench/gateway-cost/measure-costs.ts
@@ -20,6 +20,9 @@
   readonly restMsPerSecond: number;
   readonly turnMs: number;
   readonly callMs: number;
+  /** System calls that write. */
+  readonly restWritesPerSecond: number;
+  readonly turnWrites: number;
   /** Requests that were not answered with 200. */
   readonly failed: number;
   readonly megabytes: number;
@@ -36,7 +39,7 @@
 export async function measureCosts(cluster: CostCluster, plan: CostPlan): Promise<GatewayCosts[]> {
   await cluster.start();
   await wait(SETTLE_MS);
-  const starts = await processorTimes(cluster);
+  const starts = await usage(cluster);
   const rests = await measureRest(cluster, plan.durationMs);
   const load = new Load(cluster, plan.durationMs, rests);
   const turns = await load.run(plan.turnsPerSecond, sampleTurn);
@@ -44,47 +47,72 @@
   const sizes = await Promise.all(cluster.bundles.map((bundle) => cluster.megabytes(bundle)));
   await load.close();
   return cluster.bundles.map((_, index) => ({
-    startMs: starts[index] as number,
-    restMsPerSecond: rests[index] as number,
-    turnMs: turns[index] as number,
-    callMs: calls[index] as number,
+    startMs: (starts[index] as Usage).processorMs,
+    restMsPerSecond: (rests[index] as Usage).processorMs,
+    turnMs: (turns[index] as Usage).processorMs,
+    callMs: (calls[index] as Usage).processorMs,
+    restWritesPerSecond: (rests[index] as Usage).writes,
+    turnWrites: (turns[index] as Usage).writes,
     failed: load.failed,
     megabytes: sizes[index] as number,
   }));
 }
 
-/** Of a gateway of each bundle so far, in ms. */
-function processorTimes(cluster: CostCluster): Promise<number[]> {
-  return Promise.all(cluster.bundles.map((bundle) => cluster.processorMs(bundle)));
+/** What a gateway has used so far, or uses a second, or for a request. */
+interface Usage {
+  readonly processorMs: number;
+  readonly writes: number;
 }
 
-async function measureRest(cluster: CostCluster, durationMs: number): Promise<number[]> {
-  const before = await processorTimes(cluster);
+/** Of a gateway of each bundle, so far. */
+function usage(cluster: CostCluster): Promise<Usage[]> {
+  return Promise.all(
+    cluster.bundles.map(async (bundle) => {
+      const [processorMs, writes] = await Promise.all([cluster.processorMs(bundle), cluster.writes(bundle)]);
+      return { processorMs, writes };
+    }),
+  );
+}
+
+/** What came after `before`, less `rest` for each of `seconds`, in `parts` parts. */
+function difference(after: Usage, before: Usage, rest: Usage, seconds: number, parts: number): Usage {
+  return {
+    processorMs: (after.processorMs - before.processorMs - rest.processorMs * seconds) / parts,
+    writes: (after.writes - before.writes - rest.writes * seconds) / parts,
+  };
+}
+
+const NOTHING: Usage = { processorMs: 0, writes: 0 };
+
+/** A second at rest. */
+async function measureRest(cluster: CostCluster, durationMs: number): Promise<Usage[]> {
+  const before = await usage(cluster);
   await wait(durationMs);
-  const after = await processorTimes(cluster);
-  return after.map((time, index) => ((time - (before[index] as number)) / durationMs) * MS_PER_S);
+  const after = await usage(cluster);
+  const seconds = durationMs / MS_PER_S;
+  return after.map((one, index) => difference(one, before[index] as Usage, NOTHING, 0, seconds));
 }
 
 /** Sends requests at a rate, to the gateways in turn. */
 class Load {
   readonly #cluster: CostCluster;
   readonly #durationMs: number;
-  /** Of a gateway of each bundle. */
-  readonly #restMsPerSecond: readonly number[];
+  /** A second at rest of a gateway of each bundle. */
+  readonly #rests: readonly Usage[];
   readonly #pools: Pool[];
   failed = 0;
 
-  constructor(cluster: CostCluster, durationMs: number, restMsPerSecond: readonly number[]) {
+  constructor(cluster: CostCluster, durationMs: number, rests: readonly Usage[]) {
     this.#cluster = cluster;
     this.#durationMs = durationMs;
-    this.#restMsPerSecond = restMsPerSecond;
+    this.#rests = rests;
     this.#pools = cluster.gateways.map(({ callers }) => new Pool(`http://${callers}`, { connections: 4 }));
   }
 
-  /** Processor time per request beyond that of gateways at rest, in ms, of each bundle. */
-  async run(perSecond: number, requestOf: (index: number) => SampleRequest): Promise<number[]> {
+  /** What a request takes beyond what gateways take at rest, of each bundle. */
+  async run(perSecond: number, requestOf: (index: number) => SampleRequest): Promise<Usage[]> {
     const startedMs = performance.now();
-    const before = await processorTimes(this.#cluster);
+    const before = await usage(this.#cluster);
     let sent = 0;
     while (performance.now() - startedMs < this.#durationMs) {
       const due = ((performance.now() - startedMs) / MS_PER_S) * perSecond;
@@ -92,13 +120,12 @@
       await wait(5);
     }
     await wait(DRAIN_MS);
-    const after = await processorTimes(this.#cluster);
+    const after = await usage(this.#cluster);
     const elapsedS = (performance.now() - startedMs) / MS_PER_S;
     const sentEach = sent / this.#pools.length;
-    return after.map((time, index) => {
-      const atRestMs = (this.#restMsPerSecond[index] as number) * elapsedS;
-      return (time - (before[index] as number) - atRestMs) / sentEach;
-    });
+    return after.map((one, index) =>
+      difference(one, before[index] as Usage, this.#rests[index] as Usage, elapsedS, sentEach),
+    );
   }
 
   async close(): Promise<void> {
