Let the answer to the end of a turn travel with other messages

Each turn cost six messages or four, and nobody waits for the last one unless the turn is retained: its asker only has to know in time that it need not tell the end again. The answer now goes with the next message to its asker, or after five seconds; it is lost with the connection, and then asked for again as before.

--- a/src/gateway/partitions/partition-host.ts
+++ b/src/gateway/partitions/partition-host.ts
@@ -16,7 +16,12 @@
 import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 import type { RequestId } from "../../scheduling/ids/request-id.ts";
 import type { GatewayContext } from "../gateway-context.ts";
-import type { FindTurnResponse, GatewayRpcSchema, RetainedTurnContent } from "../gateway-messages.ts";
+import type {
+  EndTurnRequest,
+  FindTurnResponse,
+  GatewayRpcSchema,
+  RetainedTurnContent,
+} from "../gateway-messages.ts";
 import type { Member } from "../members/member.ts";
 import type { MemberDirectory } from "../members/member-directory.ts";
 import type { StoreHealth } from "../store-health.ts";
@@ -36,6 +41,11 @@
 import { TurnWriter } from "./turn-writer.ts";
 
 const FIRST_COMMIT = 0;
+/**
+ * How long the answer to the end of a turn may wait for other messages, in ms: nobody waits for it unless the turn is
+ * retained, and whoever sent it asks again when this gateway is lost, or after much longer.
+ */
+const END_ANSWER_MS = 5_000;
 /** Bytes of turns that a gateway keeps because they were answered through it. */
 const MAX_ANSWERED_BYTES = 4 * 1024 * 1024;
 
@@ -95,10 +105,15 @@
       const answer = await this.#require(request.partition).admit(request);
       return answer === MOVED ? this.#redirect(request.partition) : answer;
     });
-    rpc.handle("endTurn", async (request) => {
-      const answer = this.#require(request.partition).end(request);
-      return answer === MOVED ? this.#redirect(request.partition) : answer;
-    });
+    const answering = { patienceMs: ({ retained }: EndTurnRequest) => (retained ? 0 : END_ANSWER_MS) };
+    rpc.handle(
+      "endTurn",
+      async (request) => {
+        const answer = this.#require(request.partition).end(request);
+        return answer === MOVED ? this.#redirect(request.partition) : answer;
+      },
+      answering,
+    );
   }
 
   /** The incarnation that owns a partition, as far as this gateway knows. */
--- a/src/runtime/rpc.ts
+++ b/src/runtime/rpc.ts
@@ -31,6 +31,12 @@
   from: Sender,
 ) => Promise<Schema[Name]["response"]>;
 
+/** How the answers to one kind of request travel. */
+export interface RpcAnswering<Name extends keyof Schema, Schema extends RpcSchemaShape<Schema> = RpcSchema> {
+  /** How long the answer to a request that is done may wait for other messages to travel with, in ms. */
+  readonly patienceMs: (body: Schema[Name]["request"]) => number;
+}
+
 /** The outcome of one request to one process. */
 export type RpcReply<Name extends keyof Schema, Schema extends RpcSchemaShape<Schema> = RpcSchema> =
   | { readonly type: "done"; readonly body: Schema[Name]["response"] }
@@ -60,6 +66,7 @@
   readonly #transport: RpcTransport<Schema>;
   readonly #clock: Clock;
   readonly #handlers = new Map<keyof Schema, RpcHandler<keyof Schema, Schema>>();
+  readonly #answering = new Map<keyof Schema, RpcAnswering<keyof Schema, Schema>>();
   readonly #pending = new Map<RpcId, PendingRequest<Schema>>();
   /** Begins at random: an answer to an earlier process at this address must not be taken for one to this. */
   #lastId: number;
@@ -70,9 +77,14 @@
     this.#lastId = random.below(FIRST_ID_RANGE);
   }
 
-  /** Sets who answers a kind of request. */
-  handle<Name extends keyof Schema>(name: Name, handler: RpcHandler<Name, Schema>): void {
+  /** Sets who answers a kind of request; at once, unless `answering` says otherwise. */
+  handle<Name extends keyof Schema>(
+    name: Name,
+    handler: RpcHandler<Name, Schema>,
+    answering?: RpcAnswering<Name, Schema>,
+  ): void {
     this.#handlers.set(name, handler as unknown as RpcHandler<keyof Schema, Schema>);
+    if (answering) this.#answering.set(name, answering as unknown as RpcAnswering<keyof Schema, Schema>);
   }
 
   /** Asks one process once. */
@@ -97,7 +109,9 @@
   /** Takes in a request from another process. */
   async onRequest(request: RpcRequest<Schema>, from: Sender): Promise<void> {
     const result = await this.#answer(request, from);
-    this.#transport.send(from.address, { type: "rpcResponse", id: request.id, result });
+    const answering = result.type === "done" ? this.#answering.get(request.name) : undefined;
+    const patienceMs = answering?.patienceMs(request.body) ?? 0;
+    this.#transport.send(from.address, { type: "rpcResponse", id: request.id, result }, patienceMs);
   }
 
   /** Takes in a response; one that comes late is passed over. */
--- a/src/runtime/tcp-transport.ts
+++ b/src/runtime/tcp-transport.ts
@@ -7,6 +7,7 @@
 import type { Message } from "../messages/message.ts";
 import { ConnectPatience } from "./connect-patience.ts";
 import type { DisconnectReason } from "./disconnect-reason.ts";
+import { PatientMessages } from "./patient-messages.ts";
 import type { MessageHandler, Sender, Transport } from "./transport.ts";
 import { ValueReader } from "./value-reader.ts";
 
@@ -57,6 +58,10 @@
   readonly #connections = new Map<string, Connection>();
   readonly #sockets = new Set<Socket>();
   readonly #outbox = new Map<string, Kind[]>();
+  /** Messages that wait for others to travel with. */
+  readonly #patient = new PatientMessages<Kind>((address, messages) => {
+    for (const message of messages) this.send(address, message);
+  });
   readonly #patience = new ConnectPatience();
   #handler: MessageHandler<Kind> = () => undefined;
   #onDisconnected: (address: string, reason: DisconnectReason) => void = () => undefined;
@@ -100,17 +105,22 @@
     this.#connections.get(address)?.socket.destroy();
   }
 
-  send(address: string, message: Kind): void {
+  send(address: string, message: Kind, withinMs = 0): void {
     if (this.#closed) return;
+    if (withinMs > 0 && !this.#outbox.has(address)) {
+      this.#patient.add(address, message, withinMs);
+      return;
+    }
     const queue = this.#outbox.get(address);
     if (queue) queue.push(message);
-    else this.#outbox.set(address, [message]);
+    else this.#outbox.set(address, [...this.#patient.take(address), message]);
     if (this.#flushScheduled) return;
     this.#flushScheduled = true;
     setImmediate(() => this.#flush());
   }
 
   async close(): Promise<void> {
+    this.#patient.sendAll();
     this.#flush();
     this.#closed = true;
     for (const socket of this.#sockets) socket.destroySoon();
@@ -238,6 +248,7 @@
     connection.socket.on("close", () => {
       if (this.#connections.get(address) !== connection) return;
       this.#connections.delete(address);
+      this.#patient.take(address);
       if (!this.#closed) this.#onDisconnected(address, reason);
     });
   }
--- a/src/runtime/transport.ts
+++ b/src/runtime/transport.ts
@@ -23,8 +23,13 @@
 export interface Transport<Kind = Message> {
   /** This process, as others see it. */
   readonly self: Sender;
-  /** Queues a message; all messages to one address within a turn of the event loop travel together. */
-  send(address: string, message: Kind): void;
+  /**
+   * Queues a message; all messages to one address within a turn of the event loop travel together.
+   *
+   * @param withinMs how long the message may wait for another one to the address to travel with, in ms; it is lost when the
+   * connection ends meanwhile
+   */
+  send(address: string, message: Kind, withinMs?: number): void;
   /** Sets who is called for arriving messages. */
   onMessage(handler: MessageHandler<Kind>): void;
   /** The newest configuration version known here; travels with every batch of messages. */
--- a/test/contract/tcp-transport.test.ts
+++ b/test/contract/tcp-transport.test.ts
@@ -120,4 +120,43 @@
     for (const socket of waiting) socket.destroy();
     child.kill("SIGKILL");
   });
+
+  it("sends what may wait with the next message, or after its time", async () => {
+    const one = await listen("one#1");
+    const two = await listen("two#1");
+    const got: string[] = [];
+    two.onMessage(({ text }) => got.push(text));
+    const until = async (count: number) => {
+      while (got.length < count) await new Promise((resolve) => setTimeout(resolve, 5));
+    };
+    one.send(two.self.address, { text: "may wait" }, 10_000);
+    one.send(two.self.address, { text: "at once" });
+    await until(2);
+    expect(got).toEqual(["may wait", "at once"]);
+    expect(one.counters.batchesSent).toEqual(1);
+    one.send(two.self.address, { text: "alone" }, 20);
+    expect(one.counters.messagesSent).toEqual(2);
+    await until(3);
+    expect(one.counters.batchesSent).toEqual(2);
+  });
+
+  it("drops what waits for a process that has gone", async () => {
+    const one = await listen("one#1");
+    const two = await listen("two#1");
+    const met = next(two);
+    one.send(two.self.address, { text: "here" });
+    await met;
+    const reasons: string[] = [];
+    const gone = new Promise<void>((resolve) => {
+      one.onDisconnected((_, reason) => {
+        reasons.push(reason);
+        resolve();
+      });
+    });
+    one.send(two.self.address, { text: "may wait" }, 30);
+    await two.close();
+    await gone;
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    expect(reasons).toEqual(["ended"]);
+  });
 });
