--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -1,12 +1,16 @@
 /** The life of a gateway's process: settings, start, signals, end. */
 import { TulipwheelError } from "../errors/tulipwheel-error.ts";
-import { loadSettings } from "../settings/load-settings.ts";
+import type { JsonSchema } from "../settings/read-by-schema.ts";
 import type { GatewayPlatform } from "./gateway-context.ts";
 import type { GatewayDaemon } from "./gateway-daemon.ts";
-import { type GatewaySettings, gatewaySettingsSchema } from "./gateway-settings.ts";
+import type { GatewaySettings } from "./gateway-settings.ts";
+import { loadGatewaySettings } from "./load-gateway-settings.ts";
 import { startGateway } from "./start-gateway.ts";
 
 const INVALID_SETTINGS = 2;
+/** Put here by the build; not defined where nothing is built. */
+declare const SETTINGS_SCHEMA: JsonSchema | undefined;
+const builtSchema = typeof SETTINGS_SCHEMA === "undefined" ? undefined : SETTINGS_SCHEMA;
 
 /**
  * Runs a gateway until it is told to stop. SIGTERM is a planned stop; SIGHUP reads the settings again and takes the
@@ -41,7 +45,7 @@
 
 /** A file that was laid out for a newer build may have keys that this one does not know: it goes on without them. */
 function settingsOf(settingsFile: string | undefined): Promise<GatewaySettings> {
-  return loadSettings(settingsFile, [], gatewaySettingsSchema, (keys) => {
+  return loadGatewaySettings(settingsFile, builtSchema, (keys) => {
     process.stderr.write(
       `${settingsFile}: keys that this build does not know are passed over: ${keys.join(", ")}\n`,
     );
--- a/src/runtime/tcp-transport.ts
+++ b/src/runtime/tcp-transport.ts
@@ -3,11 +3,13 @@
  * (cbor-x finds their ends). The first value names the sender, so that answers use the same connection.
  */
 import { createConnection, createServer, type Server, type Socket } from "node:net";
-import { DecoderStream, Encoder } from "cbor-x";
+import { Encoder } from "cbor-x";
 import type { Message } from "../messages/message.ts";
 import { ConnectPatience } from "./connect-patience.ts";
 import type { DisconnectReason } from "./disconnect-reason.ts";
+import { PatientMessages } from "./patient-messages.ts";
 import type { MessageHandler, Sender, Transport } from "./transport.ts";
+import { ValueReader } from "./value-reader.ts";
 
 /** Messages of one turn of the event loop to one address. Only the first batch of a connection names the sender. */
 interface Batch<Kind> {
@@ -56,6 +58,10 @@
   readonly #connections = new Map<string, Connection>();
   readonly #sockets = new Set<Socket>();
   readonly #outbox = new Map<string, Kind[]>();
+  /** Messages that wait for others to travel with. */
+  readonly #patient = new PatientMessages<Kind>((address, messages) => {
+    for (const message of messages) this.send(address, message);
+  });
   readonly #patience = new ConnectPatience();
   #handler: MessageHandler<Kind> = () => undefined;
   #onDisconnected: (address: string, reason: DisconnectReason) => void = () => undefined;
@@ -99,17 +105,22 @@
     this.#connections.get(address)?.socket.destroy();
   }
 
-  send(address: string, message: Kind): void {
+  send(address: string, message: Kind, withinMs = 0): void {
     if (this.#closed) return;
+    if (withinMs > 0 && !this.#outbox.has(address)) {
+      this.#patient.add(address, message, withinMs);
+      return;
+    }
     const queue = this.#outbox.get(address);
     if (queue) queue.push(message);
-    else this.#outbox.set(address, [message]);
+    else this.#outbox.set(address, [...this.#patient.take(address), message]);
     if (this.#flushScheduled) return;
     this.#flushScheduled = true;
     setImmediate(() => this.#flush());
   }
 
   async close(): Promise<void> {
+    this.#patient.sendAll();
     this.#flush();
     this.#closed = true;
     for (const socket of this.#sockets) socket.destroySoon();
@@ -178,21 +189,29 @@
     const encoder = new Encoder({ sequential: true, structures: [] });
     const connection: Connection = { socket, encoder, introduced: false, peer: undefined };
     this.#sockets.add(socket);
-    const decoder = new DecoderStream();
-    decoder.on("data", (batch: Batch<Kind>) => this.#onBatch(batch, connection));
-    decoder.on("error", () => socket.destroy());
-    socket.on("data", (bytes: Buffer) => {
-      this.counters.bytesReceived += bytes.length;
-    });
+    const reader = new ValueReader();
+    socket.on("data", (bytes: Buffer) => this.#onBytes(bytes, reader, connection));
     socket.on("error", () => {
       this.counters.connectionErrors += 1;
     });
     socket.on("close", () => this.#sockets.delete(socket));
-    socket.pipe(decoder);
     return connection;
   }
 
-  #onBatch(batch: Batch<Kind>, connection: Connection): void {
+  #onBytes(bytes: Buffer, reader: ValueReader, connection: Connection): void {
+    this.counters.bytesReceived += bytes.length;
+    let batches: readonly unknown[];
+    try {
+      batches = reader.push(bytes);
+    } catch {
+      // Whoever is at the other end does not speak the protocol.
+      connection.socket.destroy();
+      return;
+    }
+    for (const batch of batches) this.#onBatch(batch, connection);
+  }
+
+  #onBatch(batch: unknown, connection: Connection): void {
     if (this.#closed || !isBatch<Kind>(batch)) return void connection.socket.destroy();
     if (batch.from) {
       connection.peer = batch.from;
@@ -229,6 +248,7 @@
     connection.socket.on("close", () => {
       if (this.#connections.get(address) !== connection) return;
       this.#connections.delete(address);
+      this.#patient.take(address);
       if (!this.#closed) this.#onDisconnected(address, reason);
     });
   }
