Give up a plain answer for which there is no memory

Cause: plain answers are collected whole before they are handed on, without a bound: one that a faulty runner never ends, or a few long ones, took a gateway over its memory. Change: once the whole budget is held, a call that has collected more than its part of it is given up with 502.

--- a/src/gateway/buffers/caller-buffers.ts
+++ b/src/gateway/buffers/caller-buffers.ts
@@ -53,6 +53,11 @@
     return this.#pool.exhausted;
   }
 
+  /** Whether there is no room, and this call collects more than its part of an answer that is not whole yet. */
+  get overdrawn(): boolean {
+    return this.#pool.exhausted && this.#held.collected > this.#pool.readAheadBytes;
+  }
+
   /** Sets who speaks to the caller now. */
   follow(progress: CallerProgress): void {
     this.#progress = progress;
--- a/standins/platform/runner-standin.ts
+++ b/standins/platform/runner-standin.ts
@@ -44,7 +44,7 @@
 }
 
 const MISDIRECTED = 421;
-/** With it a test asks for so many bytes more in each event. */
+/** With it a test asks for so many bytes more in each event or answer. */
 const FILLING_HEADER = "x-test-filling-bytes";
 
 /** See the module's comment. */
@@ -107,7 +107,7 @@
     if (fault === "otherRequest") base["X-Request-Id"] = "another";
     if (request.headers["x-token-usage"] !== undefined) return this.#stream(ran, base, fault, response);
     await pause(this.stepMs);
-    this.#answerPlain(`done ${requestId}`, base, fault, response);
+    this.#answerPlain(`done ${requestId}${fillingOf(ran)}`, base, fault, response);
   }
 
   #takeFault(): RunnerFault {
@@ -143,7 +143,7 @@
   ): Promise<void> {
     response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
     const first = (ran.lastEventId ?? 0) + 1;
-    const filling = "x".repeat(Number(ran.headers[FILLING_HEADER] ?? 0));
+    const filling = fillingOf(ran);
     for (let event = first; event <= this.events; event += 1) {
       await pause(this.stepMs);
       if (response.destroyed) return;
@@ -194,6 +194,10 @@
   }
 }
 
+function fillingOf({ headers }: RanRequest): string {
+  return "x".repeat(Number(headers[FILLING_HEADER] ?? 0));
+}
+
 function pause(delayMs: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, delayMs);
--- a/test/process/slow-readers.test.ts
+++ b/test/process/slow-readers.test.ts
@@ -2,7 +2,7 @@
 import { createConnection, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { expect } from "earl";
-import { type CallerAnswer, call, newRequestId, turn } from "./support/gateway-caller.ts";
+import { type CallerAnswer, call, newRequestId, send, turn } from "./support/gateway-caller.ts";
 import { GatewayCluster, PATHS, pause, TEST_HOST, type TestGateway } from "./support/gateway-cluster.ts";
 import { TestAddresses } from "./support/test-addresses.ts";
 
@@ -26,6 +26,7 @@
 const BODY_BYTES = 990_000;
 const ROOM_LEFT_BYTES = 20_000;
 const OK = 200;
+const UNKNOWN_OUTCOME = 502;
 const UNAVAILABLE = 503;
 
 class SmallCluster extends GatewayCluster {
@@ -190,6 +191,16 @@
     expect((await readSlowly(late))?.includes("id: 4\n")).toEqual(true);
   });
 
+  it("are not needed to fill a gateway: a plain answer that does not fit is given up", async () => {
+    cluster = await SmallCluster.start(1, 0, 1);
+    const headers = { "X-Request-Id": newRequestId(), "X-Test-Filling-Bytes": String(2 * MOST_BYTES) };
+    const answer = await send(onlyGateway(), "POST", PATHS.unsafe, headers, "input");
+    expect(answer.status).toEqual(UNKNOWN_OUTCOME);
+    expect((await anotherCall()).status).toEqual(OK);
+    await pause(500);
+    expect(await metric("held_")).toEqual(0);
+  });
+
   it("keep new requests out while their bodies fill the memory, until they are cut", async () => {
     cluster = await SmallCluster.start(1, 0, 1);
     const [service] = cluster.services;
