Hand nothing over to a caller whose connection was ended from here

Cause: between breaking an answer off and the end of the connection, what waited in the exchange could still be written. Change: nothing is handed over once the answer is destroyed, for whatever reason.

--- a/src/gateway/ingress/caller-exchange.ts
+++ b/src/gateway/ingress/caller-exchange.ts
@@ -201,7 +201,7 @@
 
   /** The system takes more. */
   #handOver(): void {
-    if (this.#gone || this.#cut) return;
+    if (this.#response.destroyed) return;
     let taken = 0;
     while (taken < this.#queue.length) {
       const piece = this.#queue[taken] as Buffer;
