--- /dev/null
+++ b/src/gateway/places/jump-hash.ts
@@ -0,0 +1,29 @@
+const RANGE = 2 ** 32;
+const INCREMENT = 0x9e3779b9;
+const MULTIPLIER_A = 0x85ebca6b;
+const MULTIPLIER_B = 0xc2b2ae35;
+
+/**
+ * The bucket of a key, by jump consistent hashing (Lamping and Veach): keys spread evenly, and one bucket more or less
+ * moves only as many keys as that bucket holds. It takes a few steps however many buckets there are.
+ *
+ * @param key a hash of 32 bits
+ */
+export function jumpHash(key: number, buckets: number): number {
+  let state = key;
+  let bucket = 0;
+  for (let next = 0; next < buckets; ) {
+    bucket = next;
+    state = (state + INCREMENT) | 0;
+    next = Math.floor(((bucket + 1) * RANGE) / (mix(state) + 1));
+  }
+  return bucket;
+}
+
+function mix(value: number): number {
+  let mixed = value ^ (value >>> 16);
+  mixed = Math.imul(mixed, MULTIPLIER_A);
+  mixed ^= mixed >>> 13;
+  mixed = Math.imul(mixed, MULTIPLIER_B);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- a/src/gateway/places/runner-groups.ts
+++ b/src/gateway/places/runner-groups.ts
@@ -1,12 +1,12 @@
 /**
- * Deals the runners of each pool into groups, by rendezvous hashing: gateways that know the same runners deal alike, and a
+ * Deals the runners of each pool into groups, by consistent hashing: gateways that know the same runners deal alike, and a
  * runner or a group more moves few of the others.
  */
-import { type OwnerCandidate, preferredOwner } from "../../coordination/partition-ownership/index.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 import type { GatewayContext } from "../gateway-context.ts";
+import { jumpHash } from "./jump-hash.ts";
 import type { PlaceGroup } from "./place-group.ts";
 
 /** Few enough for one gateway to hand out their places, many enough that a call finds a free one among them. */
@@ -55,12 +55,9 @@
     const runners = this.#board.entries().filter(({ id, pool: of }) => of === pool && this.#board.ready(id));
     const count = Math.max(1, Math.round(runners.length / RUNNERS_IN_GROUP));
     const members: RunnerEntry[][] = Array.from({ length: count }, () => []);
-    const candidates: OwnerCandidate[] = members.map((_, index) => {
-      return { name: String(index), hash: hash.hash32(`${pool}/${index}`) };
-    });
     const groupOf = new Map<RunnerId, number>();
     for (const runner of runners) {
-      const index = Number(preferredOwner(hash.hash32(runner.id), candidates));
+      const index = jumpHash(hash.hash32(runner.id), count);
       members[index]?.push(runner);
       groupOf.set(runner.id, index);
     }
--- a/test/contract/place-parts.test.ts
+++ b/test/contract/place-parts.test.ts
@@ -87,16 +87,25 @@
         expect(runners.every(({ id }) => groups.groupOf("p", id) === index)).toEqual(true);
     });
 
-    it("keep most of their runners when one comes", () => {
+    it("keep their runners when one comes, but for those that a new group takes", () => {
       const ids = addAll(27);
       const before = ids.map((id) => groups.groupOf("p", id));
       add(27);
       nowMs = 1_000;
       const moved = ids.filter((id, index) => groups.groupOf("p", id) !== before[index]);
       expect(groups.of("p").length).toEqual(4);
+      expect(moved.every((id) => groups.groupOf("p", id) === 3)).toEqual(true);
       expect(moved.length).toBeLessThan(14);
     });
 
+    it("are about as large as each other where there are many", () => {
+      addAll(800);
+      const sizes = groups.of("p").map(({ runners }) => runners.length);
+      expect(sizes.length).toEqual(100);
+      expect(Math.max(...sizes)).toBeLessThan(24);
+      expect(sizes.filter((size) => size < 2).length).toBeLessThan(5);
+    });
+
     it("are asked where the prompt is, unless others are known to be faster", () => {
       const ids = addAll(24);
       const choice = new GroupChoice(groups, context.random);
