Hand scarce places out from 0.7 of them on again, and begin with how long calls took

A dispatcher that begins took calls for 200 ms, whatever they took before, and refused by that.

Change: places.scarceFrom is 0.7; holding times begin with what requests of the pool took at the dispatcher's own gateway. A test of dispatchers over relays.

--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -92,7 +92,7 @@
     .number()
     .min(0)
     .max(1)
-    .default(0.4)
+    .default(0.7)
     .describe(
       "Share of a pool's places that are taken from which on they are scarce; until it falls to seven tenths of this",
     ),
--- a/src/scheduling/place-queue/holding-times.ts
+++ b/src/scheduling/place-queue/holding-times.ts
@@ -1,18 +1,24 @@
 /** How long calls hold their places here, learned by route from those that were given back. Pure. */
 
-/** Assumed before any call has come back, in ms: about a turn of a few events. */
+/** Assumed while nothing is known, in ms: about a turn of a few events. */
 const INITIAL_MS = 200;
 /** Weight of the newest sample in an average. */
 const SAMPLE_WEIGHT = 0.1;
 
 /** See the module's comment. */
 export class HoldingTimes {
+  readonly #usualMs: () => number | undefined;
   readonly #byRoute = new Map<string, number>();
   #averageMs: number | undefined;
 
+  /** @param usualMs how long calls took before places were handed out here, if that is known */
+  constructor(usualMs: () => number | undefined) {
+    this.#usualMs = usualMs;
+  }
+
   /** Of all routes together. */
   get averageMs(): number {
-    return this.#averageMs ?? INITIAL_MS;
+    return this.#averageMs ?? this.#usualMs() ?? INITIAL_MS;
   }
 
   /** Of one route; that of all while it is not known. */
--- a/src/scheduling/place-queue/place-dispatcher.ts
+++ b/src/scheduling/place-queue/place-dispatcher.ts
@@ -58,7 +58,7 @@
   readonly #queue = new PlaceQueue();
   readonly #leases = new LeaseBook();
   readonly #shares: TenantShares;
-  readonly #holding = new HoldingTimes();
+  readonly #holding: HoldingTimes;
   readonly #turnedAway = new TurnedAway();
   readonly #retries = new RetryTimes();
   readonly #room: RunnerRoom;
@@ -71,6 +71,7 @@
 
   constructor({ group, weightOf, firstLease, learningMs }: PlaceDispatcherParts) {
     this.#group = group;
+    this.#holding = new HoldingTimes(() => group.usualMs());
     this.#shares = new TenantShares(weightOf);
     this.#room = new RunnerRoom(group, this.#leases, this.#turnedAway, learningMs);
     this.#nextLease = firstLease;
--- a/test/contract/places.test.ts
+++ b/test/contract/places.test.ts
@@ -52,6 +52,18 @@
     expect(Math.max(...calls.map(({ record }) => record?.waitedMs ?? 0))).toBeLessThan(600);
   });
 
+  it("are handed out by one dispatcher also where gateways hear of each other through relays", async () => {
+    const fleet = await settled(30, 1, 2);
+    // The dispatcher learns how long calls take here.
+    fleet.call(fleet.at(0), 20);
+    await pass(fleet, 100);
+    const calls = fleet.members.map(callOf(fleet, 20));
+    await pass(fleet, 1_000);
+    expect(verdictsOf(calls)).toEqual(new Set(["granted" as const]));
+    expect(new Set(calls.map(({ record }) => record?.dispatcher)).size).toEqual(1);
+    expect(fleet.mostBusy).toEqual(2);
+  });
+
   it("go to those that wait when a call is given up", async () => {
     const fleet = await settled(3, 1, 1);
     const asker = askerOf(fleet);
