Keep leases for longer than callers wait, and tell two gateways' calls apart

Cause: at a runner that hangs, leases ended by themselves after some holding times, while its calls still hung, and others were sent after them. A request's identifier is the caller's choice: a second gateway's call with the same one would have been given the first one's lease.

Change: a lease lasts 4 s at least; a question is a repetition only from the same gateway.

--- a/src/scheduling/place-queue/place-dispatcher.ts
+++ b/src/scheduling/place-queue/place-dispatcher.ts
@@ -28,7 +28,8 @@
 const START_WAIT_PART = 0.025;
 /** A lease ends by itself after so many times what calls of its route take. */
 const LEASE_HOLDINGS = 10;
-const MIN_LEASE_MS = 1_000;
+/** Longer than most callers wait, so that a runner that hangs gets no more calls while it holds some. */
+const MIN_LEASE_MS = 4_000;
 const MAX_LEASE_MS = 10_000;
 /** A call that no free runner has the memory for is passed over for so long, in ms; then others wait for it. */
 const PASSED_OVER_MS = 100;
@@ -98,7 +99,7 @@
     // While nobody asks, gateways place their calls alone.
     if (nowMs - this.#askedAtMs > this.#learningMs) this.#room.inherit(nowMs);
     this.#askedAtMs = nowMs;
-    const before = this.#repeated(call, nowMs);
+    const before = this.#repeated(call, holder, nowMs);
     if (before) return before;
     const comer = this.#comer(call, holder, nowMs);
     const decision = this.#decide(comer, nowMs);
@@ -204,14 +205,17 @@
   }
 
   /** The answer to a question that came before; a call that asks again because of its runner gets a new one. */
-  #repeated(call: PlaceCall, nowMs: number): PlaceGrant | PlaceQueued | undefined {
+  #repeated(call: PlaceCall, holder: string, nowMs: number): PlaceGrant | PlaceQueued | undefined {
     const known = this.#byRequest.get(call.request);
     if (known === undefined) return undefined;
     const waiting = this.#queue.get(known);
-    if (waiting) return { type: "queued", lease: known, expectedMs: this.#expectedMs(waiting, nowMs) };
+    if (waiting?.holder === holder)
+      return { type: "queued", lease: known, expectedMs: this.#expectedMs(waiting, nowMs) };
     const lease = this.#leases.get(known);
-    if (lease && !call.excluded.includes(lease.runner)) return grantOf(lease, nowMs);
-    if (lease) this.#end(lease, 0);
+    // Callers choose their identifiers: another gateway's call may have the same one.
+    if (lease?.holder !== holder) return undefined;
+    if (!call.excluded.includes(lease.runner)) return grantOf(lease, nowMs);
+    this.#end(lease, 0);
     return undefined;
   }
 
--- a/test/contract/place-dispatcher.test.ts
+++ b/test/contract/place-dispatcher.test.ts
@@ -77,7 +77,7 @@
           type: "granted",
           runner: "r0" as RunnerId,
           lease: 3,
-          leaseMs: 2_000,
+          leaseMs: 4_000,
           waitedMs: 100,
           behind: "t" as TenantName,
         },
@@ -176,7 +176,7 @@
       type: "granted",
       runner: "r1" as RunnerId,
       lease: 2,
-      leaseMs: 2_000,
+      leaseMs: 4_000,
       waitedMs: 0,
     });
     const waits = leaseOf(ask(1));
@@ -201,19 +201,28 @@
       const granted = ask(0);
       ask(0);
       const waits = ask(0);
-      expect(ask(5, { request: "q1" as RequestId })).toLooseEqual({ ...granted, leaseMs: 1_995 });
+      expect(ask(5, { request: "q1" as RequestId })).toLooseEqual({ ...granted, leaseMs: 3_995 });
       expect(leaseOf(ask(5, { request: "q3" as RequestId }))).toEqual(leaseOf(waits));
       expect([dispatcher.leased, dispatcher.waiting]).toEqual([2, 1]);
     });
 
+    it("takes the same identifier at another gateway for another call", () => {
+      start(1, 3);
+      const first = leaseOf(ask(0));
+      const other = leaseOf(ask(1, { request: "q1" as RequestId }, "other"));
+      expect(first === other).toEqual(false);
+      dispatcher.giveBack({ lease: other, ...HELD }, 2);
+      expect(dispatcher.leased).toEqual(1);
+    });
+
     it("ends leases that nobody gives back, and none of a number that it has not given out", () => {
       fill(2);
       ask(0, { patienceMs: 10_000 });
       dispatcher.giveBack({ lease: 77, ...HELD }, 1);
-      dispatcher.endLeases(1_999);
-      expect(settled(1_999)).toEqual([]);
-      dispatcher.endLeases(2_000);
-      expect(settled(2_000)).toEqual([3]);
+      dispatcher.endLeases(3_999);
+      expect(settled(3_999)).toEqual([]);
+      dispatcher.endLeases(4_000);
+      expect(settled(4_000)).toEqual([3]);
     });
 
     it("takes back what a gateway that is gone held and waited for", () => {
