Have the soak's gateways hand places out by dispatchers

Cause: the soak knew nothing of dispatchers and their failures.

Change: its gateways ask a dispatcher for each call.

--- a/test/soak/soak-cluster.ts
+++ b/test/soak/soak-cluster.ts
@@ -9,6 +9,9 @@
 import { LoopbackProxy } from "./loopback-proxy.ts";
 import { REVOKE_MS, SoakTenants, TOLERANCE } from "./soak-tenants.ts";
 
+/** Dispatchers hand out places from the first call on: their failures are what the soak is for, not how scarce places are. */
+const ALWAYS_DISPATCHED = { dispatchBelow: 1_000, scarceFrom: 0 };
+
 /** A process of a gateway that was stopped or killed. */
 export interface StruckProcess {
   readonly gateway: TestGateway;
@@ -76,7 +79,7 @@
   }
 
   protected override get tenancySettings(): object {
-    return { keys: { revokeMs: REVOKE_MS }, requestLimits: TOLERANCE };
+    return { keys: { revokeMs: REVOKE_MS }, requestLimits: TOLERANCE, places: ALWAYS_DISPATCHED };
   }
 
   protected override get firstTenants(): Pick<TestRoutes, "tenants"> {
