Give each type and function of places a file of its own

Cause: house rule; several files exported types beside their class.

Measured: contract tests of places and what they touch pass.

--- a/bench/mutations/place-mutations.ts
+++ b/bench/mutations/place-mutations.ts
@@ -76,7 +76,7 @@
     name: "places: a rank never rises",
     edits: [
       {
-        file: "src/scheduling/place-queue/call-order.ts",
+        file: "src/scheduling/place-queue/aged-rank.ts",
         from: "const AGING_MS = 250;",
         to: "const AGING_MS = 250_000;",
       },
--- a/src/gateway/places/board-group.ts
+++ b/src/gateway/places/board-group.ts
@@ -1,22 +1,11 @@
 /** A group of runners as the dispatcher's own board knows them. */
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import { type PlaceCall, RunnerGroup } from "../../scheduling/place-queue/index.ts";
-import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
-import type { GatewayContext } from "../gateway-context.ts";
-import type { RunnerGroups } from "./runner-groups.ts";
+import type { BoardGroupParts } from "./board-group-parts.ts";
 
 const NONE: ReadonlySet<RunnerId> = new Set();
 
-/** What a {@link BoardGroup} looks at. */
-export interface BoardGroupParts {
-  readonly context: GatewayContext;
-  readonly board: RunnerBoard;
-  readonly groups: RunnerGroups;
-  /** Tokens that fit into a runner's memory, by the configuration in force. */
-  readonly memoryTokens: (pool: string) => number | undefined;
-}
-
 /** See the module's comment. */
 export class BoardGroup extends RunnerGroup {
   readonly #parts: BoardGroupParts;
--- a/src/gateway/places/place-client.ts
+++ b/src/gateway/places/place-client.ts
@@ -4,8 +4,8 @@
  */
 import { AdaptiveTimeout, type TimeoutBounds } from "../../coordination/adaptive-timeout/index.ts";
 import type { TimerHandle } from "../../runtime/clock.ts";
-import type { RpcEndpoint, RpcReply } from "../../runtime/rpc.ts";
-import type { Sender, Transport } from "../../runtime/transport.ts";
+import type { RpcReply } from "../../runtime/rpc.ts";
+import type { Sender } from "../../runtime/transport.ts";
 import type {
   PlaceCall,
   PlaceDecision,
@@ -13,19 +13,17 @@
   PlaceRefused,
 } from "../../scheduling/place-queue/index.ts";
 import type { RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
-import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { GatewayContext } from "../gateway-context.ts";
-import type { GatewayMessage, GatewayRpcSchema, PlaceSettled } from "../gateway-messages.ts";
+import type { GatewayRpcSchema, PlaceSettled } from "../gateway-messages.ts";
 import type { DispatcherCandidate } from "../members/dispatcher-candidate.ts";
-import type { DispatcherDirectory } from "./dispatcher-directory.ts";
 import { DispatcherSilence } from "./dispatcher-silence.ts";
 import { GroupChoice } from "./group-choice.ts";
 import { HeldPlace } from "./held-place.ts";
-import { type PlaceAsker, PlaceQuestion } from "./place-question.ts";
+import type { PlaceAsker } from "./place-asker.ts";
+import type { PlaceClientParts } from "./place-client-parts.ts";
+import { PlaceQuestion } from "./place-question.ts";
 import { PlaceReturns } from "./place-returns.ts";
 import type { PlaceVerdict } from "./place-verdict.ts";
-import type { PoolScarcity } from "./pool-scarcity.ts";
-import type { RunnerGroups } from "./runner-groups.ts";
 
 /**
  * How long an answer may take, in ms: several times what answers took lately. Too short, and calls go past a dispatcher that
@@ -40,17 +38,6 @@
 /** Dispatchers that a call tries because those before said that others are. */
 const MOST_MOVES = 2;
 
-/** What a {@link PlaceClient} works with. */
-export interface PlaceClientParts {
-  readonly context: GatewayContext;
-  readonly board: RunnerBoard;
-  readonly groups: RunnerGroups;
-  readonly scarcity: PoolScarcity;
-  readonly dispatchers: DispatcherDirectory;
-  readonly rpc: RpcEndpoint<GatewayRpcSchema>;
-  readonly transport: Pick<Transport<GatewayMessage>, "send">;
-}
-
 interface EarlyGrant {
   readonly atMs: number;
   readonly grant: PlaceGrant;
--- /dev/null
+++ b/src/gateway/places/place-host-parts.ts
@@ -0,0 +1,14 @@
+import type { RpcEndpoint } from "../../runtime/rpc.ts";
+import type { Transport } from "../../runtime/transport.ts";
+import type { GatewayMessage, GatewayRpcSchema } from "../gateway-messages.ts";
+import type { BoardGroupParts } from "./board-group-parts.ts";
+import type { DispatcherDirectory } from "./dispatcher-directory.ts";
+import type { TenantWeights } from "./tenant-weights.ts";
+
+/** What a PlaceHost works with. */
+export interface PlaceHostParts extends BoardGroupParts {
+  readonly dispatchers: DispatcherDirectory;
+  readonly weights: TenantWeights;
+  readonly rpc: RpcEndpoint<GatewayRpcSchema>;
+  readonly transport: Pick<Transport<GatewayMessage>, "send">;
+}
--- a/src/gateway/places/place-host.ts
+++ b/src/gateway/places/place-host.ts
@@ -3,21 +3,13 @@
  * that begins to be a dispatcher learns from heartbeats what is out.
  */
 import { repeat, type TimerHandle } from "../../runtime/clock.ts";
-import { RedirectSignal, type RpcEndpoint } from "../../runtime/rpc.ts";
-import type { Sender, Transport } from "../../runtime/transport.ts";
+import { RedirectSignal } from "../../runtime/rpc.ts";
+import type { Sender } from "../../runtime/transport.ts";
 import { PlaceDispatcher } from "../../scheduling/place-queue/index.ts";
 import type { GatewayContext } from "../gateway-context.ts";
-import type {
-  AskPlaceRequest,
-  AskPlaceResponse,
-  GatewayMessage,
-  GatewayRpcSchema,
-  PlaceSettled,
-  ReturnPlaces,
-} from "../gateway-messages.ts";
-import { BoardGroup, type BoardGroupParts } from "./board-group.ts";
-import type { DispatcherDirectory } from "./dispatcher-directory.ts";
-import type { TenantWeights } from "./tenant-weights.ts";
+import type { AskPlaceRequest, AskPlaceResponse, PlaceSettled, ReturnPlaces } from "../gateway-messages.ts";
+import { BoardGroup } from "./board-group.ts";
+import type { PlaceHostParts } from "./place-host-parts.ts";
 
 /** How often queues are looked at while calls wait, in ms: what a refusal may come late. */
 const TICK_MS = 20;
@@ -32,14 +24,6 @@
 const LEASE_BLOCK = 2 ** 22;
 const LEASE_BLOCKS = 2 ** 28;
 
-/** What a {@link PlaceHost} works with. */
-export interface PlaceHostParts extends BoardGroupParts {
-  readonly dispatchers: DispatcherDirectory;
-  readonly weights: TenantWeights;
-  readonly rpc: RpcEndpoint<GatewayRpcSchema>;
-  readonly transport: Pick<Transport<GatewayMessage>, "send">;
-}
-
 interface HostedGroup {
   readonly pool: string;
   readonly index: number;
--- /dev/null
+++ b/src/scheduling/place-queue/goes-before.ts
@@ -0,0 +1,13 @@
+import { agedRank } from "./aged-rank.ts";
+import { goesBeforeAmongOwn } from "./goes-before-among-own.ts";
+import type { WaitingCall } from "./waiting-call.ts";
+
+/** Whether a call goes before another one, of any tenant. */
+export function goesBefore(left: WaitingCall, right: WaitingCall, nowMs: number): boolean {
+  const leftRank = agedRank(left, nowMs);
+  const rightRank = agedRank(right, nowMs);
+  if (leftRank !== rightRank) return leftRank < rightRank;
+  if (left.share !== right.share && left.share.usedMs !== right.share.usedMs)
+    return left.share.usedMs < right.share.usedMs;
+  return goesBeforeAmongOwn(left, right, nowMs);
+}
--- a/src/scheduling/place-queue/index.ts
+++ b/src/scheduling/place-queue/index.ts
@@ -1,14 +1,13 @@
+export type { GroupRoom } from "./group-room.ts";
 export type { PlaceCall } from "./place-call.ts";
-export type {
-  PlaceDecision,
-  PlaceGrant,
-  PlaceQueued,
-  PlaceRefusal,
-  PlaceRefused,
-} from "./place-decision.ts";
-export { PlaceDispatcher, type PlaceDispatcherParts } from "./place-dispatcher.ts";
+export type { PlaceDecision } from "./place-decision.ts";
+export { PlaceDispatcher } from "./place-dispatcher.ts";
+export type { PlaceDispatcherParts } from "./place-dispatcher-parts.ts";
+export type { PlaceGrant } from "./place-grant.ts";
+export type { PlaceQueued } from "./place-queued.ts";
+export type { PlaceRefusal } from "./place-refusal.ts";
+export type { PlaceRefused } from "./place-refused.ts";
 export type { PlaceSettlement } from "./place-settlement.ts";
 export type { ReturnedPlace } from "./returned-place.ts";
 export { RunnerGroup } from "./runner-group.ts";
-export type { GroupRoom } from "./runner-room.ts";
 export type { WaitingCall } from "./waiting-call.ts";
--- a/src/scheduling/place-queue/place-dispatcher.ts
+++ b/src/scheduling/place-queue/place-dispatcher.ts
@@ -4,17 +4,23 @@
  */
 import type { RequestId } from "../ids/request-id.ts";
 import type { TenantName } from "../ids/tenant-name.ts";
+import type { GroupRoom } from "./group-room.ts";
 import { HoldingTimes } from "./holding-times.ts";
 import type { Lease } from "./lease.ts";
 import { LeaseBook } from "./lease-book.ts";
 import type { PlaceCall } from "./place-call.ts";
-import type { PlaceDecision, PlaceGrant, PlaceQueued, PlaceRefusal, PlaceRefused } from "./place-decision.ts";
+import type { PlaceDecision } from "./place-decision.ts";
+import type { PlaceDispatcherParts } from "./place-dispatcher-parts.ts";
+import type { PlaceGrant } from "./place-grant.ts";
 import { PlaceQueue } from "./place-queue.ts";
+import type { PlaceQueued } from "./place-queued.ts";
+import type { PlaceRefusal } from "./place-refusal.ts";
+import type { PlaceRefused } from "./place-refused.ts";
 import type { PlaceSettlement } from "./place-settlement.ts";
 import { RetryTimes } from "./retry-times.ts";
 import type { ReturnedPlace } from "./returned-place.ts";
 import type { RunnerGroup } from "./runner-group.ts";
-import { type GroupRoom, RunnerRoom } from "./runner-room.ts";
+import { RunnerRoom } from "./runner-room.ts";
 import { TenantShares } from "./tenant-shares.ts";
 import { TurnedAway } from "./turned-away.ts";
 import type { WaitingCall } from "./waiting-call.ts";
@@ -42,17 +48,6 @@
 /** When a caller should come back that no runner can take, in ms. */
 const NO_RUNNER_RETRY_MS = 250;
 
-/** What a {@link PlaceDispatcher} is made of. */
-export interface PlaceDispatcherParts {
-  readonly group: RunnerGroup;
-  /** How much of the places is a tenant's, relative to others. */
-  readonly weightOf: (tenant: TenantName | undefined) => number;
-  /** Leases are counted from here on; far from those of other dispatchers, so that none takes another's for its own. */
-  readonly firstLease: number;
-  /** How old what is told of requests that no dispatcher has placed may be, in ms. */
-  readonly learningMs: number;
-}
-
 /** See the module's comment. */
 export class PlaceDispatcher {
   readonly #group: RunnerGroup;
--- a/src/scheduling/place-queue/place-queue.ts
+++ b/src/scheduling/place-queue/place-queue.ts
@@ -2,7 +2,9 @@
  * Calls that wait for a place of a group of runners, and their order: priority, then fairness between tenants, then what a
  * tenant's own programs need. It looks at every call each time; forecasts keep their number low. Pure.
  */
-import { agedRank, goesBefore, goesBeforeAmongOwn } from "./call-order.ts";
+import { agedRank } from "./aged-rank.ts";
+import { goesBefore } from "./goes-before.ts";
+import { goesBeforeAmongOwn } from "./goes-before-among-own.ts";
 import type { TenantShare } from "./tenant-share.ts";
 import type { WaitingCall } from "./waiting-call.ts";
 
--- /dev/null
+++ b/src/scheduling/place-queue/place-refused.ts
@@ -0,0 +1,9 @@
+import type { PlaceRefusal } from "./place-refusal.ts";
+
+/** A call that gets no place. */
+export interface PlaceRefused {
+  readonly type: "refused";
+  /** When there is likely to be one, in ms. */
+  readonly retryAfterMs: number;
+  readonly reason: PlaceRefusal;
+}
--- a/src/scheduling/place-queue/place-settlement.ts
+++ b/src/scheduling/place-queue/place-settlement.ts
@@ -1,4 +1,5 @@
-import type { PlaceGrant, PlaceRefused } from "./place-decision.ts";
+import type { PlaceGrant } from "./place-grant.ts";
+import type { PlaceRefused } from "./place-refused.ts";
 
 /** What has become of a call that waited. */
 export interface PlaceSettlement {
--- a/src/scheduling/place-queue/runner-room.ts
+++ b/src/scheduling/place-queue/runner-room.ts
@@ -1,6 +1,7 @@
 /** Which runners of a group have room for a call: places, and memory for its tokens. Pure. */
 import type { RunnerId } from "../ids/runner-id.ts";
 import type { RunnerEntry } from "../runner-board/runner-entry.ts";
+import type { GroupRoom } from "./group-room.ts";
 import type { LeaseBook } from "./lease-book.ts";
 import type { PlaceCall } from "./place-call.ts";
 import type { RunnerGroup } from "./runner-group.ts";
@@ -14,18 +15,6 @@
 /** Part of a runner's slots that may be handed out on top for it: more would wait there, ahead of what is more urgent. */
 const MOST_ON_TOP = 0.25;
 
-/** Places of a group, and those of them that are free. */
-export interface GroupRoom {
-  readonly places: number;
-  readonly free: number;
-  /** Taken by calls that this dispatcher has not placed. */
-  readonly placedByOthers: number;
-  /** Runners that get nothing now, since they turned calls away. */
-  readonly paused: number;
-  /** How many places come free in a ms while all are taken. */
-  readonly freedPerMs: number;
-}
-
 /** See the module's comment. */
 export class RunnerRoom {
   readonly #group: RunnerGroup;
