--- a/src/scheduling/place-queue/place-dispatcher.ts
+++ b/src/scheduling/place-queue/place-dispatcher.ts
@@ -4,17 +4,23 @@
  */
 import type { RequestId } from "../ids/request-id.ts";
 import type { TenantName } from "../ids/tenant-name.ts";
+import type { GroupRoom } from "./group-room.ts";
 import { HoldingTimes } from "./holding-times.ts";
 import type { Lease } from "./lease.ts";
 import { LeaseBook } from "./lease-book.ts";
 import type { PlaceCall } from "./place-call.ts";
-import type { PlaceDecision, PlaceGrant, PlaceQueued, PlaceRefusal, PlaceRefused } from "./place-decision.ts";
+import type { PlaceDecision } from "./place-decision.ts";
+import type { PlaceDispatcherParts } from "./place-dispatcher-parts.ts";
+import type { PlaceGrant } from "./place-grant.ts";
 import { PlaceQueue } from "./place-queue.ts";
+import type { PlaceQueued } from "./place-queued.ts";
+import type { PlaceRefusal } from "./place-refusal.ts";
+import type { PlaceRefused } from "./place-refused.ts";
 import type { PlaceSettlement } from "./place-settlement.ts";
 import { RetryTimes } from "./retry-times.ts";
 import type { ReturnedPlace } from "./returned-place.ts";
 import type { RunnerGroup } from "./runner-group.ts";
-import { type GroupRoom, RunnerRoom } from "./runner-room.ts";
+import { RunnerRoom } from "./runner-room.ts";
 import { TenantShares } from "./tenant-shares.ts";
 import { TurnedAway } from "./turned-away.ts";
 import type { WaitingCall } from "./waiting-call.ts";
@@ -28,7 +34,8 @@
 const START_WAIT_PART = 0.025;
 /** A lease ends by itself after so many times what calls of its route take. */
 const LEASE_HOLDINGS = 10;
-const MIN_LEASE_MS = 1_000;
+/** Longer than most callers wait, so that a runner that hangs gets no more calls while it holds some. */
+const MIN_LEASE_MS = 4_000;
 const MAX_LEASE_MS = 10_000;
 /** A call that no free runner has the memory for is passed over for so long, in ms; then others wait for it. */
 const PASSED_OVER_MS = 100;
@@ -41,24 +48,13 @@
 /** When a caller should come back that no runner can take, in ms. */
 const NO_RUNNER_RETRY_MS = 250;
 
-/** What a {@link PlaceDispatcher} is made of. */
-export interface PlaceDispatcherParts {
-  readonly group: RunnerGroup;
-  /** How much of the places is a tenant's, relative to others. */
-  readonly weightOf: (tenant: TenantName | undefined) => number;
-  /** Leases are counted from here on; far from those of other dispatchers, so that none takes another's for its own. */
-  readonly firstLease: number;
-  /** How old what is told of requests that no dispatcher has placed may be, in ms. */
-  readonly learningMs: number;
-}
-
 /** See the module's comment. */
 export class PlaceDispatcher {
   readonly #group: RunnerGroup;
   readonly #queue = new PlaceQueue();
   readonly #leases = new LeaseBook();
   readonly #shares: TenantShares;
-  readonly #holding = new HoldingTimes();
+  readonly #holding: HoldingTimes;
   readonly #turnedAway = new TurnedAway();
   readonly #retries = new RetryTimes();
   readonly #room: RunnerRoom;
@@ -71,6 +67,7 @@
 
   constructor({ group, weightOf, firstLease, learningMs }: PlaceDispatcherParts) {
     this.#group = group;
+    this.#holding = new HoldingTimes(() => group.usualMs());
     this.#shares = new TenantShares(weightOf);
     this.#room = new RunnerRoom(group, this.#leases, this.#turnedAway, learningMs);
     this.#nextLease = firstLease;
@@ -97,7 +94,7 @@
     // While nobody asks, gateways place their calls alone.
     if (nowMs - this.#askedAtMs > this.#learningMs) this.#room.inherit(nowMs);
     this.#askedAtMs = nowMs;
-    const before = this.#repeated(call, nowMs);
+    const before = this.#repeated(call, holder, nowMs);
     if (before) return before;
     const comer = this.#comer(call, holder, nowMs);
     const decision = this.#decide(comer, nowMs);
@@ -203,14 +200,17 @@
   }
 
   /** The answer to a question that came before; a call that asks again because of its runner gets a new one. */
-  #repeated(call: PlaceCall, nowMs: number): PlaceGrant | PlaceQueued | undefined {
+  #repeated(call: PlaceCall, holder: string, nowMs: number): PlaceGrant | PlaceQueued | undefined {
     const known = this.#byRequest.get(call.request);
     if (known === undefined) return undefined;
     const waiting = this.#queue.get(known);
-    if (waiting) return { type: "queued", lease: known, expectedMs: this.#expectedMs(waiting, nowMs) };
+    if (waiting?.holder === holder)
+      return { type: "queued", lease: known, expectedMs: this.#expectedMs(waiting, nowMs) };
     const lease = this.#leases.get(known);
-    if (lease && !call.excluded.includes(lease.runner)) return grantOf(lease, nowMs);
-    if (lease) this.#end(lease, 0);
+    // Callers choose their identifiers: another gateway's call may have the same one.
+    if (lease?.holder !== holder) return undefined;
+    if (!call.excluded.includes(lease.runner)) return grantOf(lease, nowMs);
+    this.#end(lease, 0);
     return undefined;
   }
 
