Give a call no further try where it cannot end in its time any more

A call that a runner had turned away, or that broke before its first event, was sent to the next runner however little of its time was left: a turn reached a runner 60 ms before its caller's deadline. A further try is now made only while half of the time is left that it is expected to take there; where nothing is expected (runners chosen by load) all stays as it was. A stream that has begun goes on.

--- a/src/gateway/calls/plain-call.ts
+++ b/src/gateway/calls/plain-call.ts
@@ -14,6 +14,7 @@
   protected override next(): void {
     const runner = this.chooseRunner(undefined);
     if (!runner) return this.#giveUp("no runner can take the call");
+    if (!this.hasTimeAt(runner)) return this.#giveUp("no time is left for another runner");
     let head: HttpAnswerHead | undefined;
     const chunks: Buffer[] = [];
     const tried = this.tryAt(runner, this.exchange.body, this.call.lastEventId, {
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -2,6 +2,7 @@
 
 import type { CallContext } from "../../ports/call-protocol.ts";
 import type { TimerHandle } from "../../runtime/clock.ts";
+import { canStillEnd } from "../../scheduling/admission/can-still-end.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { Tenant } from "../../scheduling/routing/tenant.ts";
@@ -137,6 +138,12 @@
     return board.choose(this.#choice);
   }
 
+  /** Whether a first try may be made at a runner, or another one can still end in the call's time. */
+  protected hasTimeAt(runner: RunnerEntry): boolean {
+    if (this.#tries === 0 || !this.#choice) return true;
+    return canStillEnd(this.leftMs, this.parts.board.expectedMs(runner.id, this.#choice));
+  }
+
   /** Sends the call to a runner; false when it has been tried too often. */
   protected tryAt(
     runner: RunnerEntry,
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -61,6 +61,9 @@
   protected override next(): void {
     const runner = this.#nextRunner();
     if (!runner) return this.#giveUp("no runner can take the turn");
+    // A stream that has begun goes on: what it still brings is of use to the caller.
+    if (this.#events === 0 && !this.hasTimeAt(runner))
+      return this.#giveUp("no time is left for another runner");
     this.#splitter.reset();
     const tried = this.tryAt(runner, this.#body(), this.#lastEventId, this.#listenerFor(runner));
     if (!tried) this.#giveUp("too many runners refused the turn");
