Leave the holder of a prompt only for a runner that is better, and other zones dearer

All runners of a choice drew from the same spread.

The holder now takes part with a share of the spread that the others seldom reach together, and another zone costs 0.4 of a call in place of 0.1. The expected time in the log counts the reading of the prompt once; for the choice it still counts for each request that it holds up.

--- a/src/scheduling/runner-board/cost-by-time.ts
+++ b/src/scheduling/runner-board/cost-by-time.ts
@@ -20,7 +20,7 @@
  * What another zone costs, as a part of a call: its way is short, but traffic between zones is paid for, and a zone that
  * is parted breaks the calls that cross its border.
  */
-const OTHER_ZONE_PART = 0.1;
+const OTHER_ZONE_PART = 0.4;
 /** What a runner costs at which every request fails, in calls: the lost one, others in its place, and its program. */
 const FAILED_CALLS = 8;
 /** What a prompt costs that is not cached, in calls, while the speed of reading is not known. */
@@ -32,6 +32,11 @@
  */
 const SPREAD_MS = 40;
 const FULL_SPREAD_MS = 250;
+/**
+ * The holder of the prompt is left for a runner that is better, not for the luck of the draw: its share of the spread is
+ * beyond the largest of the others by so much, which these reach once in eight choices.
+ */
+const HOLDER_MARGIN = 2;
 /** Among so many there are nearly always some of the fast ones of the own zone, and weighing takes processor time. */
 const MOST_WEIGHED = 16;
 /** A runner is taken to be at most so many times faster or slower than the usual one. */
@@ -78,14 +83,18 @@
     const { paceMs, occupancy } = this.#usual(candidates, choice, loads);
     const usual = this.#poolCosts(paceMs, choice);
     const spreadMs = Math.min(usual.callMs, SPREAD_MS + FULL_SPREAD_MS * occupancy);
-    return (candidate, index) =>
-      costMs(candidate, choice, loads, usual) - spreadMs * gumbelSample(choice.sample, index);
+    const holderSample = Math.log(Math.min(candidates.length, MOST_WEIGHED)) + HOLDER_MARGIN;
+    return (candidate, index) => {
+      const isHolder = candidate.entry.id === choice.preferred;
+      const sample = isHolder ? holderSample : gumbelSample(choice.sample, index);
+      return costMs(candidate, choice, loads, usual) - spreadMs * sample;
+    };
   }
 
   override expectedMs(candidate: RunnerCandidate, choice: RunnerChoice, loads: RunnerLoads): number {
     const paceMs = this.#usualStates.get(choice.pool)?.paceMs ?? UNKNOWN_PACE_MS;
     const usual = this.#poolCosts(paceMs, choice);
-    return timeMs(candidate, choice, loads, usual);
+    return timeMs(candidate, choice, loads, usual, 1);
   }
 
   override observe({ entry, pace }: RunnerCandidate, timing: CallTiming, nowMs: number): number {
@@ -126,25 +135,31 @@
   usual: PoolCosts,
 ): number {
   const { entry, avoidUntilMs } = candidate;
-  let cost = timeMs(candidate, choice, loads, usual);
+  const heldUp = 1 + Math.min(loads.load(entry.id), entry.slots);
+  let cost = timeMs(candidate, choice, loads, usual, heldUp);
   cost += loads.failureRate(entry.id, choice.nowMs) * FAILED_CALLS * usual.callMs;
   if (entry.zone !== choice.zone) cost += OTHER_ZONE_PART * usual.callMs;
   return choice.nowMs < avoidUntilMs ? cost + AVOIDED_COST_MS : cost;
 }
 
-/** Time until the call is over; reading its prompt counts once for each request that it holds up. */
+/**
+ * Time until the call is over.
+ *
+ * @param heldUp requests that wait while the prompt is read, itself among them: it counts once for each
+ */
 function timeMs(
   { entry, pace }: RunnerCandidate,
   { preferred, nowMs }: RunnerChoice,
   loads: RunnerLoads,
   { paceMs, callMs, readMs }: PoolCosts,
+  heldUp: number,
 ): number {
   const load = loads.load(entry.id);
-  const batch = Math.min(load, entry.slots);
-  const waiting = expectedBeyond(load + 1 - entry.slots);
-  let calls = 1 + FULL_BATCH_PART * (batch / entry.slots) + waiting / entry.slots;
-  if (preferred !== undefined && preferred !== entry.id) calls += (readMs / callMs) * (1 + batch);
-  return callMs * calls * bounded(pace.slowness(paceMs, nowMs));
+  const batch = Math.min(1, load / entry.slots);
+  const waiting = expectedBeyond(load + 1 - entry.slots) / entry.slots;
+  let atUsualMs = callMs * (1 + FULL_BATCH_PART * batch + waiting);
+  if (preferred !== undefined && preferred !== entry.id) atUsualMs += readMs * heldUp;
+  return atUsualMs * bounded(pace.slowness(paceMs, nowMs));
 }
 
 function occupancyOf(candidates: readonly RunnerCandidate[], loads: RunnerLoads): number {
