Count what a full batch costs the others, and remember only zones that have gateways

A batch costs up to half a call more now.

The directory counted and remembered whatever zone a caller named; now only zones that have gateways.

--- a/src/gateway/members/caller-directory.ts
+++ b/src/gateway/members/caller-directory.ts
@@ -32,9 +32,10 @@
     this.#drawAnew();
     const candidates = gateways.map((gateway) => ({ ...gateway, draw: this.#drawOf(gateway.address) }));
     const named = this.#shuffled(spreadCallers(candidates, zone)).slice(0, MAX_ADDRESSES);
-    const { metrics } = this.#context;
-    for (const gateway of named) metrics.named(gateway.zone, zone);
-    if (zone !== undefined && named.length > 0) this.#noteShortage(zone, named);
+    // Callers may say anything: only zones that have gateways are counted and remembered.
+    const known = gateways.some((gateway) => gateway.zone === zone) ? zone : undefined;
+    for (const gateway of named) this.#context.metrics.named(gateway.zone, known);
+    if (known !== undefined) this.#noteShortage(known, named);
     return named.map(({ address }) => address);
   }
 
--- a/src/scheduling/runner-board/cost-by-time.ts
+++ b/src/scheduling/runner-board/cost-by-time.ts
@@ -16,6 +16,11 @@
 const AVOIDED_COST_MS = 1_000_000;
 /** Steps in a full batch take longer than in an empty one by about this part. */
 const FULL_BATCH_PART = 0.25;
+/**
+ * What a full batch costs beside, as a part of a call: the more requests share a runner's memory, the more cached prompts
+ * give way, and the more requests are preempted and read anew.
+ */
+const CROWDED_PART = 0.5;
 /**
  * What another zone costs, as a part of a call: its way is short, but traffic between zones is paid for, and a zone that
  * is parted breaks the calls that cross its border.
@@ -135,8 +140,9 @@
   usual: PoolCosts,
 ): number {
   const { entry, avoidUntilMs } = candidate;
-  const heldUp = 1 + Math.min(loads.load(entry.id), entry.slots);
-  let cost = timeMs(candidate, choice, loads, usual, heldUp);
+  const batch = Math.min(loads.load(entry.id), entry.slots);
+  let cost = timeMs(candidate, choice, loads, usual, 1 + batch);
+  cost += CROWDED_PART * (batch / entry.slots) * usual.callMs;
   cost += loads.failureRate(entry.id, choice.nowMs) * FAILED_CALLS * usual.callMs;
   if (entry.zone !== choice.zone) cost += OTHER_ZONE_PART * usual.callMs;
   return choice.nowMs < avoidUntilMs ? cost + AVOIDED_COST_MS : cost;
