--- a/src/gateway/calls/plain-call.ts
+++ b/src/gateway/calls/plain-call.ts
@@ -19,6 +19,7 @@
   }
 
   #sendTo(runner: RunnerEntry): void {
+    if (!this.hasTimeAt(runner)) return this.#giveUp("no time is left for another runner");
     let head: HttpAnswerHead | undefined;
     const chunks: Buffer[] = [];
     const tried = this.tryAt(runner, this.exchange.body, this.call.lastEventId, {
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -65,6 +65,9 @@
   }
 
   #sendTo(runner: RunnerEntry): void {
+    // A stream that has begun goes on: what it still brings is of use to the caller.
+    if (this.#events === 0 && !this.hasTimeAt(runner))
+      return this.#giveUp("no time is left for another runner");
     this.#splitter.reset();
     const tried = this.tryAt(runner, this.#body(), this.#lastEventId, this.#listenerFor(runner));
     if (!tried) this.#giveUp("too many runners refused the turn");
