Say what a whole run of gateway-cost took

Start, rest and requests are measured one after the other, and what a start leaves for later is taken for rest and subtracted from turns: the whole run has no such borders.

--- a/bench/gateway-cost.ts
+++ b/bench/gateway-cost.ts
@@ -36,7 +36,7 @@
   process.exit(INVALID_INPUT);
 }
 process.stdout.write(
-  "gateways  start ms  at rest ms/s  turn ms  call ms  at rest writes/s  turn writes  failed  MB each\n",
+  "gateways  whole ms  start ms  at rest ms/s  turn ms  call ms  at rest writes/s  turn writes  failed  MB each\n",
 );
 for (const gateways of values.sizes.split(",").map(Number)) {
   const cluster = new CostCluster({
@@ -64,6 +64,7 @@
 function line(title: string, costs: GatewayCosts): string {
   const columns = [
     title.padStart(8),
+    costs.wholeMs.toFixed(2).padStart(9),
     costs.startMs.toFixed(2).padStart(9),
     costs.restMsPerSecond.toFixed(2).padStart(13),
     costs.turnMs.toFixed(2).padStart(8),
@@ -79,6 +80,7 @@
 /** Each cost of the later build as a part of the earlier one's. */
 function ratiosOf(before: GatewayCosts, after: GatewayCosts): GatewayCosts {
   return {
+    wholeMs: after.wholeMs / before.wholeMs,
     startMs: after.startMs / before.startMs,
     restMsPerSecond: after.restMsPerSecond / before.restMsPerSecond,
     turnMs: after.turnMs / before.turnMs,
--- a/bench/gateway-cost/measure-costs.ts
+++ b/bench/gateway-cost/measure-costs.ts
@@ -16,6 +16,8 @@
 
 /** Means of one gateway; processor time in ms. */
 export interface GatewayCosts {
+  /** The whole run: what is little apart differs less from run to run together. */
+  readonly wholeMs: number;
   readonly startMs: number;
   readonly restMsPerSecond: number;
   readonly turnMs: number;
@@ -44,9 +46,11 @@
   const load = new Load(cluster, plan.durationMs, rests);
   const turns = await load.run(plan.turnsPerSecond, sampleTurn);
   const calls = await load.run(plan.callsPerSecond, sampleCall);
+  const wholes = await usage(cluster);
   const sizes = await Promise.all(cluster.bundles.map((bundle) => cluster.megabytes(bundle)));
   await load.close();
   return cluster.bundles.map((_, index) => ({
+    wholeMs: (wholes[index] as Usage).processorMs,
     startMs: (starts[index] as Usage).processorMs,
     restMsPerSecond: (rests[index] as Usage).processorMs,
     turnMs: (turns[index] as Usage).processorMs,
