--- a/src/gateway/runners/runner-connections.ts
+++ b/src/gateway/runners/runner-connections.ts
@@ -19,7 +19,7 @@
 /** A connection is given up this long before the time that the runner names, in ms. */
 const IDLE_MARGIN_MS = 500;
 const MAX_IDLE_MS = 600_000;
-/** Time between looks for idle connections beyond the share, in ms: longer than those rest that are opened in a burst. */
+/** Time between looks for idle connections beyond the share, in ms: most have been closed by themselves by then. */
 const TRIM_MS = 5_000;
 /** Part of a pool's connections that has to be idle before it is closed for them. */
 const IDLE_PART = 0.5;
--- a/test/contract/row-store-client.test.ts
+++ b/test/contract/row-store-client.test.ts
@@ -1,4 +1,6 @@
 /** The adapter's client of the platform's store, against the stand-in with each of its faults. */
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { expect } from "earl";
 import type { HttpRowStore } from "../../platform/http-row-store.ts";
@@ -68,6 +70,31 @@
     });
   }
 
+  const SPOILT = ["", "{", "null", "[]", '{"ver":"1"}'];
+  for (const body of SPOILT) {
+    it(`takes ${JSON.stringify(body)} for no answer`, async () => {
+      const server = createServer((_request, response) => response.end(body));
+      await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+      store = storeClient(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+      expect((await put(0)).type).toEqual("unknown");
+      expect((await store.read({ table: "t", part: "p" })).type).toEqual("unknown");
+      expect((await store.watch("t", 0, 10)).type).toEqual("unknown");
+      server.close();
+      server.closeAllConnections();
+    });
+  }
+
+  it("gives a row whose value is no text as one without bytes", async () => {
+    const answer = { ver: 1, rows: [{ table: "t", part: "p", "tls-key": "k", value: 5, ver: 1 }] };
+    const server = createServer((_request, response) => response.end(JSON.stringify(answer)));
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    store = storeClient(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    const read = await store.read({ table: "t", part: "p" });
+    expect(read.type === "rows" && read.rows).toEqual([{ ...ROW, value: Buffer.alloc(0), version: 1 }]);
+    server.close();
+    server.closeAllConnections();
+  });
+
   it("takes a store that is not there for one that did nothing", async () => {
     standin.close();
     expect((await put(0)).type).toEqual("refused");
