--- a/bench/mutations/place-mutations.ts
+++ b/bench/mutations/place-mutations.ts
@@ -77,8 +77,8 @@
     edits: [
       {
         file: "src/scheduling/place-queue/aged-rank.ts",
-        from: "const AGING_MS = 250;",
-        to: "const AGING_MS = 250_000;",
+        from: "const AGING_MS = 50;",
+        to: "const AGING_MS = 50_000;",
       },
     ],
     script: DISPATCHER,
