Sum what dispatchers have placed as every other count

Cause: the sums of reports were tested without it; one that told of nothing else was not taken off a sum.

Change: it is. The property tests of sums have it.

--- a/src/scheduling/runner-board/report-totals.ts
+++ b/src/scheduling/runner-board/report-totals.ts
@@ -84,7 +84,8 @@
 
   /** A sum of reports without one of its parts. */
   static difference(sum: NodeReport, part: NodeReport): NodeReport {
-    if (part.inFlight.length === 0 && part.failing.length === 0) return sum;
+    const { inFlight, leased = [], failing } = part;
+    if (inFlight.length === 0 && leased.length === 0 && failing.length === 0) return sum;
     const totals = new ReportTotals(Number.POSITIVE_INFINITY);
     totals.#add(sum, 1);
     totals.#add(part, -1);
--- a/test/contract/report-totals.test.ts
+++ b/test/contract/report-totals.test.ts
@@ -12,10 +12,12 @@
 
 const runners = fc.subarray(RUNNERS);
 const tenths = fc.integer({ min: 0, max: 50 }).map((count) => count / 10);
+const counts = runners.chain((ids) =>
+  fc.tuple(...ids.map((id) => fc.tuple(fc.constant(id), fc.integer({ min: 1, max: 9 })))),
+);
 const report: fc.Arbitrary<NodeReport> = fc.record({
-  inFlight: runners.chain((ids) =>
-    fc.tuple(...ids.map((id) => fc.tuple(fc.constant(id), fc.integer({ min: 1, max: 9 })))),
-  ),
+  inFlight: counts,
+  leased: counts,
   failing: runners.chain((ids) =>
     fc.tuple(
       ...ids.map((id) =>
@@ -40,6 +42,12 @@
   return sum;
 }
 
+function leasedOf(reports: Iterable<NodeReport>, runner: RunnerId): number {
+  let sum = 0;
+  for (const { leased = [] } of reports) for (const [id, count] of leased) if (id === runner) sum += count;
+  return sum;
+}
+
 function failuresOf(reports: Iterable<NodeReport>, runner: RunnerId): number {
   let sum = 0;
   for (const { failing } of reports) for (const [id, , count] of failing) if (id === runner) sum += count;
@@ -67,6 +75,7 @@
           const reports = [...last.values()].map((entry) => entry.report);
           for (const runner of RUNNERS) {
             expect(totals.inFlight(runner)).toEqual(inFlightOf(reports, runner));
+            expect(totals.leased(runner)).toEqual(leasedOf(reports, runner));
             expect(totals.outcomes(runner).failures).toEqual(failuresOf(reports, runner));
           }
         }
@@ -84,6 +93,7 @@
         const wanted = totals.sum(["a", "c"]);
         for (const runner of RUNNERS) {
           expect(inFlightOf([others], runner)).toEqual(inFlightOf([wanted], runner));
+          expect(leasedOf([others], runner)).toEqual(leasedOf([wanted], runner));
           expect(failuresOf([others], runner)).toEqual(failuresOf([wanted], runner));
         }
       }),
