--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -30,7 +30,7 @@
 import { loadSourceOf } from "./load-source.ts";
 import type { Member } from "./member.ts";
 import { MemberView } from "./member-view.ts";
-import { knowsPart, type ProtocolPart } from "./protocol-part.ts";
+import { knowsPart } from "./protocol-part.ts";
 import { PROTOCOL_VERSION } from "./protocol-version.ts";
 import { sameStatus } from "./same-status.ts";
 
@@ -157,12 +157,6 @@
     this.#repeatRelayed();
   }
 
-  /** Whether the gateway at an address, if it is known, may be asked for a part of the protocol. */
-  knows(address: string, part: ProtocolPart): boolean {
-    const member = this.#view.at(address);
-    return member !== undefined && knowsPart(member.status, part);
-  }
-
   /** Handles a heartbeat. */
   onHeartbeat(heartbeat: Heartbeat, from: Sender): void {
     const { address, instance } = from;
