Leave a gateway that stops its partitions until it has handed them over

Cause: others took a partition over as soon as its owner said that it stops, up to a look of theirs before the owner had written that it lets go; what it hands over (limits of its tenants) was lost then. Change: a stopping gateway may own until it names its partitions no more, which it does at the latest when it waits no longer for the store. Measured: the new test of the member directory fails on the code before.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -65,6 +65,8 @@
   /** Types of messages that could not be taken in. */
   readonly #passedOver = new Set<string>();
   #announcedReady = false;
+  /** Whether a planned stop has let go of the partitions, or waits for it no longer. */
+  #hasLetGo = false;
   #stopping: Promise<void> | undefined;
 
   /** @param given the context, with the store over this gateway's own connections */
@@ -131,7 +133,7 @@
     this.#members.selfReport = () => ({
       state: this.state,
       storeDirect: this.#store.isDirect,
-      owned: this.#partitions.owned,
+      owned: this.#hasLetGo ? [] : this.#partitions.owned,
       runners: this.#board.ownReport(context.clock.monotonicMs()),
       headroom: this.#headroom?.headroom,
     });
@@ -273,6 +275,7 @@
     this.#members.tick();
     this.#ingress.beginStop();
     await Promise.race([this.#partitions.release(), delay(clock, settings.timing.lingerMs)]);
+    this.#hasLetGo = true;
     this.#members.tick();
     await delay(clock, Math.max(0, startedMs + settings.timing.lingerMs - clock.monotonicMs()));
     this.#ingress.stopListening();
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -256,12 +256,13 @@
   }
 
   /**
-   * Whether an incarnation is alive and may go on owning partitions. One that does not reach the store may, until this
+   * Whether an incarnation is alive and may go on owning partitions. One that stops hands them over first: it says so by
+   * naming them no more, and what it hands over would be lost if somebody took them before. One that does not reach the store may, until this
    * gateway has reached it for long enough: after an outage the others have not all noticed yet, or not yet said so.
    */
   mayOwn(instance: string): boolean {
     const status = this.#view.live(instance)?.status;
-    if (status?.state !== "ready") return false;
+    if (status === undefined || status.state === "starting") return false;
     return status.storeReachable || this.#health.reachableForMs < this.#context.settings.timing.storeSettleMs;
   }
 
--- a/test/contract/member-directory.test.ts
+++ b/test/contract/member-directory.test.ts
@@ -88,6 +88,25 @@
     });
   }
 
+  it("leaves a gateway that stops what it owns until it says otherwise", async () => {
+    const fleet = new MemberFleet(hash, 3, 24);
+    await fleet.time.runUntil(SETTLE_MS);
+    const [stopping, other] = fleet.members;
+    if (!stopping || !other) throw new Error("no fleet");
+    const report = stopping.directory.selfReport();
+    const instance = `${stopping.name}#1`;
+    for (const [state, mayOwn] of [
+      ["ready", true],
+      ["stopping", true],
+      ["starting", false],
+    ] as const) {
+      stopping.directory.selfReport = () => ({ ...report, state });
+      stopping.directory.tick();
+      await fleet.time.runUntil(fleet.time.nowMs + 1_000);
+      expect([state, other.directory.mayOwn(instance)]).toEqual([state, mayOwn]);
+    }
+  });
+
   it("forgets a gateway that stays silent, and asks it no more", async () => {
     const fleet = new MemberFleet(hash, 4, 24);
     await fleet.time.runUntil(SETTLE_MS);
