--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -86,7 +86,7 @@
     .min(0)
     .default(0)
     .describe(
-      "Places of a pool for each live gateway below which dispatchers hand them out while they are scarce; 0: each gateway places its calls alone",
+      "Places of a pool for each live gateway below which dispatchers hand them out while they are scarce, a quarter of it for runners that are no model engines; 0: each gateway places its calls alone",
     ),
   scarceFrom: z
     .number()
--- a/src/gateway/places/place-client.ts
+++ b/src/gateway/places/place-client.ts
@@ -68,7 +68,7 @@
 
   /** Whether calls of a pool ask for a place now. */
   isDispatched(pool: RunnerPool): boolean {
-    return this.#parts.scarcity.isScarce(pool.name);
+    return this.#parts.scarcity.isScarce(pool);
   }
 
   /** Asks for a place. The verdict may come before this returns. */
--- a/src/gateway/places/pool-scarcity.ts
+++ b/src/gateway/places/pool-scarcity.ts
@@ -2,6 +2,7 @@
  * Whether the places of a pool are scarce, so that they are handed out by dispatchers: the pool has few for each gateway,
  * and most are taken. Far from that, a question before each call would cost more than it saves.
  */
+import type { RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { RunnerGroups } from "./runner-groups.ts";
@@ -13,6 +14,11 @@
  * would send past the dispatchers what these have just handed out.
  */
 const SCARCE_FOR_MS = 3_000;
+/**
+ * Part of the places for each gateway that runners other than model engines have to have: their calls are short, so that a
+ * question costs a larger part of them, and places come free sooner.
+ */
+const SHORT_CALLS_PART = 0.25;
 /** How long an answer is kept, in ms: loads of other gateways change no faster. */
 const TTL_MS = 50;
 
@@ -40,9 +46,10 @@
   }
 
   /** Whether dispatchers hand out the places of a pool now. */
-  isScarce(pool: string): boolean {
+  isScarce({ name: pool, engine }: Pick<RunnerPool, "name" | "engine">): boolean {
     const { dispatchBelow } = this.#context.settings.places;
     if (dispatchBelow === 0) return false;
+    const fewBelow = engine ? dispatchBelow : dispatchBelow * SHORT_CALLS_PART;
     const nowMs = this.#context.clock.monotonicMs();
     const known = this.#pools.get(pool);
     if (known && nowMs - known.atMs < TTL_MS) return known.isScarce;
@@ -51,16 +58,16 @@
     const wasScarce = known?.isScarce ?? false;
     const isBusy =
       this.#isBusy(pool, wasScarce) || (wasScarce && nowMs - (known?.sinceMs ?? 0) < SCARCE_FOR_MS);
-    const isScarce = isBusy && this.#hasFew(pool, dispatchBelow);
+    const isScarce = isBusy && this.#hasFew(pool, fewBelow);
     if (isScarce !== wasScarce) this.#context.log.info({ pool, isScarce }, "places scarce or not");
     const sinceMs = known && isScarce === wasScarce ? known.sinceMs : nowMs;
     this.#pools.set(pool, { atMs: nowMs, isScarce, sinceMs });
     return isScarce;
   }
 
-  #hasFew(pool: string, dispatchBelow: number): boolean {
+  #hasFew(pool: string, fewBelow: number): boolean {
     const places = this.#groups.of(pool).reduce((sum, group) => sum + group.places, 0);
-    return places < dispatchBelow * this.#liveGateways();
+    return places < fewBelow * this.#liveGateways();
   }
 
   #isBusy(pool: string, wasScarce: boolean): boolean {
--- a/test/contract/place-parts.test.ts
+++ b/test/contract/place-parts.test.ts
@@ -43,12 +43,14 @@
     board.report("other", { inFlight: [[id, count]], failing: [] }, nowMs);
 
   describe("scarcity", () => {
+    const engine = { slots: SLOTS, cacheTokens: 1_000, tokensPerEvent: 1 };
+
     function scarcity(gateways: number, dispatchBelow = 4): (atMs: number) => boolean {
       const settings = { ...context.settings, places: { dispatchBelow, scarceFrom: 0.7 } };
       const pools = new PoolScarcity({ ...context, settings }, board, groups, () => gateways);
       return (atMs) => {
         nowMs = atMs;
-        return pools.isScarce("p");
+        return pools.isScarce({ name: "p", engine });
       };
     }
 
@@ -73,6 +75,19 @@
       busy(id, 20);
       expect(scarcity(5)(0)).toEqual(false);
       expect(scarcity(1_000, 0)(0)).toEqual(false);
+    });
+
+    it("needs a quarter of the places where calls are short", () => {
+      const [id] = addAll(5) as [RunnerId];
+      busy(id, 20);
+      const pools = (gateways: number) =>
+        new PoolScarcity(
+          { ...context, settings: { ...context.settings, places: { dispatchBelow: 4, scarceFrom: 0.7 } } },
+          board,
+          groups,
+          () => gateways,
+        ).isScarce({ name: "p", engine: undefined });
+      expect([pools(6), pools(20), pools(21)]).toEqual([false, false, true]);
       expect(scarcity(6)(0)).toEqual(true);
     });
   });
