Let a call go beyond the share of connections where no runner has room within it

Refused although the runner took more. Change: a second choice among runners that are known to take one more from all gateways together. Measured: the new test of the share; contract tests of connections pass.

--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -234,7 +234,7 @@
 
   protected chooseRunner(preferred: RunnerId | undefined): RunnerEntry | undefined {
     const { board, connections, context } = this.parts;
-    this.#choice = {
+    const choice = {
       pool: this.pool.name,
       zone: context.settings.zone,
       excluded: this.silent.size === 0 ? this.excluded : new Set([...this.excluded, ...this.silent]),
@@ -242,9 +242,10 @@
       promptTokens: this.call.promptTokens,
       nowMs: context.clock.monotonicMs(),
       sample: context.random.unit(),
-      mayTake: connections.room(this.pool.name),
     };
-    return board.choose(this.#choice);
+    this.#choice = choice;
+    const chosen = board.choose({ ...choice, mayTake: connections.room(this.pool.name) });
+    return chosen ?? board.choose({ ...choice, mayTake: connections.lastRoom(this.pool.name) });
   }
 
   /** Whether a first try may be made at a runner, or another one can still end in the call's time. */
--- a/src/gateway/runners/runner-connections.ts
+++ b/src/gateway/runners/runner-connections.ts
@@ -7,7 +7,12 @@
 import { openPool } from "../../ports/http/connection-pool.ts";
 import { type Clock, repeat } from "../../runtime/clock.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
-import { connectionShare, mayUseConnection } from "../../scheduling/runner-board/connection-share.ts";
+import {
+  type ConnectionUse,
+  connectionShare,
+  mayExceedShare,
+  mayUseConnection,
+} from "../../scheduling/runner-board/connection-share.ts";
 import type { RunnerBoard } from "../../scheduling/runner-board/runner-board.ts";
 import type { RunnerEntry } from "../../scheduling/runner-board/runner-entry.ts";
 
@@ -76,16 +81,19 @@
     return pool;
   }
 
-  /** Tells of each runner of a pool whether a connection is left for one request more. */
+  /** Tells of each runner of a pool whether a connection of this gateway's share is left for one request more. */
   room(poolName: string): (runner: RunnerEntry) => boolean {
-    const { board, gateways, maxConnections } = this.#parts;
+    const { gateways, maxConnections } = this.#parts;
     const most = maxConnections(poolName);
     if (most === undefined) return () => true;
     const gatewayCount = gateways();
-    return ({ id }) => {
-      const use = { own: board.ownLoad(id), total: board.load(id) };
-      return mayUseConnection(use, most, gatewayCount);
-    };
+    return ({ id }) => mayUseConnection(this.#use(id), most, gatewayCount);
+  }
+
+  /** The same for a request that no runner of the pool has room for: whether the runner is known to take one more. */
+  lastRoom(poolName: string): (runner: RunnerEntry) => boolean {
+    const most = this.#parts.maxConnections(poolName);
+    return ({ id }) => most === undefined || mayExceedShare(this.#use(id), most);
   }
 
   /** Closes pools that hold many idle connections beyond the share; their requests end first. */
@@ -116,6 +124,11 @@
     await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 
+  #use(id: RunnerId): ConnectionUse {
+    const { board } = this.#parts;
+    return { own: board.ownLoad(id), total: board.load(id) };
+  }
+
   #take(id: RunnerId): Pool | undefined {
     const pool = this.#pools.get(id)?.pool;
     this.#pools.delete(id);
--- a/src/scheduling/runner-board/connection-share.ts
+++ b/src/scheduling/runner-board/connection-share.ts
@@ -31,3 +31,11 @@
   if (use.own < connectionShare(maxConnections - lent, gateways)) return true;
   return use.own < MAX_SHARE && use.total < lent;
 }
+
+/**
+ * Whether a gateway may go beyond its share for a call that no other runner has a connection for: refusing it would help
+ * nobody while the runner is known to take more.
+ */
+export function mayExceedShare(use: ConnectionUse, maxConnections: number): boolean {
+  return use.own < MAX_SHARE && use.total < maxConnections;
+}
--- a/test/contract/connection-share.test.ts
+++ b/test/contract/connection-share.test.ts
@@ -2,7 +2,11 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import fc from "fast-check";
-import { connectionShare, mayUseConnection } from "../../src/scheduling/runner-board/connection-share.ts";
+import {
+  connectionShare,
+  mayExceedShare,
+  mayUseConnection,
+} from "../../src/scheduling/runner-board/connection-share.ts";
 
 describe("share of a runner's connections", () => {
   const SHARES: [maxConnections: number, gateways: number, share: number][] = [
@@ -48,4 +52,13 @@
       }),
     );
   });
+
+  it("lets a call that no other runner has a connection for go beyond the share, within what the runner takes", () => {
+    const most = 100;
+    const use = { own: 40, total: 60 };
+    expect(mayUseConnection(use, most, 2)).toEqual(false);
+    expect(mayExceedShare(use, most)).toEqual(true);
+    expect(mayExceedShare({ own: 40, total: 100 }, most)).toEqual(false);
+    expect(mayExceedShare({ own: 64, total: 80 }, most)).toEqual(false);
+  });
 });
