--- a/src/coordination/token-account/token-account.ts
+++ b/src/coordination/token-account/token-account.ts
@@ -6,7 +6,7 @@
  */
 
 /** Largest part of what is left of a budget that is set aside for turns to come: it is lost with its owner. */
-const AHEAD_PART = 1 / 3;
+const AHEAD_PART = 0.5;
 
 /** What is stored of an account. Everything in it counts as spent. */
 export interface StoredAccount {
