--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -86,10 +86,11 @@
     this.#rates = new RateHost(context, this.#members, this.#partitions, this.#rpc);
     this.#routing = new RoutingWatch(context, health);
     this.#runners = new RunnerWatch(context, health, this.#board);
+    const liveGateways = () => this.#members.aliveCount + 1;
     this.#connections = new RunnerConnections({
       clock,
       board: this.#board,
-      gateways: () => this.#members.aliveCount + 1,
+      gateways: liveGateways,
       maxConnections: (pool) => this.#routing.routes?.pool(pool)?.maxConnections,
     });
     this.#buffers = new BufferPool(context);
@@ -108,7 +109,6 @@
       weights: new TenantWeights(() => this.#routing.routes),
       memoryTokens: (pool) => this.#routing.routes?.pool(pool)?.engine?.cacheTokens,
     });
-    const liveGateways = () => this.#members.aliveCount + 1;
     const scarcity = new PoolScarcity(context, this.#board, groups, liveGateways);
     this.#places = new PlaceClient({ ...places, scarcity });
     const parts = {
