Log how calls for a followed table fail, and for how long nothing newer can be known

Two lines a failure, however many calls fail in it; the time also on 'configuration in force' and as a gauge. No decision is changed. Measured: the contract tests of the routing watch, the runner watch and spoilt rows pass.

--- a/src/gateway/configuration/routing-watch.ts
+++ b/src/gateway/configuration/routing-watch.ts
@@ -72,6 +72,11 @@
     return this.#snapshot.ageMs(clock.monotonicMs()) <= revokeMs - TRUST_MARGIN_MS;
   }
 
+  /** For how long nothing newer than what is in force can have been known, in ms. */
+  get behindMs(): number {
+    return this.#follower.behindMs;
+  }
+
   start(): void {
     this.#follower.start();
   }
@@ -96,7 +101,9 @@
     const { version } = configuration;
     if (this.#table && this.#table.configuration.version >= version) return;
     this.#table = new RouteTable(configuration);
-    this.#context.log.info({ version, routes: configuration.routes.length }, "configuration in force");
+    const behindMs = Math.round(this.behindMs);
+    const routes = configuration.routes.length;
+    this.#context.log.info({ version, routes, behindMs }, "configuration in force");
     this.onChanged(this.#table);
   }
 
--- a/src/gateway/configuration/table-follower.ts
+++ b/src/gateway/configuration/table-follower.ts
@@ -2,10 +2,11 @@
  * Follows one table of the store: reads it whole, then waits for changes, and reads it anew when the history is gone.
  * What it gives never goes back: an answer that is older than one before is asked for again.
  */
-import type { RowChange, StoredRow } from "../../ports/store/row-store.ts";
+import type { RowChange, StoredRow, StoreRefusal, StoreSilence } from "../../ports/store/row-store.ts";
 import { delay } from "../../runtime/clock.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { StoreHealth } from "../store-health.ts";
+import { type FailedFollowCall, FollowLog } from "./follow-log.ts";
 
 /** How long a wait for changes lasts, in ms; short, so that a broken connection is noticed soon. */
 const WATCH_WAIT_MS = 2_000;
@@ -40,9 +41,12 @@
   readonly #listener: TableListener;
   readonly #pauseMs: number;
   readonly #waitMs: number;
+  readonly #log: FollowLog;
   #stopped = false;
   /** Version of the store up to which the listener knows everything. */
   #version = 0;
+  /** What was given is the table as it was at some moment since then, in ms of the monotonic clock. */
+  #currentAtMs: number;
 
   constructor(
     context: GatewayContext,
@@ -57,6 +61,13 @@
     this.#listener = listener;
     this.#pauseMs = pauseMs;
     this.#waitMs = waitMs;
+    this.#log = new FollowLog(context.log, table);
+    this.#currentAtMs = context.clock.monotonicMs();
+  }
+
+  /** For how long nothing newer of the table can have been known, in ms; since the start, until it has been read. */
+  get behindMs(): number {
+    return this.#context.clock.monotonicMs() - this.#currentAtMs;
   }
 
   start(): void {
@@ -86,7 +97,11 @@
       const range = { table: this.#table, part: "", ...(from === undefined ? {} : { from }) };
       const read = await this.#context.platform.store.read(range);
       this.#health.note(read);
-      if (read.type !== "rows" || read.version < this.#version) return false;
+      if (read.type !== "rows") {
+        this.#noteFailed("read", read, askedAtMs);
+        return false;
+      }
+      if (read.version < this.#version) return false;
       // Pages are of different moments: what changed in between comes with the watch from the first one's version.
       version ??= read.version;
       rows.push(...read.rows);
@@ -96,7 +111,7 @@
     }
     this.#version = version;
     this.#listener.onTable(rows);
-    this.#listener.onCurrent?.(askedAtMs);
+    this.#noteCurrent(askedAtMs);
     return true;
   }
 
@@ -107,13 +122,29 @@
     this.#health.note(outcome);
     if (outcome.type === "historyGone") return false;
     if (outcome.type !== "changes") {
+      this.#noteFailed("watch", outcome, askedAtMs);
       await delay(this.#context.clock, RETRY_MS);
       return true;
     }
     if (outcome.changes.length > 0) this.#listener.onChanges(outcome.changes);
     this.#version = Math.max(this.#version, outcome.version);
-    this.#listener.onCurrent?.(askedAtMs);
+    this.#noteCurrent(askedAtMs);
     if (this.#pauseMs > 0) await delay(this.#context.clock, this.#pauseMs);
     return true;
   }
+
+  #noteFailed(
+    call: FailedFollowCall["call"],
+    { detail }: StoreRefusal | StoreSilence,
+    askedAtMs: number,
+  ): void {
+    const lastedMs = Math.round(this.#context.clock.monotonicMs() - askedAtMs);
+    this.#log.failed({ call, detail, lastedMs });
+  }
+
+  #noteCurrent(askedAtMs: number): void {
+    this.#log.followed(Math.round(this.behindMs));
+    this.#currentAtMs = askedAtMs;
+    this.#listener.onCurrent?.(askedAtMs);
+  }
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -202,6 +202,7 @@
       heldBytes: (reason: BufferReason) => this.#buffers.heldFor(reason),
       linesLeftOut: () => this.#callLog.leftOutTotal,
       configurationVersion: () => this.#routing.routes?.configuration.version ?? 0,
+      configurationBehindMs: () => this.#routing.behindMs,
       storeReachable: () => this.#health.reachable,
     };
     return this.#context.metrics.serve(gauges, () => this.state === "ready");
--- a/src/gateway/telemetry/gateway-gauges.ts
+++ b/src/gateway/telemetry/gateway-gauges.ts
@@ -10,5 +10,7 @@
   readonly heldBytes: (reason: BufferReason) => number;
   readonly linesLeftOut: () => number;
   readonly configurationVersion: () => number;
+  /** For how long nothing newer than the configuration in force can have been known, in ms. */
+  readonly configurationBehindMs: () => number;
   readonly storeReachable: () => boolean;
 }
--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -180,6 +180,11 @@
       gauge("held_outputs_bytes", "Output of turns that are to be kept", () => gauges.heldBytes("outputs")),
       gauge("lines_left_out", "Lines of calls that were not written", gauges.linesLeftOut),
       gauge("configuration_version", "Version in force", gauges.configurationVersion),
+      gauge(
+        "configuration_behind_seconds",
+        "Time for which nothing newer than the version in force can have been known",
+        () => gauges.configurationBehindMs() / MS_PER_S,
+      ),
       gauge("store_reachable", "1 while the store answers", () => (gauges.storeReachable() ? 1 : 0)),
     ]);
     for (const metric of [
