Show a late configuration on virtual time: four tests that fail

Callers were served by an older version than promised. In the simulation a wait for changes whose path broke went on once the path was back, or failed after 1 s; in the program it stays silent until it is given up. The stand-in of the store does so now. The new test strikes 60 times with lengths that meet every phase of a wait, and looks each 20 ms whether the gateway that was struck has in force what the users' bounds promise (3,000 ms after the trouble, 2,000 ms after the change).

--- a/bench/simulation/gateways/simulated-row-store.ts
+++ b/bench/simulation/gateways/simulated-row-store.ts
@@ -60,7 +60,9 @@
 
 /** See the module's comment. */
 export class SimulatedRowStore implements RowStore {
-  path: StorePath = "open";
+  #path: StorePath = "open";
+  /** How often the path has broken: an answer that was under way then is never heard. */
+  #breaks = 0;
   readonly #shared: SharedStore;
   readonly #process: SimulatedProcess;
 
@@ -69,6 +71,20 @@
     this.#process = process;
   }
 
+  get path(): StorePath {
+    return this.#path;
+  }
+
+  set path(path: StorePath) {
+    this.#path = path;
+    if (path !== "open") this.#breaks += 1;
+  }
+
+  /** Connections that are open say nothing more, and new ones work. */
+  silenceConnections(): void {
+    this.#breaks += 1;
+  }
+
   async transact(transaction: RowTransaction): Promise<TransactionOutcome> {
     const { conditions, random, time } = this.#shared;
     const trouble = await this.#travel(partsOf(transaction));
@@ -95,12 +111,15 @@
   }
 
   async watch(table: string, afterVersion: number, waitMs: number): Promise<WatchOutcome> {
-    const trouble = await this.#travel([]);
-    if (trouble) return trouble;
-    const { model, time } = this.#shared;
+    const { model, time, conditions } = this.#shared;
+    const breaks = this.#breaks;
     const untilMs = time.nowMs + waitMs;
+    const trouble = await this.#travel([], waitMs);
+    if (trouble) return trouble;
     for (;;) {
-      if (this.path !== "open") return this.#silence();
+      // Whoever waits does not notice that the answer can't come any more, and waits to the end.
+      if (this.#breaks !== breaks || this.path !== "open" || conditions.outage === "silent")
+        return this.#silence(untilMs - time.nowMs);
       const changes = model.changes(table, afterVersion);
       if (!changes) return { type: "historyGone" };
       if (changes.length > 0 || time.nowMs >= untilMs) {
@@ -110,9 +129,14 @@
     }
   }
 
-  /** The way of a call to the store that touches some parts; an outcome when it does not get there. */
+  /**
+   * The way of a call to the store that touches some parts; an outcome when it does not get there.
+   *
+   * @param waitMs how long the store may wait before it answers
+   */
   async #travel(
     parts: readonly string[],
+    waitMs = 0,
   ): Promise<{ type: "refused"; detail: string } | { type: "unknown"; detail: string } | undefined> {
     const { conditions } = this.#shared;
     const wayMs = (CALL_MS / 2) * conditions.slowness;
@@ -121,12 +145,13 @@
     if (wayMs > TIMEOUT_MS) return { type: "unknown", detail: "no answer" };
     const outages = [conditions.outage, ...parts.map(conditions.outageOf)];
     if (outages.includes("busy")) return { type: "refused", detail: "busy" };
-    if (outages.includes("silent") || this.path === "cut") return this.#silence();
+    if (outages.includes("silent") || this.path === "cut") return this.#silence(waitMs);
     return undefined;
   }
 
-  async #silence(): Promise<{ type: "unknown"; detail: string }> {
-    await delay(this.#process, TIMEOUT_MS);
+  /** @param waitMs how long the store might have waited before its answer */
+  async #silence(waitMs = 0): Promise<{ type: "unknown"; detail: string }> {
+    await delay(this.#process, TIMEOUT_MS + waitMs);
     return { type: "unknown", detail: "no answer" };
   }
 
--- /dev/null
+++ b/test/simulation/configuration.test.ts
@@ -0,0 +1,128 @@
+/** Confirmed configurations come into force in time at every gateway that has had a path to a calm store for long enough. */
+import { before, describe, it } from "node:test";
+import { expect } from "earl";
+import { type GatewayFleet, GatewayWorld } from "../../bench/simulation/gateways/gateway-world.ts";
+import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
+import { knownRed } from "../support/known-red.ts";
+
+/** From the end of trouble on, a gateway counts as reached by news after this time, in ms. */
+const CONTACT_MS = 3_000;
+/** A confirmed configuration is in force after this time, in ms, where it is reached. */
+const APPLY_MS = 2_000;
+const START_MS = 5_000;
+const CHANGE_EVERY_MS = 130;
+const LOOK_MS = 20;
+/** Calm time between two troubles, in ms: what is late shows at its end. */
+const CALM_MS = CONTACT_MS + 1_200;
+const TROUBLES = 60;
+/** Lengths of troubles, in ms: the step goes round in the span, so that every phase of a wait is met. */
+const LEAST_MS = 300;
+const SPAN_MS = 4_500;
+const STEP_MS = 1_373;
+
+const ALONE: GatewayFleet = { gateways: 1, directMost: 24 };
+const FEW: GatewayFleet = { gateways: 4, directMost: 24 };
+const STRUCK = 0;
+const PEER = 1;
+
+/** Strikes, and returns how the trouble ends. */
+type Trouble = (world: GatewayWorld) => () => void;
+
+const cutStruck: Trouble = (world) => cut(world, STRUCK);
+
+const TROUBLE: Record<string, { readonly fleet: GatewayFleet; readonly strike: Trouble }> = {
+  "a cut of one gateway among others": { fleet: FEW, strike: cutStruck },
+  "a cut of a gateway that is alone": { fleet: ALONE, strike: cutStruck },
+  "answers that are lost on the way to one gateway": {
+    fleet: FEW,
+    strike: (world) => cut(world, STRUCK, "answersLost"),
+  },
+  "a silence of the whole store": { fleet: FEW, strike: (world) => away(world, "silent") },
+  "a silence of the whole store before a gateway that is alone": {
+    fleet: ALONE,
+    strike: (world) => away(world, "silent"),
+  },
+  "a store that turns everybody away": { fleet: FEW, strike: (world) => away(world, "busy") },
+  "connections that fall silent": {
+    fleet: ALONE,
+    strike: (world) => () => world.gateways[STRUCK]?.store.silenceConnections(),
+  },
+  "a cut of a gateway, and then of those that made its calls": { fleet: FEW, strike: cutThenItsPeers },
+};
+
+function cut(world: GatewayWorld, index: number, path: "cut" | "answersLost" = "cut"): () => void {
+  const store = world.gateways[index]?.store;
+  if (store) store.path = path;
+  return () => {
+    if (store) store.path = "open";
+  };
+}
+
+function away(world: GatewayWorld, outage: "silent" | "busy"): () => void {
+  const { conditions } = world.store;
+  conditions.outage = outage;
+  return () => {
+    conditions.outage = "none";
+  };
+}
+
+/** The others are cut off for a while as the first one's own trouble is over, and do not count as reached themselves. */
+function cutThenItsPeers(world: GatewayWorld): () => void {
+  const heal = cutStruck(world);
+  return () => {
+    heal();
+    const peers = [...world.gateways.keys()].filter((index) => index >= PEER);
+    const heals = peers.map((index) => cut(world, index));
+    world.time.after(CALM_MS, () => {
+      for (const healPeer of heals) healPeer();
+    });
+  };
+}
+
+/** The first gateway's looks at which it had an older version in force than is promised. */
+async function lateLooks(hash: TextHash, name: string): Promise<string[]> {
+  const { fleet, strike } = TROUBLE[name] as (typeof TROUBLE)[string];
+  const world = new GatewayWorld(1, hash, fleet);
+  const { time } = world;
+  const confirmed: { version: number; atMs: number }[] = [];
+  const change = (): void => {
+    if (world.store.conditions.outage === "none") {
+      world.configure();
+      confirmed.push({ version: world.version, atMs: time.nowMs });
+    }
+    time.after(CHANGE_EVERY_MS, change);
+  };
+  change();
+  await time.runUntil(START_MS);
+  const late: string[] = [];
+  for (let count = 0; count < TROUBLES; count += 1) {
+    const lastsMs = LEAST_MS + ((count * STEP_MS) % SPAN_MS);
+    const heal = strike(world);
+    await time.runUntil(time.nowMs + lastsMs);
+    heal();
+    const healedMs = time.nowMs;
+    while (time.nowMs < healedMs + CALM_MS) {
+      await time.runUntil(time.nowMs + LOOK_MS);
+      if (time.nowMs - healedMs < CONTACT_MS) continue;
+      const due = confirmed.findLast(({ atMs }) => time.nowMs - atMs > APPLY_MS)?.version ?? 0;
+      const inForce = world.gateways[STRUCK]?.routing.routes?.configuration.version ?? 0;
+      if (inForce < due)
+        late.push(`${lastsMs} ms long, ${time.nowMs - healedMs} ms after: ${inForce}, not ${due}`);
+    }
+  }
+  return late;
+}
+
+describe("a confirmed configuration", () => {
+  let hash: TextHash;
+  before(async () => {
+    hash = await loadTextHash();
+  });
+
+  for (const trouble of Object.keys(TROUBLE)) {
+    const name = `is in force in time after ${trouble}`;
+    it(name, knownRed(name), async () => {
+      expect(await lateLooks(hash, trouble)).toEqual([]);
+    });
+  }
+});
