Give up a wait for changes within the time in which they must be known

Callers saw: requests handled by a version of the configuration older than one confirmed more than 2,000 ms before, on gateways that had had a path to a calm store for over 3 s. Cause: a wait for changes (2,000 ms, and 1,000 ms more until it is given up) is the only way in which news comes, and hears nothing when its path breaks; the promise is shorter than that. Worst where a peer carries it: a gateway whose own path is back goes on waiting through a peer that has lost the store itself. Class: silence is taken for 'nothing new' for longer than the promise that rests on it. Evidence: lines of the four gateways that were late, 'table not followed … the peer … gave timeout … lastedMs 3000', 'behindMs' 3,055 to 3,442; on virtual time four of eight tests late, up to 4.20 s and more. Change: whoever follows a table says within what time news must be known (from the platform: config-apply-ms, drain-ms), and a wait lasts for half of that; one that a peer carries for 500 ms, so that own connections are tried again soon.

--- a/src/gateway/configuration/routing-watch.ts
+++ b/src/gateway/configuration/routing-watch.ts
@@ -12,10 +12,10 @@
 import { TableFollower } from "./table-follower.ts";
 
 /**
- * How long a wait for a new configuration lasts where keys are only trusted for some time, in ms. The age of what is in
- * force stays below twice that, and the time of two answers; the store takes one call a second of each gateway for it.
+ * Within what time a configuration must be known where keys are only trusted for some time, in ms. The age of what is in
+ * force stays below that, and the time of two answers; the store takes one call a second of each gateway for it.
  */
-const KEYED_WAIT_MS = 1_000;
+const KEYED_NEWS_MS = 2_000;
 /**
  * Keys are trusted for so much less than operators allow, in ms: a feed may say nothing of a change for a second before
  * it says that its history is gone.
@@ -39,6 +39,7 @@
   constructor(context: GatewayContext, health: StoreHealth) {
     this.#context = context;
     const { configurationTable, configurationKey } = context.platform.records;
+    const { keys, timing } = context.settings;
     this.#unreadable = new UnreadableRows(context, configurationTable);
     const take = (rows: readonly { readonly key: string; readonly value: Buffer | undefined }[]) => {
       for (const { key, value } of rows) if (key === configurationKey && value) this.#take(value);
@@ -52,7 +53,12 @@
         onChanges: take,
         onCurrent: (askedAtMs) => this.#confirm(askedAtMs),
       },
-      context.settings.keys.revokeMs === undefined ? {} : { waitMs: KEYED_WAIT_MS },
+      {
+        newsMs:
+          keys.revokeMs === undefined
+            ? timing.configurationMs
+            : Math.min(KEYED_NEWS_MS, timing.configurationMs),
+      },
     );
   }
 
--- a/src/gateway/configuration/table-follower.ts
+++ b/src/gateway/configuration/table-follower.ts
@@ -8,8 +8,10 @@
 import type { StoreHealth } from "../store-health.ts";
 import { type FailedFollowCall, FollowLog } from "./follow-log.ts";
 
-/** How long a wait for changes lasts, in ms; short, so that a broken connection is noticed soon. */
-const WATCH_WAIT_MS = 2_000;
+/** Longest wait for changes, in ms: answers to waits also show that the store is reached. */
+const LONGEST_WAIT_MS = 2_000;
+/** A wait lasts for this part of the time within which news must be known: what is left is for an answer that is lost. */
+const WAIT_PART = 0.5;
 const RETRY_MS = 100;
 
 /** What a follower gives. */
@@ -27,10 +29,10 @@
 
 /** How a table is followed. */
 export interface TableFollowerOptions {
+  /** Within what time a change must be known, in ms. */
+  readonly newsMs: number;
   /** Least time between two waits, in ms: for tables that change all the time. */
   readonly pauseMs?: number;
-  /** Longest wait for a change, in ms; after it, the table is known to be as it was. */
-  readonly waitMs?: number;
 }
 
 /** See the module's comment. */
@@ -53,14 +55,14 @@
     health: StoreHealth,
     table: string,
     listener: TableListener,
-    { pauseMs = 0, waitMs = WATCH_WAIT_MS }: TableFollowerOptions = {},
+    { newsMs, pauseMs = 0 }: TableFollowerOptions,
   ) {
     this.#context = context;
     this.#health = health;
     this.#table = table;
     this.#listener = listener;
     this.#pauseMs = pauseMs;
-    this.#waitMs = waitMs;
+    this.#waitMs = Math.min(LONGEST_WAIT_MS, newsMs * WAIT_PART);
     this.#log = new FollowLog(context.log, table);
     this.#currentAtMs = context.clock.monotonicMs();
   }
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -28,6 +28,9 @@
       "Time for which the store has answered before owners that do not reach it are replaced, ms; longer than a call that is not answered and a heartbeat",
     ),
   ownerWaitMs: durationSchema.default(1_500).describe("Longest wait for a partition's owner, ms"),
+  configurationMs: durationSchema
+    .default(2_000)
+    .describe("Within what time a configuration must be in force after the store has confirmed it, ms"),
   runnerDrainMs: durationSchema
     .default(1_500)
     .describe("How long a leaving runner goes on serving after its entry says so, ms"),
--- a/src/gateway/runners/runner-watch.ts
+++ b/src/gateway/runners/runner-watch.ts
@@ -64,8 +64,9 @@
     };
     const { runnerTable } = context.platform.records;
     this.#unreadable = new UnreadableRows(context, runnerTable);
-    const pauseMs = context.settings.timing.runnerDrainMs * PAUSE_PART;
-    this.#follower = new TableFollower(context, health, runnerTable, listener, { pauseMs });
+    const { runnerDrainMs } = context.settings.timing;
+    const options = { newsMs: runnerDrainMs, pauseMs: runnerDrainMs * PAUSE_PART };
+    this.#follower = new TableFollower(context, health, runnerTable, listener, options);
   }
 
   /** Whether the list has been read once. */
--- a/src/gateway/store/relayed-row-store.ts
+++ b/src/gateway/store/relayed-row-store.ts
@@ -22,6 +22,11 @@
 
 /** Longest wait for a call that a peer makes, in ms, beyond the time that the store itself waits for changes. */
 const RELAY_TIMEOUT_MS = 1_000;
+/**
+ * Longest wait for changes that a peer carries, in ms. A peer that loses the store itself is noticed only when the wait is
+ * given up, and this gateway's own connections are tried again only with the next call.
+ */
+const MOST_CARRIED_WAIT_MS = 500;
 /** Most routes that one call tries when each refuses it. */
 const MAX_ROUTES = 3;
 /** How long an answer shows that this gateway's own connections work, in ms: longer than a wait for changes. */
@@ -50,6 +55,8 @@
 interface Way {
   readonly route: StoreRoute;
   readonly attempt: RouteAttempt;
+  /** Longest wait for changes on this way, in ms. */
+  readonly mostWaitMs: number;
 }
 
 /** See the module's comment. */
@@ -129,14 +136,28 @@
 
   /** This gateway's own connections first, then, unless those seem to work, peers, nearest first. */
   #ways(tried: ReadonlySet<StoreRoute>): Way[] {
-    const ways: Way[] = [{ route: this.#direct, attempt: (call) => this.#callDirectly(call) }];
+    const ways: Way[] = [this.#directWay];
     if (this.#direct.state === "usable" && !tried.has(this.#direct)) return ways;
     for (const relay of this.relays())
-      ways.push({ route: this.#relayRoute(relay.instance), attempt: (call) => this.#callPeer(relay, call) });
+      ways.push({
+        route: this.#relayRoute(relay.instance),
+        attempt: (call) => this.#callPeer(relay, call),
+        mostWaitMs: MOST_CARRIED_WAIT_MS,
+      });
     return ways;
   }
 
-  async #attempt({ route, attempt }: Way, call: StoreCall): Promise<StoreCallOutcome> {
+  get #directWay(): Way {
+    return {
+      route: this.#direct,
+      attempt: (call) => this.#callDirectly(call),
+      mostWaitMs: Number.POSITIVE_INFINITY,
+    };
+  }
+
+  async #attempt(way: Way, asked: StoreCall): Promise<StoreCallOutcome> {
+    const { route, attempt } = way;
+    const call = withBoundedWait(asked, way);
     const counted = route.begin(call.type === "watch");
     const outcome = await attempt(call);
     if (outcome.type === "refused" || outcome.type === "unknown") route.failed(counted);
@@ -180,10 +201,7 @@
   /** Makes a call for a peer: over this gateway's own connections only, so that calls do not go round in circles. */
   async #serve(call: StoreCall): Promise<StoreCallOutcome> {
     if (this.#direct.state === "open") return { type: "refused", detail: "the store refuses this peer, too" };
-    return this.#attempt(
-      { route: this.#direct, attempt: (asked) => this.#callDirectly(asked) },
-      callWithBuffers(call),
-    );
+    return this.#attempt(this.#directWay, callWithBuffers(call));
   }
 
   #relayRoute(instance: string): StoreRoute {
@@ -200,6 +218,12 @@
   }
 }
 
+/** A wait for changes lasts no longer than its way allows. */
+function withBoundedWait(call: StoreCall, { mostWaitMs }: Way): StoreCall {
+  if (call.type !== "watch") return call;
+  return { ...call, waitMs: Math.min(call.waitMs, mostWaitMs) };
+}
+
 /** Bytes arrive from peers as plain arrays of bytes. */
 function bufferOf(bytes: Uint8Array): Buffer {
   return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
--- a/test/contract/platform-settings.test.ts
+++ b/test/contract/platform-settings.test.ts
@@ -85,4 +85,15 @@
       expect(parsed?.value.timing.runnerDrainMs).toEqual(expected);
     }
   });
+
+  it("takes the time within which a configuration is in force from the platform, where it says one", () => {
+    for (const [given, expected] of [
+      ["4000", 4_000],
+      [undefined, 2_000],
+    ] as const) {
+      const filled = fill({ ...VALUES, "bounds.config-apply-ms": given });
+      const [parsed] = parseYaml(filled, "settings", gatewaySettingsSchema, "invalid-settings");
+      expect(parsed?.value.timing.configurationMs).toEqual(expected);
+    }
+  });
 });
--- a/test/contract/relayed-row-store.test.ts
+++ b/test/contract/relayed-row-store.test.ts
@@ -4,7 +4,7 @@
 import { pino } from "pino";
 import type { GatewayMessage, GatewayRpcSchema } from "../../src/gateway/gateway-messages.ts";
 import { RelayedRowStore } from "../../src/gateway/store/relayed-row-store.ts";
-import type { RowTransaction } from "../../src/ports/store/row-store.ts";
+import type { RowStore, RowTransaction } from "../../src/ports/store/row-store.ts";
 import { delay, SystemClock } from "../../src/runtime/clock.ts";
 import { SeededRandomSource } from "../../src/runtime/random-source.ts";
 import { RpcEndpoint } from "../../src/runtime/rpc.ts";
@@ -25,8 +25,8 @@
 let standin: RowStoreStandin;
 let gateways: Gateway[];
 
-/** A gateway whose own connections to the store lead to `storeAddress`. */
-async function startGateway(instance: string, storeAddress: string): Promise<Gateway> {
+/** A gateway with its own connections to the store. */
+async function startGateway(instance: string, direct: RowStore): Promise<Gateway> {
   const transport = await TcpTransport.listen<GatewayMessage>({ instance, address: "127.0.0.1:0" });
   const clock = new SystemClock();
   const random = new SeededRandomSource(1);
@@ -35,7 +35,6 @@
     if (message.type === "rpcRequest") void rpc.onRequest(message, from);
     if (message.type === "rpcResponse") rpc.onResponse(message);
   });
-  const direct = storeClient(storeAddress);
   const store = new RelayedRowStore({ direct, clock, random, rpc, log: pino({ level: "silent" }) });
   const gateway = { store, transport };
   gateways.push(gateway);
@@ -53,8 +52,8 @@
   beforeEach(async () => {
     gateways = [];
     standin = new RowStoreStandin();
-    near = await startGateway("near#1", await standin.listen());
-    cut = await startGateway("cut#1", NOBODY);
+    near = await startGateway("near#1", storeClient(await standin.listen()));
+    cut = await startGateway("cut#1", storeClient(NOBODY));
     cut.store.relays = () => [relayOf(near)];
   });
   afterEach(async () => {
@@ -111,4 +110,10 @@
     for (let count = 0; count < 2; count += 1) await near.store.transact(PUT);
     expect(near.store.isDirect).toEqual(false);
   });
+
+  it("lets a peer wait for a short time only, so that its own connections are tried again soon", async () => {
+    const begunMs = performance.now();
+    expect((await cut.store.watch("t", 0, 5_000)).type).toEqual("changes");
+    expect(performance.now() - begunMs < 2_000).toEqual(true);
+  });
 });
