Probe a way to the store with a call that is answered at once, never with a wait

Callers saw: the same as before, an older version of the configuration than promised, up to 3.56 s after their gateway's path was back. Cause: a wait for changes that finds the breaker open becomes its probe. For 3 s nothing else of the gateway is let through, and when it is given up the pause before the next probe is at its longest. Change: on a way where a call has failed since its last answer, a wait is asked for without waiting. The answer tells what has changed, closes the breaker, and the next one waits again. The contract test of the probe fails on the code before.

--- a/src/gateway/store/relayed-row-store.ts
+++ b/src/gateway/store/relayed-row-store.ts
@@ -158,7 +158,7 @@
   async #attempt(way: Way, asked: StoreCall): Promise<StoreCallOutcome> {
     const { route, attempt } = way;
     const call = withBoundedWait(asked, way);
-    const counted = route.begin(call.type === "watch");
+    const counted = route.begin(call.type === "watch" && call.waitMs > 0);
     const outcome = await attempt(call);
     if (outcome.type === "refused" || outcome.type === "unknown") route.failed(counted);
     else route.answered(counted);
@@ -218,10 +218,10 @@
   }
 }
 
-/** A wait for changes lasts no longer than its way allows. */
-function withBoundedWait(call: StoreCall, { mostWaitMs }: Way): StoreCall {
+/** Where a call has failed, one that is answered at once comes first: a wait would keep all others from trying. */
+function withBoundedWait(call: StoreCall, { route, mostWaitMs }: Way): StoreCall {
   if (call.type !== "watch") return call;
-  return { ...call, waitMs: Math.min(call.waitMs, mostWaitMs) };
+  return { ...call, waitMs: route.isProven ? Math.min(call.waitMs, mostWaitMs) : 0 };
 }
 
 /** Bytes arrive from peers as plain arrays of bytes. */
--- a/src/gateway/store/store-route.ts
+++ b/src/gateway/store/store-route.ts
@@ -56,6 +56,11 @@
     return this.#isStalled ? "stalled" : "usable";
   }
 
+  /** Whether nothing speaks against the route: no call has failed since its last answer. */
+  get isProven(): boolean {
+    return this.#failures === 0;
+  }
+
   /** Counts a call that leaves on this route. @param longPoll whether the answer is meant to take long */
   begin(longPoll: boolean): StoreRouteCall {
     const call = { startedMs: this.#clock.monotonicMs() };
--- a/test/contract/relayed-row-store.test.ts
+++ b/test/contract/relayed-row-store.test.ts
@@ -111,6 +111,18 @@
     expect(near.store.isDirect).toEqual(false);
   });
 
+  it("asks without a wait where a call has failed, and waits again once that is answered", async () => {
+    const waits: number[] = [];
+    const direct: RowStore = storeClient(NOBODY);
+    direct.watch = async (_table, version, waitMs) => {
+      waits.push(waitMs);
+      return waits.length === 1 ? { type: "unknown", detail: "" } : { type: "changes", changes: [], version };
+    };
+    const { store } = await startGateway("alone#1", direct);
+    for (let count = 0; count < 3; count += 1) await store.watch("t", 1, 1_000);
+    expect(waits).toEqual([1_000, 0, 1_000]);
+  });
+
   it("lets a peer wait for a short time only, so that its own connections are tried again soon", async () => {
     const begunMs = performance.now();
     expect((await cut.store.watch("t", 0, 5_000)).type).toEqual("changes");
