Look in the simulation whether news reaches gateways in time, and draw runs from seeds far apart

Cause: the simulation of gateways looked at the end of a run only whether the newest configuration is in force, never how late it had come, and runs with neighbouring seeds begin with nearly the same numbers (unit() gives 1.0000 first for seeds 1 to 40). Change: each fault notes whom it troubles; any gateway that has had no trouble for 3,000 ms must have in force what was confirmed 2,000 ms before, looked at each 50 ms.

--- a/bench/simulate-gateways.ts
+++ b/bench/simulate-gateways.ts
@@ -1,6 +1,8 @@
 /**
  * Runs the simulation of gateways: `npm run simulate:gateways -- [--seed N] [--runs N] [--faults a,b] [--relays]
- * [--tenants]`: programs, or tenants with keys and limits. Without `--faults`, each run draws two kinds by its seed. Ends with code 1 if any promise was broken.
+ * [--tenants]`: programs, or tenants with keys and limits. Without `--faults`, each run draws two kinds by its seed. The
+ * first run has the seed that is given, the others seeds far from it, which their lines name. Ends with code 1 if any
+ * promise was broken.
  */
 import { parseArgs } from "node:util";
 import { SeededRandomSource } from "../src/runtime/random-source.ts";
@@ -12,6 +14,7 @@
   runGatewaySimulation,
 } from "./simulation/gateways/run-gateway-simulation.ts";
 import { runTenantSimulation } from "./simulation/gateways/run-tenant-simulation.ts";
+import { spreadSeed } from "./simulation/spread-seed.ts";
 
 const DURATION_MS = 20_000;
 
@@ -65,7 +68,8 @@
 const hash = await loadTextHash();
 const first = Number(values.seed);
 let failed = 0;
-for (let seed = first; seed < first + Number(values.runs); seed += 1) {
+for (let index = 0; index < Number(values.runs); index += 1) {
+  const seed = index === 0 ? first : spreadSeed(first + index);
   const faults = drawFaults(seed);
   const run = values.tenants ? runTenants : runPrograms;
   const { broken, summary } = await run({ seed, faults, durationMs: DURATION_MS, fleet });
--- a/bench/simulation/gateways/gateway-faults.ts
+++ b/bench/simulation/gateways/gateway-faults.ts
@@ -65,11 +65,13 @@
       partPeers(world, index, CUT_OFF_MS);
       return cutStore(world, index, "cut", CUT_OFF_MS);
     case "store-busy":
+      troubleStore(world, LASTS_MS);
       conditions.outage = "busy";
       return void world.time.after(LASTS_MS, () => {
         conditions.outage = "none";
       });
     case "store-silent":
+      troubleStore(world, LASTS_MS);
       conditions.outage = "silent";
       return void world.time.after(LASTS_MS, () => {
         conditions.outage = "none";
@@ -79,18 +81,21 @@
     case "store-parts-busy":
       return takePartsAway(world, "busy");
     case "store-slow":
+      troubleStore(world, LASTS_MS);
       conditions.slowness = SLOWNESS;
       return void world.time.after(LASTS_MS, () => {
         conditions.slowness = 1;
       });
     case "lost-answers":
     case "late-writes":
+      troubleStore(world, LASTS_MS);
       conditions.lostAnswers = LOST_PART;
       conditions.lateWrites = fault === "late-writes";
       return void world.time.after(LASTS_MS, () => {
         conditions.lostAnswers = 0;
       });
     case "history-dropped":
+      troubleStore(world, 0);
       world.configure();
       return world.store.model.compact();
     case "messages-lost":
@@ -101,8 +106,19 @@
   }
 }
 
+function troubleStore(world: GatewayWorld, lastsMs: number): void {
+  world.contact.noteStore(world.time.nowMs + lastsMs);
+}
+
+function troubleGateway(world: GatewayWorld, index: number, lastsMs: number): void {
+  world.contact.noteGateway(index, world.time.nowMs + lastsMs);
+}
+
 function killAndRestart(world: GatewayWorld, indexes: readonly number[]): void {
-  for (const index of indexes) world.gateways[index]?.process.kill();
+  for (const index of indexes) {
+    troubleGateway(world, index, RESTART_MS);
+    world.gateways[index]?.process.kill();
+  }
   world.time.after(RESTART_MS, () => {
     for (const index of indexes) if (!world.gateways[index]?.process.alive) world.start(index);
   });
@@ -110,12 +126,14 @@
 
 function freeze(world: GatewayWorld, index: number): void {
   const process = world.gateways[index]?.process;
+  troubleGateway(world, index, LASTS_MS);
   process?.freeze();
   world.time.after(LASTS_MS, () => process?.wake());
 }
 
 function stopAndRestart(world: GatewayWorld, index: number): void {
   const gateway = world.gateways[index];
+  troubleGateway(world, index, LASTS_MS);
   void gateway?.stop();
   world.time.after(LASTS_MS, () => killAndRestart(world, [index]));
 }
@@ -133,6 +151,7 @@
 /** Which parts are away is drawn anew each time. */
 function takePartsAway(world: GatewayWorld, outage: StoreOutage): void {
   const { conditions } = world.store;
+  troubleStore(world, LASTS_MS);
   const draw = world.random.token(AWAY_DRAW_LENGTH);
   const isAway = (part: string) => world.hash.hash32(`${draw}/${part}`) % AWAY_ONE_OF === 0;
   conditions.outageOf = (part) => (isAway(part) ? outage : "none");
@@ -144,6 +163,7 @@
 function cutStore(world: GatewayWorld, index: number, path: "cut" | "answersLost", lastsMs: number): void {
   const store = world.gateways[index]?.store;
   if (!store) return;
+  troubleGateway(world, index, lastsMs);
   store.path = path;
   world.time.after(lastsMs, () => {
     store.path = "open";
--- a/bench/simulation/gateways/gateway-world.ts
+++ b/bench/simulation/gateways/gateway-world.ts
@@ -8,6 +8,7 @@
 import type { Tenant } from "../../../src/scheduling/routing/tenant.ts";
 import { SimulatedNetwork } from "../simulated-network.ts";
 import { SimulatedProcess, VirtualTime } from "../virtual-time.ts";
+import { ContactRecord } from "./contact-record.ts";
 import { CONFIGURATION_KEY, CONFIGURATION_TABLE, SimulatedGateway } from "./simulated-gateway.ts";
 import { SharedStore, SimulatedRowStore } from "./simulated-row-store.ts";
 
@@ -41,12 +42,15 @@
   readonly gateways: SimulatedGateway[] = [];
   readonly random: SeededRandomSource;
   readonly hash: TextHash;
+  readonly contact = new ContactRecord();
   readonly #seed: number;
   readonly #fleet: GatewayFleet;
   readonly #tenancy: GatewayTenancy | undefined;
   #tenants: readonly Tenant[] | undefined;
   #starts = 0;
   #version = 0;
+  /** When each version was confirmed, in ms of virtual time; oldest first. */
+  readonly #confirmed: { readonly version: number; readonly atMs: number }[] = [];
 
   constructor(seed: number, hash: TextHash, fleet: GatewayFleet = SMALL_FLEET, tenancy?: GatewayTenancy) {
     this.#seed = seed;
@@ -66,6 +70,11 @@
     return this.#version;
   }
 
+  /** The newest version that was confirmed by then, in ms of virtual time. */
+  versionAt(atMs: number): number {
+    return this.#confirmed.findLast((confirmed) => confirmed.atMs <= atMs)?.version ?? 0;
+  }
+
   /** Writes a new version of the configuration, with these tenants or those of the one before. */
   configure(tenants = this.#tenants): void {
     this.#tenants = tenants;
@@ -75,6 +84,7 @@
     const value = Buffer.from(text).toString("base64");
     const row = { table: CONFIGURATION_TABLE, part: "", key: CONFIGURATION_KEY, value };
     this.store.model.transact({ conditions: [], puts: [row], removes: [] });
+    this.#confirmed.push({ version: this.#version, atMs: this.time.nowMs });
   }
 
   /** Starts a gateway's process, for the first time or anew. */
--- a/bench/simulation/gateways/run-gateway-simulation.ts
+++ b/bench/simulation/gateways/run-gateway-simulation.ts
@@ -1,6 +1,7 @@
 /** Runs gateways under faults on virtual time, and checks what must always hold. */
 import type { TextHash } from "../../../src/runtime/text-hash.ts";
 import { checkAnsweredTurns } from "./check-answered-turns.ts";
+import { APPLY_MS } from "./contact-record.ts";
 import { type GatewayFault, strike } from "./gateway-faults.ts";
 import { type GatewayObservations, runPrograms } from "./gateway-workload.ts";
 import { type GatewayFleet, GatewayWorld } from "./gateway-world.ts";
@@ -21,6 +22,7 @@
 const RECOVERY_MS = 8_000;
 const CALM_MS = 4_000;
 const CONFIGURATION_EVERY_MS = 2_500;
+const LATE_LOOK_MS = 50;
 const OWNERS_EVERY_MS = 500;
 
 /** See the module's comment. */
@@ -46,6 +48,7 @@
   const endMs = faultsEndMs + RECOVERY_MS + CALM_MS;
   scheduleFaults(world, options.faults, faultsEndMs);
   watchConfiguration(world, observations, endMs);
+  watchLateNews(world, observations, endMs);
   watchOwners(world, observations, endMs);
   for (let count = 0; count < PROGRAMS_AT_ONCE; count += 1) void runPrograms(world, observations, endMs);
   await world.time.runUntil(faultsEndMs + RECOVERY_MS);
@@ -90,6 +93,24 @@
   look();
 }
 
+/** Gateways that news reaches have in force what was confirmed a while ago, whatever befalls the others. */
+function watchLateNews(world: GatewayWorld, observations: GatewayObservations, endMs: number): void {
+  const look = () => {
+    const nowMs = world.time.nowMs;
+    const due = world.versionAt(nowMs - APPLY_MS);
+    for (const [index, gateway] of world.gateways.entries()) {
+      if (!gateway.process.alive || !world.contact.isReached(index, nowMs)) continue;
+      const version = gateway.routing.routes?.configuration.version ?? 0;
+      if (version < due)
+        observations.broken.push(
+          `configuration: ${version}, not ${due}, in force at gateway ${index}, ${nowMs} ms`,
+        );
+    }
+    if (nowMs < endMs) world.time.after(LATE_LOOK_MS, look);
+  };
+  look();
+}
+
 /** Counts the partitions that move. */
 function watchOwners(world: GatewayWorld, observations: GatewayObservations, endMs: number): void {
   const owners = new Map<number, string>();
--- a/test/contract/routing-watch.test.ts
+++ b/test/contract/routing-watch.test.ts
@@ -6,6 +6,7 @@
   SimulatedRowStore,
   type StorePath,
 } from "../../bench/simulation/gateways/simulated-row-store.ts";
+import { spreadSeed } from "../../bench/simulation/spread-seed.ts";
 import { SimulatedProcess, VirtualTime } from "../../bench/simulation/virtual-time.ts";
 import { digestOf } from "../../platform/key-digest.ts";
 import { RoutingWatch } from "../../src/gateway/configuration/routing-watch.ts";
@@ -65,7 +66,7 @@
 describe("keys that are taken away", () => {
   for (let seed = 1; seed <= 40; seed += 1) {
     it(`are trusted no longer than promised, seed ${seed}`, async () => {
-      const { time, store, random, clock, path, configure, accepts } = await start(seed);
+      const { time, store, random, clock, path, configure, accepts } = await start(spreadSeed(seed));
       const kept = [...KEYS];
       const goneAtMs = new Map<string, number>();
       const strike = (): void => {
--- a/test/simulation/configuration.test.ts
+++ b/test/simulation/configuration.test.ts
@@ -1,14 +1,11 @@
 /** Confirmed configurations come into force in time at every gateway that has had a path to a calm store for long enough. */
 import { before, describe, it } from "node:test";
 import { expect } from "earl";
+import { APPLY_MS, CONTACT_MS } from "../../bench/simulation/gateways/contact-record.ts";
 import { type GatewayFleet, GatewayWorld } from "../../bench/simulation/gateways/gateway-world.ts";
 import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
 import { knownRed } from "../support/known-red.ts";
 
-/** From the end of trouble on, a gateway counts as reached by news after this time, in ms. */
-const CONTACT_MS = 3_000;
-/** A confirmed configuration is in force after this time, in ms, where it is reached. */
-const APPLY_MS = 2_000;
 const START_MS = 5_000;
 const CHANGE_EVERY_MS = 130;
 const LOOK_MS = 20;
@@ -84,12 +81,8 @@
   const { fleet, strike } = TROUBLE[name] as (typeof TROUBLE)[string];
   const world = new GatewayWorld(1, hash, fleet);
   const { time } = world;
-  const confirmed: { version: number; atMs: number }[] = [];
   const change = (): void => {
-    if (world.store.conditions.outage === "none") {
-      world.configure();
-      confirmed.push({ version: world.version, atMs: time.nowMs });
-    }
+    if (world.store.conditions.outage === "none") world.configure();
     time.after(CHANGE_EVERY_MS, change);
   };
   change();
@@ -104,7 +97,7 @@
     while (time.nowMs < healedMs + CALM_MS) {
       await time.runUntil(time.nowMs + LOOK_MS);
       if (time.nowMs - healedMs < CONTACT_MS) continue;
-      const due = confirmed.findLast(({ atMs }) => time.nowMs - atMs > APPLY_MS)?.version ?? 0;
+      const due = world.versionAt(time.nowMs - APPLY_MS);
       const inForce = world.gateways[STRUCK]?.routing.routes?.configuration.version ?? 0;
       if (inForce < due)
         late.push(`${lastsMs} ms long, ${time.nowMs - healedMs} ms after: ${inForce}, not ${due}`);
