Guard the list of runners against a wait that hears nothing

The same cause elsewhere: the list of runners is followed by the same waits, so that a runner that leaves was learned of up to 3.1 s after connections to the store had fallen silent; requests sent to it meanwhile break the promise of a drain.

--- a/test/contract/runner-watch.test.ts
+++ b/test/contract/runner-watch.test.ts
@@ -3,6 +3,7 @@
 import { beforeEach, describe, it } from "node:test";
 import { expect } from "earl";
 import { pino } from "pino";
+import { CONTACT_MS } from "../../bench/simulation/gateways/contact-record.ts";
 import { SharedStore, SimulatedRowStore } from "../../bench/simulation/gateways/simulated-row-store.ts";
 import { SimulatedProcess, VirtualTime } from "../../bench/simulation/virtual-time.ts";
 import { RunnerWatch } from "../../src/gateway/runners/runner-watch.ts";
@@ -25,11 +26,14 @@
   state: "ready",
   "cold-remaining-ms": 0,
 };
+/** Moves each trouble to another moment of a wait for changes, in ms. */
+const PHASE_STEP_MS = 37;
 /** Runners renew their entries this often, in ms. */
 const RENEW_MS = 1_200;
 
 let time: VirtualTime;
 let store: SharedStore;
+let path: SimulatedRowStore;
 let board: RunnerBoard;
 let sequence: number;
 let ended: RunnerId[];
@@ -64,7 +68,8 @@
     const context = await gatewayContext("gateway", UNUSED);
     lines = [];
     const log = pino({}, { write: (line: string) => void lines.push(line) });
-    const platform = { ...context.platform, store: new SimulatedRowStore(store, clock) };
+    path = new SimulatedRowStore(store, clock);
+    const platform = { ...context.platform, store: path };
     const simulated = { ...context, clock, platform, log };
     write(RUNNER);
     renewForEver(OTHER);
@@ -107,6 +112,20 @@
     });
   }
 
+  it("knows in time that a runner leaves where its open connections to the store fall silent", async () => {
+    const late: number[] = [];
+    for (let count = 0; count < 40; count += 1) {
+      const silentMs = time.nowMs;
+      path.silenceConnections();
+      time.after(CONTACT_MS / 2, () => write(RUNNER, { state: "draining" }));
+      await time.runUntil(silentMs + CONTACT_MS);
+      if (board.ready(RUNNER)) late.push(silentMs);
+      write(RUNNER);
+      await time.runUntil(silentMs + CONTACT_MS + 2_500 + count * PHASE_STEP_MS);
+    }
+    expect(late).toEqual([]);
+  });
+
   const [FIRST, SECOND] = ["runner-1#1000", "runner-1#2000"] as [RunnerId, RunnerId];
   const STARTS: [what: string, born: (number | undefined)[], listed: RunnerId, ended: RunnerId[]][] = [
     ["writes again", [1_000, 1_000], FIRST, [RUNNER]],
