Leave connections silent in the soak that have lost bytes, and look how late a configuration comes

Cause: the soak reset every connection of a link as its cut ended, so that a wait that heard nothing ended at once, and looked only at the end whether the newest configuration is there: a late one could not show.

--- a/test/soak/configuration-watch.ts
+++ b/test/soak/configuration-watch.ts
@@ -1,4 +1,5 @@
 /** Changes the configuration during a soak, and checks that it is in force in time and never goes back. */
+import { APPLY_MS, CONTACT_MS } from "../../bench/simulation/gateways/contact-record.ts";
 import { pause, type TestGateway } from "../process/support/gateway-cluster.ts";
 import type { SoakCluster } from "./soak-cluster.ts";
 import type { SoakLedger } from "./soak-ledger.ts";
@@ -20,6 +21,8 @@
   /** Newest version whose route was seen, by process. */
   readonly #seen = new Map<object, number>();
   #version = 1;
+  /** When the newest version was confirmed, by the ledger's clock. */
+  #changedMs = 0;
   #probes = 0;
 
   constructor(cluster: SoakCluster, ledger: SoakLedger) {
@@ -61,17 +64,20 @@
     tenants.change(this.#ledger.nowMs);
     const routes = { version: this.#version, timeoutMs: TIMEOUT_MS, added, tenants: tenants.configured };
     this.#cluster.configure(routes);
+    this.#changedMs = this.#ledger.nowMs;
   }
 
   async #look(gateway: TestGateway): Promise<void> {
     const { process } = gateway;
     const version = this.#version;
+    const isDue = this.#ledger.calmForMs > CONTACT_MS && this.#ledger.nowMs - this.#changedMs > APPLY_MS;
     const status = await this.#probe(gateway, version);
     if (gateway.process !== process || status === 0 || status === UNAVAILABLE) return;
     const seen = this.#seen.get(process) ?? 0;
     if (status !== MISSING) this.#seen.set(process, Math.max(seen, version));
     else if (seen >= version)
       this.#ledger.breaks("configuration", `${gateway.name} went back before ${version}`);
+    else if (isDue) this.#ledger.breaks("configuration", `${gateway.name} is late with ${version}`);
   }
 
   async #probe(gateway: TestGateway, version: number): Promise<number> {
--- a/test/soak/faults/link-trouble.ts
+++ b/test/soak/faults/link-trouble.ts
@@ -26,9 +26,9 @@
   override end(): void {
     const link = this.#link;
     if (!link || link.state === "open") return;
-    const lostBytes = link.state !== "delayed";
+    const isReset = link.state === "cutToTarget" || link.state === "cutToCaller";
     link.state = "open";
-    // Bytes were swallowed: as on a real link, what is left of such connections breaks.
-    if (lostBytes) link.resetAll();
+    // Connections that have lost bytes break, or stay silent: only new ones work again.
+    if (isReset) link.resetAll();
   }
 }
--- a/test/soak/loopback-proxy.ts
+++ b/test/soak/loopback-proxy.ts
@@ -5,6 +5,12 @@
 /** What becomes of bytes: passed on, held up, or swallowed in one direction or both. */
 export type LinkState = "open" | "delayed" | "cutToTarget" | "cutToCaller" | "silent";
 
+/** Two connections that the proxy joins. */
+interface Joint {
+  /** Bytes were swallowed: nothing more passes, also once the link is open again. */
+  hasLost: boolean;
+}
+
 /** See the module's comment. */
 export class LoopbackProxy {
   state: LinkState = "open";
@@ -40,14 +46,17 @@
 
   #accept(caller: Socket): void {
     const target = createConnection({ ...parseAddress(this.#target), noDelay: true });
-    this.#join(caller, target, () => this.state === "silent" || this.state === "cutToTarget");
-    this.#join(target, caller, () => this.state === "silent" || this.state === "cutToCaller");
+    const joint = { hasLost: false };
+    this.#join(caller, target, joint, "cutToTarget");
+    this.#join(target, caller, joint, "cutToCaller");
   }
 
-  #join(from: Socket, to: Socket, isCut: () => boolean): void {
+  #join(from: Socket, to: Socket, joint: Joint, cutState: LinkState): void {
+    const isCut = () => this.state === "silent" || this.state === cutState;
     this.#sockets.add(from);
     from.on("data", (bytes: Buffer) => {
-      if (isCut()) return;
+      joint.hasLost ||= isCut();
+      if (joint.hasLost) return;
       this.#later(() => to.write(bytes));
     });
     from.on("end", () => {
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -108,6 +108,7 @@
     for (const fault of struck) fault.end();
     await Promise.all(struck.map((fault) => fault.settled()));
     ledger.underFaults = false;
+    ledger.faultsEndedMs = ledger.nowMs;
     note("over");
     await pause(random.unit() * GAP_MS);
   }
--- a/test/soak/soak-ledger.ts
+++ b/test/soak/soak-ledger.ts
@@ -49,12 +49,19 @@
   readonly allKilledMs: number[] = [];
   /** Whether a fault lasts. */
   underFaults = false;
+  /** When the last fault ended. */
+  faultsEndedMs = 0;
   /** How many turns were gone on from after the faults. */
   goneOnFrom = 0;
   /** What a turn's runner had to be given, by the turn's identifier. */
   readonly prompts = new Map<string, string>();
   readonly #startedMs = performance.now();
 
+  /** For how long there has been no fault, in ms. */
+  get calmForMs(): number {
+    return this.underFaults ? 0 : this.nowMs - this.faultsEndedMs;
+  }
+
   /** Time since the start, in ms. */
   get nowMs(): number {
     return Math.round(performance.now() - this.#startedMs);
