Drop a default that nobody uses, and a fallback that stands twice

RunnerBoard.usualMs is always asked with a least number of requests; RateHost's fallback was the other side of its own maximum. Behaviour is the same.

--- a/src/gateway/rates/rate-host.ts
+++ b/src/gateway/rates/rate-host.ts
@@ -147,8 +147,8 @@
   #isUnsure(partition: number): boolean {
     const ownership = this.#partitions.ownership(partition);
     if (!ownership) return false;
-    const sureSinceMs = this.#sureSinceMs.get(partition) ?? ownership.takenOverAtMs;
-    return Math.max(sureSinceMs, ownership.takenOverAtMs) < this.#stoodStillAtMs;
+    const confirmedMs = this.#sureSinceMs.get(partition) ?? Number.NEGATIVE_INFINITY;
+    return Math.max(confirmedMs, ownership.takenOverAtMs) < this.#stoodStillAtMs;
   }
 
   #confirmOnce(partition: number): Promise<void> {
--- a/src/scheduling/runner-board/runner-board.ts
+++ b/src/scheduling/runner-board/runner-board.ts
@@ -189,7 +189,7 @@
   }
 
   /** How long a request of a pool usually takes, in ms; undefined while fewer than `leastRequests` were seen here. */
-  usualMs(pool: string, leastRequests = 1): number | undefined {
+  usualMs(pool: string, leastRequests: number): number | undefined {
     const usual = this.#usualMs.get(pool);
     return usual && usual.count >= leastRequests ? usual.value : undefined;
   }
