Fill the places of a runner in one way in both process tests

The same steps stood in the tests of places and of place delays; they are DispatchedCluster's now. Checks and figures are as they were.

--- a/test/process/place-delays.test.ts
+++ b/test/process/place-delays.test.ts
@@ -2,13 +2,10 @@
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { expect } from "earl";
 import type { RunnerStandin } from "../../standins/platform/runner-standin.ts";
-import { DispatchedCluster } from "./support/dispatched-cluster.ts";
+import { DispatchedCluster, HEARD_MS } from "./support/dispatched-cluster.ts";
 import { call, newRequestId } from "./support/gateway-caller.ts";
 import { PATHS, pause, type TestGateway } from "./support/gateway-cluster.ts";
 
-const SLOTS = 8;
-/** Two heartbeats, and what starts and messages take on a busy machine. */
-const HEARD_MS = 1_300;
 /** Calls that take all places run until long after the test has looked at those that come meanwhile. */
 const LONG_FILL_MS = 4_000;
 /** They are over while places still count as scarce. */
@@ -26,15 +23,14 @@
   });
   afterEach(() => cluster.stop());
 
-  const gateway = (index: number) => cluster.gateways[index % cluster.gateways.length] as TestGateway;
+  const gateway = (index: number) => cluster.gateway(index);
 
   /** Takes all places for so long, in ms, and waits until all gateways have heard of it. */
   async function fill(fillMs: number): Promise<RunnerStandin> {
     const [service] = cluster.services as [RunnerStandin];
-    service.stepMs = fillMs;
-    for (let index = 0; index < SLOTS; index += 1)
-      void call(gateway(index), PATHS.unsafe, newRequestId(), FILL_DEADLINE_MS);
-    await pause(HEARD_MS);
+    await cluster.fill(service, fillMs, (filler) =>
+      call(filler, PATHS.unsafe, newRequestId(), FILL_DEADLINE_MS),
+    );
     return service;
   }
 
--- a/test/process/places.test.ts
+++ b/test/process/places.test.ts
@@ -4,15 +4,12 @@
 import type { PlacedRecord } from "../../src/gateway/telemetry/placed-record.ts";
 import type { RunnerStandin } from "../../standins/platform/runner-standin.ts";
 import { knownRed } from "../support/known-red.ts";
-import { DispatchedCluster } from "./support/dispatched-cluster.ts";
+import { DispatchedCluster, HEARD_MS, SLOTS } from "./support/dispatched-cluster.ts";
 import { call, newRequestId, turn } from "./support/gateway-caller.ts";
-import { PATHS, pause, type TestGateway } from "./support/gateway-cluster.ts";
+import { PATHS, pause } from "./support/gateway-cluster.ts";
 
-const SLOTS = 8;
 /** Calls that may be on their way to a runner whose calls are short, beyond those that it works on. */
 const ON_TOP = 2;
-/** Two heartbeats, and what starts and messages take on a busy machine. */
-const HEARD_MS = 1_300;
 /** Calls that take all places run for so long: others hear of them, and wait for not much longer. */
 const FILL_MS = 1.6 * HEARD_MS;
 /** Time in which the log is written. */
@@ -34,19 +31,7 @@
   });
   after(() => cluster.stop());
 
-  const gateway = (index: number) => cluster.gateways[index % cluster.gateways.length] as TestGateway;
-
-  /** Takes all places with calls that no dispatcher has placed, until all gateways have heard of them. */
-  async function fill(
-    runner: RunnerStandin,
-    stepMs: number,
-    send: (index: number) => Promise<unknown>,
-  ): Promise<void> {
-    runner.stepMs = stepMs;
-    for (let index = 0; index < SLOTS; index += 1) void send(index);
-    await pause(HEARD_MS);
-    runner.stepMs = 100;
-  }
+  const gateway = (index: number) => cluster.gateway(index);
 
   function linesOf(prefix: string): CallLine[] {
     const lines = [...cluster.logs().values()].flatMap((log) => log.split("\n"));
@@ -56,7 +41,8 @@
 
   it(PLACED_BESIDE, knownRed(PLACED_BESIDE), async () => {
     const [service] = cluster.services as [RunnerStandin];
-    await fill(service, FILL_MS, (index) => call(gateway(index), PATHS.unsafe, newRequestId(), 5_000));
+    await cluster.fill(service, FILL_MS, (filler) => call(filler, PATHS.unsafe, newRequestId(), 5_000));
+    service.stepMs = 100;
     const waiting = Array.from({ length: 40 }, (_, index) =>
       call(gateway(index), PATHS.unsafe, `waits-${index}`, 5_000),
     );
@@ -87,8 +73,8 @@
     const [engine] = cluster.engines as [RunnerStandin];
     const first = await turn(gateway(0), PATHS.turn, newRequestId(), { program: "begun" });
     expect(first.status).toEqual(200);
-    await fill(engine, FILL_MS / engine.events, (index) =>
-      turn(gateway(index), PATHS.turn, newRequestId(), { program: `fills-${index}`, deadlineMs: 15_000 }),
+    await cluster.fill(engine, FILL_MS / engine.events, (filler, index) =>
+      turn(filler, PATHS.turn, newRequestId(), { program: `fills-${index}`, deadlineMs: 15_000 }),
     );
     engine.stepMs = 10;
     const began = turn(gateway(1), PATHS.turn, "second-turn", { program: "begun" });
