--- a/src/gateway/configuration/routing-watch.ts
+++ b/src/gateway/configuration/routing-watch.ts
@@ -15,7 +15,7 @@
  * Within what time a configuration must be known where keys are only trusted for some time, in ms. The age of what is in
  * force stays below that, and the time of two answers; the store takes one call a second of each gateway for it.
  */
-const KEYED_NEWS_MS = 2_000;
+const KEYED_MAX_STALENESS_MS = 2_000;
 /**
  * Keys are trusted for so much less than operators allow, in ms: a feed may say nothing of a change for a second before
  * it says that its history is gone.
@@ -40,6 +40,8 @@
     this.#context = context;
     const { configurationTable, configurationKey } = context.platform.records;
     const { keys, timing } = context.settings;
+    const { configurationMs } = timing;
+    const keyedMs = Math.min(KEYED_MAX_STALENESS_MS, configurationMs);
     this.#unreadable = new UnreadableRows(context, configurationTable);
     const take = (rows: readonly { readonly key: string; readonly value: Buffer | undefined }[]) => {
       for (const { key, value } of rows) if (key === configurationKey && value) this.#take(value);
@@ -53,12 +55,7 @@
         onChanges: take,
         onCurrent: (askedAtMs) => this.#confirm(askedAtMs),
       },
-      {
-        newsMs:
-          keys.revokeMs === undefined
-            ? timing.configurationMs
-            : Math.min(KEYED_NEWS_MS, timing.configurationMs),
-      },
+      { maxStalenessMs: keys.revokeMs === undefined ? configurationMs : keyedMs },
     );
   }
 
--- a/src/gateway/configuration/table-follower.ts
+++ b/src/gateway/configuration/table-follower.ts
@@ -10,7 +10,7 @@
 
 /** Longest wait for changes, in ms: answers to waits also show that the store is reached. */
 const LONGEST_WAIT_MS = 2_000;
-/** A wait lasts for this part of the time within which news must be known: what is left is for an answer that is lost. */
+/** A wait lasts for this part of the time within which a change must be known: the rest is for an answer that is lost. */
 const WAIT_PART = 0.5;
 const RETRY_MS = 100;
 
@@ -30,7 +30,7 @@
 /** How a table is followed. */
 export interface TableFollowerOptions {
   /** Within what time a change must be known, in ms. */
-  readonly newsMs: number;
+  readonly maxStalenessMs: number;
   /** Least time between two waits, in ms: for tables that change all the time. */
   readonly pauseMs?: number;
 }
@@ -55,14 +55,14 @@
     health: StoreHealth,
     table: string,
     listener: TableListener,
-    { newsMs, pauseMs = 0 }: TableFollowerOptions,
+    { maxStalenessMs, pauseMs = 0 }: TableFollowerOptions,
   ) {
     this.#context = context;
     this.#health = health;
     this.#table = table;
     this.#listener = listener;
     this.#pauseMs = pauseMs;
-    this.#waitMs = Math.min(LONGEST_WAIT_MS, newsMs * WAIT_PART);
+    this.#waitMs = Math.min(LONGEST_WAIT_MS, maxStalenessMs * WAIT_PART);
     this.#log = new FollowLog(context.log, table);
     this.#currentAtMs = context.clock.monotonicMs();
   }
--- a/src/gateway/runners/runner-watch.ts
+++ b/src/gateway/runners/runner-watch.ts
@@ -65,7 +65,7 @@
     const { runnerTable } = context.platform.records;
     this.#unreadable = new UnreadableRows(context, runnerTable);
     const { runnerDrainMs } = context.settings.timing;
-    const options = { newsMs: runnerDrainMs, pauseMs: runnerDrainMs * PAUSE_PART };
+    const options = { maxStalenessMs: runnerDrainMs, pauseMs: runnerDrainMs * PAUSE_PART };
     this.#follower = new TableFollower(context, health, runnerTable, listener, options);
   }
 
--- a/src/gateway/store/relayed-row-store.ts
+++ b/src/gateway/store/relayed-row-store.ts
@@ -23,10 +23,10 @@
 /** Longest wait for a call that a peer makes, in ms, beyond the time that the store itself waits for changes. */
 const RELAY_TIMEOUT_MS = 1_000;
 /**
- * Longest wait for changes that a peer carries, in ms. A peer that loses the store itself is noticed only when the wait is
+ * Longest wait for changes through a peer, in ms. That the peer has lost the store itself is noticed only when the wait is
  * given up, and this gateway's own connections are tried again only with the next call.
  */
-const MOST_CARRIED_WAIT_MS = 500;
+const MAX_RELAYED_WAIT_MS = 500;
 /** Most routes that one call tries when each refuses it. */
 const MAX_ROUTES = 3;
 /** How long an answer shows that this gateway's own connections work, in ms: longer than a wait for changes. */
@@ -56,7 +56,7 @@
   readonly route: StoreRoute;
   readonly attempt: RouteAttempt;
   /** Longest wait for changes on this way, in ms. */
-  readonly mostWaitMs: number;
+  readonly maxWaitMs: number;
 }
 
 /** See the module's comment. */
@@ -142,7 +142,7 @@
       ways.push({
         route: this.#relayRoute(relay.instance),
         attempt: (call) => this.#callPeer(relay, call),
-        mostWaitMs: MOST_CARRIED_WAIT_MS,
+        maxWaitMs: MAX_RELAYED_WAIT_MS,
       });
     return ways;
   }
@@ -151,7 +151,7 @@
     return {
       route: this.#direct,
       attempt: (call) => this.#callDirectly(call),
-      mostWaitMs: Number.POSITIVE_INFINITY,
+      maxWaitMs: Number.POSITIVE_INFINITY,
     };
   }
 
@@ -219,9 +219,9 @@
 }
 
 /** Where a call has failed, one that is answered at once comes first: a wait would keep all others from trying. */
-function withBoundedWait(call: StoreCall, { route, mostWaitMs }: Way): StoreCall {
+function withBoundedWait(call: StoreCall, { route, maxWaitMs }: Way): StoreCall {
   if (call.type !== "watch") return call;
-  return { ...call, waitMs: route.isProven ? Math.min(call.waitMs, mostWaitMs) : 0 };
+  return { ...call, waitMs: route.isProven ? Math.min(call.waitMs, maxWaitMs) : 0 };
 }
 
 /** Bytes arrive from peers as plain arrays of bytes. */
