Wait for whole milliseconds only

Where the time within which a configuration or a leaving runner must be known is odd, the wait of was asked for in fractions of a millisecond, which a store may refuse: nothing would be followed at all.

--- a/src/gateway/configuration/table-follower.ts
+++ b/src/gateway/configuration/table-follower.ts
@@ -62,7 +62,7 @@
     this.#table = table;
     this.#listener = listener;
     this.#pauseMs = pauseMs;
-    this.#waitMs = Math.min(LONGEST_WAIT_MS, maxStalenessMs * WAIT_PART);
+    this.#waitMs = Math.min(LONGEST_WAIT_MS, Math.floor(maxStalenessMs * WAIT_PART));
     this.#log = new FollowLog(context.log, table);
     this.#currentAtMs = context.clock.monotonicMs();
   }
