Read the filled template in one place in the test of the platform's settings

Every expectation is as it was. Measured: the file's six tests pass; formatter, types and dependencies are clean.

--- a/test/contract/platform-settings.test.ts
+++ b/test/contract/platform-settings.test.ts
@@ -34,11 +34,16 @@
     });
   }
 
+  /** What a gateway reads of the template, filled. */
+  function settingsOf(values: Record<string, string | undefined>) {
+    const [parsed] = parseYaml(fill(values), "settings", gatewaySettingsSchema, "invalid-settings");
+    return parsed?.value;
+  }
+
   it("becomes valid settings with the platform's values", () => {
-    const filled = fill(VALUES);
-    const [parsed] = parseYaml(filled, "settings", gatewaySettingsSchema, "invalid-settings");
-    expect(parsed?.value.seeds).toEqual([ADDRESS]);
-    expect(parsed?.value.name).toEqual("front-hall-a-1");
+    const settings = settingsOf(VALUES);
+    expect(settings?.seeds).toEqual([ADDRESS]);
+    expect(settings?.name).toEqual("front-hall-a-1");
   });
 
   it("becomes JSON, which a gateway reads faster than YAML, whatever the platform leaves out", () => {
@@ -58,9 +63,9 @@
       ["false", undefined],
       [undefined, undefined],
     ] as const) {
-      const filled = fill({ ...VALUES, "bounds.fail-closed": closed, "bounds.revoke-ms": "5000" });
-      const [parsed] = parseYaml(filled, "settings", gatewaySettingsSchema, "invalid-settings");
-      expect(parsed?.value.keys.revokeMs).toEqual(expected);
+      expect(
+        settingsOf({ ...VALUES, "bounds.fail-closed": closed, "bounds.revoke-ms": "5000" })?.keys.revokeMs,
+      ).toEqual(expected);
     }
   });
 
@@ -69,9 +74,7 @@
       ["178", 178],
       [undefined, 256],
     ] as const) {
-      const filled = fill({ ...VALUES, "limits.memory-mb": given });
-      const [parsed] = parseYaml(filled, "settings", gatewaySettingsSchema, "invalid-settings");
-      expect(parsed?.value.buffers.memoryMb).toEqual(expected);
+      expect(settingsOf({ ...VALUES, "limits.memory-mb": given })?.buffers.memoryMb).toEqual(expected);
     }
   });
 
@@ -80,9 +83,7 @@
       ["4000", 4_000],
       [undefined, 1_500],
     ] as const) {
-      const filled = fill({ ...VALUES, "bounds.drain-ms": given });
-      const [parsed] = parseYaml(filled, "settings", gatewaySettingsSchema, "invalid-settings");
-      expect(parsed?.value.timing.runnerDrainMs).toEqual(expected);
+      expect(settingsOf({ ...VALUES, "bounds.drain-ms": given })?.timing.runnerDrainMs).toEqual(expected);
     }
   });
 
@@ -91,9 +92,9 @@
       ["4000", 4_000],
       [undefined, 2_000],
     ] as const) {
-      const filled = fill({ ...VALUES, "bounds.config-apply-ms": given });
-      const [parsed] = parseYaml(filled, "settings", gatewaySettingsSchema, "invalid-settings");
-      expect(parsed?.value.timing.configurationMs).toEqual(expected);
+      expect(settingsOf({ ...VALUES, "bounds.config-apply-ms": given })?.timing.configurationMs).toEqual(
+        expected,
+      );
     }
   });
 });
