Log what a call that makes no progress waits for

Change: a node writes, every 5 s and at most ten lines of a kind, each call without progress for 5 s: at the callers' node which node has it, at its executor what it waits for, in a program's queue behind what. "lost leadership of shard" names the proposals that are open then (number, indexes, term, age); for that the replica's pending proposals are a class of their own, which behaves as before. Process tests write the logs of what they start to files, kept on failure.

--- a/src/node/calls/active-call.ts
+++ b/src/node/calls/active-call.ts
@@ -1,22 +1,52 @@
 import type { CallEvent } from "../../messages/call-messages.ts";
 import { CancellationSource } from "../../runtime/cancellation.ts";
 
+/** What an executing call waits for. */
+export type CallPhase = "intent" | "slot" | "engine" | "service" | "next attempt" | "outcome";
+
 /** A call that this node executes as its shard's leader: the text so far and the nodes to notify. */
 export class ActiveCall {
   readonly id: string;
   readonly cancellation = new CancellationSource();
   readonly #send: (address: string, event: CallEvent) => void;
   readonly #subscribers = new Set<string>();
+  readonly #now: () => number;
   #text: string;
+  #phase: CallPhase = "intent";
+  #lastProgressMs: number;
 
   /**
    * @param receivedText the text that a caller has already received from an earlier attempt; the answer starts with it
+   * @param now returns the monotonic time, in ms
    * @param send sends an event to the caller's ingress node
    */
-  constructor(id: string, receivedText: string, send: (address: string, event: CallEvent) => void) {
+  constructor(
+    id: string,
+    receivedText: string,
+    now: () => number,
+    send: (address: string, event: CallEvent) => void,
+  ) {
     this.id = id;
     this.#text = receivedText;
+    this.#now = now;
     this.#send = send;
+    this.#lastProgressMs = now();
+  }
+
+  /** What the call waits for. */
+  get phase(): CallPhase {
+    return this.#phase;
+  }
+
+  /** Time since the call entered its phase or received text, in ms. */
+  get idleMs(): number {
+    return this.#now() - this.#lastProgressMs;
+  }
+
+  /** Records what the call waits for from now on. */
+  enter(phase: CallPhase): void {
+    this.#phase = phase;
+    this.#lastProgressMs = this.#now();
   }
 
   /** The text generated so far. */
@@ -47,6 +77,7 @@
   append(offset: number, text: string): void {
     if (offset !== this.#text.length) return;
     this.#text += text;
+    this.#lastProgressMs = this.#now();
     for (const address of this.#subscribers) this.#sendChunk(address, offset, text);
   }
 
--- a/src/node/calls/call-executor.ts
+++ b/src/node/calls/call-executor.ts
@@ -64,7 +64,13 @@
   async run(execution: ExecutionRequest): Promise<void> {
     const { record, entry } = execution;
     const receivedText = entry?.submit.receivedText ?? "";
-    const active = new ActiveCall(record.id, receivedText, (to, event) => this.#send(to, event));
+    const { clock } = this.#parts.context;
+    const active = new ActiveCall(
+      record.id,
+      receivedText,
+      () => clock.monotonicMs(),
+      (to, event) => this.#send(to, event),
+    );
     this.#active.set(record.id, active);
     if (entry) active.subscribe(entry.from, receivedText);
     try {
@@ -132,6 +138,7 @@
     const { context, budgets, shards } = this.#parts;
     const { reservation, id: call } = job.record;
     const attempt = job.record.attempt + 1;
+    job.active.enter("next attempt");
     if (reservation.tokens > 0) await budgets.ensureAvailable(job.replica, job.policy, reservation.tokens);
     const executor = context.self.address;
     const atMs = context.clock.wallMs();
@@ -173,6 +180,7 @@
   ): Promise<void> {
     const { committer, context } = this.#parts;
     const command = { type: "finishCall", call: active.id, atMs: context.clock.wallMs() } as const;
+    active.enter("outcome");
     const result = await committer.commit(replica.shard, { ...command, ...conclusion });
     const final = result.accepted
       ? eventOfOutcome(active.id, number, conclusion.outcome)
--- a/src/node/calls/call-service.ts
+++ b/src/node/calls/call-service.ts
@@ -11,6 +11,7 @@
 import { openCallOf } from "../../scheduling/program/open-call-of.ts";
 import type { CallRecord, ProgramRecord } from "../../scheduling/program/records.ts";
 import type { ShardReplica } from "../shard-replica.ts";
+import type { ActiveCall } from "./active-call.ts";
 import { CallAdmission, hashOfRequest } from "./call-admission.ts";
 import { finalEventOf, refusalEventOf } from "./call-events.ts";
 import { CallExecutor } from "./call-executor.ts";
@@ -20,6 +21,17 @@
 
 const UNAVAILABLE_RETRY_AFTER_MS = 1_000;
 
+/** A call that waits in its program's queue, as the log reports it. */
+export interface QueuedCallState {
+  readonly call: string;
+  readonly waitedMs: number;
+  readonly leads: boolean;
+  /** Whether an earlier call of the program is being admitted or executed here. */
+  readonly busy: boolean;
+  /** The program's call that is open, wherever it is executed. */
+  readonly openCall: string | undefined;
+}
+
 /** Handles submitted calls for the shards that this node leads. */
 export class CallService {
   readonly counters: CallCounters = { answered: 0, failed: 0, refused: 0, takenOver: 0 };
@@ -46,6 +58,28 @@
     return this.#executor.size;
   }
 
+  /** Returns the calls in progress on this node. */
+  executing(): IterableIterator<ActiveCall> {
+    return this.#executor.all();
+  }
+
+  /** Returns, for the log, the calls that have waited in their programs' queues for at least `minWaitMs`. */
+  queuedCalls(minWaitMs: number): QueuedCallState[] {
+    const nowMs = this.#nowMs();
+    return [...this.#queues].flatMap(([program, queue]) => {
+      const replica = this.#parts.shards.get(this.#parts.shards.shardOfProgram(program));
+      const record = replica?.state.programs.get(program);
+      const waiting = queue.entries().filter((entry) => nowMs - entry.arrivedMs >= minWaitMs);
+      return waiting.map(({ submit, arrivedMs }) => ({
+        call: submit.call,
+        waitedMs: Math.round(nowMs - arrivedMs),
+        leads: replica?.leads ?? false,
+        busy: queue.busy,
+        openCall: record && openCallOf(record)?.id,
+      }));
+    });
+  }
+
   /** Starts the timers. */
   start(): void {
     const { clock, settings } = this.#parts.context;
--- a/src/node/calls/completion-executor.ts
+++ b/src/node/calls/completion-executor.ts
@@ -61,7 +61,9 @@
     };
     for (;;) {
       if (job.active.cancellation.cancelled) return this.#conclusions.cancelled(job, progress);
+      job.active.enter("slot");
       const placement = await this.#placement.place(job, progress);
+      job.active.enter("intent");
       await this.#awaitIntent(job, progress, placement);
       if (!placement) return this.#conclusions.unplaced(job, progress);
       const conclusion = await this.#attempt(job, progress, placement);
@@ -90,6 +92,7 @@
     placement: Placement,
   ): Promise<CallConclusion | undefined> {
     const startMs = this.#context.clock.monotonicMs();
+    job.active.enter("engine");
     const result = await this.#generate(job, progress.attempt, placement);
     progress.serviceMs += this.#context.clock.monotonicMs() - startMs;
     this.#placement.release(placement, job, progress.attempt);
@@ -153,6 +156,7 @@
   ): Promise<CallConclusion | undefined> {
     if (progress.attempt >= MAX_ATTEMPTS) return this.#conclusions.broken(job, progress, detail);
     const attempt = progress.attempt + 1;
+    job.active.enter("next attempt");
     await this.#budgets.ensureAvailable(job.replica, job.policy, job.record.reservation.tokens);
     const result = await this.#committer.commit(job.replica.shard, {
       type: "retryCall",
--- a/src/node/calls/service-call-executor.ts
+++ b/src/node/calls/service-call-executor.ts
@@ -45,6 +45,7 @@
   /** Executes a call that this leader admitted, or a repeatable call of an earlier leader. */
   async run(job: ServiceJob): Promise<CallConclusion> {
     const startMs = this.#context.clock.monotonicMs();
+    job.active.enter("intent");
     await job.committed;
     this.#requireMajorityAfterPause(job, startMs);
     let attempt = job.record.attempt;
@@ -86,10 +87,12 @@
     if (machines.length === 0) return { type: "not-sent", detail: `No machine serves ${request.service}.` };
     const machine = machines[this.#context.random.below(machines.length)];
     const { timeoutMs } = policy.services[request.service];
+    job.active.enter("service");
     return this.#client.send(machine.address, request, job.record.id, timeoutMs);
   }
 
   async #nextAttempt(job: ServiceJob, attempt: number): Promise<number> {
+    job.active.enter("next attempt");
     const result = await this.#committer.commit(job.replica.shard, {
       type: "retryCall",
       call: job.record.id,
--- a/src/node/ingress/call-session.ts
+++ b/src/node/ingress/call-session.ts
@@ -25,6 +25,18 @@
   | { readonly type: "answered"; readonly number: number; readonly answer: CallAnswer }
   | { readonly type: "failed"; readonly problem: Problem };
 
+/** The state of a call session, as the log reports it. */
+export interface CallSessionState {
+  readonly call: string;
+  readonly shard: number;
+  readonly ageMs: number;
+  /** Address of the node that the call was submitted to last, or that accepted it. */
+  readonly submittedTo: string | undefined;
+  readonly accepted: boolean;
+  /** Time since the last event from a node, in ms. */
+  readonly silenceMs: number;
+}
+
 /** The dependencies of a call session. */
 export interface CallSessionPort {
   readonly clock: Clock;
@@ -81,6 +93,19 @@
     return this.#parameters.call;
   }
 
+  /** The session's state for the log. */
+  get state(): CallSessionState {
+    const nowMs = this.#port.clock.monotonicMs();
+    return {
+      call: this.call,
+      shard: this.#parameters.shard,
+      ageMs: Math.round(nowMs - this.#startMs),
+      submittedTo: this.#submittedTo,
+      accepted: this.#accepted,
+      silenceMs: Math.round(nowMs - this.#lastEventMs),
+    };
+  }
+
   /** Submits the call and starts the caller's timeout. */
   start(): void {
     const { clock } = this.#port;
--- a/src/node/ingress/ingress.ts
+++ b/src/node/ingress/ingress.ts
@@ -21,7 +21,7 @@
 } from "../../scheduling/program/program-id.ts";
 import type { CallRequest, ForkPoint, ProgramRecord } from "../../scheduling/program/records.ts";
 import type { IngressSettings } from "../../settings/ingress-settings.ts";
-import { CallSession } from "./call-session.ts";
+import { CallSession, type CallSessionState } from "./call-session.ts";
 
 /** The dependencies of an ingress. */
 export interface IngressPorts {
@@ -74,6 +74,14 @@
     return this.#sessions.size;
   }
 
+  /** Returns, for the log, the calls that have been open for at least `minAgeMs`. */
+  openCalls(minAgeMs: number): CallSessionState[] {
+    return [...this.#sessions.values()]
+      .flatMap((sessions) => [...sessions])
+      .map((session) => session.state)
+      .filter((state) => state.ageMs >= minAgeMs);
+  }
+
   /** Passes an event from a leader to the sessions of its call. */
   onCallEvent(event: CallEvent, from: string): void {
     for (const session of [...(this.#sessions.get(event.call) ?? [])]) session.onEvent(event, from);
--- a/src/node/node-daemon.ts
+++ b/src/node/node-daemon.ts
@@ -19,6 +19,7 @@
 import { DecisionBuilder } from "./calls/decision-builder.ts";
 import { ServiceCallExecutor } from "./calls/service-call-executor.ts";
 import { SlotClient } from "./calls/slot-client.ts";
+import { StalledCallLog } from "./calls/stalled-call-log.ts";
 import { ConfigurationService } from "./configuration/configuration-service.ts";
 import { ConfigurationTable } from "./configuration/configuration-table.ts";
 import { Ingress } from "./ingress/ingress.ts";
@@ -34,6 +35,8 @@
 import { ShardPlacementManager } from "./shard-placement-manager.ts";
 
 const DRAIN_POLL_MS = 50;
+/** Interval between reports of calls that make no progress, in ms. */
+const STALLED_CALL_REPORT_MS = 5_000;
 /** Number of nodes to which a new configuration is announced directly. */
 const CONFIGURATION_FANOUT = 4;
 
@@ -54,7 +57,9 @@
   readonly #broker: SlotClient;
   readonly #sweeper: HoldSweeper;
   readonly #archiver: ShardArchiver;
+  readonly #stalledCalls: StalledCallLog;
   #stopTicking: () => void = () => undefined;
+  #stopReports: () => void = () => undefined;
   #drainPromise: Promise<void> | undefined;
   /** Called when an operator asks the node to leave. */
   onDrainRequested: () => void = () => undefined;
@@ -116,6 +121,7 @@
       router,
       shardCount: context.settings.cluster.shards,
     });
+    this.#stalledCalls = new StalledCallLog(context, shards, this.calls, this.ingress);
     this.#programs = new ProgramService(context, shards, configuration, decisions, directory, rpc);
     this.#placementManager = new ShardPlacementManager(context, shards, machines, platform.table);
     const archive = new ShardArchive(platform.objects, context.hash.hash64);
@@ -163,11 +169,13 @@
     this.#sweeper.start();
     this.#archiver.start();
     this.#stopTicking = repeat(clock, settings.timing.tickMs, () => this.shards.tick());
+    this.#stopReports = repeat(clock, STALLED_CALL_REPORT_MS, () => this.#stalledCalls.report());
   }
 
   /** Stops at once, as if the process had been killed. */
   halt(): void {
     this.#stopTicking();
+    this.#stopReports();
     this.#machines.stop();
     this.configuration.stop();
     this.#placementManager.stop();
--- a/src/node/shard-host.ts
+++ b/src/node/shard-host.ts
@@ -1,7 +1,7 @@
 import type { Member, ShardGroupMessage } from "../coordination/shard-group/index.ts";
 import type { ShardAcknowledgements, ShardHeartbeats, ShardMessage } from "../messages/shard-messages.ts";
 import { RedirectSignal } from "../runtime/rpc.ts";
-import { rootOfProgram } from "../scheduling/program/program-id.ts";
+import { programOfCall, rootOfProgram } from "../scheduling/program/program-id.ts";
 import type { ApplyResult } from "../scheduling/program/program-table.ts";
 import type { ShardCommand } from "../scheduling/shard-state.ts";
 import type { ArchivedState } from "./archive/shard-archive.ts";
@@ -52,6 +52,11 @@
     return this.shardOfKey(rootOfProgram(program));
   }
 
+  /** Returns the shard of a call, which is that of its program. */
+  shardOfCall(call: string): number {
+    return this.shardOfProgram(programOfCall(call));
+  }
+
   /** Returns the shard of any other key. */
   shardOfKey(key: string): number {
     return this.#context.hash.hash32(key) % this.#context.settings.cluster.shards;
@@ -155,8 +160,9 @@
     if (leads === this.#ledShards.has(replica.shard)) return;
     if (leads) this.#ledShards.add(replica.shard);
     else this.#ledShards.delete(replica.shard);
+    const pendingProposals = replica.pendingProposals(this.#context.clock.monotonicMs());
     this.#context.log.info(
-      { shard: replica.shard, term: replica.term, leads, leader: replica.leader?.instance },
+      { shard: replica.shard, term: replica.term, leads, leader: replica.leader?.instance, pendingProposals },
       leads ? "became leader of shard" : "lost leadership of shard",
     );
     for (const observer of this.#observers) observer.onLeadershipChanged?.(replica);
--- a/src/node/shard-replica.ts
+++ b/src/node/shard-replica.ts
@@ -10,6 +10,7 @@
 } from "../coordination/shard-group/index.ts";
 import type { ApplyResult } from "../scheduling/program/program-table.ts";
 import { type ShardCommand, type ShardSnapshot, ShardState } from "../scheduling/shard-state.ts";
+import { PendingProposals, type PendingProposalsSummary, type ProposalResult } from "./pending-proposals.ts";
 
 /** The callbacks that a replica uses of the node that hosts it. */
 export interface ShardReplicaHost {
@@ -21,19 +22,6 @@
   onApplied(replica: ShardReplica, command: ShardCommand, result: ApplyResult): void;
 }
 
-/** The outcome of a proposed command. */
-export type ProposalResult =
-  | { readonly type: "applied"; readonly result: ApplyResult }
-  /** This replica isn't the leader or lost leadership before the entry was committed. The command was not applied. */
-  | { readonly type: "lost" }
-  /** A snapshot replaced the entry. Only the state shows whether the command was applied. */
-  | { readonly type: "unknown" };
-
-interface PendingProposal {
-  readonly term: number;
-  readonly resolve: (result: ProposalResult) => void;
-}
-
 /** Exceeds the number of elections that a lost group can have had, so that a new generation starts at a higher term. */
 const TERMS_PER_GENERATION = 1_000_000;
 
@@ -48,7 +36,7 @@
   readonly state: ShardState;
   readonly #group: ShardGroup<ShardCommand>;
   readonly #host: ShardReplicaHost;
-  readonly #pending = new Map<number, PendingProposal>();
+  readonly #pending = new PendingProposals();
   #appliedIndex = 0;
   #flushScheduled = false;
 
@@ -137,13 +125,16 @@
 
   /** Proposes a command. Resolves when its outcome is known. */
   propose(command: ShardCommand, now: () => number): Promise<ProposalResult> {
-    const proposed = this.#group.propose(command, now());
+    const nowMs = now();
+    const proposed = this.#group.propose(command, nowMs);
     if (!proposed) return Promise.resolve({ type: "lost" });
     this.#scheduleFlush(now);
-    return new Promise((resolve) => {
-      this.#pending.get(proposed.index)?.resolve({ type: "lost" });
-      this.#pending.set(proposed.index, { term: proposed.term, resolve });
-    });
+    return this.#pending.add(proposed, nowMs);
+  }
+
+  /** Returns a summary of the proposals whose outcome is not known yet; undefined if there are none. */
+  pendingProposals(nowMs: number): PendingProposalsSummary | undefined {
+    return this.#pending.summary(nowMs);
   }
 
   /** Runs the effects that the group has requested. */
@@ -186,27 +177,15 @@
   #apply(entry: LogEntry<ShardCommand>): void {
     this.#appliedIndex = entry.index;
     const { payload } = entry;
-    if (payload.type !== "command") return this.#settle(entry, { accepted: true });
+    if (payload.type !== "command") return this.#pending.onApplied(entry, { accepted: true });
     const result = this.state.apply(payload.command);
     this.#host.onApplied(this, payload.command, result);
-    this.#settle(entry, result);
-  }
-
-  #settle(entry: LogEntry<ShardCommand>, result: ApplyResult): void {
-    const pending = this.#pending.get(entry.index);
-    if (!pending) return;
-    this.#pending.delete(entry.index);
-    pending.resolve(pending.term === entry.term ? { type: "applied", result } : { type: "lost" });
+    this.#pending.onApplied(entry, result);
   }
 
-  /** Resolves the proposals that the snapshot covers as unknown. Only the state shows whether they were applied. */
   #restore(snapshot: ShardSnapshot, lastIndex: number): void {
     this.state.restore(snapshot);
     this.#appliedIndex = lastIndex;
-    for (const [index, pending] of this.#pending) {
-      if (index > lastIndex) continue;
-      this.#pending.delete(index);
-      pending.resolve({ type: "unknown" });
-    }
+    this.#pending.onRestored(lastIndex);
   }
 }
--- a/test/process/support/child-process.ts
+++ b/test/process/support/child-process.ts
@@ -1,6 +1,7 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { readFile } from "node:fs/promises";
 import { createInterface } from "node:readline";
+import { appendProcessLog } from "./process-logs.ts";
 
 const BYTES_PER_KILOBYTE = 1_024;
 
@@ -17,7 +18,12 @@
       env: { ...process.env, ...environment },
     });
     this.exited = new Promise((resolve) => this.#child.once("exit", (code) => resolve(code)));
-    this.#child.stderr?.on("data", (part) => this.#stderrParts.push(String(part)));
+    this.#child.stderr?.on("data", (part) => this.#onStderr(String(part)));
+  }
+
+  #onStderr(part: string): void {
+    this.#stderrParts.push(part);
+    appendProcessLog(this.#child.pid, part);
   }
 
   /** Reads the first line of standard output, in which a process reports its addresses. */
