Send a follower that rejects entries what it lacks once

Cause: a replica rejects each message that was in flight after a gap, and the leader took every rejection for a new one: each made it send all entries after the gap again.

Change: after a conflict a follower names its last committed index, below which logs cannot differ. A rejection from the same place is passed over until a heartbeat interval has passed, since the entries sent again may be lost too.

--- a/src/coordination/shard-group/follower-progress.ts
+++ b/src/coordination/shard-group/follower-progress.ts
@@ -11,6 +11,9 @@
   lastResponseMs: number;
   /** When a snapshot was last requested for the replica; limits how often one replica causes a snapshot. */
   snapshotRequestedMs = Number.NEGATIVE_INFINITY;
+  /** Index from which entries were sent again after the last rejection, and when. */
+  #resentFrom = Number.POSITIVE_INFINITY;
+  #resentMs = Number.NEGATIVE_INFINITY;
 
   constructor(member: Member, nextIndex: number, nowMs: number) {
     this.member = member;
@@ -22,11 +25,19 @@
   acknowledge(matchIndex: number): void {
     this.matchIndex = Math.max(this.matchIndex, matchIndex);
     this.nextIndex = Math.max(this.nextIndex, this.matchIndex + 1);
+    if (this.matchIndex >= this.#resentFrom) this.#resentFrom = Number.POSITIVE_INFINITY;
   }
 
-  /** Records that the replica lacks the entry before `nextIndex`; its log matches up to `hintIndex` at most. */
-  reject(hintIndex: number): void {
+  /**
+   * Records that the replica lacks the entry before `nextIndex`; its log matches up to `hintIndex` at most. After a gap,
+   * the replica rejects every message that was in flight. Only the first rejection makes the leader send entries again,
+   * until `retryAfterMs` has passed: then those entries may be lost too.
+   */
+  reject(hintIndex: number, nowMs: number, retryAfterMs: number): void {
     const retryFrom = Math.max(this.matchIndex, hintIndex) + 1;
+    if (retryFrom >= this.#resentFrom && nowMs - this.#resentMs < retryAfterMs) return;
+    this.#resentFrom = retryFrom;
+    this.#resentMs = nowMs;
     this.nextIndex = Math.min(this.nextIndex, retryFrom);
   }
 }
--- a/src/coordination/shard-group/follower-replication.ts
+++ b/src/coordination/shard-group/follower-replication.ts
@@ -27,12 +27,11 @@
   }
 
   /**
-   * Returns the last index at which the logs may match. It excludes an uncommitted entry that was just found to
-   * differ.
+   * Returns the last index at which the logs may match. After a conflict that is the last committed one: all later
+   * entries may differ, and a search in steps would have the leader send its entries again at each step.
    */
   #lastPossibleMatch(previousIndex: number): number {
-    if (previousIndex > this.#state.log.lastIndex) return this.#state.log.lastIndex;
-    return Math.max(this.#state.commitIndex, previousIndex - 1 - this.#state.options.maxEntriesPerAppend, 0);
+    return previousIndex > this.#state.log.lastIndex ? this.#state.log.lastIndex : this.#state.commitIndex;
   }
 
   #followLeader(leader: Member, nowMs: number): void {
--- a/src/coordination/shard-group/leadership.ts
+++ b/src/coordination/shard-group/leadership.ts
@@ -208,7 +208,7 @@
     if (this.#state.role !== "leader" || response.term !== this.#state.term || !progress) return;
     progress.lastResponseMs = nowMs;
     if (response.success) progress.acknowledge(response.matchIndex);
-    else progress.reject(response.matchIndex);
+    else progress.reject(response.matchIndex, nowMs, this.#state.options.heartbeatIntervalMs);
     this.#advanceCommit(nowMs);
     if (this.#state.role === "leader") this.#sendEntries(progress, nowMs);
   }
--- a/test/contract/shard-group.test.ts
+++ b/test/contract/shard-group.test.ts
@@ -4,6 +4,8 @@
 import { GroupNetwork } from "./support/group-network.ts";
 
 const SETTLE_MS = 2_000;
+/** More entries than fit in a few messages. */
+const MANY_ENTRIES = 300;
 
 function startGroup(names: readonly string[]): GroupNetwork {
   const network = GroupNetwork.start(names);
@@ -136,6 +138,38 @@
     expect(follower?.group.lastIndex).toEqual(leader.group.lastIndex);
   });
 
+  it("sends a former leader with many uncommitted entries what it lacks, not more than twice", () => {
+    const network = startGroup(["a", "b", "c"]);
+    const former = network.get(leaderOf(network));
+    const { instance } = former.member;
+    for (const name of network.replicas.keys()) {
+      network.brokenLinks.add(`${instance}>${name}`);
+      network.brokenLinks.add(`${name}>${instance}`);
+    }
+    for (let count = 0; count < MANY_ENTRIES; count++) former.group.propose(`lost ${count}`, network.nowMs);
+    network.advance(SETTLE_MS);
+    for (let count = 0; count < MANY_ENTRIES; count++) network.propose(`kept ${count}`);
+    network.advance(SETTLE_MS);
+    network.brokenLinks.clear();
+    network.deliveredEntries.clear();
+    network.advance(SETTLE_MS);
+    expect(former.applied.length).toEqual(MANY_ENTRIES);
+    expect((network.deliveredEntries.get(instance) ?? 0) <= 2 * (MANY_ENTRIES + 1)).toEqual(true);
+  });
+
+  it("sends entries again once when a follower rejects many messages after a lost one", () => {
+    const network = startGroup(["a", "b", "c"]);
+    const [follower] = [...network.replicas.keys()].filter((name) => name !== leaderOf(network));
+    network.propose("lost message");
+    network.disturbMessage(0, "drop");
+    network.deliveredEntries.clear();
+    for (let count = 0; count < MANY_ENTRIES; count++) network.propose(`entry ${count}`);
+    network.deliverAll();
+    network.advance(SETTLE_MS);
+    expect(network.get(follower).applied.length).toEqual(MANY_ENTRIES + 1);
+    expect((network.deliveredEntries.get(follower) ?? 0) <= 2 * (MANY_ENTRIES + 1)).toEqual(true);
+  });
+
   it("keeps its guarantees under any order of lost messages, duplicates, broken links and pauses", () => {
     const step = fc.oneof(
       fc.record({ type: fc.constant("advance" as const), value: fc.integer({ min: 50, max: 900 }) }),
--- a/test/contract/support/group-network.ts
+++ b/test/contract/support/group-network.ts
@@ -39,6 +39,8 @@
   readonly replicas = new Map<string, TestReplica>();
   readonly brokenLinks = new Set<string>();
   nowMs = 0;
+  /** Number of log entries delivered to each replica, counted as often as they were sent. */
+  readonly deliveredEntries = new Map<string, number>();
   /** The leaders observed in each term. */
   readonly leadersByTerm = new Map<number, Set<string>>();
   #inFlight: InFlight[] = [];
@@ -151,6 +153,8 @@
   #deliver({ from, to, message }: InFlight): void {
     const target = this.replicas.get(to);
     if (!target?.alive || this.brokenLinks.has(`${from}>${to}`)) return;
+    const entryCount = message.type === "appendRequest" ? message.entries.length : 0;
+    this.deliveredEntries.set(to, (this.deliveredEntries.get(to) ?? 0) + entryCount);
     target.group.receive(structuredClone(message), this.nowMs);
     this.executeEffects(target);
   }
