Settle the proposals of a leader that lost its shard

What callers saw: a call waits for its whole time (120 s, and the program's next call again) at a node that is alive, though another node leads the shard: a process test of planned stops did not end for over three minutes.

A leader that loses its shard can have proposed more than the next leader's log holds, its replica can be dropped, and a group that has removed it, or cannot reach it, sends it nothing. The call then waits for its intent or outcome, its executor goes on telling the callers' node that it is under way, and says so to the new leader too, which leaves it there.

Evidence: five real nodes with the log lines of: "lost leadership of shard" with 5 open proposals, the same 5 open 2.9 s later, ten calls accepted there and without progress. On virtual time: a leader that callers reach and replicas do not left 4 of 4 calls open for as long as that lasted.

Whoever proposed goes on as after any loss of leadership: the end of a call is committed through the router, an intent is sent back to the callers' node, and commands check whether they still apply.

--- a/src/node/pending-proposals.ts
+++ b/src/node/pending-proposals.ts
@@ -6,7 +6,7 @@
   | { readonly type: "applied"; readonly result: ApplyResult }
   /** This replica isn't the leader or lost leadership before the entry was committed. The command was not applied. */
   | { readonly type: "lost" }
-  /** A snapshot replaced the entry. Only the state shows whether the command was applied. */
+  /** This replica can't learn whether the entry was committed. Only the state of a leader shows it. */
   | { readonly type: "unknown" };
 
 /** A summary of pending proposals for the log. */
@@ -25,9 +25,13 @@
   readonly resolve: (result: ProposalResult) => void;
 }
 
-/** The proposals of one replica whose outcome is not known yet. */
+/**
+ * The proposals of one replica whose outcome is not known yet. A leader that loses its shard may have proposed more
+ * entries than the next leader's log has, so a proposal can't rely on another entry to be applied at its index.
+ */
 export class PendingProposals {
   readonly #pending = new Map<number, PendingProposal>();
+  #appliedTerm = 0;
 
   /** Adds a proposal. Resolves when its outcome is known. */
   add({ index, term }: ProposedAt, nowMs: number): Promise<ProposalResult> {
@@ -37,18 +41,16 @@
     });
   }
 
-  /** Settles the proposal at the index of an applied entry. */
+  /** Settles the proposals whose outcome an applied entry shows. Entries are applied in the order of their indexes. */
   onApplied(entry: ProposedAt, result: ApplyResult): void {
     const pending = this.#pending.get(entry.index);
-    if (!pending) return;
-    this.#settle(entry.index, pending.term === entry.term ? { type: "applied", result } : { type: "lost" });
+    this.#settle(entry.index, pending?.term === entry.term ? { type: "applied", result } : { type: "lost" });
+    if (entry.term > this.#appliedTerm) this.#onTermApplied(entry.term);
   }
 
-  /** Settles the proposals that a snapshot covers. Only the state shows whether they were applied. */
-  onRestored(lastIndex: number): void {
-    for (const index of [...this.#pending.keys()]) {
-      if (index <= lastIndex) this.#settle(index, { type: "unknown" });
-    }
+  /** Settles all proposals as unknown. */
+  settleAll(): void {
+    for (const index of [...this.#pending.keys()]) this.#settle(index, { type: "unknown" });
   }
 
   /** Returns a summary; undefined if no proposal is pending. */
@@ -65,6 +67,14 @@
     };
   }
 
+  /** Terms never decrease along the log, so no entry of an earlier term can be committed after one of this term. */
+  #onTermApplied(term: number): void {
+    this.#appliedTerm = term;
+    for (const [index, pending] of [...this.#pending]) {
+      if (pending.term < term) this.#settle(index, { type: "lost" });
+    }
+  }
+
   #settle(index: number, result: ProposalResult): void {
     const pending = this.#pending.get(index);
     this.#pending.delete(index);
--- a/src/node/shard-host.ts
+++ b/src/node/shard-host.ts
@@ -84,6 +84,7 @@
 
   /** Stops hosting a shard. */
   drop(shard: number): void {
+    this.#replicas.get(shard)?.close();
     this.#replicas.delete(shard);
     this.#ledShards.delete(shard);
   }
--- a/src/node/shard-replica.ts
+++ b/src/node/shard-replica.ts
@@ -27,6 +27,11 @@
 
 /** Number of applied entries that stay in memory for followers that lag slightly behind. */
 const RETAINED_ENTRIES = 256;
+/**
+ * Time after which a replica that lost leadership stops waiting for its proposals, in ms. By then the next leader has
+ * usually committed an entry. If none arrives here, the group may have removed this replica, or can't reach it.
+ */
+const LOST_LEADERSHIP_TIMEOUT_MS = 5_000;
 /** The journal is truncated when it has more entries than this. */
 const MAX_JOURNAL_ENTRIES = 1_024;
 
@@ -38,6 +43,7 @@
   readonly #host: ShardReplicaHost;
   readonly #pending = new PendingProposals();
   #appliedIndex = 0;
+  #lastLedMs: number;
   #flushScheduled = false;
 
   constructor(
@@ -51,6 +57,7 @@
     this.state = new ShardState(hash);
     this.#group = new ShardGroup<ShardCommand>(options, nowMs);
     this.#host = host;
+    this.#lastLedMs = nowMs;
   }
 
   get role(): ShardRole {
@@ -115,6 +122,13 @@
   tick(nowMs: number): void {
     this.#group.tick(nowMs);
     this.runEffects();
+    if (this.role === "leader") this.#lastLedMs = nowMs;
+    else if (nowMs - this.#lastLedMs > LOST_LEADERSHIP_TIMEOUT_MS) this.#pending.settleAll();
+  }
+
+  /** Settles all proposals, because this replica is no longer used. */
+  close(): void {
+    this.#pending.settleAll();
   }
 
   /** Handles a message from another replica. */
@@ -186,6 +200,7 @@
   #restore(snapshot: ShardSnapshot, lastIndex: number): void {
     this.state.restore(snapshot);
     this.#appliedIndex = lastIndex;
-    this.#pending.onRestored(lastIndex);
+    // The snapshot replaced the log, so no proposal is settled by an entry of this replica any more.
+    this.#pending.settleAll();
   }
 }
