Fall silent about calls that a former leader cannot commit

What callers saw: a call whose answer is ready is not delivered while its leader is cut off from the other nodes but not from the callers' node, though another node leads the shard by then and could finish it.

Cause: a node says every 400 ms that its calls are under way, whatever they wait for. The callers' node therefore never counts the former leader as silent and never asks the new one, which has taken the call over for nobody.

Change: a call that has waited for 2 s for a commit, at a node that does not lead its shard, is no longer announced. After its usual 1.2 s of silence the callers' node submits the call elsewhere and reaches the leader.

--- a/src/node/calls/active-call.ts
+++ b/src/node/calls/active-call.ts
@@ -4,6 +4,9 @@
 /** What an executing call waits for. */
 export type CallPhase = "intent" | "slot" | "engine" | "service" | "next attempt" | "outcome";
 
+/** Phases in which a call waits for the shard's leader to commit a command. */
+const COMMIT_PHASES: ReadonlySet<CallPhase> = new Set(["intent", "next attempt", "outcome"]);
+
 /** A call that this node executes as its shard's leader: the text so far and the nodes to notify. */
 export class ActiveCall {
   readonly id: string;
@@ -38,6 +41,11 @@
     return this.#phase;
   }
 
+  /** Whether the call waits for the shard's leader to commit a command. */
+  get awaitsCommit(): boolean {
+    return COMMIT_PHASES.has(this.#phase);
+  }
+
   /** Time since the call entered its phase or received text, in ms. */
   get idleMs(): number {
     return this.#now() - this.#lastProgressMs;
--- a/src/node/calls/call-service.ts
+++ b/src/node/calls/call-service.ts
@@ -20,6 +20,8 @@
 import { ProgramQueue, type QueuedCall } from "./program-queue.ts";
 
 const UNAVAILABLE_RETRY_AFTER_MS = 1_000;
+/** Time in which a shard that lost its leader usually has another one that commits, in ms. */
+const COMMIT_GRACE_MS = 2_000;
 
 /** A call that waits in its program's queue, as the log reports it. */
 export interface QueuedCallState {
@@ -268,13 +270,25 @@
   }
 
   #sendKeepAlives(): void {
-    for (const active of this.#executor.all()) active.publish({ type: "callAccepted", call: active.id });
+    for (const active of this.#executor.all()) {
+      if (!this.#isCutOff(active)) active.publish({ type: "callAccepted", call: active.id });
+    }
     for (const queue of this.#queues.values()) {
       for (const { submit, from } of queue.entries())
         this.#send(from, { type: "callAccepted", call: submit.call });
     }
   }
 
+  /**
+   * Whether a call can't be committed because this node lost the shard and does not reach its leader. This node then
+   * falls silent, so that the callers' nodes submit the call to the leader.
+   */
+  #isCutOff(active: ActiveCall): boolean {
+    const { shards } = this.#parts;
+    if (!active.awaitsCommit || active.idleMs < COMMIT_GRACE_MS) return false;
+    return !shards.get(shards.shardOfCall(active.id))?.leads;
+  }
+
   #redirect(call: string, to: string, replica: ShardReplica | undefined): void {
     const leader = replica?.leads ? undefined : replica?.leader?.address;
     this.#send(to, { type: "callRedirected", call, leader });
--- a/test/simulation/leadership.test.ts
+++ b/test/simulation/leadership.test.ts
@@ -10,6 +10,7 @@
 
 const SEED = 7;
 const PROGRAMS = 4;
+const TOKENS = 20;
 /** Time after which an accepted configuration is in force on all nodes. */
 const IN_FORCE_MS = 3_000;
 const LIMIT_MS = 60_000;
@@ -61,8 +62,8 @@
   const request = {
     type: "completion",
     model: "agent-llm",
-    messages: [{ role: "user", content: "who leads #tokens=4" }],
-    maxTokens: 10,
+    messages: [{ role: "user", content: `who leads #tokens=${TOKENS}` }],
+    maxTokens: 2 * TOKENS,
   } as const;
   for (const program of programs) {
     const call = { tenant: TENANT, program, number: undefined, idempotencyKey: undefined, streamed: false };
@@ -93,6 +94,23 @@
     hash = await loadTextHash();
   });
 
+  it("answers calls whose leader is cut off from the other nodes while their engines work", async () => {
+    const world = await startWorld(hash);
+    const programs = await openPrograms(world);
+    await makeFirstCalls(world, programs);
+    const leader = findLeader(world) as NodeSlot;
+    const startMs = world.time.nowMs;
+    const results = startCalls(world, programs);
+    const areAtEngines = () => {
+      const phases = [...leader.daemon.calls.executing()].map(({ phase }) => phase);
+      return phases.length === PROGRAMS && phases.every((phase) => phase === "engine");
+    };
+    await world.time.runUntil(startMs + LIMIT_MS, areAtEngines);
+    setCutOff(world, leader, true);
+    await world.time.runUntil(startMs + ANSWER_MS, () => results.length === PROGRAMS);
+    expect(results.map(({ type }) => type)).toEqual(programs.map(() => "answered"));
+  });
+
   for (const [title, cutMs] of [
     ["that hears of the new leader", 3_000],
     ["that hears nothing of the new leader", ANSWER_MS],
