Let a call wait for the one that a former leader executes

What callers saw: after a planned stop or another change of leader, the next call of a program is refused as out of order (not run) 3 s after it was submitted, although the call before it is under way, or starts up to 3 s late.

Cause: a call that a former leader executes leaves the program's queue at the new leader idle. Nothing started that queue when the call's end was applied, and a queue that is idle refuses what has waited for `timing.callGapMs`, as if the call before had never arrived.

Evidence: on virtual time, a call of 400 tokens at the former leader, the next one submitted to the new leader: refused. Found by reading for requests that wait for another node's progress.

Change: an applied end of a call starts the program's queue at the leader, and a call that waits behind an open one is not out of order.

--- a/src/node/calls/call-service.ts
+++ b/src/node/calls/call-service.ts
@@ -9,7 +9,9 @@
 import { repeat } from "../../runtime/clock.ts";
 import { RedirectSignal } from "../../runtime/rpc.ts";
 import { openCallOf } from "../../scheduling/program/open-call-of.ts";
+import { programOfCall } from "../../scheduling/program/program-id.ts";
 import type { CallRecord, ProgramRecord } from "../../scheduling/program/records.ts";
+import type { ShardCommand } from "../../scheduling/shard-state.ts";
 import type { ShardReplica } from "../shard-replica.ts";
 import type { ActiveCall } from "./active-call.ts";
 import { CallAdmission, hashOfRequest } from "./call-admission.ts";
@@ -52,7 +54,10 @@
     this.#takeover = new CallTakeover(parts, this.#executor, {
       resume: (replica, program, record, entry) => void this.#resume(replica, program, record, entry),
     });
-    parts.shards.observe({ onLeadershipChanged: (replica) => this.#onLeadershipChanged(replica) });
+    parts.shards.observe({
+      onLeadershipChanged: (replica) => this.#onLeadershipChanged(replica),
+      onApplied: (replica, command) => this.#onApplied(replica, command),
+    });
   }
 
   /** Number of calls in progress on this node. */
@@ -141,6 +146,13 @@
     else if (queue.length === 0) this.#queues.delete(program.id);
   }
 
+  /** Starts the next call after one that an earlier leader executed. */
+  #onApplied(replica: ShardReplica, command: ShardCommand): void {
+    if (command.type !== "finishCall" || !replica.leads) return;
+    const program = replica.state.programs.get(programOfCall(command.call));
+    if (program && this.#queues.has(program.id)) this.#startNext(replica, program);
+  }
+
   /** Marks the program's queue as busy while a call runs, then starts the next call. */
   async #runExclusively(
     replica: ShardReplica,
@@ -204,11 +216,17 @@
   #refuseOutOfOrderCalls(): void {
     const beforeMs = this.#nowMs() - this.#parts.context.settings.timing.callGapMs;
     for (const [programId, queue] of this.#queues) {
-      if (queue.busy) continue;
+      if (queue.busy || this.#hasOpenCall(programId)) continue;
       for (const entry of queue.takeOlderThan(beforeMs)) void this.#refuseOutOfOrderCall(programId, entry);
     }
   }
 
+  #hasOpenCall(programId: string): boolean {
+    const { shards } = this.#parts;
+    const program = shards.get(shards.shardOfProgram(programId))?.state.programs.get(programId);
+    return program !== undefined && openCallOf(program) !== undefined;
+  }
+
   async #refuseOutOfOrderCall(programId: string, entry: QueuedCall): Promise<void> {
     const replica = this.#parts.shards.get(this.#parts.shards.shardOfProgram(programId));
     const program = replica?.state.programs.get(programId);
--- a/test/simulation/leadership.test.ts
+++ b/test/simulation/leadership.test.ts
@@ -11,12 +11,17 @@
 const SEED = 7;
 const PROGRAMS = 4;
 const TOKENS = 20;
+/** An answer of this length takes longer than a call may wait for a missing one before it. */
+const MANY_TOKENS = 400;
 /** Time after which an accepted configuration is in force on all nodes. */
 const IN_FORCE_MS = 3_000;
 const LIMIT_MS = 60_000;
 /** Time within which a call is answered although its leader is lost: an election, a takeover, and the call itself. */
 const ANSWER_MS = 15_000;
 
+/** Time for a call of TOKENS tokens once nothing is before it. */
+const NEXT_CALL_MS = 1_500;
+
 /** Starts a system with one shard, so that all programs have the same leader. */
 async function startWorld(hash: TextHash): Promise<World> {
   const world = new World({ ...DEFAULT_WORLD, seed: SEED, nodes: 5, shards: 1 }, hash);
@@ -57,13 +62,13 @@
 }
 
 /** Starts one call for each program. Returns the results, in the order in which they arrive. */
-function startCalls(world: World, programs: readonly string[]): CallResult[] {
+function startCalls(world: World, programs: readonly string[], tokens = TOKENS): CallResult[] {
   const results: CallResult[] = [];
   const request = {
     type: "completion",
     model: "agent-llm",
-    messages: [{ role: "user", content: `who leads #tokens=${TOKENS}` }],
-    maxTokens: 2 * TOKENS,
+    messages: [{ role: "user", content: `who leads #tokens=${tokens}` }],
+    maxTokens: 2 * tokens,
   } as const;
   for (const program of programs) {
     const call = { tenant: TENANT, program, number: undefined, idempotencyKey: undefined, streamed: false };
@@ -111,6 +116,28 @@
     expect(results.map(({ type }) => type)).toEqual(programs.map(() => "answered"));
   });
 
+  it("runs a call that waits for one at the former leader, once that one has ended", async () => {
+    const world = await startWorld(hash);
+    const [program] = await openPrograms(world);
+    const former = findLeader(world) as NodeSlot;
+    const results = startCalls(world, [program], MANY_TOKENS);
+    const isAtEngine = () => [...former.daemon.calls.executing()].some(({ phase }) => phase === "engine");
+    await world.time.runUntil(world.time.nowMs + LIMIT_MS, isAtEngine);
+    const replica = former.daemon.shards.get(0);
+    replica?.group.transferLeadership();
+    replica?.runEffects();
+    await world.time.runUntil(world.time.nowMs + LIMIT_MS, () => {
+      const leader = findLeader(world);
+      return leader !== undefined && leader !== former;
+    });
+    const next = startCalls(world, [program]);
+    await world.time.runUntil(world.time.nowMs + LIMIT_MS, () => results.length > 0);
+    const firstEndMs = world.time.nowMs;
+    await world.time.runUntil(firstEndMs + LIMIT_MS, () => next.length > 0);
+    expect([...results, ...next].map(({ type }) => type)).toEqual(["answered", "answered"]);
+    expect(world.time.nowMs - firstEndMs < NEXT_CALL_MS).toEqual(true);
+  });
+
   for (const [title, cutMs] of [
     ["that hears of the new leader", 3_000],
     ["that hears nothing of the new leader", ANSWER_MS],
