Borrow again when calls that are taken over compete for tokens

What callers saw: after the loss of a leader, one of several calls that another node takes over fails with 429, "the budget does not cover a second attempt", though the tenant has used almost nothing.

Cause: each takeover makes sure that the shard holds the tokens of a further attempt, and then proposes it. Several at once all see the same tokens, and the last one finds them gone. An intent borrows more and proposes again then; a further attempt gave up at once.

Evidence: on virtual time, a leader killed with four calls at their engines and a budget of 1,000,000 tokens: one failed as above, three were answered. Seen in a test of leaders that are cut off.

Change: whatever reserves tokens goes through one function, which borrows and proposes again, four times at most.

Measured: the test failed before (one of four failed), and holds now.

--- a/src/node/budgets/budget-service.ts
+++ b/src/node/budgets/budget-service.ts
@@ -10,6 +10,7 @@
 import type { ShardRouter } from "../../runtime/shard-router.ts";
 import { budgetKey } from "../../scheduling/budget/budget-key.ts";
 import type { EffectivePolicy } from "../../scheduling/policy/effective-policy.ts";
+import type { ApplyResult } from "../../scheduling/program/program-table.ts";
 import type { ConfigurationService } from "../configuration/configuration-service.ts";
 import type { NodeContext } from "../node-context.ts";
 import type { ShardCommitter } from "../shard-committer.ts";
@@ -21,6 +22,7 @@
 const LOAN_FACTOR = 8;
 /** Maximum fraction of a budget that a shard borrows beyond what its current calls need. */
 const MAX_EXTRA_SHARE = 1 / 16;
+const MAX_RESERVE_ATTEMPTS = 4;
 const BORROW_TIMEOUT_MS = 3_000;
 const SETTLE_INTERVAL_MS = 2_000;
 /** An allotment that was not used for this long is returned to the ledger, in ms. */
@@ -104,6 +106,24 @@
     }
   }
 
+  /**
+   * Proposes a command that reserves `tokens`. Commands that are proposed at the same time may compete for the same
+   * tokens: borrows more and proposes again if they are gone.
+   */
+  async reserve(
+    replica: ShardReplica,
+    policy: EffectivePolicy,
+    tokens: number,
+    propose: () => Promise<ApplyResult>,
+  ): Promise<ApplyResult> {
+    let result = await propose();
+    for (let attempt = 2; attempt <= MAX_RESERVE_ATTEMPTS && isBudgetShort(result); attempt++) {
+      await this.ensureAvailable(replica, policy, tokens);
+      result = await propose();
+    }
+    return result;
+  }
+
   /** @param wanted the tokens that this call and all concurrent calls need together */
   async #raiseAllotment(
     replica: ShardReplica,
@@ -215,6 +235,10 @@
   }
 }
 
+function isBudgetShort(result: ApplyResult): boolean {
+  return !result.accepted && result.reason === "budget-short";
+}
+
 /** Returns the name that identifies a shard as a borrower in a ledger. */
 export function borrowerName(shard: number): string {
   return `shard-${shard}`;
--- a/src/node/calls/call-admission.ts
+++ b/src/node/calls/call-admission.ts
@@ -20,7 +20,6 @@
   readonly committed: Promise<void>;
 }
 
-const MAX_INTENT_ATTEMPTS = 4;
 /** By then, other shards have returned their idle budget allotments. */
 const BUDGET_RETRY_AFTER_MS = 12_000;
 
@@ -51,15 +50,11 @@
     return { record: callRecordOf(command), policy: checked.policy, committed };
   }
 
-  /** Calls admitted at the same time may compete for the same tokens. Borrows more and retries if they are gone. */
   async #commitIntent(replica: ShardReplica, command: IntendCall, policy: EffectivePolicy): Promise<void> {
-    for (let attempt = 1; attempt <= MAX_INTENT_ATTEMPTS; attempt++) {
-      const result = await this.#parts.shards.propose(replica, command);
-      if (result.accepted) return;
-      if (result.reason !== "budget-short") break;
-      await this.#parts.budgets.ensureAvailable(replica, policy, command.reservation.tokens);
-    }
-    throw new RedirectSignal(replica.leader?.address);
+    const { budgets, shards } = this.#parts;
+    const { tokens } = command.reservation;
+    const result = await budgets.reserve(replica, policy, tokens, () => shards.propose(replica, command));
+    if (!result.accepted) throw new RedirectSignal(replica.leader?.address);
   }
 
   /** Commits a refusal with its problem and decision. */
--- a/src/node/calls/call-executor.ts
+++ b/src/node/calls/call-executor.ts
@@ -142,7 +142,10 @@
     if (reservation.tokens > 0) await budgets.ensureAvailable(job.replica, job.policy, reservation.tokens);
     const executor = context.self.address;
     const atMs = context.clock.wallMs();
-    const result = await shards.propose(job.replica, { type: "retryCall", call, attempt, executor, atMs });
+    const command = { type: "retryCall", call, attempt, executor, atMs } as const;
+    const result = await budgets.reserve(job.replica, job.policy, reservation.tokens, () =>
+      shards.propose(job.replica, command),
+    );
     if (!result.accepted && result.reason === "budget-short") return undefined;
     if (!result.accepted) throw new RedirectSignal(job.replica.leader?.address);
     return { ...job, record: { ...job.record, attempt } };
--- a/src/node/calls/completion-executor.ts
+++ b/src/node/calls/completion-executor.ts
@@ -157,14 +157,15 @@
     if (progress.attempt >= MAX_ATTEMPTS) return this.#conclusions.broken(job, progress, detail);
     const attempt = progress.attempt + 1;
     job.active.enter("next attempt");
-    await this.#budgets.ensureAvailable(job.replica, job.policy, job.record.reservation.tokens);
-    const result = await this.#committer.commit(job.replica.shard, {
-      type: "retryCall",
-      call: job.record.id,
-      attempt,
-      executor: this.#context.self.address,
-      atMs: this.#context.clock.wallMs(),
-    });
+    const { replica, policy, record } = job;
+    const { tokens } = record.reservation;
+    const executor = this.#context.self.address;
+    const atMs = this.#context.clock.wallMs();
+    const command = { type: "retryCall", call: record.id, attempt, executor, atMs } as const;
+    await this.#budgets.ensureAvailable(replica, policy, tokens);
+    const result = await this.#budgets.reserve(replica, policy, tokens, () =>
+      this.#committer.commit(replica.shard, command),
+    );
     if (!result.accepted && result.reason === "budget-short")
       return this.#conclusions.broken(job, progress, detail);
     if (!result.accepted) throw new RedirectSignal(job.replica.leader?.address);
--- a/test/simulation/leadership.test.ts
+++ b/test/simulation/leadership.test.ts
@@ -32,7 +32,7 @@
 }
 
 function findLeader(world: World): NodeSlot | undefined {
-  return world.nodes.find((node) => node.daemon.shards.get(0)?.leads);
+  return world.nodes.find((node) => node.process.alive && node.daemon.shards.get(0)?.leads);
 }
 
 async function settled<Value>(world: World, promise: Promise<Value>): Promise<Value> {
@@ -79,6 +79,12 @@
   return results;
 }
 
+/** Whether a node executes `count` calls, and engines work on all of them. */
+function areAtEngines(node: NodeSlot, count: number): boolean {
+  const phases = [...node.daemon.calls.executing()].map(({ phase }) => phase);
+  return phases.length === count && phases.every((phase) => phase === "engine");
+}
+
 /** Cuts a node off all other nodes, or reconnects it. Callers' nodes and back ends still reach it. */
 function setCutOff(world: World, cutOff: NodeSlot, isCut: boolean): void {
   for (const node of world.nodes) {
@@ -106,23 +112,30 @@
     const leader = findLeader(world) as NodeSlot;
     const startMs = world.time.nowMs;
     const results = startCalls(world, programs);
-    const areAtEngines = () => {
-      const phases = [...leader.daemon.calls.executing()].map(({ phase }) => phase);
-      return phases.length === PROGRAMS && phases.every((phase) => phase === "engine");
-    };
-    await world.time.runUntil(startMs + LIMIT_MS, areAtEngines);
+    await world.time.runUntil(startMs + LIMIT_MS, () => areAtEngines(leader, PROGRAMS));
     setCutOff(world, leader, true);
     await world.time.runUntil(startMs + ANSWER_MS, () => results.length === PROGRAMS);
     expect(results.map(({ type }) => type)).toEqual(programs.map(() => "answered"));
   });
 
+  it("continues all calls of a dead leader at once while the budget covers them", async () => {
+    const world = await startWorld(hash);
+    const programs = await openPrograms(world);
+    await makeFirstCalls(world, programs);
+    const leader = findLeader(world) as NodeSlot;
+    const results = startCalls(world, programs);
+    await world.time.runUntil(world.time.nowMs + LIMIT_MS, () => areAtEngines(leader, PROGRAMS));
+    world.killNode(leader);
+    await world.time.runUntil(world.time.nowMs + ANSWER_MS, () => results.length === PROGRAMS);
+    expect(results.map(({ type }) => type)).toEqual(programs.map(() => "answered"));
+  });
+
   it("runs a call that waits for one at the former leader, once that one has ended", async () => {
     const world = await startWorld(hash);
     const [program] = await openPrograms(world);
     const former = findLeader(world) as NodeSlot;
     const results = startCalls(world, [program], MANY_TOKENS);
-    const isAtEngine = () => [...former.daemon.calls.executing()].some(({ phase }) => phase === "engine");
-    await world.time.runUntil(world.time.nowMs + LIMIT_MS, isAtEngine);
+    await world.time.runUntil(world.time.nowMs + LIMIT_MS, () => areAtEngines(former, 1));
     const replica = former.daemon.shards.get(0);
     replica?.group.transferLeadership();
     replica?.runEffects();
