Move leadership to the preferred replica only, and only if it responds

What callers saw: after a leader's death a shard with few entries changes its leader twice a second for up to half a minute. Calls of the dead leader are not taken over meanwhile (a new leader waits for 1.5 s first), and proposals are lost.

Cause: two things. A new leader knows nothing of a replica that has not responded to it; its lag counted from entry 0, so in a log of up to 64 entries a dead replica was taken for one that has caught up and may lead. And a leader that is to hand over to the preferred replica handed over to any other one when that had not the whole log, which then did the same. No leader lasted for the 4 s after which a silent replica counts as dead.

Evidence: on virtual time, five nodes, one shard, its leader killed: log lines "lost leadership" and "became leader" of two nodes in turn every 20 and 480 ms, 56 terms in a minute.

Change: the lag of a replica that has not responded in this term is unknown. A leader moves the shard to the preferred replica or keeps it; it takes any other only when it has to leave itself.

Found while a test of a takeover failed.

--- a/src/coordination/placement/next-membership.ts
+++ b/src/coordination/placement/next-membership.ts
@@ -4,8 +4,10 @@
 export type MembershipStep =
   | { readonly type: "none" }
   | { readonly type: "change"; readonly membership: Membership }
-  /** The leader itself is no longer wanted, or another member should lead. */
-  | { readonly type: "transfer"; readonly to: string | undefined };
+  /** The leader itself is no longer wanted: any other voter may lead, the preferred one first. */
+  | { readonly type: "transfer"; readonly preferred: string }
+  /** The preferred member should lead. No other one is any better than the current leader. */
+  | { readonly type: "transferTo"; readonly to: string };
 
 /** The state from which the next step is computed. */
 export interface MembershipStepInput {
@@ -57,13 +59,13 @@
     const voters = membership.voters.filter((voter) => voter !== removedVoter);
     return { type: "change", membership: { ...membership, voters } };
   }
-  return unwanted.length > 0 ? { type: "transfer", to: wanted[0].instance } : undefined;
+  return unwanted.length > 0 ? { type: "transfer", preferred: wanted[0].instance } : undefined;
 }
 
 function moveLeadership({ self, wanted, isCaughtUp }: MembershipStepInput): MembershipStep | undefined {
   const preferred = wanted[0].instance;
   if (preferred === self || !isCaughtUp(preferred)) return undefined;
-  return { type: "transfer", to: preferred };
+  return { type: "transferTo", to: preferred };
 }
 
 function includesInstance(members: readonly Member[], instance: string): boolean {
--- a/src/coordination/shard-group/follower-progress.ts
+++ b/src/coordination/shard-group/follower-progress.ts
@@ -7,8 +7,10 @@
   nextIndex: number;
   /** Index of the last entry that the replica is known to have. */
   matchIndex = 0;
-  /** When the replica last responded in this term. */
+  /** When the replica last responded in this term, or else when the leader began to send to it. */
   lastResponseMs: number;
+  /** Whether the replica has responded in this term. Until then, `matchIndex` says nothing about it. */
+  hasResponded = false;
   /** When a snapshot was last requested for the replica; limits how often one replica causes a snapshot. */
   snapshotRequestedMs = Number.NEGATIVE_INFINITY;
   /** Index from which entries were sent again after the last rejection, and when. */
--- a/src/coordination/shard-group/leadership.ts
+++ b/src/coordination/shard-group/leadership.ts
@@ -32,12 +32,12 @@
   }
 
   /**
-   * Returns how many entries a replica is behind the end of the log; undefined when this is not the leader or it is
-   * no replica.
+   * Returns how many entries a replica is behind the end of the log; undefined when this is not the leader, or when the
+   * replica has not responded in this term.
    */
   lagInEntries(instance: string): number | undefined {
     const progress = this.#state.followers.get(instance);
-    return progress && this.#state.log.lastIndex - progress.matchIndex;
+    return progress?.hasResponded ? this.#state.log.lastIndex - progress.matchIndex : undefined;
   }
 
   /**
@@ -61,16 +61,26 @@
    * there is none.
    */
   transfer(preferred?: string): Member | undefined {
-    if (this.#state.role !== "leader") return undefined;
-    const caughtUp = [...this.#state.followers.values()].filter(
-      (progress) =>
-        progress.matchIndex === this.#state.log.lastIndex &&
-        isVoter(this.#state.membership.current, progress.member.instance),
-    );
-    const target = caughtUp.find((progress) => progress.member.instance === preferred) ?? caughtUp[0];
-    if (!target) return undefined;
-    this.#state.send(target.member, { type: "transferRequest", term: this.#state.term });
-    return target.member;
+    const caughtUp = this.#caughtUpVoters();
+    return this.#requestTransfer(caughtUp.find((member) => member.instance === preferred) ?? caughtUp[0]);
+  }
+
+  /** Asks one voter to take over. Returns it, or undefined if it does not have the whole log. */
+  transferTo(instance: string): Member | undefined {
+    return this.#requestTransfer(this.#caughtUpVoters().find((member) => member.instance === instance));
+  }
+
+  #caughtUpVoters(): Member[] {
+    if (this.#state.role !== "leader") return [];
+    return [...this.#state.followers.values()]
+      .filter(({ matchIndex }) => matchIndex === this.#state.log.lastIndex)
+      .map(({ member }) => member)
+      .filter(({ instance }) => isVoter(this.#state.membership.current, instance));
+  }
+
+  #requestTransfer(target: Member | undefined): Member | undefined {
+    if (target) this.#state.send(target, { type: "transferRequest", term: this.#state.term });
+    return target;
   }
 
   /**
@@ -207,6 +217,7 @@
     const progress = this.#state.followers.get(response.follower);
     if (this.#state.role !== "leader" || response.term !== this.#state.term || !progress) return;
     progress.lastResponseMs = nowMs;
+    progress.hasResponded = true;
     if (response.success) progress.acknowledge(response.matchIndex);
     else progress.reject(response.matchIndex, nowMs, this.#state.options.heartbeatIntervalMs);
     this.#advanceCommit(nowMs);
--- a/src/coordination/shard-group/shard-group.ts
+++ b/src/coordination/shard-group/shard-group.ts
@@ -125,8 +125,8 @@
   }
 
   /**
-   * Returns how many entries a replica is behind the end of the log; undefined when this is not the leader or it is
-   * no replica.
+   * Returns how many entries a replica is behind the end of the log; undefined when this is not the leader, or when the
+   * replica has not responded in this term.
    */
   lagInEntries(instance: string): number | undefined {
     return this.#leadership.lagInEntries(instance);
@@ -187,6 +187,11 @@
     return this.#leadership.transfer(preferred);
   }
 
+  /** Asks one voter to take over. Returns it, or undefined if it does not have the whole log. */
+  transferLeadershipTo(instance: string): Member | undefined {
+    return this.#leadership.transferTo(instance);
+  }
+
   /**
    * Sends the snapshot that a `snapshotNeeded` effect requested. `lastIndex` is the last index included in `state`.
    */
--- a/src/node/shard-placement-manager.ts
+++ b/src/node/shard-placement-manager.ts
@@ -168,7 +168,8 @@
         (replica.group.lagInEntries(instance) ?? Number.POSITIVE_INFINITY) <= MAX_CAUGHT_UP_LAG,
     });
     if (step.type === "change") this.#changeMembership(replica, step.membership, nowMs);
-    if (step.type === "transfer") replica.group.transferLeadership(step.to);
+    if (step.type === "transfer") replica.group.transferLeadership(step.preferred);
+    if (step.type === "transferTo") replica.group.transferLeadershipTo(step.to);
     replica.runEffects();
     if (step.type === "none") void this.#publishVoters(replica);
   }
--- a/test/contract/placement.test.ts
+++ b/test/contract/placement.test.ts
@@ -127,7 +127,27 @@
         wanted: [a, b],
         isCaughtUp: () => true,
       },
-      { type: "transfer", to: a.instance },
+      { type: "transfer", preferred: a.instance },
+    ],
+    [
+      "transfers the leadership to the preferred member only",
+      {
+        self: c.instance,
+        membership: { voters: [a, b, c], learners: [] },
+        wanted: [a, b, c],
+        isCaughtUp: () => true,
+      },
+      { type: "transferTo", to: a.instance },
+    ],
+    [
+      "leaves the leadership where it is while the preferred member lacks entries",
+      {
+        self: c.instance,
+        membership: { voters: [a, b, c], learners: [] },
+        wanted: [a, b, c],
+        isCaughtUp: () => false,
+      },
+      { type: "none" },
     ],
   ];
   for (const [name, input, expected] of CASES) {
--- a/test/contract/shard-group.test.ts
+++ b/test/contract/shard-group.test.ts
@@ -123,6 +123,28 @@
     expect(network.leader()?.applied).toEqual(["before"]);
   });
 
+  it("transfers leadership to one replica only if that one has the whole log", () => {
+    const network = startGroup(["a", "b", "c"]);
+    const leader = network.get(leaderOf(network));
+    const [follower, other] = [...network.replicas.keys()].filter((name) => name !== leaderOf(network));
+    network.brokenLinks.add(`${leader.member.instance}>${follower}`);
+    network.propose("only one replica has this");
+    network.deliverAll();
+    expect(leader.group.transferLeadershipTo(follower)).toEqual(undefined);
+    expect(leader.group.transferLeadershipTo(other)?.instance).toEqual(other);
+  });
+
+  it("does not know the lag of a replica that has not responded to the leader", () => {
+    const network = startGroup(["a", "b", "c"]);
+    const former = network.get(leaderOf(network));
+    former.alive = false;
+    network.advance(SETTLE_MS);
+    const leader = network.get(leaderOf(network));
+    const other = [...network.replicas.values()].find((replica) => replica !== former && replica !== leader);
+    expect(leader.group.lagInEntries(former.member.instance)).toEqual(undefined);
+    expect(leader.group.lagInEntries(other?.member.instance ?? "")).toEqual(0);
+  });
+
   it("drops no acknowledged entries when a late duplicate of a snapshot arrives", () => {
     const network = startGroup(["a", "b", "c"]);
     network.propose("one");
--- a/test/simulation/leadership.test.ts
+++ b/test/simulation/leadership.test.ts
@@ -16,6 +16,8 @@
 /** Time after which an accepted configuration is in force on all nodes. */
 const IN_FORCE_MS = 3_000;
 const LIMIT_MS = 60_000;
+/** Time within which a shard has another leader after the loss of one. */
+const ELECTION_MS = 3_000;
 /** Time within which a call is answered although its leader is lost: an election, a takeover, and the call itself. */
 const ANSWER_MS = 15_000;
 
@@ -35,6 +37,12 @@
   return world.nodes.find((node) => node.process.alive && node.daemon.shards.get(0)?.leads);
 }
 
+/** The newest term of the shard on any live node. */
+function newestTerm(world: World): number {
+  const live = world.nodes.filter((node) => node.process.alive);
+  return Math.max(...live.map((node) => node.daemon.shards.get(0)?.term ?? 0));
+}
+
 async function settled<Value>(world: World, promise: Promise<Value>): Promise<Value> {
   let done = false;
   const mark = () => {
@@ -151,6 +159,15 @@
     expect(world.time.nowMs - firstEndMs < NEXT_CALL_MS).toEqual(true);
   });
 
+  it("keeps a new leader after the old one died, in a shard with few entries", async () => {
+    const world = await startWorld(hash);
+    world.killNode(findLeader(world) as NodeSlot);
+    await world.time.runUntil(world.time.nowMs + ELECTION_MS);
+    const term = newestTerm(world);
+    await world.time.runUntil(world.time.nowMs + LIMIT_MS);
+    expect(newestTerm(world) - term <= 1).toEqual(true);
+  });
+
   for (const [title, cutMs] of [
     ["that hears of the new leader", 3_000],
     ["that hears nothing of the new leader", ANSWER_MS],
