Hand a shard over only to a replica that responds

What callers saw: a planned stop shortly after another node died takes up to 4 s longer for some shards, whose calls and programs are sent from node to node meanwhile.

Cause: a replica that died since the last entry has the whole log, as far as the leader knows, so it is asked to take over, every 50 ms, until it counts as dead. The leader that is to leave takes no new calls by then.

Evidence: by reading, while looking for requests that wait for a node that stopped, and by the test.

Change: a replica that has been silent for an election time-out is not asked.

Measured: the test failed before (the dead replica was asked), and holds now.

--- a/src/coordination/shard-group/leadership.ts
+++ b/src/coordination/shard-group/leadership.ts
@@ -57,23 +57,25 @@
   }
 
   /**
-   * Asks a voter that has the whole log to take over: the `preferred` one if possible. Returns it, or undefined if
-   * there is none.
+   * Asks a responsive voter that has the whole log to take over: the `preferred` one if possible. Returns it, or
+   * undefined if there is none.
    */
-  transfer(preferred?: string): Member | undefined {
-    const caughtUp = this.#caughtUpVoters();
+  transfer(nowMs: number, preferred?: string): Member | undefined {
+    const caughtUp = this.#caughtUpVoters(nowMs);
     return this.#requestTransfer(caughtUp.find((member) => member.instance === preferred) ?? caughtUp[0]);
   }
 
-  /** Asks one voter to take over. Returns it, or undefined if it does not have the whole log. */
-  transferTo(instance: string): Member | undefined {
-    return this.#requestTransfer(this.#caughtUpVoters().find((member) => member.instance === instance));
+  /** Asks one voter to take over. Returns it, or undefined if it does not respond or lacks entries. */
+  transferTo(instance: string, nowMs: number): Member | undefined {
+    return this.#requestTransfer(this.#caughtUpVoters(nowMs).find((member) => member.instance === instance));
   }
 
-  #caughtUpVoters(): Member[] {
+  /** Returns the voters that have the whole log. One that died since the last entry has it too, but does not respond. */
+  #caughtUpVoters(nowMs: number): Member[] {
     if (this.#state.role !== "leader") return [];
     return [...this.#state.followers.values()]
       .filter(({ matchIndex }) => matchIndex === this.#state.log.lastIndex)
+      .filter(({ lastResponseMs }) => nowMs - lastResponseMs < this.#state.options.electionTimeoutMs)
       .map(({ member }) => member)
       .filter(({ instance }) => isVoter(this.#state.membership.current, instance));
   }
--- a/src/coordination/shard-group/shard-group.ts
+++ b/src/coordination/shard-group/shard-group.ts
@@ -180,16 +180,16 @@
   }
 
   /**
-   * Asks a voter that has the whole log to take over: the `preferred` one if possible. Returns it, or undefined if
-   * there is none.
+   * Asks a responsive voter that has the whole log to take over: the `preferred` one if possible. Returns it, or
+   * undefined if there is none.
    */
-  transferLeadership(preferred?: string): Member | undefined {
-    return this.#leadership.transfer(preferred);
+  transferLeadership(nowMs: number, preferred?: string): Member | undefined {
+    return this.#leadership.transfer(nowMs, preferred);
   }
 
-  /** Asks one voter to take over. Returns it, or undefined if it does not have the whole log. */
-  transferLeadershipTo(instance: string): Member | undefined {
-    return this.#leadership.transferTo(instance);
+  /** Asks one voter to take over. Returns it, or undefined if it does not respond or lacks entries. */
+  transferLeadershipTo(instance: string, nowMs: number): Member | undefined {
+    return this.#leadership.transferTo(instance, nowMs);
   }
 
   /**
--- a/src/node/shard-placement-manager.ts
+++ b/src/node/shard-placement-manager.ts
@@ -77,9 +77,10 @@
 
   /** Starts a transfer of the leadership of every shard that this node leads to another replica. */
   handOverLeadership(): void {
+    const nowMs = this.#context.clock.monotonicMs();
     for (const replica of this.#shards.all()) {
       if (!replica.leads) continue;
-      replica.group.transferLeadership();
+      replica.group.transferLeadership(nowMs);
       replica.runEffects();
     }
   }
@@ -168,8 +169,8 @@
         (replica.group.lagInEntries(instance) ?? Number.POSITIVE_INFINITY) <= MAX_CAUGHT_UP_LAG,
     });
     if (step.type === "change") this.#changeMembership(replica, step.membership, nowMs);
-    if (step.type === "transfer") replica.group.transferLeadership(step.preferred);
-    if (step.type === "transferTo") replica.group.transferLeadershipTo(step.to);
+    if (step.type === "transfer") replica.group.transferLeadership(nowMs, step.preferred);
+    if (step.type === "transferTo") replica.group.transferLeadershipTo(step.to, nowMs);
     replica.runEffects();
     if (step.type === "none") void this.#publishVoters(replica);
   }
--- a/test/contract/shard-group.test.ts
+++ b/test/contract/shard-group.test.ts
@@ -115,7 +115,7 @@
     network.propose("before");
     network.advance(200);
     const before = leaderOf(network);
-    network.get(before).group.transferLeadership();
+    network.get(before).group.transferLeadership(network.nowMs);
     network.executeEffects(network.get(before));
     network.deliverAll();
     network.advance(100);
@@ -130,8 +130,19 @@
     network.brokenLinks.add(`${leader.member.instance}>${follower}`);
     network.propose("only one replica has this");
     network.deliverAll();
-    expect(leader.group.transferLeadershipTo(follower)).toEqual(undefined);
-    expect(leader.group.transferLeadershipTo(other)?.instance).toEqual(other);
+    expect(leader.group.transferLeadershipTo(follower, network.nowMs)).toEqual(undefined);
+    expect(leader.group.transferLeadershipTo(other, network.nowMs)?.instance).toEqual(other);
+  });
+
+  it("transfers leadership to no replica that died with the whole log", () => {
+    const network = startGroup(["a", "b", "c"]);
+    const leader = network.get(leaderOf(network));
+    const [dead, alive] = [...network.replicas.values()].filter((replica) => replica !== leader);
+    dead.alive = false;
+    network.advance(SETTLE_MS);
+    expect(leader.group.lagInEntries(dead.member.instance)).toEqual(0);
+    const target = leader.group.transferLeadership(network.nowMs, dead.member.instance);
+    expect(target?.instance).toEqual(alive.member.instance);
   });
 
   it("does not know the lag of a replica that has not responded to the leader", () => {
--- a/test/simulation/leadership.test.ts
+++ b/test/simulation/leadership.test.ts
@@ -145,7 +145,7 @@
     const results = startCalls(world, [program], MANY_TOKENS);
     await world.time.runUntil(world.time.nowMs + LIMIT_MS, () => areAtEngines(former, 1));
     const replica = former.daemon.shards.get(0);
-    replica?.group.transferLeadership();
+    replica?.group.transferLeadership(former.process.monotonicMs());
     replica?.runEffects();
     await world.time.runUntil(world.time.nowMs + LIMIT_MS, () => {
       const leader = findLeader(world);
