Try to commit a ready answer for as long as its caller waits

What callers saw: an answer that is ready when its shard loses its majority is reported as failed, its outcome unknown, after 15 s, although the caller waits on and the shard comes back.

Cause: whoever could not reach a leader gave up after a fixed 15 s.

Change: the end of a call is tried until the caller's deadline, 15 s at least. Where another node leads meanwhile, the callers' node asks that one, since this one is silent by then.

--- a/src/node/calls/call-executor.ts
+++ b/src/node/calls/call-executor.ts
@@ -74,8 +74,9 @@
     this.#active.set(record.id, active);
     if (entry) active.subscribe(entry.from, receivedText);
     try {
-      const conclusion = await this.#executeOrFail(this.#jobOf(execution, active), execution.takenOver);
-      await this.#finish(execution.replica, active, record.number, conclusion);
+      const job = this.#jobOf(execution, active);
+      const conclusion = await this.#executeOrFail(job, execution.takenOver);
+      await this.#finish(job, conclusion);
     } finally {
       this.#active.delete(record.id);
     }
@@ -175,18 +176,15 @@
     };
   }
 
-  async #finish(
-    replica: ShardReplica,
-    active: ActiveCall,
-    number: number,
-    conclusion: CallConclusion,
-  ): Promise<void> {
+  /** Commits the outcome and reports it. Keeps trying for as long as the caller waits, since the answer is ready. */
+  async #finish({ replica, active, record, deadlineMs }: CallJob, conclusion: CallConclusion): Promise<void> {
     const { committer, context } = this.#parts;
     const command = { type: "finishCall", call: active.id, atMs: context.clock.wallMs() } as const;
     active.enter("outcome");
-    const result = await committer.commit(replica.shard, { ...command, ...conclusion });
+    const patienceMs = deadlineMs - context.clock.monotonicMs();
+    const result = await committer.commit(replica.shard, { ...command, ...conclusion }, patienceMs);
     const final = result.accepted
-      ? eventOfOutcome(active.id, number, conclusion.outcome)
+      ? eventOfOutcome(active.id, record.number, conclusion.outcome)
       : this.#eventFromOtherLeader(replica, active.id);
     if (!final) throw new RedirectSignal(replica.leader?.address);
     if (conclusion.outcome.type === "answered") this.#counters.answered += 1;
--- a/src/node/shard-committer.ts
+++ b/src/node/shard-committer.ts
@@ -4,7 +4,7 @@
 import type { ShardCommand } from "../scheduling/shard-state.ts";
 import type { ShardHost } from "./shard-host.ts";
 
-/** How long a node that lost leadership of a shard keeps trying to commit the end of a call, in ms. */
+/** How long a node that lost leadership of a shard keeps trying to commit a command through the leader, in ms. */
 const COMMIT_TIMEOUT_MS = 15_000;
 
 /**
@@ -23,8 +23,10 @@
     }));
   }
 
-  /** Commits a command. Throws if no leader can be reached within the timeout. */
-  async commit(shard: number, command: ShardCommand): Promise<ApplyResult> {
+  /**
+   * Commits a command. Throws if no leader can be reached within the timeout, or within `minPatienceMs` if that is longer.
+   */
+  async commit(shard: number, command: ShardCommand, minPatienceMs = 0): Promise<ApplyResult> {
     const replica = this.#shards.get(shard);
     if (replica?.leads) {
       try {
@@ -33,7 +35,8 @@
         if (!(error instanceof RedirectSignal)) throw error;
       }
     }
-    const response = await this.#router.ask(shard, "commit", { shard, command }, COMMIT_TIMEOUT_MS);
+    const timeoutMs = Math.max(COMMIT_TIMEOUT_MS, minPatienceMs);
+    const response = await this.#router.ask(shard, "commit", { shard, command }, timeoutMs);
     return response.result;
   }
 }
--- a/test/simulation/leadership.test.ts
+++ b/test/simulation/leadership.test.ts
@@ -16,6 +16,8 @@
 /** Time after which an accepted configuration is in force on all nodes. */
 const IN_FORCE_MS = 3_000;
 const LIMIT_MS = 60_000;
+/** Longer than a leader waits for its proposals and for another leader together, shorter than callers wait. */
+const LONG_OUTAGE_MS = 30_000;
 /** Time within which a shard has another leader after the loss of one. */
 const ELECTION_MS = 3_000;
 /** Time within which a call is answered although its leader is lost: an election, a takeover, and the call itself. */
@@ -126,6 +128,20 @@
     expect(results.map(({ type }) => type)).toEqual(programs.map(() => "answered"));
   });
 
+  it("delivers ready answers after a shard was without a majority for long", async () => {
+    const world = await startWorld(hash);
+    const programs = await openPrograms(world);
+    await makeFirstCalls(world, programs);
+    const leader = findLeader(world) as NodeSlot;
+    const results = startCalls(world, programs);
+    await world.time.runUntil(world.time.nowMs + LIMIT_MS, () => areAtEngines(leader, PROGRAMS));
+    for (const node of world.nodes) setCutOff(world, node, true);
+    await world.time.runUntil(world.time.nowMs + LONG_OUTAGE_MS);
+    for (const node of world.nodes) setCutOff(world, node, false);
+    await world.time.runUntil(world.time.nowMs + ANSWER_MS, () => results.length === PROGRAMS);
+    expect(results.map(({ type }) => type)).toEqual(programs.map(() => "answered"));
+  });
+
   it("continues all calls of a dead leader at once while the budget covers them", async () => {
     const world = await startWorld(hash);
     const programs = await openPrograms(world);
