Let a process reach itself in the simulated network

Cause: `cut-off` cut a simulated gateway off everybody, itself included. A real process delivers messages to itself without a connection.

Change: a process always reaches itself. No check is changed.

--- a/bench/simulation/simulated-network.ts
+++ b/bench/simulation/simulated-network.ts
@@ -52,8 +52,9 @@
     this.#cuts.delete(`${from}>${to}`);
   }
 
-  /** Whether messages can pass from one process to another. Takes names, not addresses. */
+  /** Whether messages can pass from one process to another. Takes names, not addresses. A process always reaches itself. */
   passes(from: string, to: string): boolean {
+    if (from === to) return true;
     return !this.#cuts.has(`${from}>${to}`) && !this.#cuts.has(`${from}>*`) && !this.#cuts.has(`*>${to}`);
   }
 
--- a/test/simulation/gateways.test.ts
+++ b/test/simulation/gateways.test.ts
@@ -19,6 +19,7 @@
     ["part-peers", "store-silent"],
     "a replica took over from an owner whose heartbeats another replica still received",
   ],
+  [2584593343, ["cut-store", "cut-off"], "the simulated network cut a gateway off itself"],
 ];
 
 /** Pairs of a store fault and a gateway fault; `npm run simulate:gateways` draws other pairs. */
