Report a caller's call only when no text arrives

Cause: the line for calls that make no progress counted a callers' node's calls by age, so any answer longer than 5 s was reported, although its text arrived.

Change: it counts from the last text, as the line of the executor does.

--- a/src/node/calls/stalled-call-log.ts
+++ b/src/node/calls/stalled-call-log.ts
@@ -10,7 +10,7 @@
 
 /**
  * Logs the calls that make no progress: what those executed or queued here wait for, and which node those of this
- * node's own callers were submitted to. A number of calls beyond the limit is only counted.
+ * node's own callers were submitted to. Calls beyond the maximum number of lines are only counted.
  */
 export class StalledCallLog {
   readonly #context: NodeContext;
@@ -29,7 +29,7 @@
   report(): void {
     this.#write("call waits at its executor", this.#stalledExecutions());
     this.#write("call waits in its program's queue", this.#calls.queuedCalls(STALLED_AFTER_MS));
-    this.#write("caller's call is still open", this.#ingress.openCalls(STALLED_AFTER_MS));
+    this.#write("caller's call is still open", this.#ingress.idleCalls(STALLED_AFTER_MS));
   }
 
   #stalledExecutions(): object[] {
--- a/src/node/ingress/call-session.ts
+++ b/src/node/ingress/call-session.ts
@@ -30,6 +30,8 @@
   readonly call: string;
   readonly shard: number;
   readonly ageMs: number;
+  /** Time since the call was submitted first or its last text arrived, in ms. */
+  readonly idleMs: number;
   /** Address of the node that the call was submitted to last, or that accepted it. */
   readonly submittedTo: string | undefined;
   readonly accepted: boolean;
@@ -73,6 +75,7 @@
   #retryTimer: TimerHandle | undefined;
   #deadlineTimer: TimerHandle | undefined;
   #lastEventMs: number;
+  #lastTextMs: number;
 
   /** @param onText called with each new part of the answer's text */
   constructor(port: CallSessionPort, parameters: CallParameters, onText: (text: string) => void) {
@@ -81,6 +84,7 @@
     this.#onText = onText;
     this.#startMs = port.clock.monotonicMs();
     this.#lastEventMs = this.#startMs;
+    this.#lastTextMs = this.#startMs;
     let resolveResult: (result: CallResult) => void = () => undefined;
     this.result = new Promise((resolve) => {
       resolveResult = resolve;
@@ -100,6 +104,7 @@
       call: this.call,
       shard: this.#parameters.shard,
       ageMs: Math.round(nowMs - this.#startMs),
+      idleMs: Math.round(nowMs - this.#lastTextMs),
       submittedTo: this.#submittedTo,
       accepted: this.#accepted,
       silenceMs: Math.round(nowMs - this.#lastEventMs),
@@ -196,6 +201,7 @@
     if (offset > this.#received.length) return this.#submit(undefined, from);
     if (offset + text.length <= this.#received.length) return;
     this.#received += newText;
+    this.#lastTextMs = this.#lastEventMs;
     if (this.#parameters.streamed) this.#onText(newText);
   }
 
--- a/src/node/ingress/ingress.ts
+++ b/src/node/ingress/ingress.ts
@@ -74,12 +74,12 @@
     return this.#sessions.size;
   }
 
-  /** Returns, for the log, the calls that have been open for at least `minAgeMs`. */
-  openCalls(minAgeMs: number): CallSessionState[] {
+  /** Returns, for the log, the calls that have been without text for at least `minIdleMs`. */
+  idleCalls(minIdleMs: number): CallSessionState[] {
     return [...this.#sessions.values()]
       .flatMap((sessions) => [...sessions])
       .map((session) => session.state)
-      .filter((state) => state.ageMs >= minAgeMs);
+      .filter((state) => state.idleMs >= minIdleMs);
   }
 
   /** Passes an event from a leader to the sessions of its call. */
