Ask all processes at once which one works on a call

Cause: a whole run of this file beside heavy load (load average 27 on 8 cores) failed in "runs a charge once and reports an unknown outcome when the leader is killed during the charge": no process was seen working on a call within 3 s. The test asks the processes one after the other while a call of some 300 ms runs.

In the failed run no node logged a call without progress.

Change: the processes are asked at the same time. Predicate, time-out and every test are as they were.

Measured: the failure did not come again in 8 runs of that test with the old way, so that it is gone is not shown; the runs of the whole file that follow use the new one.

--- a/test/process/failures.test.ts
+++ b/test/process/failures.test.ts
@@ -309,14 +309,16 @@
   return waitForProcess(cluster.engines, async (engine) => (await countRunningCalls(engine)) > 0);
 }
 
-/** Returns the first process that satisfies a predicate. Polls for a while, because reports lag. */
+/** Returns a process that satisfies a predicate. Polls all at once for a while, because reports lag and calls are short. */
 async function waitForProcess(
   processes: readonly ClusterProcess[],
   holds: (one: ClusterProcess) => Promise<boolean>,
 ): Promise<ClusterProcess> {
   const deadline = performance.now() + FIND_TIMEOUT_MS;
   while (performance.now() < deadline) {
-    for (const one of processes) if (await holds(one)) return one;
+    const held = await Promise.all(processes.map(holds));
+    const position = held.indexOf(true);
+    if (position >= 0) return processes[position];
     await pause(FIND_PAUSE_MS);
   }
   throw new Error("No process satisfied the predicate in time.");
