Log the versions of runners, and the stream that a caller takes up

Change: entries of runners keep the version that their row states; each try names it, a call that takes a stream up names the request that began it and the last event, and a restart names both versions. No decision depends on any of it yet.

--- a/bench/experiment/policies.ts
+++ b/bench/experiment/policies.ts
@@ -2,6 +2,7 @@
 import type { SeededRandomSource } from "../../src/runtime/random-source.ts";
 import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
 import type { RunnerName } from "../../src/scheduling/ids/runner-name.ts";
+import type { SoftwareVersion } from "../../src/scheduling/ids/software-version.ts";
 import type { SlotRequest } from "../../src/scheduling/queue/slot-request.ts";
 import { RunnerBalancer } from "../../src/scheduling/runner-balancing/runner-balancer.ts";
 import { chooseRunner } from "../../src/scheduling/runner-selection/choose-runner.ts";
@@ -84,7 +85,15 @@
 /** Chooses as gateways do, with the load of all runners known. */
 function placeByRunnerBalancer({ runners, cached, random }: PlacementRequest): EmulatedRunner {
   const balancer = new RunnerBalancer();
-  const entry = { startedAtMs: undefined, pool: "p", address: "", zone: "z", state: "ready" } as const;
+  const version = "v1" as SoftwareVersion;
+  const entry = {
+    startedAtMs: undefined,
+    pool: "p",
+    address: "",
+    zone: "z",
+    version,
+    state: "ready",
+  } as const;
   for (const { name, slots } of runners)
     balancer.upsert({ ...entry, id: name as RunnerId, name: name as RunnerName, slots });
   const inFlight = runners.map(({ name, outstanding }) => [name as RunnerId, outstanding] as const);
--- a/bench/simulation/gateways/member-fleet.ts
+++ b/bench/simulation/gateways/member-fleet.ts
@@ -12,6 +12,7 @@
 import type { TextHash } from "../../../src/runtime/text-hash.ts";
 import type { RunnerId } from "../../../src/scheduling/ids/runner-id.ts";
 import type { RunnerName } from "../../../src/scheduling/ids/runner-name.ts";
+import type { SoftwareVersion } from "../../../src/scheduling/ids/software-version.ts";
 import { RunnerBalancer } from "../../../src/scheduling/runner-balancing/runner-balancer.ts";
 import type { RunnerCostModel } from "../../../src/scheduling/runner-balancing/runner-cost-model.ts";
 import { SimulatedNetwork } from "../simulated-network.ts";
@@ -107,6 +108,7 @@
       pool: "p",
       address: "a",
       zone,
+      version: "v1" as SoftwareVersion,
       slots: 8,
       state: "ready",
     } as const;
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -109,6 +109,8 @@
     this.record = new CallRecord(requestId, program?.id, this.route.name, request.configurationVersion);
     this.record.tenant = request.tenant?.name;
     this.record.rate = request.rate;
+    const { lastEventId, resumes } = this.call;
+    if (lastEventId !== undefined) this.record.resumed = { request: resumes, lastEventId };
     this.deadlineAtMs = this.exchange.arrivedAtMs + callTimeoutMs(this.call, this.route);
   }
 
@@ -319,7 +321,8 @@
     const expectedMs = this.#choice && board.expectedMs(runner.id, this.#choice);
     if (expectedMs !== undefined) context.metrics.recordExpectedAttemptTime(expectedMs);
     const expected = expectedMs === undefined ? {} : { expectedMs: Math.round(expectedMs) };
-    this.record.tries.push({ runner: runner.id, load, failureRate, ...expected, atMs: this.elapsedMs });
+    const { id, version } = runner;
+    this.record.tries.push({ runner: id, version, load, failureRate, ...expected, atMs: this.elapsedMs });
   }
 
   /** Ends the current attempt: the runner no longer works on it. */
--- a/src/gateway/runners/runner-watch.ts
+++ b/src/gateway/runners/runner-watch.ts
@@ -117,8 +117,9 @@
     if (known) this.#storeEntry({ ...known, state: "draining" });
   }
 
-  #replace(known: RunnerEntry, { id, address }: RunnerEntry): void {
-    this.#context.log.info({ runner: id, address, before: known.id }, "runner started again");
+  #replace(known: RunnerEntry, { id, address, version }: RunnerEntry): void {
+    const before = { before: known.id, versionBefore: known.version };
+    this.#context.log.info({ runner: id, address, version, ...before }, "runner started again");
     this.#board.remove(known.id);
     this.onReplaced(known.id);
   }
--- a/src/gateway/telemetry/call-record.ts
+++ b/src/gateway/telemetry/call-record.ts
@@ -3,6 +3,7 @@
 import type { AttemptRecord } from "./attempt-record.ts";
 import type { CallEnd } from "./call-end.ts";
 import type { RateRecord } from "./rate-record.ts";
+import type { ResumedStreamRecord } from "./resumed-stream-record.ts";
 import type { RetentionRecord } from "./retention-record.ts";
 import type { TimedPlaceRecord } from "./timed-place-record.ts";
 
@@ -21,6 +22,8 @@
   readonly tries: AttemptRecord[] = [];
   admission: AdmissionRecord | undefined;
   retention: RetentionRecord | undefined;
+  /** Undefined unless the caller takes up a stream that broke. */
+  resumed: ResumedStreamRecord | undefined;
   /** Time from the arrival of the call until its first byte was forwarded, in ms. */
   firstByteMs: number | undefined;
 
@@ -35,7 +38,7 @@
   toLogFields(end: CallEnd, elapsedMs: number): object {
     const { request, program, route, configuration, tenant, rate, admission, places, retention, tries } =
       this;
-    const { firstByteMs } = this;
+    const { firstByteMs, resumed } = this;
     return {
       request,
       program,
@@ -46,6 +49,7 @@
       elapsedMs,
       firstByteMs,
       rate,
+      resumed,
       admission,
       places: places.length === 0 ? undefined : places,
       retention,
--- a/src/ports/call-protocol.ts
+++ b/src/ports/call-protocol.ts
@@ -26,6 +26,8 @@
   readonly deadlineMs: number | undefined;
   /** Identifier of the last event that the caller has received; earlier events need not be sent again. */
   readonly lastEventId: number | undefined;
+  /** The request that brought the first event of the stream which the caller takes up; undefined for a new one. */
+  readonly resumes: RequestId | undefined;
   /** Requests for the same object share this value. */
   readonly affinityKey: string | undefined;
   readonly program: ProgramContext | undefined;
--- a/src/scheduling/runner-balancing/runner-entry.ts
+++ b/src/scheduling/runner-balancing/runner-entry.ts
@@ -1,5 +1,6 @@
 import type { RunnerId } from "../ids/runner-id.ts";
 import type { RunnerName } from "../ids/runner-name.ts";
+import type { SoftwareVersion } from "../ids/software-version.ts";
 
 /** Entry of the platform's list for one start of a runner. */
 export interface RunnerEntry {
@@ -13,6 +14,8 @@
   /** IP address and port. */
   readonly address: string;
   readonly zone: string;
+  /** Version of the software that this start runs. */
+  readonly version: SoftwareVersion;
   /** Number of requests that the runner processes at once. */
   readonly slots: number;
   /** A draining runner completes the requests it has and accepts no new ones. */
--- a/test/contract/call-log.test.ts
+++ b/test/contract/call-log.test.ts
@@ -34,7 +34,8 @@
     const { log, lines } = start();
     const record = new CallRecord("request", "program", "route", 7);
     record.admission = { partition: 3, owner: "gateway#1", answer: "granted", elapsedMs: 2 };
-    record.tries.push({ runner: "runner", load: 2, failureRate: 0.1, atMs: 3, elapsedMs: 30 });
+    record.resumed = { request: "earlier", lastEventId: 4 };
+    record.tries.push({ runner: "runner", version: "v1", load: 2, failureRate: 0.1, atMs: 3, elapsedMs: 30 });
     log.logCall(record, ANSWERED, 40);
     expect(lines[0]).toLooseEqual({
       ...lines[0],
@@ -46,7 +47,8 @@
       kind: "answered",
       elapsedMs: 40,
       admission: { partition: 3, owner: "gateway#1", answer: "granted", elapsedMs: 2 },
-      tries: [{ runner: "runner", load: 2, failureRate: 0.1, atMs: 3, elapsedMs: 30 }],
+      resumed: { request: "earlier", lastEventId: 4 },
+      tries: [{ runner: "runner", version: "v1", load: 2, failureRate: 0.1, atMs: 3, elapsedMs: 30 }],
       msg: "call answered",
     });
   });
--- a/test/contract/rolling-restart.test.ts
+++ b/test/contract/rolling-restart.test.ts
@@ -5,6 +5,7 @@
 import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
 import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
 import type { RunnerName } from "../../src/scheduling/ids/runner-name.ts";
+import type { SoftwareVersion } from "../../src/scheduling/ids/software-version.ts";
 
 const GATEWAYS = 64;
 const ZONES = 3;
@@ -39,6 +40,7 @@
           pool: "p",
           address: "a",
           zone: "z",
+          version: "v1" as SoftwareVersion,
           slots: 8,
           state: "ready",
         });
--- a/test/contract/runner-balancer.test.ts
+++ b/test/contract/runner-balancer.test.ts
@@ -3,6 +3,7 @@
 import { expect } from "earl";
 import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
 import type { RunnerName } from "../../src/scheduling/ids/runner-name.ts";
+import type { SoftwareVersion } from "../../src/scheduling/ids/software-version.ts";
 import type { CallTiming } from "../../src/scheduling/runner-balancing/call-timing.ts";
 import { RunnerBalancer } from "../../src/scheduling/runner-balancing/runner-balancer.ts";
 import type { RunnerEntry } from "../../src/scheduling/runner-balancing/runner-entry.ts";
@@ -20,6 +21,7 @@
     pool: "p",
     address: "127.0.0.1:1",
     zone: "z",
+    version: "v1" as SoftwareVersion,
     slots: 4,
     state: "ready",
     ...more,
--- a/test/contract/runner-connections.test.ts
+++ b/test/contract/runner-connections.test.ts
@@ -9,6 +9,7 @@
 import { RunnerBalancer } from "../../src/scheduling/runner-balancing/runner-balancer.ts";
 import type { RunnerEntry } from "../../src/scheduling/runner-balancing/runner-entry.ts";
 import { RunnerStandin } from "../../standins/platform/runner-standin.ts";
+import { runnerEntry } from "./support/runner-entry.ts";
 
 const ID = "runner-1#1" as RunnerId;
 const NAME = "runner-1" as RunnerName;
@@ -28,7 +29,7 @@
     runner = new RunnerStandin(NAME);
     runner.stepMs = ANSWER_MS;
     const address = await runner.listen();
-    entry = { id: ID, name: NAME, startedAtMs: 1, pool: "p", address, zone: "z", slots: 1, state: "ready" };
+    entry = runnerEntry(ID, { name: NAME, startedAtMs: 1, address });
     board = new RunnerBalancer();
     board.upsert(entry);
     gateways = 1;
--- a/test/contract/runner-row.test.ts
+++ b/test/contract/runner-row.test.ts
@@ -29,6 +29,7 @@
       pool: "pool",
       address: "10.128.0.9:8080",
       zone: "zone-a",
+      version: "v1" as never,
       slots: 6,
       state: "ready",
     } as const;
--- a/test/contract/support/runner-entry.ts
+++ b/test/contract/support/runner-entry.ts
@@ -1,5 +1,6 @@
 import type { RunnerId } from "../../../src/scheduling/ids/runner-id.ts";
 import type { RunnerName } from "../../../src/scheduling/ids/runner-name.ts";
+import type { SoftwareVersion } from "../../../src/scheduling/ids/software-version.ts";
 import type { RunnerEntry } from "../../../src/scheduling/runner-balancing/runner-entry.ts";
 
 /** Returns the entry of a ready runner in the pool `p`; `fields` overrides the defaults. */
@@ -11,6 +12,7 @@
     pool: "p",
     address: "127.0.0.1:1",
     zone: "z",
+    version: "v1" as SoftwareVersion,
     slots: 1,
     state: "ready",
     ...fields,
