--- a/standins/platform/runner-standin.ts
+++ b/standins/platform/runner-standin.ts
@@ -50,6 +50,8 @@
 /** A runner that records the requests it executes. */
 export class RunnerStandin {
   readonly id: string;
+  /** Version of its software. */
+  readonly version: string;
   fault: RunnerFault = "none";
   /** Number of further requests that the fault affects. */
   remainingFaults = Number.POSITIVE_INFINITY;
@@ -65,8 +67,9 @@
   #runningCount = 0;
   readonly #server: Server;
 
-  constructor(id: string) {
+  constructor(id: string, version = "1") {
     this.id = id;
+    this.version = version;
     this.#server = createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
       void this.#serve(request, response);
     });
@@ -75,7 +78,12 @@
   /** Listens on the loopback interface and returns `IP:port`. Port 0 selects a free port. */
   async listen(port = 0): Promise<string> {
     await new Promise<void>((resolve) => this.#server.listen(port, "127.0.0.1", resolve));
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    return `127.0.0.1:${this.port}`;
+  }
+
+  /** The port at which it listens. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
   }
 
   /** Number of requests that are running. */
--- a/test/process/support/gateway-cluster.ts
+++ b/test/process/support/gateway-cluster.ts
@@ -179,12 +179,22 @@
   }
 
   async addRunner(service: string, list: RunnerStandin[], index: number): Promise<RunnerStandin> {
-    const runner = new RunnerStandin(`${service}-${index}`);
+    const runner = new RunnerStandin(`${service}-${index}`, this.versionOf(index));
     list.push(runner);
-    const address = await this.linkAddress(await runner.listen(), { side: "runner", name: runner.id });
+    await this.startRunner(runner, service);
+    return runner;
+  }
+
+  /** Starts a runner and writes its entry. Port 0 selects a free port. */
+  async startRunner(runner: RunnerStandin, service: string, port = 0): Promise<void> {
+    const address = await this.linkAddress(await runner.listen(port), { side: "runner", name: runner.id });
     this.#runnerAddresses.set(runner.id, address);
     this.listRunner(runner, service, "ready");
-    return runner;
+  }
+
+  /** Software version of the runner with this number of a service. */
+  protected versionOf(_index: number): string {
+    return "1";
   }
 
   /** Writes a runner's entry to the platform's list. `more` overrides fields of the entry or adds to them. */
@@ -195,7 +205,7 @@
     more: Readonly<Record<string, unknown>> = {},
   ): void {
     const address = this.#runnerAddresses.get(runner.id);
-    const row = { service, address, zone: "zone-a", version: "1", slots: 8, state };
+    const row = { service, address, zone: "zone-a", version: runner.version, slots: 8, state };
     this.store.put("servers", runner.id, { ...row, "cold-remaining-ms": 0, sequence: 1, ...more });
   }
 
