Keep a stream at the software version that began it

Cause: a gateway that went on with a stream, for a caller that took it up or within one answer, chose among all runners of the pool. Versions were read and dropped, and nobody knew where a stream whose gateway had died began. Class: a property of one runner treated as one of its whole pool. Change: a stream is bound to the version of its first event. Its gateway tells three others, chosen by hashing, before that event is forwarded; the gateway that a caller asks next asks five. While the list has shown a single version for longer than streams last, nothing is told: the list, confirmed by the store when somebody takes a stream up, says where it began. Unknown is refused at once with 503 and never run. A started stream is placed by its gateway itself, among sure runners of its version; a runner that ended a connection is not sure until it has written its entry again, one that started again under its name with another version makes its streams unknown. Why it works: a stream goes on only by a record made once, or by a proof from the list that holds for gateways of any build; when both are missing nothing runs. The test of a restarted runner is stricter: a gateway is killed as well before the entry tells of the restart.

--- a/src/coordination/partition-ownership/index.ts
+++ b/src/coordination/partition-ownership/index.ts
@@ -1,2 +1,2 @@
 export { type Ownership, OwnershipMap } from "./ownership-map.ts";
-export { type OwnerCandidate, preferredOwner } from "./preferred-owner.ts";
+export { type OwnerCandidate, preferredOwner, preferredOwners } from "./preferred-owner.ts";
--- a/src/coordination/partition-ownership/preferred-owner.ts
+++ b/src/coordination/partition-ownership/preferred-owner.ts
@@ -16,7 +16,7 @@
   let best: OwnerCandidate | undefined;
   let bestScore = -1;
   for (const candidate of candidates) {
-    const score = mix(candidate.hash ^ Math.imul(partition + 1, MULTIPLIER_A));
+    const score = scoreOf(partition, candidate);
     if (score > bestScore || (score === bestScore && best && candidate.name < best.name)) {
       best = candidate;
       bestScore = score;
@@ -25,6 +25,26 @@
   return best?.name;
 }
 
+/**
+ * Returns the `count` nodes that come first in the same ranking, best first. A candidate that is removed leaves the order of
+ * the others as it is.
+ */
+export function preferredOwners<Candidate extends OwnerCandidate>(
+  partition: number,
+  candidates: readonly Candidate[],
+  count: number,
+): Candidate[] {
+  const scored = candidates.map((candidate) => ({ candidate, score: scoreOf(partition, candidate) }));
+  scored.sort((left, right) => {
+    return right.score - left.score || (left.candidate.name < right.candidate.name ? -1 : 1);
+  });
+  return scored.slice(0, count).map(({ candidate }) => candidate);
+}
+
+function scoreOf(partition: number, { hash }: OwnerCandidate): number {
+  return mix(hash ^ Math.imul(partition + 1, MULTIPLIER_A));
+}
+
 function mix(value: number): number {
   let mixed = value;
   mixed ^= mixed >>> 16;
--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -4,6 +4,7 @@
 import { choosePool, type RouteTable } from "../../scheduling/routing/route-table.ts";
 import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { Tenant } from "../../scheduling/routing/tenant.ts";
+import { type StreamKey, type StreamOrigin, streamKeyOf } from "../../scheduling/stream-versions/index.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import { INSUFFICIENT_MEMORY } from "../ingress/insufficient-memory.ts";
 import type { ProblemResponse } from "../ingress/problem-response.ts";
@@ -12,11 +13,14 @@
 import type { PartitionClient } from "../partitions/partition-client.ts";
 import type { RateClient } from "../rates/rate-client.ts";
 import type { RateVerdict } from "../rates/rate-verdict.ts";
+import type { OriginVerdict } from "../streams/origin-verdict.ts";
 import { CallRecord } from "../telemetry/call-record.ts";
 import type { RateRecord } from "../telemetry/rate-record.ts";
 import { BufferedCall } from "./buffered-call.ts";
 import { callTimeoutMs } from "./call-timeout.ts";
 import { OWNER_RETRY_AFTER_MS } from "./owner-retry.ts";
+import type { ResumedStream } from "./resumed-stream.ts";
+import { resumedStreamRecordOf } from "./resumed-stream-record-of.ts";
 import type { RoutedRequest } from "./routed-call.ts";
 import type { AttemptParts } from "./runner-attempt.ts";
 import { StreamedCall } from "./streamed-call.ts";
@@ -49,6 +53,8 @@
   retryAfterMs: 150,
   closesConnection: true,
 };
+/** The caller may send the request again without its last event, or ask another gateway. */
+const CANNOT_RESUME = { status: 503, kind: "cannot-resume", retryAfterMs: 100 };
 /** Fraction of a call's timeout for which the owner of its tenant's limit is looked for; the rest is for the runner. */
 const MAX_OWNER_WAIT_FRACTION = 0.5;
 const HASH_RANGE = 2 ** 32;
@@ -116,7 +122,7 @@
   /** Runs a call if its tenant's limit admits it. */
   async #admit(exchange: CallerExchange, destination: Destination, routes: RouteTable): Promise<void> {
     const { tenant, call, route } = destination;
-    if (tenant?.limit === undefined) return this.#run(exchange, destination, routes, undefined);
+    if (tenant?.limit === undefined) return this.#start(exchange, destination, routes, undefined);
     const { clock, metrics, settings } = this.#parts.context;
     const askedAtMs = clock.monotonicMs();
     const waitMs = Math.min(
@@ -133,17 +139,52 @@
       atMs: Math.round(askedAtMs - exchange.arrivedAtMs),
       elapsedMs: Math.round(elapsedMs),
     };
-    if (verdict.type === "granted") return this.#run(exchange, destination, routes, rate);
+    if (verdict.type === "granted") return this.#start(exchange, destination, routes, rate);
     const problem = problemOf(verdict);
     this.#logRefusal(problem, { call, route, tenant, rate }, routes);
     exchange.refuse(problem);
   }
 
+  /** Starts a call. If its caller takes a stream up, finds out first where that began. */
+  #start(
+    exchange: CallerExchange,
+    destination: Destination,
+    routes: RouteTable,
+    rate: RateRecord | undefined,
+  ): void {
+    const { call, route } = destination;
+    // Turns that are retained can't be taken up: the call refuses that itself.
+    const resumes = route.kind === "streaming" && call.lastEventId !== undefined && !route.retainsTurns;
+    if (resumes) void this.#resume(exchange, destination, routes, rate);
+    else this.#run(exchange, destination, routes, rate, undefined);
+  }
+
+  async #resume(
+    exchange: CallerExchange,
+    destination: Destination,
+    routes: RouteTable,
+    rate: RateRecord | undefined,
+  ): Promise<void> {
+    const { call, route, pool, tenant } = destination;
+    const key = call.resumes === undefined ? undefined : streamKeyOf(tenant?.name, call.resumes);
+    const verdict = await this.#parts.streams.find(key, pool.name);
+    const resumed = verdict.type === "unknown" ? undefined : resumedStreamOf(key, verdict);
+    const originPool = resumed?.origin ? poolOfOrigin(resumed.origin, route, routes) : pool;
+    this.#parts.context.metrics.recordResumedStream(resumed?.knownBy ?? "unknown");
+    if (resumed && originPool)
+      return this.#run(exchange, { ...destination, pool: originPool }, routes, rate, resumed);
+    const detail = verdict.type === "unknown" ? verdict.reason : "the route no longer leads to its runners";
+    const problem = { ...CANNOT_RESUME, detail: `The stream can't go on: ${detail}.` };
+    this.#logRefusal(problem, { call, route, tenant, ...(rate === undefined ? {} : { rate }) }, routes);
+    exchange.refuse(problem);
+  }
+
   #run(
     exchange: CallerExchange,
     { call, route, pool, tenant }: Destination,
     routes: RouteTable,
     rate: RateRecord | undefined,
+    resumed: ResumedStream | undefined,
   ): void {
     const { tenants, version } = routes.configuration;
     const hidesKey = tenants !== undefined;
@@ -158,6 +199,7 @@
       hidesKey,
       rate,
       configurationVersion: version,
+      resumed,
     };
     const routed =
       route.kind === "streaming"
@@ -193,6 +235,7 @@
     const record = new CallRecord(requestId, program?.id, route?.name ?? "none", configuration.version);
     record.tenant = tenant?.name;
     record.rate = rate;
+    record.resumed = resumedStreamRecordOf(call, undefined);
     const elapsedMs = rate === undefined ? 0 : rate.atMs + rate.elapsedMs;
     const end = { status, kind, detail };
     this.#parts.callLog.logCall(record, end, elapsedMs);
@@ -200,6 +243,22 @@
   }
 }
 
+function resumedStreamOf(
+  key: StreamKey | undefined,
+  verdict: Exclude<OriginVerdict, { type: "unknown" }>,
+): ResumedStream {
+  if (verdict.type === "version")
+    return { key, version: verdict.version, origin: undefined, knownBy: "list" };
+  const { origin, knownBy } = verdict;
+  return { key, version: origin.version, origin, knownBy };
+}
+
+/** The pool in which a stream began, if its route still leads there. */
+function poolOfOrigin({ pool }: StreamOrigin, route: Route, routes: RouteTable): RunnerPool | undefined {
+  const isShare = route.shares.some((share) => share.pool === pool && share.weight > 0);
+  return isShare ? routes.pool(pool) : undefined;
+}
+
 function problemOf(verdict: Exclude<RateVerdict, { type: "granted" }>): ProblemResponse {
   if (verdict.type === "unavailable") {
     const { detail } = verdict;
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -7,6 +7,7 @@
 import type { TimerHandle } from "../../runtime/clock.ts";
 import { canFinishInTime } from "../../scheduling/admission/can-finish-in-time.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
+import type { SoftwareVersion } from "../../scheduling/ids/software-version.ts";
 import type { PlaceCall } from "../../scheduling/place-queue/index.ts";
 import type { Route, RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { Tenant } from "../../scheduling/routing/tenant.ts";
@@ -22,6 +23,8 @@
 import type { RateRecord } from "../telemetry/rate-record.ts";
 import { roundedShare } from "../telemetry/rounded-share.ts";
 import { callTimeoutMs } from "./call-timeout.ts";
+import type { ResumedStream } from "./resumed-stream.ts";
+import { resumedStreamRecordOf } from "./resumed-stream-record-of.ts";
 import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
 import { RunnerAttempt } from "./runner-attempt.ts";
 
@@ -41,8 +44,13 @@
   readonly rate: RateRecord | undefined;
   /** Version of the configuration that contains the route. */
   readonly configurationVersion: number;
+  /** Where the stream began that the caller takes up; undefined for a new stream and for other calls. */
+  readonly resumed: ResumedStream | undefined;
 }
 
+/** Whether a runner may be chosen for a call. */
+type RunnerFilter = (runner: RunnerEntry) => boolean;
+
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
 /** Maximum length of the detail in a log line, in characters. */
@@ -109,8 +117,7 @@
     this.record = new CallRecord(requestId, program?.id, this.route.name, request.configurationVersion);
     this.record.tenant = request.tenant?.name;
     this.record.rate = request.rate;
-    const { lastEventId, resumes } = this.call;
-    if (lastEventId !== undefined) this.record.resumed = { request: resumes, lastEventId };
+    this.record.resumed = resumedStreamRecordOf(this.call, request.resumed);
     this.deadlineAtMs = this.exchange.arrivedAtMs + callTimeoutMs(this.call, this.route);
   }
 
@@ -161,6 +168,11 @@
     return this.pool.engine === undefined ? 0 : promptTokens + maxGeneratedTokens;
   }
 
+  /** The software version at which the call must run: that of the events which its caller has; undefined if any may. */
+  protected get requiredVersion(): SoftwareVersion | undefined {
+    return undefined;
+  }
+
   /** Whether a call that no dispatcher decides on may be sent; called before its first attempt. */
   protected mayBegin(): boolean {
     return true;
@@ -168,7 +180,8 @@
 
   /**
    * Finds the runner for an attempt. While places are scarce, the call requests one from a dispatcher, unless it may have
-   * run already: such a call must not wait behind others, nor be refused as not run.
+   * run already: such a call must not wait behind others, nor be refused as not run. Nor does a stream that has begun: it can
+   * go on at few runners only, which dispatchers of earlier builds can't tell from the others.
    */
   protected findRunner(
     preferred: RunnerId | undefined,
@@ -176,8 +189,8 @@
   ): void {
     this.#promptHolder = preferred;
     const { places } = this.parts;
-    if (this.mayHaveRun.size > 0 || !places.requiresPlace(this.pool))
-      return this.#chooseLocally(preferred, send);
+    const hasStarted = this.mayHaveRun.size > 0 || this.requiredVersion !== undefined;
+    if (hasStarted || !places.requiresPlace(this.pool)) return this.#chooseLocally(preferred, send);
     const atMs = this.elapsedMs;
     const placeRequest = places.requestPlace({
       pool: this.pool,
@@ -192,7 +205,7 @@
   }
 
   #chooseLocally(preferred: RunnerId | undefined, send: (runner: RunnerEntry | undefined) => void): void {
-    if (this.#attemptCount === 0 && !this.mayBegin()) {
+    if (this.#attemptCount === 0 && this.requiredVersion === undefined && !this.mayBegin()) {
       const detail = "the runners have no place for more programs";
       return this.refuse("overloaded", detail, PROGRAM_RETRY_AFTER_MS);
     }
@@ -241,7 +254,7 @@
   }
 
   protected chooseRunner(preferred: RunnerId | undefined): RunnerEntry | undefined {
-    const { board, connections, context } = this.parts;
+    const { board, context } = this.parts;
     const choice = {
       pool: this.pool.name,
       zone: context.settings.zone,
@@ -252,8 +265,28 @@
       sample: context.random.unit(),
     };
     this.#choice = choice;
-    const chosen = board.choose({ ...choice, mayTake: connections.withinShareFilter(this.pool.name) });
-    return chosen ?? board.choose({ ...choice, mayTake: connections.beyondShareFilter(this.pool.name) });
+    for (const mayTake of this.#runnerFilters) {
+      const chosen = board.choose({ ...choice, mayTake });
+      if (chosen) return chosen;
+    }
+    return undefined;
+  }
+
+  /** The runners that may be chosen, the ones to be preferred first. */
+  get #runnerFilters(): RunnerFilter[] {
+    const { connections, versions } = this.parts;
+    const { requiredVersion } = this;
+    const { name } = this.pool;
+    const withinShare = connections.withinShareFilter(name);
+    const beyondShare = connections.beyondShareFilter(name);
+    if (requiredVersion === undefined) return [withinShare, beyondShare];
+    const fits: RunnerFilter = (runner) => runner.version === requiredVersion && versions.isSure(runner);
+    return [
+      // The end of a runner that starts again with another version shows at its open connections first.
+      (runner) => fits(runner) && withinShare(runner) && connections.isConnected(runner.id),
+      (runner) => fits(runner) && withinShare(runner),
+      (runner) => fits(runner) && beyondShare(runner),
+    ];
   }
 
   /**
@@ -322,7 +355,7 @@
     if (expectedMs !== undefined) context.metrics.recordExpectedAttemptTime(expectedMs);
     const expected = expectedMs === undefined ? {} : { expectedMs: Math.round(expectedMs) };
     const { id, version } = runner;
-    this.record.tries.push({ runner: id, version, load, failureRate, ...expected, atMs: this.elapsedMs });
+    this.record.tries.push({ runner: id, load, failureRate, version, ...expected, atMs: this.elapsedMs });
   }
 
   /** Ends the current attempt: the runner no longer works on it. */
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -17,6 +17,8 @@
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { PlaceClient } from "../places/place-client.ts";
 import type { RunnerConnections } from "../runners/runner-connections.ts";
+import type { RunnerVersions } from "../runners/runner-versions.ts";
+import type { StreamOrigins } from "../streams/stream-origins.ts";
 import type { CallLog } from "../telemetry/call-log.ts";
 
 /** Why an attempt got no answer. */
@@ -44,6 +46,8 @@
   readonly callLog: CallLog;
   readonly places: PlaceClient;
   readonly buffers: BufferLimiter;
+  readonly versions: RunnerVersions;
+  readonly streams: StreamOrigins;
 }
 
 /** What an attempt sends, and what is known about it. */
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -7,7 +7,9 @@
 import { mayStartProgram } from "../../scheduling/admission/program-admission.ts";
 import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
+import type { SoftwareVersion } from "../../scheduling/ids/software-version.ts";
 import type { RunnerEntry } from "../../scheduling/runner-balancing/runner-entry.ts";
+import { type StreamKey, streamKeyOf } from "../../scheduling/stream-versions/index.ts";
 import { turnUrgency } from "../../scheduling/urgency/turn-urgency.ts";
 import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { AdmitTurnResponse, EndTurnRequest } from "../gateway-messages.ts";
@@ -16,6 +18,7 @@
 import { roundedShare } from "../telemetry/rounded-share.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
 import { OWNER_RETRY_AFTER_MS } from "./owner-retry.ts";
+import type { ResumedStream } from "./resumed-stream.ts";
 import { RoutedCall, type RoutedRequest } from "./routed-call.ts";
 import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
 
@@ -41,11 +44,21 @@
   #eventCount = 0;
   #lastEventId: number | undefined;
   #lastRunner: RunnerId | undefined;
+  /** Version of the last runner by the entry with which the attempt was made. */
+  #lastRunnerVersion: SoftwareVersion | undefined;
+  readonly #resumed: ResumedStream | undefined;
+  /** The version that made the events which the caller has; undefined if there are none, or if it is not known. */
+  #version: SoftwareVersion | undefined;
+  /** Set once an event was forwarded whose version others may need. */
+  #key: StreamKey | undefined;
+  #isComplete = false;
 
   constructor(parts: AttemptParts, partitions: PartitionClient, request: RoutedRequest) {
     super(parts, request);
     this.#partitions = partitions;
     this.#lastEventId = this.call.lastEventId;
+    this.#resumed = request.resumed;
+    this.#version = request.resumed?.version;
   }
 
   protected override begin(): void {
@@ -62,12 +75,19 @@
     const resumed = this.#runnerToResume();
     if (resumed) return this.#sendTo(resumed);
     if (this.#runnersLeft <= 0) return this.#giveUp("no runner can take the turn");
+    if (this.#eventCount > 0 && this.#version === undefined)
+      return this.#giveUp("the software version of the stream is not known");
     this.findRunner(this.#preferred, (runner) => {
       if (runner) this.#sendTo(runner);
-      else this.#giveUp("no runner can take the turn");
+      else if (this.#version === undefined) this.#giveUp("no runner can take the turn");
+      else this.#giveUp(`no runner of the stream's software version ${this.#version} can take it`);
     });
   }
 
+  protected override get requiredVersion(): SoftwareVersion | undefined {
+    return this.#version;
+  }
+
   #sendTo(runner: RunnerEntry): void {
     // A stream that has begun is resumed in any case: the events that still arrive are of use to the caller.
     if (this.#eventCount === 0 && !this.hasTimeFor(runner))
@@ -97,6 +117,7 @@
 
   protected override onFinished(): void {
     this.#setRunnerPaused(false);
+    if (this.#key !== undefined) this.parts.streams.recordEnd(this.#key, this.#isComplete);
     if (this.#admitted) void this.#partitions.end(this.#endRequest());
   }
 
@@ -201,7 +222,10 @@
   #runnerToResume(): RunnerEntry | undefined {
     const last = this.#lastRunner;
     if (last === undefined || this.excluded.has(last) || this.silent.has(last)) return undefined;
-    return this.mayHaveRun.has(last) ? this.parts.board.ready(last) : undefined;
+    const runner = this.mayHaveRun.has(last) ? this.parts.board.ready(last) : undefined;
+    const isSameStart = runner?.version === this.#lastRunnerVersion;
+    const fits = this.#version === undefined || runner?.version === this.#version;
+    return isSameStart && fits ? runner : undefined;
   }
 
   /** How many more runners may run the turn; earlier ones that are gone do not count. */
@@ -223,11 +247,11 @@
     return {
       onHead: (answer) => {
         head = answer;
-        this.#lastRunner = runner.id;
+        this.#setLastRunner(runner);
       },
       onData: (chunk) => {
         if (failed()) failedBody.push(chunk);
-        else for (const event of this.#splitter.push(chunk)) this.#forward(event, head);
+        else for (const event of this.#splitter.push(chunk)) this.#forward(event, head, runner);
         if (this.exchange.isFull) this.#setRunnerPaused(true);
       },
       onEnd: () => {
@@ -238,9 +262,10 @@
     };
   }
 
-  #forward(event: StreamEvent, head: HttpAnswerHead | undefined): void {
+  #forward(event: StreamEvent, head: HttpAnswerHead | undefined, runner: RunnerEntry): void {
     const last = this.#lastEventId;
     if (event.id !== undefined && last !== undefined && event.id <= last) return;
+    if (this.#eventCount === 0) this.#recordBegin(runner);
     this.#sendHead(head);
     this.exchange.write(event.bytes);
     this.#eventCount += 1;
@@ -250,6 +275,18 @@
     this.exchange.buffers.add("outputs", event.data.length);
   }
 
+  /** Records where the stream began, before its caller gets the first event of this call. */
+  #recordBegin(runner: RunnerEntry): void {
+    const { streams, versions } = this.parts;
+    const { name, pool, version } = runner;
+    if (!this.#resumed) this.#version = versions.isSure(runner) ? version : undefined;
+    if (!this.route.resumable || this.#version === undefined) return;
+    const key = this.#resumed ? this.#resumed.key : streamKeyOf(this.tenant?.name, this.call.requestId);
+    if (key === undefined) return;
+    this.#key = key;
+    streams.recordBegin(key, this.#resumed?.origin ?? { pool, version, runner: name });
+  }
+
   /** Pauses the runner's answer while the caller reads too little of it, or resumes it. */
   #setRunnerPaused(isPaused: boolean): void {
     const { buffers } = this.exchange;
@@ -287,6 +324,7 @@
     if (rest.length > 0) this.exchange.write(rest);
     if (this.#admitted && this.route.retainsTurns && !(await this.#retain())) return;
     this.exchange.end();
+    this.#isComplete = true;
     this.finish({ status: this.#sentHead?.status ?? 0, kind: "answered" });
   }
 
@@ -340,14 +378,20 @@
     this.#setRunnerPaused(false);
     this.recordFailure(runner, failure);
     if (failure.type === "broken") {
-      this.#lastRunner = runner.id;
+      this.#setLastRunner(runner);
+      if (this.#eventCount > 0 && this.parts.versions.isReplaced(runner)) this.#version = undefined;
       if (!this.route.resumable) return this.failWithUnknownOutcome(`the stream broke: ${failure.detail}`);
     }
     this.tryNext();
   }
 
+  #setLastRunner({ id, version }: RunnerEntry): void {
+    this.#lastRunner = id;
+    this.#lastRunnerVersion = version;
+  }
+
   #giveUp(detail: string): void {
     if (this.mayHaveRun.size > 0) this.failWithUnknownOutcome(detail);
-    else this.refuse("overloaded", detail);
+    else this.refuse(this.#resumed ? "cannot-resume" : "overloaded", detail);
   }
 }
--- a/src/gateway/configuration/table-follower.ts
+++ b/src/gateway/configuration/table-follower.ts
@@ -48,6 +48,9 @@
   #version = 0;
   /** The state given to the listener is the table as it was at or after this time, in ms of the monotonic clock. */
   #currentAtMs: number;
+  /** The call that confirms the known state now, and the one that waits for its end. */
+  #confirming: Promise<boolean> | undefined;
+  #nextConfirming: Promise<boolean> | undefined;
 
   constructor(
     context: GatewayContext,
@@ -71,10 +74,26 @@
     return this.#context.clock.monotonicMs() - this.#currentAtMs;
   }
 
+  /** The state given to the listener is the table as it was at or after this time, in ms of the monotonic clock. */
+  get currentAtMs(): number {
+    return this.#currentAtMs;
+  }
+
   start(): void {
     void this.#run();
   }
 
+  /**
+   * Brings the known state up to date. Returns whether the listener now has the table as it was at or after the call of this
+   * method. Calls at the same time share their request to the store.
+   */
+  confirm(): Promise<boolean> {
+    if (this.#version === 0) return Promise.resolve(false);
+    if (!this.#confirming) return this.#startConfirming();
+    this.#nextConfirming ??= this.#confirming.then(() => this.#startConfirming());
+    return this.#nextConfirming;
+  }
+
   stop(): void {
     this.#stopped = true;
   }
@@ -127,13 +146,37 @@
       await delay(this.#context.clock, RETRY_DELAY_MS);
       return true;
     }
-    if (outcome.changes.length > 0) this.#listener.onChanges(outcome.changes);
-    this.#version = Math.max(this.#version, outcome.version);
-    this.#noteCurrent(askedAtMs);
+    this.#apply(outcome.changes, outcome.version, askedAtMs);
     if (this.#pauseMs > 0) await delay(this.#context.clock, this.#pauseMs);
     return true;
   }
 
+  #startConfirming(): Promise<boolean> {
+    this.#nextConfirming = undefined;
+    const confirming = this.#confirmOnce().finally(() => {
+      if (this.#confirming === confirming) this.#confirming = undefined;
+    });
+    this.#confirming = confirming;
+    return confirming;
+  }
+
+  async #confirmOnce(): Promise<boolean> {
+    const askedAtMs = this.#context.clock.monotonicMs();
+    const outcome = await this.#context.platform.store.watch(this.#table, this.#version, 0);
+    this.#health.recordOutcome(outcome);
+    if (outcome.type !== "changes") return false;
+    this.#apply(outcome.changes, outcome.version, askedAtMs);
+    return true;
+  }
+
+  /** Passes on the changes that the listener does not have: two calls at the same time may bring the same ones. */
+  #apply(changes: readonly RowChange[], version: number, askedAtMs: number): void {
+    const newChanges = changes.filter((change) => change.version > this.#version);
+    if (newChanges.length > 0) this.#listener.onChanges(newChanges);
+    this.#version = Math.max(this.#version, version);
+    if (askedAtMs >= this.#currentAtMs) this.#noteCurrent(askedAtMs);
+  }
+
   #noteFailed(
     call: FailedTableCall["call"],
     { detail }: StoreRefusal | UnknownStoreOutcome,
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -35,6 +35,7 @@
 import { RunnerWatch } from "./runners/runner-watch.ts";
 import { RelayedRowStore } from "./store/relayed-row-store.ts";
 import { StoreHealth } from "./store-health.ts";
+import { StreamOrigins } from "./streams/stream-origins.ts";
 import { CallLog } from "./telemetry/call-log.ts";
 
 const STOP_POLL_INTERVAL_MS = 50;
@@ -55,6 +56,7 @@
   readonly #runners: RunnerWatch;
   readonly #board: RunnerBalancer;
   readonly #connections: RunnerConnections;
+  readonly #streams: StreamOrigins;
   readonly #buffers: BufferLimiter;
   readonly #ingress: IngressServer;
   /** Undefined if the directory lists all gateways equally, without regard to their headroom. */
@@ -93,6 +95,7 @@
       board: this.#board,
       gateways: countLiveGateways,
       maxConnections: (pool) => this.#routing.routes?.pool(pool)?.maxConnections,
+      onConnectionEnded: (runner) => this.#runners.versions.recordConnectionEnd(runner, clock.monotonicMs()),
     });
     this.#buffers = new BufferLimiter(context);
     this.#ingress = new IngressServer(context, this.#buffers);
@@ -112,6 +115,14 @@
     });
     const scarcity = new PoolScarcity(context, this.#board, groups, countLiveGateways);
     this.#placeClient = new PlaceClient({ ...placeDependencies, scarcity });
+    this.#streams = new StreamOrigins({
+      context,
+      members: this.#members,
+      rpc: this.#rpc,
+      transport,
+      versions: this.#runners.versions,
+      streamLifetimeMs: () => this.#routing.routes?.streamLifetimeMs ?? Number.POSITIVE_INFINITY,
+    });
     const callDependencies = {
       context,
       board: this.#board,
@@ -119,6 +130,8 @@
       callLog: this.#callLog,
       places: this.#placeClient,
       buffers: this.#buffers,
+      versions: this.#runners.versions,
+      streams: this.#streams,
     };
     const rateClient = new RateClient(context, this.#members, this.#partitions, this.#rpc);
     const routes = () => (this.#canServe ? this.#routing.routes : undefined);
@@ -164,6 +177,7 @@
     this.#partitions.start();
     this.#rateHost.start();
     this.#placeHost.start();
+    this.#streams.start();
     this.#headroom?.start();
     await this.#entry.listen([listen.readiness, listen.directory]);
     await this.#ingress.listen(listen.callers);
@@ -262,6 +276,8 @@
         return this.#placeClient.onSettled(message, from);
       case "returnPlaces":
         return this.#placeHost.onReturned(message);
+      case "streamsBegun":
+        return this.#streams.onStreamsBegun(message);
       case "rpcRequest":
         return void this.#rpc.onRequest(message, from);
       case "rpcResponse":
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -6,6 +6,7 @@
 import type { ProgramId } from "../scheduling/ids/program-id.ts";
 import type { RequestId } from "../scheduling/ids/request-id.ts";
 import type { RunnerId } from "../scheduling/ids/runner-id.ts";
+import type { SoftwareVersion } from "../scheduling/ids/software-version.ts";
 import type { TenantName } from "../scheduling/ids/tenant-name.ts";
 import type {
   PlaceCall,
@@ -15,6 +16,7 @@
   ReturnedPlace,
 } from "../scheduling/place-queue/index.ts";
 import type { LoadReport } from "../scheduling/runner-balancing/load-report.ts";
+import type { StreamKey, StreamOrigin } from "../scheduling/stream-versions/index.ts";
 import type { StoreCall, StoreCallOutcome } from "./store/store-call.ts";
 
 /** Lifecycle state of a gateway. Only ready gateways are listed for callers and may claim partitions. */
@@ -187,6 +189,30 @@
   readonly withdrawn?: readonly RequestId[];
 }
 
+/** A stream that has begun, as its gateway tells the gateways that remember it. */
+export interface BegunStream extends StreamOrigin {
+  readonly stream: StreamKey;
+}
+
+/** Asks the receiver to remember where streams began. Lost messages are not repeated. */
+export interface StreamsBegun {
+  readonly type: "streamsBegun";
+  readonly streams: readonly BegunStream[];
+}
+
+/** Asks a gateway whether it remembers where a stream began. */
+export interface FindStreamRequest {
+  readonly stream: StreamKey;
+  readonly pool: string;
+}
+
+/** What a gateway knows of the origin of a stream. */
+export type FindStreamResponse =
+  | { readonly type: "known"; readonly origin: StreamOrigin }
+  /** Without an entry. `onlyVersion` is the version at which every stream of the pool began, if there was only one. */
+  | { readonly type: "absent"; readonly onlyVersion: SoftwareVersion | undefined }
+  | { readonly type: "ambiguous" };
+
 /** Requests and responses of the RPCs between gateways. */
 export interface GatewayRpcSchema {
   admitTurn: { request: AdmitTurnRequest; response: AdmitTurnResponse };
@@ -195,6 +221,7 @@
   /** Makes a call to the store on behalf of a peer that cannot reach it. */
   callStore: { request: StoreCall; response: StoreCallOutcome };
   findTurn: { request: FindTurnRequest; response: FindTurnResponse };
+  findStream: { request: FindStreamRequest; response: FindStreamResponse };
   askPlace: { request: AskPlaceRequest; response: AskPlaceResponse };
 }
 
@@ -204,5 +231,6 @@
   | MemberDigest
   | PlaceSettled
   | ReturnPlaces
+  | StreamsBegun
   | RpcRequest<GatewayRpcSchema>
   | RpcResponse<GatewayRpcSchema>;
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -24,7 +24,7 @@
 import { CallerDirectory, type ReadyGateway } from "./caller-directory.ts";
 import { DigestSender } from "./digest-sender.ts";
 import { DigestSequences } from "./digest-sequences.ts";
-import type { DispatcherCandidate } from "./dispatcher-candidate.ts";
+import type { GatewayCandidate } from "./gateway-candidate.ts";
 import { planHeartbeats } from "./heartbeat-plan.ts";
 import type { HeartbeatPlan } from "./heartbeat-targets.ts";
 import { gatewayNameOf } from "./instance-name.ts";
@@ -300,7 +300,7 @@
    * Returns the gateways that are eligible as dispatchers of runners. A dispatcher doesn't need the store, but its build has
    * to support places.
    */
-  dispatcherCandidates(): DispatcherCandidate[] {
+  dispatcherCandidates(): GatewayCandidate[] {
     const candidates = this.#view
       .alive()
       .filter(({ status }) => status.state === "ready" && supportsFeature(status, "places"))
@@ -309,7 +309,15 @@
     return candidates;
   }
 
-  get #ownCandidate(): DispatcherCandidate {
+  /** Returns the other gateways that remember where streams began. */
+  originHolders(): GatewayCandidate[] {
+    return this.#view
+      .alive()
+      .filter(({ status }) => supportsFeature(status, "streamOrigins"))
+      .map(({ status, hash, instance, address }) => ({ name: status.name, hash, instance, address }));
+  }
+
+  get #ownCandidate(): GatewayCandidate {
     const { settings, instance } = this.#context;
     return { name: settings.name, hash: this.#selfHash, instance, address: this.#transport.self.address };
   }
--- a/src/gateway/places/dispatcher-directory.ts
+++ b/src/gateway/places/dispatcher-directory.ts
@@ -1,7 +1,7 @@
 /** Finds the gateway that hands out the places of a group: the first choice of rendezvous hashing among the candidates. */
 import { preferredOwner } from "../../coordination/partition-ownership/index.ts";
 import type { GatewayContext } from "../gateway-context.ts";
-import type { DispatcherCandidate } from "../members/dispatcher-candidate.ts";
+import type { GatewayCandidate } from "../members/gateway-candidate.ts";
 import type { MemberDirectory } from "../members/member-directory.ts";
 
 /** How long results are cached before the members are read again, in ms. */
@@ -10,8 +10,8 @@
 export class DispatcherDirectory {
   readonly #context: GatewayContext;
   readonly #members: Pick<MemberDirectory, "dispatcherCandidates">;
-  readonly #dispatchers = new Map<string, DispatcherCandidate | undefined>();
-  #candidates: readonly DispatcherCandidate[] = [];
+  readonly #dispatchers = new Map<string, GatewayCandidate | undefined>();
+  #candidates: readonly GatewayCandidate[] = [];
   #refreshedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(context: GatewayContext, members: Pick<MemberDirectory, "dispatcherCandidates">) {
@@ -20,7 +20,7 @@
   }
 
   /** The dispatcher of a group; undefined when there is no candidate. */
-  of(pool: string, group: number): DispatcherCandidate | undefined {
+  of(pool: string, group: number): GatewayCandidate | undefined {
     this.#refresh();
     const key = `${pool}/${group}`;
     if (this.#dispatchers.has(key)) return this.#dispatchers.get(key);
--- a/src/gateway/places/pending-place-request.ts
+++ b/src/gateway/places/pending-place-request.ts
@@ -1,5 +1,5 @@
 /** A call's request for a place, from when it is sent until it is settled or cancelled. */
-import type { DispatcherCandidate } from "../members/dispatcher-candidate.ts";
+import type { GatewayCandidate } from "../members/gateway-candidate.ts";
 import type { PlaceRequester } from "./place-requester.ts";
 
 /** Whether a request awaits the first answer, is queued at the dispatcher, or was settled or cancelled. */
@@ -10,7 +10,7 @@
   readonly askedAtMs: number;
   state: QuestionState = "asking";
   group = 0;
-  dispatcher: DispatcherCandidate | undefined;
+  dispatcher: GatewayCandidate | undefined;
   /** The lease of the place that it will get; known once it is queued. */
   lease: number | undefined;
   /** The wait that the dispatcher announced first, in ms. */
--- a/src/gateway/places/place-client.ts
+++ b/src/gateway/places/place-client.ts
@@ -19,7 +19,7 @@
 import type { RunnerPool } from "../../scheduling/routing/routing-configuration.ts";
 import type { GatewayContext } from "../gateway-context.ts";
 import type { GatewayRpcSchema, PlaceSettled } from "../gateway-messages.ts";
-import type { DispatcherCandidate } from "../members/dispatcher-candidate.ts";
+import type { GatewayCandidate } from "../members/gateway-candidate.ts";
 import { GroupSelector } from "./group-selector.ts";
 import { HeldPlace } from "./held-place.ts";
 import { PendingPlaceRequest } from "./pending-place-request.ts";
@@ -166,7 +166,7 @@
 
   #onReply(
     request: PendingPlaceRequest,
-    dispatcher: DispatcherCandidate,
+    dispatcher: GatewayCandidate,
     reply: RpcReply<"askPlace", GatewayRpcSchema>,
     ownDelayMs: number,
   ): void {
@@ -183,7 +183,7 @@
   /** Handles a reply to a request that was cancelled or settled in the meantime. */
   #onLateReply(
     { lease, requester }: PendingPlaceRequest,
-    { address }: DispatcherCandidate,
+    { address }: GatewayCandidate,
     reply: RpcReply<"askPlace", GatewayRpcSchema>,
   ): void {
     if (reply.type === "timeout") return this.#returns.withdraw(address, requester.describe().request);
@@ -191,7 +191,7 @@
     if (reply.body.lease !== lease) this.#returnUnused(address, reply.body.lease);
   }
 
-  #onTimeout(request: PendingPlaceRequest, dispatcher: DispatcherCandidate, ownDelayMs: number): void {
+  #onTimeout(request: PendingPlaceRequest, dispatcher: GatewayCandidate, ownDelayMs: number): void {
     const { instance, address } = dispatcher;
     this.#unresponsive.noteMissed(instance, this.#nowMs);
     this.#removeWaiting(request);
--- a/src/gateway/runners/runner-connections.ts
+++ b/src/gateway/runners/runner-connections.ts
@@ -29,6 +29,13 @@
  * idle timeout by then.
  */
 const TRIM_INTERVAL_MS = 5_000;
+/** Codes of errors with which a connection ends or fails because of the runner or the network. */
+const REMOTE_END_CODES: ReadonlySet<string | undefined> = new Set([
+  "UND_ERR_SOCKET",
+  "CONNECTION_RESET",
+  "ECONNRESET",
+  "ECONNREFUSED",
+]);
 /** Minimum fraction of a pool's connections that must be idle before the pool is closed because of them. */
 const MIN_IDLE_FRACTION = 0.5;
 
@@ -40,6 +47,8 @@
   readonly gateways: () => number;
   /** Returns how many connections each runner of a pool accepts from all gateways; undefined if that is not known. */
   readonly maxConnections: (pool: string) => number | undefined;
+  /** Called when a runner has ended a connection, or did not accept one. */
+  readonly onConnectionEnded?: (runner: RunnerId) => void;
 }
 
 interface OpenPool {
@@ -69,6 +78,11 @@
     return count;
   }
 
+  /** Whether a connection to a runner is open. */
+  isConnected(id: RunnerId): boolean {
+    return (this.#pools.get(id)?.pool.stats.connected ?? 0) > 0;
+  }
+
   /** Returns the connection pool of a runner, and opens it if necessary. */
   pool(runner: RunnerEntry): Pool {
     const known = this.#pools.get(runner.id);
@@ -80,6 +94,11 @@
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
     });
+    const noteEnd = ({ code }: NodeJS.ErrnoException) => {
+      if (REMOTE_END_CODES.has(code)) this.#options.onConnectionEnded?.(runner.id);
+    };
+    pool.on("disconnect", (_origin, _targets, error) => noteEnd(error));
+    pool.on("connectionError", (_origin, _targets, error) => noteEnd(error));
     this.#pools.set(runner.id, { pool, poolName: runner.pool });
     return pool;
   }
--- a/src/gateway/runners/runner-watch.ts
+++ b/src/gateway/runners/runner-watch.ts
@@ -12,6 +12,7 @@
 import type { GatewayContext } from "../gateway-context.ts";
 import { UnreadableRowReporter } from "../store/unreadable-row-reporter.ts";
 import type { StoreHealth } from "../store-health.ts";
+import { RunnerVersions } from "./runner-versions.ts";
 
 /**
  * Pause between two reads of the list, as a fraction of the time for which a draining runner still serves. Runners rewrite
@@ -38,6 +39,8 @@
   /** Runners whose entries expired during an outage of the store, with the timer that ends their grace period. */
   readonly #graceTimers = new Map<RunnerName, TimerHandle>();
   #hasReadList = false;
+  /** The software versions of the runners. */
+  readonly versions: RunnerVersions;
   /** Called each time the whole list has been read. */
   onListRead: () => void = () => undefined;
   /** Called when a runner is no longer in the list. It may still process its requests in flight. */
@@ -60,15 +63,18 @@
       onChanges: (changes) => {
         for (const { key, value } of changes) {
           if (value === undefined) this.#handleRemoval(key as RunnerName);
-          else this.#handleWrite(key as RunnerName, value);
+          else this.#handleChange(key as RunnerName, value);
         }
       },
+      onCurrent: (askedAtMs) => this.versions.recordList(askedAtMs),
     };
     const { runnerTable } = context.platform.records;
     this.#unreadableRows = new UnreadableRowReporter(context, runnerTable);
     const { runnerDrainMs } = context.settings.timing;
     const options = { maxStalenessMs: runnerDrainMs, pauseMs: runnerDrainMs * READ_PAUSE_FRACTION };
     this.#follower = new TableFollower(context, health, runnerTable, listener, options);
+    this.versions = new RunnerVersions(this.#listed, runnerDrainMs);
+    this.versions.confirmList = () => this.#follower.confirm();
   }
 
   /** Whether the list has been read at least once. */
@@ -84,6 +90,13 @@
     this.#follower.stop();
   }
 
+  /** Handles a row that was written since the list was last current. */
+  #handleChange(name: RunnerName, value: Buffer): void {
+    this.#handleWrite(name, value);
+    const entry = this.#listed.get(name);
+    if (entry) this.versions.recordEntry(entry.id, this.#follower.currentAtMs);
+  }
+
   #handleWrite(name: RunnerName, value: Buffer): void {
     this.#cancelGracePeriod(name);
     const entry = this.#context.platform.records.parseRunner(name, value);
@@ -121,6 +134,7 @@
     const before = { before: known.id, versionBefore: known.version };
     this.#context.log.info({ runner: id, address, version, ...before }, "runner started again");
     this.#board.remove(known.id);
+    this.versions.remove(known.id);
     this.onReplaced(known.id);
   }
 
@@ -151,6 +165,7 @@
   #removeEntry({ name, id }: RunnerEntry): void {
     this.#listed.delete(name);
     this.#board.remove(id);
+    this.versions.remove(id);
     this.onRemoved(id);
   }
 }
--- a/src/gateway/telemetry/attempt-record.ts
+++ b/src/gateway/telemetry/attempt-record.ts
@@ -1,12 +1,12 @@
 /** One attempt to run a call at a runner. */
 export interface AttemptRecord {
   readonly runner: string;
-  /** Software version of the runner by the entry that the gateway had when it sent the request. */
-  readonly version: string;
   /** Known requests in flight at the runner when it was chosen. */
   readonly load: number;
   /** Fraction of the runner's requests in the last seconds that failed, 0 to 1. */
   readonly failureRate: number;
+  /** Software version of the runner by the entry that the gateway had when it sent the request. */
+  readonly version: string;
   /** Expected duration in ms; undefined if runners are chosen by load. */
   readonly expectedMs?: number;
   /** Time from the arrival of the call until the attempt started, in ms. */
--- a/src/gateway/telemetry/gateway-metrics.ts
+++ b/src/gateway/telemetry/gateway-metrics.ts
@@ -19,6 +19,8 @@
   abstract recordRateDecision(tenant: string, verdict: string, elapsedMs: number): void;
   /** Records how long the end of an answer waited until its turn was retained. */
   abstract recordRetention(heldBy: string, elapsedMs: number): void;
+  /** Records how the version of a stream is known that a caller takes up, or that it is not. */
+  abstract recordResumedStream(knownBy: string): void;
   /** Records the outcome of a partition's write to the store, which may have got no answer. */
   abstract recordStoreWrite(outcome: string, elapsedMs: number): void;
   /** Records that a row read from a table of the store could not be decoded. */
--- a/src/gateway/telemetry/no-metrics.ts
+++ b/src/gateway/telemetry/no-metrics.ts
@@ -9,6 +9,7 @@
   override recordAdmission(): void {}
   override recordRateDecision(): void {}
   override recordRetention(): void {}
+  override recordResumedStream(): void {}
   override recordStoreWrite(): void {}
   override recordUnreadableRow(): void {}
   override recordPlaceDecision(): void {}
--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -78,6 +78,12 @@
     labelNames: ["table"],
     registers: [],
   });
+  readonly #resumedStreams = new Counter({
+    name: "tulipwheel_gateway_resumed_streams_total",
+    help: "Streams that callers took up, by how their software version was known",
+    labelNames: ["known_by"],
+    registers: [],
+  });
   readonly #placeDecisions = new Counter({
     name: "tulipwheel_gateway_places_total",
     help: "Calls that asked for a place, by pool, verdict (granted, refused or alone) and reason",
@@ -147,6 +153,10 @@
     this.#retentionTimes.observe({ held_by: heldBy }, elapsedMs / MS_PER_S);
   }
 
+  override recordResumedStream(knownBy: string): void {
+    this.#resumedStreams.inc({ known_by: knownBy });
+  }
+
   override recordStoreWrite(outcome: string, elapsedMs: number): void {
     this.#storeWriteTimes.observe({ outcome }, elapsedMs / MS_PER_S);
   }
@@ -224,6 +234,7 @@
       this.#retentionTimes,
       this.#storeWriteTimes,
       this.#unreadableRows,
+      this.#resumedStreams,
       this.#placeDecisions,
       this.#placeWaits,
       this.#placeForecastErrors,
--- a/src/scheduling/routing/route-table.ts
+++ b/src/scheduling/routing/route-table.ts
@@ -2,9 +2,15 @@
 import type { Route, RoutingConfiguration, RunnerPool } from "./routing-configuration.ts";
 import type { Tenant } from "./tenant.ts";
 
+/** A caller takes a stream up a few times at most, and each time waits no longer than the route allows. */
+const MAX_STREAM_ATTEMPTS = 3;
+const MIN_STREAM_LIFETIME_MS = 10_000;
+
 /** Finds the route of a request: the one with the longest matching path prefix among the routes of its host. */
 export class RouteTable {
   readonly configuration: RoutingConfiguration;
+  /** How long after its beginning a stream may still be taken up by its caller, in ms. */
+  readonly streamLifetimeMs: number;
   readonly #byHost = new Map<string, Route[]>();
   readonly #pools: ReadonlyMap<string, RunnerPool>;
   readonly #tenants = new Map<KeyDigest, Tenant>();
@@ -20,7 +26,10 @@
       for (const key of tenant.keys) this.#tenants.set(key, tenant);
     const { routes: all, tenants = [] } = configuration;
     this.#tenantPriorities = sortedPriorities(tenants);
-    this.#routePriorities = sortedPriorities(all.filter(({ kind }) => kind === "streaming"));
+    const streaming = all.filter(({ kind }) => kind === "streaming");
+    this.#routePriorities = sortedPriorities(streaming);
+    const longestMs = Math.max(0, ...streaming.map(({ timeoutMs }) => timeoutMs));
+    this.streamLifetimeMs = Math.max(MIN_STREAM_LIFETIME_MS, MAX_STREAM_ATTEMPTS * longestMs);
     for (const routes of this.#byHost.values()) {
       routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
     }
--- a/src/scheduling/runner-balancing/start-order.ts
+++ b/src/scheduling/runner-balancing/start-order.ts
@@ -10,9 +10,9 @@
   /** The entry has no start, while the known one had: it was not written by the runner. */
   | "unknown";
 
-/** Compares the starts of two entries of the same name. */
+/** Compares the starts of two entries of the same name. A runner changes its version only by a start. */
 export function startOrder(known: RunnerEntry, entry: RunnerEntry): StartOrder {
-  if (entry.id === known.id) return "same";
+  if (entry.id === known.id) return entry.version === known.version ? "same" : "later";
   if (entry.startedAtMs === undefined) return "unknown";
   if (known.startedAtMs === undefined) return "later";
   return entry.startedAtMs > known.startedAtMs ? "later" : "earlier";
--- a/test/process/stream-versions.test.ts
+++ b/test/process/stream-versions.test.ts
@@ -32,7 +32,12 @@
     return cluster;
   }
 
-  /** Starts a runner again under its name and at its address, with the other version; its entry follows later. */
+  /** A later start has a later time of birth. */
+  override listRunner(runner: RunnerStandin, service: string, state: "ready" | "draining"): void {
+    super.listRunner(runner, service, state, { born: this.engines.indexOf(runner) + 1 });
+  }
+
+  /** Starts a runner again with the other version; a gateway is killed before the entry tells of it. */
   async restartWithOtherVersion(before: RunnerStandin): Promise<void> {
     const port = before.port;
     before.close();
@@ -41,8 +46,11 @@
     slowDown(after);
     this.engines.push(after);
     await after.listen(port);
+    const killed = this.gateways[0] as TestGateway;
+    await killed.process.kill();
+    this.restart(killed);
     await pause(ENTRY_DELAY_MS);
-    this.listRunner(after, "engine", "ready", { born: 1 });
+    this.listRunner(after, "engine", "ready");
   }
 
   protected override versionOf(index: number): string {
@@ -162,6 +170,7 @@
       const restarted = cluster.engines[round] as RunnerStandin;
       const restart = () => cluster.restartWithOtherVersion(restarted);
       observed.push(...(await cluster.readWhile(cluster.gateways, restart)));
+      await cluster.ready();
     }
     expect(mixedStreams(observed)).toEqual([]);
     expectGapless(observed);
