Simulate streams before runners of several versions

No simulation had runners, so none could see a stream that changes its version. Callers begin streams at random gateways, and take those up that break by a fault or a reset, while releases replace half of the runners with a new version. Checked: the version that a gateway finds is the one that began the stream, and at gateways in touch at least half go on while two runners serve. New fault: half of the gateways are killed at once.

--- a/bench/simulate-gateways.ts
+++ b/bench/simulate-gateways.ts
@@ -1,6 +1,7 @@
 /**
  * Runs the simulation of gateways: `npm run simulate:gateways -- [--seed N] [--runs N] [--faults a,b] [--relays]
- * [--tenants]`. The workload is programs or, with `--tenants`, tenants with keys and limits. Without `--faults`, each
+ * [--tenants] [--streams]`. The workload is programs or, with `--tenants`, tenants with keys and limits or, with
+ * `--streams`, streams before runners of several software versions. Without `--faults`, each
  * run draws two kinds of faults from its seed. The first run uses the given seed, the others use seeds far from it,
  * which the output names. Exits with code 1 if any run violates a guarantee.
  */
@@ -13,6 +14,7 @@
   type GatewaySimulationOptions,
   runGatewaySimulation,
 } from "./simulation/gateways/run-gateway-simulation.ts";
+import { runStreamSimulation } from "./simulation/gateways/run-stream-simulation.ts";
 import { runTenantSimulation } from "./simulation/gateways/run-tenant-simulation.ts";
 import { spreadSeed } from "./simulation/spread-seed.ts";
 
@@ -25,6 +27,7 @@
     faults: { type: "string" },
     relays: { type: "boolean", default: false },
     tenants: { type: "boolean", default: false },
+    streams: { type: "boolean", default: false },
   },
 });
 
@@ -59,6 +62,15 @@
   return { broken, summary: `${admitted} admitted, ${limited} beyond limits, ${unavailable} unavailable` };
 }
 
+async function runStreams(options: GatewaySimulationOptions): Promise<RunReport> {
+  const { broken, begun, resumed, refused, inTouch, refusedInTouch } = await runStreamSimulation(
+    options,
+    hash,
+  );
+  const takenUp = `${resumed} taken up (${refused} refused), in touch ${inTouch} (${refusedInTouch} refused)`;
+  return { broken, summary: `${begun} begun, ${takenUp}` };
+}
+
 const unknown = (values.faults?.split(",") ?? []).filter((fault) => !GATEWAY_FAULTS.includes(fault as never));
 if (unknown.length > 0) {
   process.stderr.write(`Unknown faults: ${unknown.join(", ")}. Known: ${GATEWAY_FAULTS.join(", ")}.\n`);
@@ -71,7 +83,7 @@
 for (let index = 0; index < Number(values.runs); index += 1) {
   const seed = index === 0 ? first : spreadSeed(first + index);
   const faults = drawFaults(seed);
-  const run = values.tenants ? runTenants : runPrograms;
+  const run = values.streams ? runStreams : values.tenants ? runTenants : runPrograms;
   const { broken, summary } = await run({ seed, faults, durationMs: DURATION_MS, fleet });
   const verdict = broken.length === 0 ? "holds" : "BROKEN";
   process.stdout.write(`seed ${seed} ${faults.join(",")}: ${verdict}; ${summary}\n`);
--- a/bench/simulation/gateways/gateway-faults.ts
+++ b/bench/simulation/gateways/gateway-faults.ts
@@ -26,6 +26,7 @@
   "messages-lost",
   "store-parts-busy",
   "cut-off",
+  "kill-half",
 ] as const;
 
 /** A kind of fault. */
@@ -51,6 +52,8 @@
       return killAndRestart(world, [index]);
     case "kill-all":
       return killAndRestart(world, [...world.gateways.keys()]);
+    case "kill-half":
+      return killAndRestart(world, halfOfAll(world));
     case "freeze":
       return freeze(world, index);
     case "planned-stop":
@@ -124,6 +127,13 @@
   });
 }
 
+/** Half of the gateways, drawn at random. */
+function halfOfAll({ gateways, random }: GatewayWorld): number[] {
+  const first = random.below(gateways.length);
+  const count = Math.floor(gateways.length / 2);
+  return Array.from({ length: count }, (_, index) => (first + index) % gateways.length);
+}
+
 function freeze(world: GatewayWorld, index: number): void {
   const process = world.gateways[index]?.process;
   recordGatewayFault(world, index, FAULT_DURATION_MS);
--- a/bench/simulation/gateways/simulated-gateway.ts
+++ b/bench/simulation/gateways/simulated-gateway.ts
@@ -14,8 +14,10 @@
 import { PartitionHost } from "../../../src/gateway/partitions/partition-host.ts";
 import { RateClient } from "../../../src/gateway/rates/rate-client.ts";
 import { RateHost } from "../../../src/gateway/rates/rate-host.ts";
+import { RunnerWatch } from "../../../src/gateway/runners/runner-watch.ts";
 import { RelayedRowStore } from "../../../src/gateway/store/relayed-row-store.ts";
 import { StoreHealth } from "../../../src/gateway/store-health.ts";
+import { StreamOrigins } from "../../../src/gateway/streams/stream-origins.ts";
 import { NoMetrics } from "../../../src/gateway/telemetry/no-metrics.ts";
 import type { PlatformRecords } from "../../../src/ports/platform-records.ts";
 import type { RandomSource } from "../../../src/runtime/random-source.ts";
@@ -23,6 +25,8 @@
 import type { TextHash } from "../../../src/runtime/text-hash.ts";
 import type { RoutingConfiguration } from "../../../src/scheduling/routing/routing-configuration.ts";
 import { EMPTY_LOAD_REPORT } from "../../../src/scheduling/runner-balancing/empty-load-report.ts";
+import { RunnerBalancer } from "../../../src/scheduling/runner-balancing/runner-balancer.ts";
+import type { RunnerEntry } from "../../../src/scheduling/runner-balancing/runner-entry.ts";
 import type { SimulatedNetwork, SimulatedTransport } from "../simulated-network.ts";
 import type { SimulatedProcess } from "../virtual-time.ts";
 import type { SimulatedRowStore } from "./simulated-row-store.ts";
@@ -31,13 +35,17 @@
 export const CONFIGURATION_TABLE = "configuration";
 export const CONFIGURATION_KEY = "newest";
 
+/** The table with one row for each runner. */
+export const RUNNER_TABLE = "runners";
+/** Callers take a stream up within this time after its beginning, in ms. */
+export const STREAM_LIFETIME_MS = 10_000;
+
 const RECORDS: PlatformRecords = {
   configurationTable: CONFIGURATION_TABLE,
   configurationKey: CONFIGURATION_KEY,
-  runnerTable: "runners",
+  runnerTable: RUNNER_TABLE,
   parseConfiguration: (value) => JSON.parse(value.toString("utf8")) as RoutingConfiguration,
-  // The simulation has no runners.
-  parseRunner: () => undefined,
+  parseRunner: (_name, value) => JSON.parse(value.toString("utf8")) as RunnerEntry,
 };
 
 /** The simulation calls the gateway's components directly, not over HTTP. */
@@ -61,6 +69,9 @@
   readonly client: PartitionClient;
   readonly routing: RoutingWatch;
   readonly rates: RateClient;
+  readonly board = new RunnerBalancer();
+  readonly streams: StreamOrigins;
+  readonly #runners: RunnerWatch;
   readonly #rateHost: RateHost;
   readonly #transport: SimulatedTransport<GatewayMessage>;
   readonly #rpc: RpcEndpoint<GatewayRpcSchema>;
@@ -98,6 +109,15 @@
     this.routing = new RoutingWatch(context, health);
     this.#rateHost = new RateHost(context, this.#members, this.#host, this.#rpc);
     this.rates = new RateClient(context, this.#members, this.#host, this.#rpc);
+    this.#runners = new RunnerWatch(context, health, this.board);
+    this.streams = new StreamOrigins({
+      context,
+      members: this.#members,
+      rpc: this.#rpc,
+      transport: this.#transport,
+      versions: this.#runners.versions,
+      streamLifetimeMs: () => STREAM_LIFETIME_MS,
+    });
     this.client = new PartitionClient(context, this.#members, this.#host, this.#rpc, health);
     this.#members.selfReport = () => ({
       state: this.state,
@@ -126,6 +146,8 @@
     this.#registry.start();
     this.#host.start();
     this.#rateHost.start();
+    this.#runners.start();
+    this.streams.start();
   }
 
   /** Stops as planned: announces the stop and releases the owned partitions. */
@@ -153,6 +175,7 @@
     this.#transport.onMessage((message, from) => {
       if (message.type === "heartbeat") this.#members.onHeartbeat(message, from);
       else if (message.type === "memberDigest") this.#members.onDigest(message, from);
+      else if (message.type === "streamsBegun") this.streams.onStreamsBegun(message);
       else if (message.type === "rpcRequest") void this.#rpc.onRequest(message, from);
       else if (message.type === "rpcResponse") this.#rpc.onResponse(message);
     });
