Ask peers for what they have read of the list also for a stream without a name

Change: without a name, any five gateways are asked; a stream's time is twice the longest timeout, 10 s at least.

--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -200,9 +200,10 @@
   readonly streams: readonly BegunStream[];
 }
 
-/** Asks a gateway whether it remembers where a stream began. */
+/** Asks a gateway whether it remembers where a stream began, and what it has read of the versions of the pool. */
 export interface FindStreamRequest {
-  readonly stream: StreamKey;
+  /** Undefined if the caller does not name the request that began the stream. */
+  readonly stream: StreamKey | undefined;
   readonly pool: string;
 }
 
--- a/src/gateway/streams/stream-origins.ts
+++ b/src/gateway/streams/stream-origins.ts
@@ -85,7 +85,7 @@
     if (own?.type === "ambiguous") return { type: "unknown", reason: "two streams have this key" };
     const confirming = this.#confirmList();
     if (own?.type === "known") return this.#verified(own.origin, "here", confirming);
-    const answers = stream === undefined ? [] : this.#askHolders({ stream, pool });
+    const answers = this.#askHolders({ stream, pool });
     const proven = confirming.then((isConfirmed) =>
       isConfirmed ? this.#onlyVersion(pool, this.#ownHistory(pool)) : undefined,
     );
@@ -138,16 +138,17 @@
     const running = this.#running.get(stream);
     if (running) return { type: "known", origin: running.origin };
     const found = this.#table.find(stream, this.#nowMs);
-    return found.type === "absent" ? { type: "absent", onlyVersion: undefined } : found;
+    return found.type === "absent" ? NOT_REMEMBERED : found;
   }
 
   #answer({ stream, pool }: FindStreamRequest): FindStreamResponse {
-    const found = this.#findHere(stream);
+    const found = stream === undefined ? NOT_REMEMBERED : this.#findHere(stream);
     return found.type === "absent" ? { type: "absent", onlyVersion: this.#ownHistory(pool) } : found;
   }
 
+  /** Asks those who remember the stream or, without one, any gateways for what they have read of the list. */
   #askHolders(request: FindStreamRequest): Promise<FindStreamResponse | undefined>[] {
-    return this.#holders(request.stream, ASKED_GATEWAYS).map(async ({ address }) => {
+    return this.#holders(request.stream ?? request.pool, ASKED_GATEWAYS).map(async ({ address }) => {
       const reply = await this.#parts.rpc.ask(address, "findStream", request, ANSWER_TIMEOUT_MS);
       return reply.type === "done" ? reply.body : undefined;
     });
@@ -182,9 +183,9 @@
       this.#parts.transport.send(address, { type: "streamsBegun", streams: begun });
   }
 
-  #holders(stream: StreamKey, count: number): GatewayCandidate[] {
+  #holders(key: string, count: number): GatewayCandidate[] {
     const { context, members } = this.#parts;
-    return preferredOwners(context.hash.hash32(stream), members.originHolders(), count);
+    return preferredOwners(context.hash.hash32(key), members.originHolders(), count);
   }
 
   get #nowMs(): number {
@@ -192,6 +193,7 @@
   }
 }
 
+const NOT_REMEMBERED: FindStreamResponse = { type: "absent", onlyVersion: undefined };
 const UNCONFIRMED = "nobody remembers the stream, and the list of runners can't be confirmed";
 
 type KnownStart =
--- a/src/scheduling/routing/route-table.ts
+++ b/src/scheduling/routing/route-table.ts
@@ -2,8 +2,8 @@
 import type { Route, RoutingConfiguration, RunnerPool } from "./routing-configuration.ts";
 import type { Tenant } from "./tenant.ts";
 
-/** A caller takes a stream up a few times at most, and each time waits no longer than the route allows. */
-const MAX_STREAM_ATTEMPTS = 3;
+/** A caller takes a stream up in its own time, which ends soon after that of the route. */
+const STREAM_LIFETIME_FACTOR = 2;
 const MIN_STREAM_LIFETIME_MS = 10_000;
 
 /** Finds the route of a request: the one with the longest matching path prefix among the routes of its host. */
@@ -29,7 +29,7 @@
     const streaming = all.filter(({ kind }) => kind === "streaming");
     this.#routePriorities = sortedPriorities(streaming);
     const longestMs = Math.max(0, ...streaming.map(({ timeoutMs }) => timeoutMs));
-    this.streamLifetimeMs = Math.max(MIN_STREAM_LIFETIME_MS, MAX_STREAM_ATTEMPTS * longestMs);
+    this.streamLifetimeMs = Math.max(MIN_STREAM_LIFETIME_MS, STREAM_LIFETIME_FACTOR * longestMs);
     for (const routes of this.#byHost.values()) {
       routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
     }
--- a/test/contract/runner-watch.test.ts
+++ b/test/contract/runner-watch.test.ts
@@ -148,6 +148,13 @@
     });
   }
 
+  it("takes an entry with another software version for another start, whatever it says of its start time", async () => {
+    write(RUNNER, { version: "v2" });
+    await time.runUntil(7_000);
+    expect(replaced).toEqual([RUNNER]);
+    expect(board.ready(RUNNER)?.version as string).toEqual("v2");
+  });
+
   it("doesn't carry load and failures of a previous incarnation over to the next", async () => {
     const nowMs = 6_000;
     write(RUNNER, { born: 1_000 });
--- a/test/process/stream-versions.test.ts
+++ b/test/process/stream-versions.test.ts
@@ -3,6 +3,7 @@
 import { expect } from "earl";
 import { RunnerStandin } from "../../standins/platform/runner-standin.ts";
 import { knownRed } from "../support/known-red.ts";
+import { GatewayBuild } from "./support/gateway-build.ts";
 import { GatewayCluster, pause, type TestGateway } from "./support/gateway-cluster.ts";
 import { type ObservedStream, readStream, versionsOf } from "./support/stream-caller.ts";
 import { TestAddresses } from "./support/test-addresses.ts";
@@ -23,15 +24,45 @@
 /** Of the streams that callers take up, this part at least goes on. */
 const MIN_RESUMED_PART = 0.5;
 
+/** Commit of a build whose gateways know no versions of runners. */
+const EARLIER_COMMIT = "a24b2f9";
+
 /** A cluster whose runners are of two versions in turn. */
 class TwoVersionCluster extends GatewayCluster {
-  static override async start(): Promise<TwoVersionCluster> {
-    const cluster = new TwoVersionCluster(new TestAddresses());
+  readonly #earlier: GatewayBuild | undefined;
+
+  private constructor(earlier: GatewayBuild | undefined) {
+    super(new TestAddresses());
+    this.#earlier = earlier;
+  }
+
+  static override start(): Promise<TwoVersionCluster> {
+    return TwoVersionCluster.startWith(undefined);
+  }
+
+  /** @param earlier the build of the first half of the gateways; undefined for the sources of this checkout */
+  static async startWith(earlier: GatewayBuild | undefined): Promise<TwoVersionCluster> {
+    const cluster = new TwoVersionCluster(earlier);
     await cluster.startAll(GATEWAYS, RUNNERS, 0);
     cluster.engines.forEach(slowDown);
     return cluster;
   }
 
+  protected override get initialScript(): string {
+    const isEarlier = this.#earlier !== undefined && this.gateways.length < GATEWAYS / 2;
+    return isEarlier ? this.#earlier.script : super.initialScript;
+  }
+
+  /** Kills the gateways of the earlier build, and starts the present one in their place. */
+  async replaceEarlier(): Promise<void> {
+    const replaced = this.gateways.slice(0, GATEWAYS / 2);
+    await Promise.all(replaced.map((gateway) => gateway.process.kill()));
+    for (const gateway of replaced) {
+      gateway.script = super.initialScript;
+      this.restart(gateway);
+    }
+  }
+
   /** A later start has a later time of birth. */
   override listRunner(runner: RunnerStandin, service: string, state: "ready" | "draining"): void {
     super.listRunner(runner, service, state, { born: this.engines.indexOf(runner) + 1 });
@@ -118,9 +149,10 @@
 const HALF_KILLED = "keeps a stream at its software version when half of the gateways are killed";
 const ALL_KILLED = "keeps a stream at its software version when all gateways are killed and started again";
 const RUNNERS_DIED = "keeps a stream at its software version when runners die within its answer";
+const EARLIER_BUILD_KILLED = "mixes no versions in streams that gateways of an earlier build began";
 const RUNNER_RESTARTED = "does not go on at a runner that has started again with another software version";
 
-describe("streams of runners of two software versions", () => {
+describe("streams of runners of two software versions", async () => {
   afterEach(() => cluster?.stop());
 
   for (const [name, killed] of [
@@ -175,4 +207,19 @@
     expect(mixedStreams(observed)).toEqual([]);
     expectGapless(observed);
   });
+
+  const hasEarlier = await GatewayBuild.isCommitAvailable(EARLIER_COMMIT);
+  const skip = hasEarlier ? false : `the git history of this checkout does not contain ${EARLIER_COMMIT}`;
+  it(EARLIER_BUILD_KILLED, { skip, ...knownRed(EARLIER_BUILD_KILLED) }, async () => {
+    const earlier = await GatewayBuild.ofCommit(EARLIER_COMMIT);
+    try {
+      cluster = await TwoVersionCluster.startWith(earlier);
+      const streams = await cluster.readWhile(cluster.gateways, () => cluster.replaceEarlier());
+      expect(streams.some(({ attempts }) => attempts.length > 1)).toEqual(true);
+      expect(mixedStreams(streams)).toEqual([]);
+      expectGapless(streams);
+    } finally {
+      await earlier.remove();
+    }
+  });
 });
--- a/test/simulation/stream-origins.test.ts
+++ b/test/simulation/stream-origins.test.ts
@@ -107,6 +107,7 @@
     world.start(1);
     await run(READ_MS);
     expect(await find(1)).toEqual({ type: "version", version: V1 });
+    expect(await find(1, undefined)).toEqual({ type: "version", version: V1 });
   });
 
   it("are unknown when all gateways have just started", async () => {
