--- a/bench/mutations.ts
+++ b/bench/mutations.ts
@@ -13,6 +13,7 @@
 import { PLACE_MUTATIONS } from "./mutations/place-mutations.ts";
 import { RUNNER_MUTATIONS } from "./mutations/runner-mutations.ts";
 import { SOAK_MUTATIONS } from "./mutations/soak-mutations.ts";
+import { STREAM_MUTATIONS } from "./mutations/stream-mutations.ts";
 import { TENANT_MUTATIONS } from "./mutations/tenant-mutations.ts";
 
 const COPIED_PATHS = ["src", "platform", "bench", "standins", "test", "package.json", "tsconfig.json"];
@@ -33,6 +34,7 @@
       ...PLACE_MUTATIONS,
       ...RUNNER_MUTATIONS,
       ...SOAK_MUTATIONS,
+      ...STREAM_MUTATIONS,
     ];
     const queue = all.filter((mutation) => !this.only || mutation.name.includes(this.only));
     const results: string[] = [];
--- a/bench/mutations/mutation.ts
+++ b/bench/mutations/mutation.ts
@@ -17,7 +17,7 @@
     | "bench/simulate.ts"
     | "bench/simulate-gateways.ts"
     | "test/soak/main.ts"
-    | `test/contract/${string}.test.ts`;
+    | `test/${"contract" | "simulation" | "process"}/${string}.test.ts`;
   /** Arguments of the simulation or soak under which the fault should show; empty for tests. */
   readonly args: readonly string[];
 }
