Ask and tell gateways that were just lost, too, where a stream began

Callers whose gateway died with half of the fleet were refused by gateways that hear the others through relays: with their relays they had lost everybody, and knew nobody to ask. Cause: only live gateways were candidates. Change: five of those lost in the last 5 s are asked as well, and told while fewer than three are known to live. Candidates of places and of origins are made by one function. Evidence: the simulation counted streams whose gateway ran on, and so passed with nobody told at all (a mutation that was not caught); it now counts those whose gateway was lost.

--- a/bench/mutations/stream-mutations.ts
+++ b/bench/mutations/stream-mutations.ts
@@ -94,14 +94,33 @@
   {
     guarantee: "streams",
     name: "stream: nobody else is told where it began",
-    edits: [{ file: ORIGINS, from: "if (this.#mustTell(origin)) this.#tell(", to: "if (false) this.#tell(" }],
+    edits: [
+      {
+        file: ORIGINS,
+        from: 'this.#parts.transport.send(address, { type: "streamsBegun", streams: begun });',
+        to: "void address;",
+      },
+    ],
     script: "bench/simulate-gateways.ts",
     args: ["--streams", "--faults", "kill-half"],
   },
+  {
+    guarantee: "streams",
+    name: "stream: others are told some time after its first event",
+    edits: [{ file: ORIGINS, from: "if (this.#mustTell(origin)) this.#tell(", to: "if (false) this.#tell(" }],
+    script: SIMULATED,
+    args: [],
+  },
   {
     guarantee: "streams",
     name: "stream: those under way are not told of when another version comes",
-    edits: [{ file: ORIGINS, from: "parts.versions.onListRead = () => this.#tellPending();", to: "" }],
+    edits: [
+      {
+        file: ORIGINS,
+        from: "if (pending.length > 0) this.#tell(pending);",
+        to: "if (pending.length < 0) this.#tell(pending);",
+      },
+    ],
     script: SIMULATED,
     args: [],
   },
--- a/bench/simulation/gateways/run-stream-simulation.ts
+++ b/bench/simulation/gateways/run-stream-simulation.ts
@@ -30,7 +30,7 @@
   /** Streams that callers took up at any gateway, and those of them that were refused. */
   resumed: number;
   refused: number;
-  /** The same at gateways in touch, while two runners of their version served. */
+  /** The same of streams whose gateway was lost, at gateways in touch, while two runners of their version served. */
   inTouch: number;
   refusedInTouch: number;
   /** Violated guarantees. */
@@ -90,7 +90,7 @@
     time.after(random.unit() * STREAM_MS, () => {
       const isLost = !gateway.serves;
       gateway.streams.recordEnd(key, !isReset && !isLost);
-      if (isReset || isLost) time.after(RETRY_MS, () => void this.#takeUp(key, runner));
+      if (isReset || isLost) time.after(RETRY_MS, () => void this.#takeUp(key, runner, isLost));
     });
   }
 
@@ -100,12 +100,13 @@
     return ready[this.#world.random.below(Math.max(1, ready.length))];
   }
 
-  async #takeUp(key: StreamKey, { version }: RunnerEntry): Promise<void> {
+  async #takeUp(key: StreamKey, { version }: RunnerEntry, isLost: boolean): Promise<void> {
     const gateway = this.#world.drawServing();
     if (!gateway) return;
     const index = this.#world.gateways.indexOf(gateway);
     const isInTouch = this.#world.reachability.isReachable(index, this.#world.time.nowMs);
-    const isCounted = isInTouch && this.#runners.serving(version) > 1;
+    // A gateway that runs on remembers its streams itself.
+    const isCounted = isLost && isInTouch && this.#runners.serving(version) > 1;
     const verdict = await gateway.streams.find(key, POOL);
     if (!gateway.process.alive) return;
     const observations = this.#observations;
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -31,7 +31,7 @@
 import { isSameStatus } from "./is-same-status.ts";
 import type { Member } from "./member.ts";
 import { MemberView } from "./member-view.ts";
-import { supportsFeature } from "./protocol-feature.ts";
+import { type ProtocolFeature, supportsFeature } from "./protocol-feature.ts";
 import { PROTOCOL_VERSION } from "./protocol-version.ts";
 import { zoneLoadSource } from "./zone-load-source.ts";
 
@@ -49,6 +49,9 @@
 /** With fewer ready gateways than this in its zone, a caller receives the gateways of all zones. */
 const MIN_ZONE_GATEWAYS = 2;
 
+/** How long a lost gateway may still be asked for what it remembers, in ms: until others have taken the place of relays. */
+const MAX_LOST_HOLDER_AGE_MS = 5_000;
+
 /** What a gateway reports about itself in its heartbeats. */
 export interface SelfReport {
   readonly state: GatewayState;
@@ -301,20 +304,20 @@
    * to support places.
    */
   dispatcherCandidates(): GatewayCandidate[] {
-    const candidates = this.#view
-      .alive()
-      .filter(({ status }) => status.state === "ready" && supportsFeature(status, "places"))
-      .map(({ status, hash, instance, address }) => ({ name: status.name, hash, instance, address }));
+    const ready = this.#view.alive().filter(({ status }) => status.state === "ready");
+    const candidates = candidatesWith("places", ready);
     if (this.selfReport().state === "ready") candidates.push(this.#ownCandidate);
     return candidates;
   }
 
   /** Returns the other gateways that remember where streams began. */
   originHolders(): GatewayCandidate[] {
-    return this.#view
-      .alive()
-      .filter(({ status }) => supportsFeature(status, "streamOrigins"))
-      .map(({ status, hash, instance, address }) => ({ name: status.name, hash, instance, address }));
+    return candidatesWith("streamOrigins", this.#view.alive());
+  }
+
+  /** Returns those that did and are considered lost, but may still run. */
+  lostOriginHolders(): GatewayCandidate[] {
+    return candidatesWith("streamOrigins", this.#view.recentlyLost(MAX_LOST_HOLDER_AGE_MS));
   }
 
   get #ownCandidate(): GatewayCandidate {
@@ -437,3 +440,10 @@
 function isEligible(status: Pick<MemberStatus, "state" | "storeReachable">): boolean {
   return status.state === "ready" && status.storeReachable;
 }
+
+/** The gateways among `members` that support a feature. */
+function candidatesWith(feature: ProtocolFeature, members: readonly Member[]): GatewayCandidate[] {
+  return members
+    .filter(({ status }) => supportsFeature(status, feature))
+    .map(({ status, hash, instance, address }) => ({ name: status.name, hash, instance, address }));
+}
--- a/src/gateway/members/member-view.ts
+++ b/src/gateway/members/member-view.ts
@@ -64,6 +64,17 @@
     return this.#alive.members;
   }
 
+  /**
+   * Returns the gateways that are no longer alive since `withinMs` at most. Some of them may still run: a gateway that hears
+   * the others through relays considers all of them lost when those relays die.
+   */
+  recentlyLost(withinMs: number): Member[] {
+    return [...this.#members.values()].filter(({ instance }) => {
+      const lostAtMs = this.#lostAtMs.get(instance);
+      return lostAtMs !== undefined && this.#nowMs - lostAtMs <= withinMs;
+    });
+  }
+
   /** Returns an incarnation if it is alive. */
   aliveIncarnation(instance: string): Member | undefined {
     return this.#alive.byInstance.get(instance);
--- a/src/gateway/streams/stream-origins-parts.ts
+++ b/src/gateway/streams/stream-origins-parts.ts
@@ -8,7 +8,7 @@
 /** Dependencies of the memory of where streams began. */
 export interface StreamOriginsParts {
   readonly context: GatewayContext;
-  readonly members: Pick<MemberDirectory, "originHolders">;
+  readonly members: Pick<MemberDirectory, "originHolders" | "lostOriginHolders">;
   readonly rpc: RpcEndpoint<GatewayRpcSchema>;
   readonly transport: Pick<Transport<GatewayMessage>, "send">;
   readonly versions: RunnerVersions;
--- a/src/gateway/streams/stream-origins.ts
+++ b/src/gateway/streams/stream-origins.ts
@@ -148,7 +148,13 @@
 
   /** Asks those who remember the stream or, without one, any gateways for what they have read of the list. */
   #askHolders(request: FindStreamRequest): Promise<FindStreamResponse | undefined>[] {
-    return this.#holders(request.stream ?? request.pool, ASKED_GATEWAYS).map(async ({ address }) => {
+    const { members } = this.#parts;
+    const key = request.stream ?? request.pool;
+    const asked = [
+      ...this.#preferred(key, members.originHolders(), ASKED_GATEWAYS),
+      ...this.#preferred(key, members.lostOriginHolders(), ASKED_GATEWAYS),
+    ];
+    return asked.map(async ({ address }) => {
       const reply = await this.#parts.rpc.ask(address, "findStream", request, ANSWER_TIMEOUT_MS);
       return reply.type === "done" ? reply.body : undefined;
     });
@@ -173,7 +179,7 @@
     const byAddress = new Map<string, BegunStream[]>();
     for (const [stream, running] of streams) {
       running.isTold = true;
-      for (const { address } of this.#holders(stream, COPIES)) {
+      for (const { address } of this.#holdersOf(stream)) {
         const begun = byAddress.get(address) ?? [];
         byAddress.set(address, begun);
         begun.push({ stream, ...running.origin });
@@ -183,9 +189,16 @@
       this.#parts.transport.send(address, { type: "streamsBegun", streams: begun });
   }
 
-  #holders(key: string, count: number): GatewayCandidate[] {
-    const { context, members } = this.#parts;
-    return preferredOwners(context.hash.hash32(key), members.originHolders(), count);
+  /** The gateways to tell: those that are alive or, while hardly any is known to be, also those that may be. */
+  #holdersOf(stream: StreamKey): GatewayCandidate[] {
+    const { members } = this.#parts;
+    const alive = members.originHolders();
+    const candidates = alive.length < COPIES ? [...alive, ...members.lostOriginHolders()] : alive;
+    return this.#preferred(stream, candidates, COPIES);
+  }
+
+  #preferred(key: string, candidates: readonly GatewayCandidate[], count: number): GatewayCandidate[] {
+    return preferredOwners(this.#parts.context.hash.hash32(key), candidates, count);
   }
 
   get #nowMs(): number {
--- a/test/simulation/stream-origins.test.ts
+++ b/test/simulation/stream-origins.test.ts
@@ -22,6 +22,8 @@
 const ORIGIN: StreamOrigin = { pool: POOL, version: V1, runner: RUNNER };
 /** Longer than any question, in ms. */
 const ANSWER_MS = 1_000;
+/** Time after which a caller comes to another gateway, in ms. */
+const RETRY_MS = 20;
 /** Longer than the time between two reads of the list, in ms. */
 const READ_MS = 1_500;
 
@@ -76,6 +78,15 @@
     }
   });
 
+  it("are told to others with the first event while there are several versions", async () => {
+    list("r3", V2);
+    await run(READ_MS);
+    gateway(0).streams.recordBegin(KEY, ORIGIN);
+    gateway(0).process.kill();
+    await run(RETRY_MS);
+    expect((await find(1))?.type).toEqual("origin");
+  });
+
   it("are unknown when another version is listed that this gateway has not read of yet", async () => {
     list("r3", V2);
     expect((await find(1))?.type).toEqual("unknown");
