Log what told the end of a runner's answer, and where it ended

Each try now has framing, lastEvent and unfinishedBytes; tulipwheel_gateway_answer_ends_total counts ends by framing. No decision is changed.

--- a/src/gateway/calls/buffered-call.ts
+++ b/src/gateway/calls/buffered-call.ts
@@ -27,6 +27,7 @@
     const isStarted = this.startAttempt(runner, this.exchange.body, this.call.lastEventId, {
       onHead: (answer) => {
         head = answer;
+        this.recordHead(answer);
       },
       onData: (chunk) => {
         chunks.push(chunk);
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -4,6 +4,7 @@
  */
 
 import type { CallContext } from "../../ports/call-protocol.ts";
+import type { HttpAnswerHead } from "../../ports/http/http-exchange.ts";
 import type { TimerHandle } from "../../runtime/clock.ts";
 import { canFinishInTime } from "../../scheduling/admission/can-finish-in-time.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
@@ -337,6 +338,12 @@
     return true;
   }
 
+  /** Records how the end of the current attempt's answer will be told. */
+  protected recordHead({ framing }: HttpAnswerHead): void {
+    const last = this.record.tries.at(-1);
+    if (last) last.framing = framing;
+  }
+
   /** Records that an attempt got no answer. */
   protected recordFailure(runner: RunnerEntry, failure: AttemptFailure): void {
     if (failure.type === "broken") this.mayHaveRun.add(runner.id);
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt of a call at one runner: sends the request, and interprets the answer. */
 import type { CallContext } from "../../ports/call-protocol.ts";
+import type { BodyFraming } from "../../ports/http/body-framing.ts";
 import {
   type HttpAnswerHead,
   type HttpExchange,
@@ -92,6 +93,7 @@
   readonly #load: number;
   #isOver = false;
   #status = 0;
+  #framing: BodyFraming = "connection";
   #firstByteMs = 0;
   #chunkCount = 0;
   /** Status of an answer which states that the request was not run; its body is read and discarded. */
@@ -161,6 +163,7 @@
       return false;
     }
     this.#status = head.status;
+    this.#framing = head.framing;
     this.#pending.answered = true;
     this.#firstByteMs = this.#nowMs;
     if (answer.notRun) this.#notRunStatus = head.status;
@@ -180,6 +183,7 @@
       return;
     }
     if (this.#isOver) return;
+    this.#parts.context.metrics.recordAnswerEnd(this.#framing, "ended");
     this.#recordTiming();
     this.#finish(this.#status < FIRST_SERVER_ERROR ? "success" : "failure");
     this.#listener.onEnd();
@@ -192,6 +196,8 @@
 
   #fail(failure: AttemptFailure): void {
     if (this.#isOver) return;
+    if (failure.type === "broken" && this.#pending.answered)
+      this.#parts.context.metrics.recordAnswerEnd(this.#framing, "broken");
     this.#finish(failure.type === "broken" ? "failure" : "abandoned");
     const { board } = this.#parts;
     if (failure.type === "notRun" && failure.status === MISDIRECTED) board.markLeaving(this.runner.id);
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -247,6 +247,7 @@
     return {
       onHead: (answer) => {
         head = answer;
+        this.recordHead(answer);
         this.#setLastRunner(runner);
       },
       onData: (chunk) => {
@@ -255,13 +256,25 @@
         if (this.exchange.isFull) this.#setRunnerPaused(true);
       },
       onEnd: () => {
+        this.#recordStreamEnd();
         if (failed()) this.#forwardFailure(runner, head, Buffer.concat(failedBody));
         else void this.#complete(head);
       },
-      onFailed: (failure) => this.#onFailed(runner, failure),
+      onFailed: (failure) => {
+        this.#recordStreamEnd();
+        this.#onFailed(runner, failure);
+      },
     };
   }
 
+  /** Records where the answer of the current attempt has ended. */
+  #recordStreamEnd(): void {
+    const last = this.record.tries.at(-1);
+    if (!last) return;
+    if (this.#lastEventId !== undefined) last.lastEvent = this.#lastEventId;
+    if (this.#splitter.rest.length > 0) last.unfinishedBytes = this.#splitter.rest.length;
+  }
+
   #forward(event: StreamEvent, head: HttpAnswerHead | undefined, runner: RunnerEntry): void {
     const last = this.#lastEventId;
     if (event.id !== undefined && last !== undefined && event.id <= last) return;
--- a/src/gateway/telemetry/attempt-record.ts
+++ b/src/gateway/telemetry/attempt-record.ts
@@ -1,3 +1,5 @@
+import type { BodyFraming } from "../../ports/http/body-framing.ts";
+
 /** One attempt to run a call at a runner. */
 export interface AttemptRecord {
   readonly runner: string;
@@ -13,6 +15,12 @@
   readonly atMs: number;
   /** Duration of the attempt in ms; undefined while it is in progress. */
   elapsedMs?: number;
+  /** What tells the end of the runner's answer; undefined if no answer has begun. */
+  framing?: BodyFraming;
+  /** Id of the last event that the caller has; undefined if it has none, or if the answer is no stream. */
+  lastEvent?: number;
+  /** Bytes of an unfinished event at the end of the runner's answer; undefined if there were none. */
+  unfinishedBytes?: number;
   /** Why the attempt gave no answer. */
   failure?: string;
 }
--- a/src/gateway/telemetry/gateway-metrics.ts
+++ b/src/gateway/telemetry/gateway-metrics.ts
@@ -1,3 +1,4 @@
+import type { BodyFraming } from "../../ports/http/body-framing.ts";
 import type { CallEnd } from "./call-end.ts";
 import type { DispatchedPlaces } from "./dispatched-places.ts";
 import type { GatewayGauges } from "./gateway-gauges.ts";
@@ -9,6 +10,8 @@
   abstract recordCall(route: string, end: CallEnd, elapsedMs: number, firstByteMs: number | undefined): void;
   /** Records a finished attempt at a runner. */
   abstract recordAttempt(outcome: string, elapsedMs: number): void;
+  /** Records that a runner's answer has ended or was broken off, and what tells its end. */
+  abstract recordAnswerEnd(framing: BodyFraming, end: "ended" | "broken"): void;
   /** Records the expected duration of an attempt that has started. */
   abstract recordExpectedAttemptTime(expectedMs: number): void;
   /** Records the zone of a gateway that the directory has named to a caller; the caller's zone may be unknown. */
--- a/src/gateway/telemetry/no-metrics.ts
+++ b/src/gateway/telemetry/no-metrics.ts
@@ -4,6 +4,7 @@
 export class NoMetrics extends GatewayMetrics {
   override recordCall(): void {}
   override recordAttempt(): void {}
+  override recordAnswerEnd(): void {}
   override recordExpectedAttemptTime(): void {}
   override recordNamedGateway(): void {}
   override recordAdmission(): void {}
--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -1,5 +1,6 @@
 /** Collects counters, gauges and latency histograms, and serves them as Prometheus text at the metrics address. */
 import { Counter, Gauge, Histogram } from "prom-client";
+import type { BodyFraming } from "../../ports/http/body-framing.ts";
 import { ProcessMetrics } from "../../telemetry/metrics.ts";
 import { MetricsServer } from "../../telemetry/metrics-server.ts";
 import type { CallEnd } from "./call-end.ts";
@@ -32,6 +33,12 @@
     CALL_BUCKETS_S,
     "outcome",
   );
+  readonly #answerEnds = new Counter({
+    name: "tulipwheel_gateway_answer_ends_total",
+    help: "Ends of runners' answers, by what tells the end (length, chunks, connection, none): ended or broken",
+    labelNames: ["framing", "end"],
+    registers: [],
+  });
   readonly #expectedAttemptTimes = histogram(
     "try_expected_seconds",
     "Expected duration of an attempt at a runner",
@@ -132,6 +139,10 @@
     this.#attemptTimes.observe({ outcome }, elapsedMs / MS_PER_S);
   }
 
+  override recordAnswerEnd(framing: BodyFraming, end: "ended" | "broken"): void {
+    this.#answerEnds.inc({ framing, end });
+  }
+
   override recordExpectedAttemptTime(expectedMs: number): void {
     this.#expectedAttemptTimes.observe(expectedMs / MS_PER_S);
   }
@@ -226,6 +237,7 @@
       this.#callTimes,
       this.#firstByteTimes,
       this.#attemptTimes,
+      this.#answerEnds,
       this.#expectedAttemptTimes,
       this.#namedGateways,
       this.#admissionTimes,
--- a/src/ports/http/http-exchange.ts
+++ b/src/ports/http/http-exchange.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher, Pool } from "undici";
 import type { RawHeaders } from "../call-protocol.ts";
+import { type BodyFraming, bodyFramingOf } from "./body-framing.ts";
 
 /** An HTTP request with its whole body. */
 export interface HttpRequest {
@@ -16,6 +17,7 @@
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly rawHeaders: RawHeaders;
+  readonly framing: BodyFraming;
 }
 
 /** Receives the answer to a request. After `onEnd` or `onFailed`, no method is called any more. */
@@ -44,7 +46,7 @@
 
 /** Sends a request. The listener receives the answer. */
 export function sendRequest(pool: Pool, request: HttpRequest, listener: HttpExchangeListener): HttpExchange {
-  const handler = new ExchangeHandler(listener);
+  const handler = new ExchangeHandler(request.method, listener);
   pool.dispatch(
     {
       method: request.method as Dispatcher.HttpMethod,
@@ -60,12 +62,14 @@
 }
 
 class ExchangeHandler implements Dispatcher.DispatchHandler, HttpExchange {
+  readonly #method: string;
   readonly #listener: HttpExchangeListener;
   #controller: Dispatcher.DispatchController | undefined;
   #finished = false;
   #aborted = false;
 
-  constructor(listener: HttpExchangeListener) {
+  constructor(method: string, listener: HttpExchangeListener) {
+    this.#method = method;
     this.#listener = listener;
   }
 
@@ -97,7 +101,8 @@
     if (this.#finished || status < 200) return;
     const raw = (controller.rawHeaders ?? []) as (Buffer | string)[];
     const rawHeaders = raw.map((item) => (typeof item === "string" ? item : item.toString("latin1")));
-    if (!this.#listener.onHead({ status, headers, rawHeaders })) this.abort();
+    const framing = bodyFramingOf(this.#method, status, headers);
+    if (!this.#listener.onHead({ status, headers, rawHeaders, framing })) this.abort();
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
