Reset the connection of a caller that can't see a break in the framing

A caller of HTTP/1.0 knows no chunks: its answer ends with its connection, and one that the gateway broke off ended in order, as a whole one does. Change: where neither chunks nor a length tell the end, a broken answer ends by a reset; so do answers that are not complete when the time of a planned stop is over, because the kernel ends connections of a process in order. Left: a gateway that is killed ends such connections in order; nothing in the process can change that.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -310,6 +310,7 @@
     while (this.#ingress.active > 0 && clock.monotonicMs() < deadlineMs)
       await delay(clock, STOP_POLL_INTERVAL_MS);
     log.info({ active: this.#ingress.active, connections: this.#ingress.connections }, "stopped");
+    this.#ingress.breakOffUnfinished();
     this.#context.metrics.close();
     await this.#transport.close();
     // Lines are written in batches. A stalled reader of standard output must not delay the stop.
--- a/src/gateway/ingress/caller-exchange.ts
+++ b/src/gateway/ingress/caller-exchange.ts
@@ -33,6 +33,8 @@
   #ended = false;
   #gone = false;
   #cut = false;
+  /** Whether only the end of the connection tells the caller that the answer is over. */
+  #endsWithConnection = false;
   #onGone: () => void = () => undefined;
   #onDrain: () => void = () => undefined;
   /** Pieces that have not been passed to the operating system yet, oldest first. */
@@ -151,6 +153,7 @@
   start(status: number, headers: RawHeaders): void {
     if (this.#ended || this.#gone) return;
     this.#writeHead(status, withoutContentLength(headers));
+    this.#endsWithConnection = !this.#response.chunkedEncoding;
   }
 
   /** Sends a piece of the body. */
@@ -174,7 +177,20 @@
   abort(): void {
     if (this.#ended) return;
     this.#ended = true;
-    this.#response.destroy();
+    this.#breakConnection();
+  }
+
+  /** Breaks off what has not been sent of the answer, also if it was ended. */
+  breakOff(): void {
+    this.#ended = true;
+    if (!this.#response.writableFinished) this.#breakConnection();
+  }
+
+  /** Ends the connection in a way that shows that the answer is not complete: by a reset if its framing can't. */
+  #breakConnection(): void {
+    const { socket } = this.#response;
+    if (this.#endsWithConnection && socket) socket.resetAndDestroy();
+    else this.#response.destroy();
   }
 
   #writeHead(status: number, headers: string[]): void {
@@ -221,7 +237,7 @@
   /** Ends the connection of a caller that reads nothing, and drops the data that waits for it. */
   #cutConnection(): void {
     this.#cut = true;
-    this.#response.destroy();
+    this.#breakConnection();
     // The connection closes later, and nothing that the call does until then may reach the caller.
     this.#onClose();
   }
--- a/src/gateway/ingress/ingress-server.ts
+++ b/src/gateway/ingress/ingress-server.ts
@@ -43,6 +43,8 @@
   readonly #limiter: BufferLimiter;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  /** The requests that were read and whose answers are not complete yet. */
+  readonly #exchanges = new Set<CallerExchange>();
   #limits = INITIAL_LIMITS;
   #active = 0;
   #stopping = false;
@@ -100,6 +102,11 @@
     this.#server.closeIdleConnections();
   }
 
+  /** Breaks off the answers that are not complete, before the process ends: its end alone does not show that they are not. */
+  breakOffUnfinished(): void {
+    for (const exchange of this.#exchanges) exchange.breakOff();
+  }
+
   #applyLimits(limits: CallerLimits): void {
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
@@ -108,14 +115,21 @@
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = this.#context.clock.monotonicMs();
     this.#active += 1;
+    const head = headOf(request, arrivedAtMs);
+    const buffers = new CallerBuffers(this.#limiter);
+    let exchange: CallerExchange | undefined;
+    let isClosed = false;
     response.on("close", () => {
+      isClosed = true;
       this.#active -= 1;
+      buffers.close();
+      if (exchange) this.#exchanges.delete(exchange);
     });
-    const head = headOf(request, arrivedAtMs);
-    const buffers = new CallerBuffers(this.#limiter);
-    response.on("close", () => buffers.close());
-    const createExchange = (body: Buffer) =>
-      new CallerExchange(request, response, body, head, buffers, () => this.#stopping);
+    const createExchange = (body: Buffer) => {
+      exchange = new CallerExchange(request, response, body, head, buffers, () => this.#stopping);
+      if (!isClosed) this.#exchanges.add(exchange);
+      return exchange;
+    };
     const verdict = this.onHead(head);
     if (verdict.type === "refuse") return createExchange(NO_BODY).refuse(verdict.problem);
     const outcome = await readBody(request, this.#limits.bodyBytes, buffers);
--- a/test/process/answers-cut-short.test.ts
+++ b/test/process/answers-cut-short.test.ts
@@ -7,6 +7,7 @@
 import { newRequestId } from "./support/gateway-caller.ts";
 import { GatewayCluster, PATHS, pause, type TestGateway } from "./support/gateway-cluster.ts";
 import { type RawAnswer, type RawRequest, sendRaw } from "./support/raw-caller.ts";
+import { TestAddresses } from "./support/test-addresses.ts";
 
 const EVENTS = 6;
 const RUNNERS = 2;
@@ -34,6 +35,19 @@
   { framing: "own", cut: undefined, end: "fin" },
 ];
 
+/** A cluster whose gateways stop in less time than a stream takes. */
+class ShortStopCluster extends GatewayCluster {
+  static override async start(): Promise<ShortStopCluster> {
+    const started = new ShortStopCluster(new TestAddresses());
+    await started.startAll(1, RUNNERS, 0);
+    return started;
+  }
+
+  protected override get extraSettings(): object {
+    return { timing: { stopMs: 700, lingerMs: 100 } };
+  }
+}
+
 let cluster: GatewayCluster;
 
 function gateway(): TestGateway {
@@ -113,6 +127,7 @@
   betweenEvents: "goes on with a stream whose runner closed the connection between two events",
   visible: "goes on with a stream whose break shows in its framing",
   wholeStream: "completes a stream that ends with its connection at every run, after a second run agrees",
+  stopRunsOut: "resets the connection of a caller without chunks when a planned stop runs out of time",
   callersWithoutChunks: "resets the connection of a caller without chunks when its stream breaks",
   retained: "keeps no turn whose answer was cut short",
   unsafePlain: "states no length for a plain answer that ended with its connection",
@@ -199,6 +214,18 @@
     expect([broken.status, broken.end]).toEqual([200, "broken"]);
   });
 
+  it(NAMES.stopRunsOut, knownRed(NAMES.stopRunsOut), async () => {
+    await cluster.stop();
+    cluster = await ShortStopCluster.start();
+    for (const runner of cluster.engines) Object.assign(runner, { events: 200, stepMs: 20 });
+    const reading = sendOne(streamRequest(PATHS.turn, { version: "1.0" }));
+    await pause(200);
+    gateway().process.signal("SIGTERM");
+    const answer = await reading;
+    expect([answer.status, answer.end]).toEqual([200, "broken"]);
+    expect(eventNumbers(answer).length > 0).toEqual(true);
+  });
+
   it(NAMES.retained, knownRed(NAMES.retained), async () => {
     for (const runner of cluster.engines) runner.events = 100;
     endAnswersWith({ framing: "connection", cut: { afterEvents: 1, bytes: 8 }, end: "fin" });
