State no length for a plain answer that ended with its connection

Cause: the gateway gave each collected answer a length, also one whose end nobody had vouched for; failures of streams alike. Change: such an answer goes to the caller as it came, without a length, and ends with its connection. A safe call is run again first, within the route's attempts and half of the time left, to get an answer whose end is certain; a pool most of whose answers end so is spared that. A time that may be of a part only is not recorded. Answers without a body keep their own headers; 204 gets no length (9110, 8.6).

--- a/src/gateway/calls/buffered-call.ts
+++ b/src/gateway/calls/buffered-call.ts
@@ -1,14 +1,31 @@
 /**
  * A call whose answer is collected whole before it is sent to the caller. The call is run again only if its route declares
- * that to be safe.
+ * that to be safe. An answer that ended with its connection may be short: such a call is run again to get one whose end is
+ * certain, and an answer that stays uncertain is sent without stating its end.
  */
 
 import type { HttpAnswerHead } from "../../ports/http/http-exchange.ts";
+import type { TimerHandle } from "../../runtime/clock.ts";
 import type { RunnerEntry } from "../../scheduling/runner-balancing/runner-entry.ts";
 import { RoutedCall } from "./routed-call.ts";
 import type { AttemptFailure } from "./runner-attempt.ts";
 
+const FIRST_FAILURE_STATUS = 300;
+const FIRST_SERVER_ERROR = 500;
+/** Fraction of the time left for which an uncertain answer is held back for another run. */
+const MAX_SECOND_RUN_FRACTION = 0.5;
+
+/** A runner's answer with its whole body, as far as that arrived. */
+interface CollectedAnswer {
+  readonly head: HttpAnswerHead;
+  readonly body: Buffer;
+}
+
 export class BufferedCall extends RoutedCall {
+  /** An answer that may be short, while another run may give a certain one. */
+  #uncertain: CollectedAnswer | undefined;
+  #secondRunTimer: TimerHandle | undefined;
+
   protected override begin(): void {
     this.tryNext();
   }
@@ -36,7 +53,10 @@
           this.failWithUnknownOutcome("there is no memory for the answer");
       },
       findDefect: () => undefined,
-      onEnd: () => this.#answer(head, Buffer.concat(chunks)),
+      onEnd: () => {
+        if (head) this.#onAnswer(runner, { head, body: Buffer.concat(chunks) });
+        else this.failWithUnknownOutcome("an answer without a head");
+      },
       onFailed: (failure) => this.#onFailed(runner, failure),
     });
     if (!isStarted) this.#giveUp("too many runners refused the call");
@@ -47,17 +67,47 @@
     return this.route.kind === "safe" && ran.size < this.route.maxAttempts;
   }
 
-  #answer(head: HttpAnswerHead | undefined, body: Buffer): void {
-    if (!head) return this.failWithUnknownOutcome("an answer without a head");
-    const { calls } = this.parts.context.platform;
-    this.exchange.answer(head.status, calls.headersForCaller(head.rawHeaders), body);
+  protected override onFinished(): void {
+    if (this.#secondRunTimer) this.parts.context.clock.cancel(this.#secondRunTimer);
+  }
+
+  /** Ends the call with an error, or with an answer that may be short: the caller learns more from that. */
+  protected override fail(status: number, kind: string, detail: string, retryAfterMs?: number): void {
+    if (this.#uncertain && !this.isOver) this.#answer(this.#uncertain);
+    else super.fail(status, kind, detail, retryAfterMs);
+  }
+
+  #onAnswer(runner: RunnerEntry, answer: CollectedAnswer): void {
+    const { connectionEnds } = this.parts;
+    connectionEnds.record(this.pool.name, answer.head.framing === "connection");
+    if (this.#needsSecondRun(runner, answer.head)) this.#runAgain(runner, answer);
+    else this.#answer(this.#uncertain ? moreCertainOf(this.#uncertain, answer) : answer);
+  }
+
+  #needsSecondRun(runner: RunnerEntry, { framing, status }: HttpAnswerHead): boolean {
+    if (framing !== "connection" || status >= FIRST_FAILURE_STATUS || this.#uncertain) return false;
+    return this.mayRetryElsewhere(runner) && !this.parts.connectionEnds.areUsual(this.pool.name);
+  }
+
+  #runAgain(runner: RunnerEntry, answer: CollectedAnswer): void {
+    this.#uncertain = answer;
+    this.doubtEnd(runner);
+    this.excluded.add(runner.id);
+    this.#secondRunTimer = this.parts.context.clock.schedule(this.leftMs * MAX_SECOND_RUN_FRACTION, () =>
+      this.#answer(answer),
+    );
+    this.tryNext();
+  }
+
+  #answer({ head, body }: CollectedAnswer): void {
+    this.forwardAnswer(head, body);
     this.record.firstByteMs = this.elapsedMs;
     this.finish({ status: head.status, kind: "answered" });
   }
 
   #onFailed(runner: RunnerEntry, failure: AttemptFailure): void {
     this.attempt = undefined;
-    this.exchange.buffers.set("collected", 0);
+    this.exchange.buffers.set("collected", this.#uncertain?.body.length ?? 0);
     this.recordFailure(runner, failure);
     if (failure.type !== "broken") return this.tryNext();
     const mayRepeat = this.route.kind === "safe" && this.mayHaveRun.size < this.route.maxAttempts;
@@ -71,3 +121,10 @@
     else this.refuse("overloaded", detail);
   }
 }
+
+/** The answer that says more: one whose end is certain, unless its runner failed, else the longer one. */
+function moreCertainOf(uncertain: CollectedAnswer, later: CollectedAnswer): CollectedAnswer {
+  if (later.head.status >= FIRST_SERVER_ERROR) return uncertain;
+  const isCertain = later.head.framing !== "connection";
+  return isCertain || later.body.length >= uncertain.body.length ? later : uncertain;
+}
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -391,6 +391,15 @@
     return Math.round(this.parts.context.clock.monotonicMs() - this.exchange.arrivedAtMs);
   }
 
+  /** Sends a runner's answer to the caller, and states no more about its end than the runner did. */
+  protected forwardAnswer(head: HttpAnswerHead, body: Buffer): void {
+    const { status, framing } = head;
+    const headers = this.parts.context.platform.calls.headersForCaller(head.rawHeaders);
+    if (framing === "none") this.exchange.answerWithoutBody(status, headers);
+    else if (framing === "connection") this.exchange.answerUnframed(status, headers, body);
+    else this.exchange.answer(status, headers, body);
+  }
+
   /** Ends the call with a refusal: no runner has run it, and none will. */
   protected refuse(kind: string, detail: string, retryAfterMs = RETRY_AFTER_MS): void {
     const { random } = this.parts.context;
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -8,6 +8,7 @@
   sendRequest,
 } from "../../ports/http/http-exchange.ts";
 import type { TenantName } from "../../scheduling/ids/tenant-name.ts";
+import type { ConnectionEnds } from "../../scheduling/runner-balancing/connection-ends.ts";
 import type { PendingRequest } from "../../scheduling/runner-balancing/pending-request.ts";
 import type { RequestOutcome } from "../../scheduling/runner-balancing/request-outcome.ts";
 import type { RunnerBalancer } from "../../scheduling/runner-balancing/runner-balancer.ts";
@@ -51,6 +52,7 @@
   readonly buffers: BufferLimiter;
   readonly versions: RunnerVersions;
   readonly streams: StreamOrigins;
+  readonly connectionEnds: ConnectionEnds;
 }
 
 /** What an attempt sends, and what is known about it. */
@@ -223,6 +225,7 @@
   #recordTiming(): void {
     const { streaming, work, isCached, call } = this.#request;
     if (streaming && this.#chunkCount < MIN_TIMED_EVENTS) return;
+    if (!streaming && this.#mayBeShort) return;
     const nowMs = this.#nowMs;
     const { startedAtMs } = this.#pending;
     const timing = {
@@ -237,6 +240,11 @@
     this.#parts.board.recordTiming(this.runner.id, timing, nowMs);
   }
 
+  /** Whether the answer may be a part only, whose time says nothing about the runner. */
+  get #mayBeShort(): boolean {
+    return this.#framing === "connection" && !this.#parts.connectionEnds.areUsual(this.runner.pool);
+  }
+
   get #nowMs(): number {
     return this.#parts.context.clock.monotonicMs();
   }
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -32,6 +32,7 @@
 const PAYMENT_REQUIRED = 402;
 const NOT_FOUND = 404;
 const FIRST_FAILURE_STATUS = 300;
+const NO_BODY = Buffer.alloc(0);
 /** Maps each byte to one character and back, so that inputs and outputs are retained byte for byte. */
 const ENCODING = "latin1";
 
@@ -361,19 +362,19 @@
     if (this.#sentHead || !head) {
       return this.#onFailed(runner, { type: "broken", detail: `status ${head?.status} in mid-stream` });
     }
-    const { calls } = this.parts.context.platform;
-    this.exchange.answer(head.status, calls.headersForCaller(head.rawHeaders), body);
+    this.forwardAnswer(head, body);
     this.finish({ status: head.status, kind: "runner-failed" });
   }
 
   async #complete(head: HttpAnswerHead | undefined): Promise<void> {
     this.attempt = undefined;
     this.endAttempt();
-    this.#sendHead(head);
+    if (head?.framing === "none" && !this.#sentHead) this.forwardAnswer(head, NO_BODY);
+    else this.#sendHead(head);
     if (this.#admitted && this.route.retainsTurns && !(await this.#retain())) return;
     this.exchange.end();
     this.#isComplete = true;
-    this.finish({ status: this.#sentHead?.status ?? 0, kind: "answered" });
+    this.finish({ status: (this.#sentHead ?? head)?.status ?? 0, kind: "answered" });
   }
 
   /** Has the turn stored before its answer ends; returns false if the call has ended without that. */
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -7,6 +7,7 @@
 import type { Sender } from "../runtime/transport.ts";
 import type { BufferReason } from "../scheduling/buffers/buffer-reason.ts";
 import { FULL_HEADROOM } from "../scheduling/caller-spread/headroom.ts";
+import { ConnectionEnds } from "../scheduling/runner-balancing/connection-ends.ts";
 import { CostByLoad } from "../scheduling/runner-balancing/cost-by-load.ts";
 import { CostByTime } from "../scheduling/runner-balancing/cost-by-time.ts";
 import { RunnerBalancer } from "../scheduling/runner-balancing/runner-balancer.ts";
@@ -132,6 +133,7 @@
       buffers: this.#buffers,
       versions: this.#runners.versions,
       streams: this.#streams,
+      connectionEnds: new ConnectionEnds(),
     };
     const rateClient = new RateClient(context, this.#members, this.#partitions, this.#rpc);
     const routes = () => (this.#canServe ? this.#routing.routes : undefined);
--- a/src/gateway/ingress/caller-exchange.ts
+++ b/src/gateway/ingress/caller-exchange.ts
@@ -10,6 +10,7 @@
 
 const JSON_CONTENT_TYPE = "application/json";
 const MS_PER_S = 1_000;
+const NO_CONTENT = 204;
 const NO_BODY = Buffer.alloc(0);
 /** Maximum number of bytes that are passed to the operating system at a time. */
 const MAX_WRITE_BYTES = 32_768;
@@ -129,6 +130,28 @@
   answer(status: number, headers: RawHeaders, body: Buffer): void {
     if (this.#ended || this.#gone) return;
     this.#writeHead(status, withContentLength(headers, body.length));
+    this.#sendWhole(body);
+  }
+
+  /** Sends an answer that may not be complete: nothing but the end of the connection tells its end. */
+  answerUnframed(status: number, headers: RawHeaders, body: Buffer): void {
+    if (this.#ended || this.#gone) return;
+    this.#response.useChunkedEncodingByDefault = false;
+    this.#response.shouldKeepAlive = false;
+    this.#writeHead(status, withoutContentLength(headers));
+    this.#endsWithConnection = true;
+    this.#sendWhole(body);
+  }
+
+  /** Sends an answer that has no body. A length in its headers is that of another answer. */
+  answerWithoutBody(status: number, headers: RawHeaders): void {
+    if (this.#ended || this.#gone) return;
+    this.#writeHead(status, status === NO_CONTENT ? withoutContentLength(headers) : [...headers]);
+    this.#ended = true;
+    this.#response.end();
+  }
+
+  #sendWhole(body: Buffer): void {
     if (body.length > MAX_WRITE_BYTES) {
       this.write(body);
       this.end();
--- a/test/process/answers-cut-short.test.ts
+++ b/test/process/answers-cut-short.test.ts
@@ -134,6 +134,8 @@
   largePlain: "states no length for a large plain answer that ended with its connection",
   safePlain: "runs a safe call again whose answer ended with its connection",
   uncertainSafe: "passes a safe call's answer on without a length if no run tells its end",
+  silentSecondRun: "sends a safe call's uncertain answer in time when the second run stays silent",
+  usualEnds: "runs safe calls once where most answers end with their connection",
   failures: "states no length for a failure that ended with its connection",
   withoutBody: "passes the headers of answers without a body on unchanged",
   pipelined: "answers pipelined requests behind answers without framing",
@@ -290,6 +292,28 @@
     }
   });
 
+  it(NAMES.silentSecondRun, knownRed(NAMES.silentSecondRun), async () => {
+    for (const runner of cluster.services) runner.stepMs = 200;
+    endAnswersWith(WHOLE_BY_CONNECTION);
+    const request = plainRequest(PATHS.safe);
+    const sentAtMs = performance.now();
+    const reading = sendOne(request);
+    await pause(100);
+    endAnswersWith(undefined);
+    for (const runner of cluster.services) runner.fault = "silent";
+    const answer = await reading;
+    expect([answer.status, answer.end, answer.body]).toEqual([200, "connection", `done ${idOf(request)}`]);
+    expect([runsOf(request), performance.now() - sentAtMs < 2_000]).toEqual([2, true]);
+  });
+
+  it(NAMES.usualEnds, knownRed(NAMES.usualEnds), async () => {
+    endAnswersWith(WHOLE_BY_CONNECTION);
+    for (let count = 0; count < 8; count += 1) await sendOne(plainRequest(PATHS.safe));
+    const request = plainRequest(PATHS.safe);
+    const { end } = await sendOne(request);
+    expect([end, runsOf(request)]).toEqual(["connection", 1]);
+  });
+
   it(NAMES.failures, knownRed(NAMES.failures), async () => {
     endAnswersWith(PLAIN_CUT);
     for (const runner of cluster.services) runner.status = 404;
@@ -303,20 +327,15 @@
     const head = plainRequest(PATHS.unsafe, { method: "HEAD" });
     const answer = await sendOne(head);
     expect(answer.headers.get("content-length")).toEqual(String(`done ${idOf(head)}`.length));
-    for (const [status, length] of [
+    for (const [statusWithoutBody, statedLength] of [
       [204, undefined],
       [304, "17"],
     ] as const) {
-      for (const runner of cluster.services) {
-        runner.status = status;
-        runner.statedLength = length;
-      }
-      const { headers, end } = await sendOne(plainRequest(PATHS.unsafe));
-      expect([headers.get("content-length"), headers.get("transfer-encoding"), end]).toEqual([
-        length,
-        undefined,
-        "framed",
-      ]);
+      for (const runner of cluster.services)
+        Object.assign(runner, { status: statusWithoutBody, statedLength });
+      const { status, headers, end } = await sendOne(plainRequest(PATHS.unsafe));
+      const framing = [headers.get("content-length"), headers.get("transfer-encoding")];
+      expect([status, end, ...framing]).toEqual([statusWithoutBody, "framed", statedLength, undefined]);
     }
   });
 
