Take a 304 that states a length for a whole answer

Callers got 502 for a 304 with the length of the body that it leaves out (RFC 9110, 8.6 allows it): undici waits for that body and reports a mismatch. An answer without a body is whole with its head, so the end is not asked for.

--- a/src/ports/http/http-exchange.ts
+++ b/src/ports/http/http-exchange.ts
@@ -65,6 +65,7 @@
   readonly #method: string;
   readonly #listener: HttpExchangeListener;
   #controller: Dispatcher.DispatchController | undefined;
+  #framing: BodyFraming | undefined;
   #finished = false;
   #aborted = false;
 
@@ -101,8 +102,8 @@
     if (this.#finished || status < 200) return;
     const raw = (controller.rawHeaders ?? []) as (Buffer | string)[];
     const rawHeaders = raw.map((item) => (typeof item === "string" ? item : item.toString("latin1")));
-    const framing = bodyFramingOf(this.#method, status, headers);
-    if (!this.#listener.onHead({ status, headers, rawHeaders, framing })) this.abort();
+    this.#framing = bodyFramingOf(this.#method, status, headers);
+    if (!this.#listener.onHead({ status, headers, rawHeaders, framing: this.#framing })) this.abort();
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -118,6 +119,8 @@
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     if (this.#finished) return;
     this.#finished = true;
-    this.#listener.onFailed(error, this.#controller !== undefined);
+    // An answer without a body is whole with its head. undici misses the body of a 304 that states a length.
+    if (this.#framing === "none") this.#listener.onEnd();
+    else this.#listener.onFailed(error, this.#controller !== undefined);
   }
 }
