--- a/bench/mutations.ts
+++ b/bench/mutations.ts
@@ -7,6 +7,7 @@
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { Cli, Command, Option } from "clipanion";
+import { ANSWER_MUTATIONS } from "./mutations/answer-mutations.ts";
 import { GATEWAY_MUTATIONS } from "./mutations/gateway-mutations.ts";
 import type { Edit, Mutation } from "./mutations/mutation.ts";
 import { NODE_MUTATIONS } from "./mutations/node-mutations.ts";
@@ -35,6 +36,7 @@
       ...RUNNER_MUTATIONS,
       ...SOAK_MUTATIONS,
       ...STREAM_MUTATIONS,
+      ...ANSWER_MUTATIONS,
     ];
     const queue = all.filter((mutation) => !this.only || mutation.name.includes(this.only));
     const results: string[] = [];
--- a/src/gateway/calls/buffered-call.ts
+++ b/src/gateway/calls/buffered-call.ts
@@ -12,8 +12,8 @@
 
 const FIRST_FAILURE_STATUS = 300;
 const FIRST_SERVER_ERROR = 500;
-/** Fraction of the time left for which an uncertain answer is held back for another run. */
-const MAX_SECOND_RUN_FRACTION = 0.5;
+/** Fraction of the time left for which an uncertain answer is held back for other runs. */
+const MAX_HELD_BACK_FRACTION = 0.5;
 
 /** A runner's answer with its whole body, as far as that arrived. */
 interface CollectedAnswer {
@@ -24,7 +24,7 @@
 export class BufferedCall extends RoutedCall {
   /** An answer that may be short, while another run may give a certain one. */
   #uncertain: CollectedAnswer | undefined;
-  #secondRunTimer: TimerHandle | undefined;
+  #heldBackTimer: TimerHandle | undefined;
 
   protected override begin(): void {
     this.tryNext();
@@ -68,7 +68,7 @@
   }
 
   protected override onFinished(): void {
-    if (this.#secondRunTimer) this.parts.context.clock.cancel(this.#secondRunTimer);
+    if (this.#heldBackTimer) this.parts.context.clock.cancel(this.#heldBackTimer);
   }
 
   /** Ends the call with an error, or with an answer that may be short: the caller learns more from that. */
@@ -80,12 +80,13 @@
   #onAnswer(runner: RunnerEntry, answer: CollectedAnswer): void {
     const { connectionEnds } = this.parts;
     connectionEnds.record(this.pool.name, answer.head.framing === "connection");
-    if (this.#needsSecondRun(runner, answer.head)) this.#runAgain(runner, answer);
-    else this.#answer(this.#uncertain ? moreCertainOf(this.#uncertain, answer) : answer);
+    const best = this.#uncertain ? moreCertainOf(this.#uncertain, answer) : answer;
+    if (this.#needsOtherRun(runner, answer.head)) this.#runAgain(runner, best);
+    else this.#answer(best);
   }
 
-  #needsSecondRun(runner: RunnerEntry, { framing, status }: HttpAnswerHead): boolean {
-    if (framing !== "connection" || status >= FIRST_FAILURE_STATUS || this.#uncertain) return false;
+  #needsOtherRun(runner: RunnerEntry, { framing, status }: HttpAnswerHead): boolean {
+    if (framing !== "connection" || status >= FIRST_FAILURE_STATUS) return false;
     return this.mayRetryElsewhere(runner) && !this.parts.connectionEnds.areUsual(this.pool.name);
   }
 
@@ -93,9 +94,10 @@
     this.#uncertain = answer;
     this.doubtEnd(runner);
     this.excluded.add(runner.id);
-    this.#secondRunTimer = this.parts.context.clock.schedule(this.leftMs * MAX_SECOND_RUN_FRACTION, () =>
-      this.#answer(answer),
-    );
+    this.#heldBackTimer ??= this.parts.context.clock.schedule(this.leftMs * MAX_HELD_BACK_FRACTION, () => {
+      if (this.#uncertain) this.#answer(this.#uncertain);
+    });
+    this.exchange.buffers.set("collected", answer.body.length);
     this.tryNext();
   }
 
--- a/src/scheduling/runner-balancing/connection-ends.ts
+++ b/src/scheduling/runner-balancing/connection-ends.ts
@@ -4,8 +4,8 @@
 /** Weight of the newest answer: a change shows within some dozens of answers. */
 const ANSWER_WEIGHT = 0.05;
 /** Fewer answers say nothing about a pool. */
-const MIN_ANSWERS = 8;
-const USUAL_FROM_FRACTION = 0.5;
+const MIN_ANSWERS = 16;
+const USUAL_FROM_FRACTION = 0.8;
 
 export class ConnectionEnds {
   readonly #fractions = new Map<string, MovingAverage>();
@@ -17,10 +17,10 @@
     fraction.add(isByConnection ? 1 : 0);
   }
 
-  /** Whether most of the pool's answers end with their connection, so that such an end says nothing about a runner. */
+  /** Whether nearly all of the pool's answers end with their connection, so that such an end says nothing about a runner. */
   areUsual(pool: string): boolean {
     const fraction = this.#fractions.get(pool);
     if (fraction === undefined || fraction.count < MIN_ANSWERS) return false;
-    return (fraction.value ?? 0) > USUAL_FROM_FRACTION;
+    return (fraction.value ?? 0) >= USUAL_FROM_FRACTION;
   }
 }
