Soak answers that end by their connection, and callers on bare connections

No soak had a stream without framing, one that ended in order inside an event, or a caller that pipelines or knows no chunks. A fault lets half of the runners draw the end of each answer: framed or not, whole or cut at any byte (LF, CRLF), by FIN, reset or before the last chunk. Two callers use bare connections, of HTTP/1.0 or with up to three requests behind each other, and check framing against content; the others count an answer as whole only if its framing says so. The proxy passed the end of a connection on although it had dropped bytes on it, which TCP never does: such a connection is reset now.

--- a/standins/platform/answer-ending.ts
+++ b/standins/platform/answer-ending.ts
@@ -5,7 +5,7 @@
 export interface AnswerCut {
   /** Whole events that are sent before it; for a plain answer, 0. */
   readonly afterEvents: number;
-  /** Bytes that are sent of the next event, or of a plain answer's body. */
+  /** Bytes that are sent of the next event, or of a plain answer's body; if negative, how many are left out. */
   readonly bytes: number;
 }
 
--- a/standins/platform/runner-standin.ts
+++ b/standins/platform/runner-standin.ts
@@ -60,6 +60,8 @@
   remainingFaults = Number.POSITIVE_INFINITY;
   /** How answers end; undefined for whole ones with the usual framing. `remainingFaults` holds for it, too. */
   ending: AnswerEnding | undefined;
+  /** Draws the ending of each answer in place of `ending`. */
+  drawEnding: ((request: ExecutedRequest) => AnswerEnding | undefined) | undefined;
   /** The line ending within a stream's events. */
   lineEnd: "\n" | "\r\n" = "\n";
   /** Status of plain answers. */
@@ -122,13 +124,13 @@
       response.writeHead(MISDIRECTED, { "X-Request-Id": requestId, "X-Instance-Id": this.id }).end();
       return;
     }
-    const ending = this.#takeEnding();
     const fault = this.#takeFault();
     if (fault === "full") {
       response.writeHead(503, { "X-Request-Id": requestId, "X-Not-Executed": "1" }).end();
       return;
     }
     const executed = this.#recordRequest(request, requestId, body, response);
+    const ending = this.#takeEnding(executed);
     if (fault === "lostAnswer") return void request.socket.resetAndDestroy();
     if (fault === "silent") return;
     if (fault === "error") return void response.writeHead(500, base).end("failed");
@@ -141,7 +143,8 @@
     this.#answerPlain(`done ${requestId}${paddingOf(executed)}`, base, fault, response);
   }
 
-  #takeEnding(): AnswerEnding | undefined {
+  #takeEnding(executed: ExecutedRequest): AnswerEnding | undefined {
+    if (this.drawEnding) return this.drawEnding(executed);
     if (this.ending === undefined || this.remainingFaults <= 0) return undefined;
     this.remainingFaults -= 1;
     return this.ending;
--- a/test/process/answers-cut-short.test.ts
+++ b/test/process/answers-cut-short.test.ts
@@ -14,8 +14,8 @@
 const RUNNERS = 2;
 /** More than a gateway passes to the operating system at a time. */
 const LARGE_BODY_BYTES = 200_000;
-/** Lengths of what is sent of an event: within the id, the data and the blank line. */
-const CUTS_WITHIN_EVENT = [1, 8, 20];
+/** What is sent of an event: up to a byte within the id or the data, or all but the last bytes of the blank line. */
+const CUTS_WITHIN_EVENT = [1, 8, 20, -1, -2];
 const WHOLE_BY_CONNECTION: AnswerEnding = { framing: "connection", cut: undefined, end: "fin" };
 const PLAIN_CUT: AnswerEnding = { framing: "connection", cut: { afterEvents: 0, bytes: 3 }, end: "fin" };
 
--- a/test/soak/faults/soak-faults.ts
+++ b/test/soak/faults/soak-faults.ts
@@ -1,6 +1,7 @@
 /** The kinds of faults that a soak can inject. */
 import type { SeededRandomSource } from "../../../src/runtime/random-source.ts";
 import type { SoakCluster } from "../soak-cluster.ts";
+import { BrokenOffAnswers } from "./broken-off-answers.ts";
 import { FaultyLink } from "./faulty-link.ts";
 import { FaultyRunner } from "./faulty-runner.ts";
 import { FaultyStore } from "./faulty-store.ts";
@@ -21,6 +22,7 @@
   store: FaultyStore,
   link: FaultyLink,
   runner: FaultyRunner,
+  answers: BrokenOffAnswers,
   storeThenKilled: FaultyStoreThenKilled,
   stoppedAndKilled: StoppedAndKilled,
 };
--- a/test/soak/loopback-proxy.ts
+++ b/test/soak/loopback-proxy.ts
@@ -60,12 +60,14 @@
       this.#deliver(() => to.write(bytes));
     });
     from.on("end", () => {
-      if (!isCut()) this.#deliver(() => to.end());
+      // The end of the data does not arrive before the data.
+      if (!isCut() && !connection.hasDroppedBytes) this.#deliver(() => to.end());
     });
     from.on("error", () => to.resetAndDestroy());
     from.on("close", () => {
       this.#sockets.delete(from);
-      if (!isCut()) this.#deliver(() => to.destroySoon());
+      if (connection.hasDroppedBytes) this.#deliver(() => to.resetAndDestroy());
+      else if (!isCut()) this.#deliver(() => to.destroySoon());
     });
   }
 
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -9,6 +9,7 @@
 import { SoakCaller } from "./soak-caller.ts";
 import { SoakCluster } from "./soak-cluster.ts";
 import { SoakLedger } from "./soak-ledger.ts";
+import { SoakRawCaller } from "./soak-raw-caller.ts";
 import { TenantWatch } from "./tenant-watch.ts";
 
 /** Options of a soak. */
@@ -34,6 +35,7 @@
 const ENGINES = 3;
 const SERVICES = 3;
 const CALLERS = 6;
+const RAW_CALLERS = 2;
 /** Time without faults at the start, in ms. */
 const QUIET_MS = 1_500;
 const GAP_MS = 1_000;
@@ -68,7 +70,11 @@
       return new SoakCaller(`caller-${index}`, cluster, ledger, own);
     });
     const tenants = new TenantWatch(cluster, ledger, cluster.tenants, new SeededRandomSource(options.seed));
-    const work = [...callers, watch, tenants].map((worker) => worker.run(() => isOver));
+    const rawCallers = Array.from({ length: RAW_CALLERS }, (_, index) => {
+      const own = new SeededRandomSource(options.seed + CALLERS + index + 1);
+      return new SoakRawCaller(`raw-caller-${index}`, cluster, ledger, own);
+    });
+    const work = [...callers, ...rawCallers, watch, tenants].map((worker) => worker.run(() => isOver));
     await pause(QUIET_MS);
     await injectFaultsUntil(ledger.nowMs + options.durationMs, cluster, random, options, ledger, note);
     note("calm");
--- a/test/soak/soak-caller.ts
+++ b/test/soak/soak-caller.ts
@@ -157,6 +157,6 @@
 /** Returns the data of the complete events of a stream; none for an answer with another status than 200. */
 function parseEvents(body: string, status: number): string[] {
   if (status !== OK) return [];
-  const events = body.split("\n\n").slice(0, -1);
-  return events.map((event) => /^data: (.*)$/m.exec(event)?.[1] ?? "");
+  const events = body.split(/\r?\n\r?\n/).slice(0, -1);
+  return events.map((event) => /^data: (.*?)\r?$/m.exec(event)?.[1] ?? "");
 }
--- a/test/soak/soak-request.ts
+++ b/test/soak/soak-request.ts
@@ -9,6 +9,7 @@
   readonly status: number;
   /** The part of the body that arrived. */
   readonly body: string;
+  /** Whether the answer's framing says that all of it arrived. */
   readonly whole: boolean;
   readonly retryAfterMs: number | undefined;
   /** Identifier of the request that the answer names, if it names one. */
@@ -47,7 +48,9 @@
     answeredRequestId = named === undefined ? undefined : String(named);
     if (after !== undefined) retryAfterMs = Number(after) * MS_PER_S;
     for await (const chunk of answer.body) text += String(chunk);
-    return { status, body: text, whole: true, retryAfterMs, answeredRequestId };
+    const whole =
+      answer.headers["content-length"] !== undefined || answer.headers["transfer-encoding"] !== undefined;
+    return { status, body: text, whole, retryAfterMs, answeredRequestId };
   } catch {
     return { status, body: text, whole: false, retryAfterMs, answeredRequestId };
   }
