Take no end that nobody vouched for as the end of an answer, at nodes too

Change: a service's answer whose end is open is marked so and sent without a length; objects and JSON need framing, or count as no answer; a failed stream is broken off.

--- a/src/node/ingress/http-exchange.ts
+++ b/src/node/ingress/http-exchange.ts
@@ -58,6 +58,12 @@
     }
   }
 
+  /** Lets only the end of the connection tell the end of the response. Call it before the head is sent. */
+  leaveEndOpen(): void {
+    this.response.shouldKeepAlive = false;
+    this.response.useChunkedEncodingByDefault = false;
+  }
+
   /** Sends a JSON response. */
   sendJson(status: number, body: unknown, headers: Record<string, string> = {}): void {
     const content = Buffer.from(JSON.stringify(body));
@@ -69,9 +75,9 @@
     this.response.end(content);
   }
 
-  /** Sends a problem document (RFC 9457). Only ends the response if its headers were already sent. */
+  /** Sends a problem document (RFC 9457). Breaks the response off if its headers were already sent. */
   sendProblem(problem: Problem): void {
-    if (this.response.headersSent) return void this.response.end();
+    if (this.response.headersSent) return void this.response.destroy();
     if (!this.request.complete) this.response.setHeader("connection", "close");
     const content = Buffer.from(JSON.stringify(problemDocument(problem)));
     this.response.writeHead(problem.status, {
--- a/src/node/ingress/service-calls.ts
+++ b/src/node/ingress/service-calls.ts
@@ -22,11 +22,12 @@
       problemOf("answer-interrupted", `Call ${session.call} is not a service call.`),
     );
   }
-  const { status, contentType, body } = result.answer;
+  const { status, contentType, body, mayBeShort } = result.answer;
   const content = Buffer.from(body);
+  if (mayBeShort) exchange.leaveEndOpen();
   exchange.response.writeHead(status, {
     "content-type": contentType,
-    "content-length": content.length,
+    ...(mayBeShort ? {} : { "content-length": content.length }),
     [CALL_ID_HEADER]: session.call,
     "tulipwheel-call": String(result.number),
   });
--- a/src/ports/http-json.ts
+++ b/src/ports/http-json.ts
@@ -2,6 +2,7 @@
 import "undici";
 import type { Pool } from "undici";
 import { platformError } from "../errors/tulipwheel-error.ts";
+import { requireFraming } from "./http/body-framing.ts";
 import { openPool } from "./http/connection-pool.ts";
 
 const POOL_OPTIONS = {
@@ -81,6 +82,7 @@
         signal: AbortSignal.timeout(this.#timeoutMs),
       });
       const text = await response.body.text();
+      requireFraming(method, response.statusCode, response.headers);
       return { status: response.statusCode, body: text ? JSON.parse(text) : undefined };
     } catch (error) {
       throw platformError(`${method} ${path} at ${address} got no answer.`, error);
--- a/src/ports/http/body-framing.ts
+++ b/src/ports/http/body-framing.ts
@@ -21,3 +21,9 @@
   if (coding !== undefined) return FINAL_CODING_IS_CHUNKED.test(coding) ? "chunks" : "connection";
   return headers["content-length"] === undefined ? "connection" : "length";
 }
+
+/** Throws if nothing but the end of the connection told the end of an answer, so that it may be short. */
+export function requireFraming(method: string, status: number, headers: IncomingHttpHeaders): void {
+  if (bodyFramingOf(method, status, headers) === "connection")
+    throw new Error("nothing but the end of the connection tells whether the answer is whole");
+}
--- a/src/ports/objects/http-object-store.ts
+++ b/src/ports/objects/http-object-store.ts
@@ -1,4 +1,5 @@
 import { platformError } from "../../errors/tulipwheel-error.ts";
+import { requireFraming } from "../http/body-framing.ts";
 import type { HttpPools } from "../http-json.ts";
 import type { ObjectStore } from "./object-store.ts";
 
@@ -47,7 +48,9 @@
         headersTimeout: TIMEOUT_MS,
         bodyTimeout: TIMEOUT_MS,
       });
-      return { status: response.statusCode, bytes: new Uint8Array(await response.body.arrayBuffer()) };
+      const bytes = new Uint8Array(await response.body.arrayBuffer());
+      requireFraming(method, response.statusCode, response.headers);
+      return { status: response.statusCode, bytes };
     } catch (error) {
       throw platformError(`${method} ${path} at ${this.#address} got no answer.`, error);
     }
--- a/src/ports/service/http-service-client.ts
+++ b/src/ports/service/http-service-client.ts
@@ -1,4 +1,5 @@
 import type { ServiceRequest } from "../../scheduling/program/records.ts";
+import { bodyFramingOf } from "../http/body-framing.ts";
 import { type HttpPools, isConnectFailure } from "../http-json.ts";
 import type { ServiceClient, ServiceResult } from "./service-client.ts";
 
@@ -29,14 +30,17 @@
         bodyTimeout: timeoutMs,
         signal: AbortSignal.timeout(timeoutMs),
       });
-      const contentType = response.headers["content-type"];
+      const { statusCode, headers } = response;
+      const contentType = headers["content-type"];
+      const isEndOpen = bodyFramingOf(request.method, statusCode, headers) === "connection";
       return {
         type: "answered",
         answer: {
           type: "service",
-          status: response.statusCode,
+          status: statusCode,
           contentType: typeof contentType === "string" ? contentType : "application/octet-stream",
           body: await response.body.text(),
+          ...(isEndOpen ? { mayBeShort: true } : {}),
         },
       };
     } catch (error) {
--- a/src/scheduling/program/records.ts
+++ b/src/scheduling/program/records.ts
@@ -65,6 +65,8 @@
   readonly status: number;
   readonly contentType: string;
   readonly body: string;
+  /** Set if only the end of the connection told the end of the answer, which may be short. */
+  readonly mayBeShort?: true;
 }
 
 /** A complete answer to a call. */
--- a/test/contract/service-client.test.ts
+++ b/test/contract/service-client.test.ts
@@ -54,6 +54,17 @@
       "unknown",
     ],
   ];
+  it("marks an answer whose end only the connection told as one that may be short", async () => {
+    const open = await send(await serve(`${ANSWER_HEAD}\r\ndo`, "end"));
+    server?.close();
+    const framed = await send(await serve(`${ANSWER_HEAD}Content-Length: 2\r\n\r\ndo`, "end"));
+    const marks = [open, framed].map((result) => result.type === "answered" && result.answer);
+    expect(marks).toEqual([
+      { type: "service", status: 200, contentType: "text/plain", body: "do", mayBeShort: true },
+      { type: "service", status: 200, contentType: "text/plain", body: "do" },
+    ]);
+  });
+
   for (const [name, answer, end, type] of CASES) {
     it(`reports ${name} as ${type}`, async () => {
       expect((await send(await serve(answer, end))).type as string).toEqual(type);
