--- a/src/cli/logs/build-timeline.ts
+++ b/src/cli/logs/build-timeline.ts
@@ -2,6 +2,7 @@
 
 import { gatewayNameOf } from "../../gateway/members/instance-name.ts";
 import type { AdmissionRecord } from "../../gateway/telemetry/admission-record.ts";
+import type { AttemptRecord } from "../../gateway/telemetry/attempt-record.ts";
 import type { RateRecord } from "../../gateway/telemetry/rate-record.ts";
 import type { RetentionRecord } from "../../gateway/telemetry/retention-record.ts";
 import type { TimedPlaceRecord } from "../../gateway/telemetry/timed-place-record.ts";
@@ -80,13 +81,8 @@
     const expected = attempt.expectedMs === undefined ? "" : `, ${attempt.expectedMs} ms expected`;
     const runnerState = `${attempt.load} in flight, ${Math.round(100 * attempt.failureRate)}% failing${expected}`;
     entries.push(at(attempt.atMs, `${request} is sent to ${attempt.runner} (${runnerState})`));
-    if (attempt.failure !== undefined)
-      entries.push(
-        at(
-          attempt.atMs + (attempt.elapsedMs ?? 0),
-          `${request} gets nothing from ${attempt.runner}: ${attempt.failure}`,
-        ),
-      );
+    const endText = attemptEndText(request, attempt);
+    if (endText !== undefined) entries.push(at(attempt.atMs + (attempt.elapsedMs ?? 0), endText));
   }
   if (call.firstByteMs !== undefined) entries.push(at(call.firstByteMs, `${request}: first byte handed on`));
   if (retention) entries.push(at(call.elapsedMs, retentionText(request, retention, call.elapsedMs)));
@@ -100,6 +96,18 @@
   return entries;
 }
 
+/** How an attempt ended that gave no whole answer, or one that may be short; undefined for the others. */
+function attemptEndText(request: string, attempt: AttemptRecord): string | undefined {
+  const { runner, failure, framing, endDoubted, lastEvent, unfinishedBytes } = attempt;
+  const eventText = lastEvent === undefined ? "" : ` behind event ${lastEvent}`;
+  if (endDoubted)
+    return `${request}: the answer of ${runner} ends with its connection${eventText}; another run is asked`;
+  if (failure === undefined) return undefined;
+  if (framing === undefined) return `${request} gets nothing from ${runner}: ${failure}`;
+  const restText = unfinishedBytes === undefined ? "" : `, with ${unfinishedBytes} bytes of the next one`;
+  return `${request} gets only a part from ${runner}, broken off${eventText}${restText}: ${failure}`;
+}
+
 function rateText(request: string, { partition, owner, verdict, elapsedMs }: RateRecord): string {
   const ownerName = owner ?? "an unknown gateway";
   return `${request}: the tenant's limit, partition ${partition}, owned by ${ownerName}, says ${verdict} after ${elapsedMs} ms`;
--- a/test/contract/log-timeline.test.ts
+++ b/test/contract/log-timeline.test.ts
@@ -80,6 +80,23 @@
     ]);
   });
 
+  it("shows where a runner broke an answer off, and that another run is asked about an open end", () => {
+    const attempt = { load: 0, failureRate: 0, version: "v1", framing: "connection", lastEvent: 2 };
+    const failure = "the answer ended inside an event";
+    const cut = {
+      ...ANSWERED,
+      tries: [
+        { ...attempt, runner: "x", atMs: 10, elapsedMs: 10, unfinishedBytes: 8, failure },
+        { ...attempt, runner: "x", atMs: 20, elapsedMs: 10, lastEvent: 4, endDoubted: true },
+      ],
+    };
+    const timeline = buildTimeline(parseLog(line("gateway-a", 500, cut)), "r2").map(({ text }) => text);
+    expect(timeline.filter((text) => text.includes("x") && !text.includes("sent"))).toEqual([
+      "r2 gets only a part from x, broken off behind event 2, with 8 bytes of the next one: the answer ended inside an event",
+      "r2: the answer of x ends with its connection behind event 4; another run is asked",
+    ]);
+  });
+
   it("shows why a request beyond its tenant's limit was refused, and state changes of the limit's owner", () => {
     const limited = {
       msg: "call failed",
