--- a/test/process/answers-cut-short.test.ts
+++ b/test/process/answers-cut-short.test.ts
@@ -222,7 +222,9 @@
     await cluster.stop();
     cluster = await ShortStopCluster.start();
     for (const runner of cluster.engines) Object.assign(runner, { events: 200, stepMs: 20 });
-    const reading = sendOne(streamRequest(PATHS.turn, { version: "1.0" }));
+    const request = streamRequest(PATHS.turn, { version: "1.0" });
+    const reading = sendOne(request);
+    while (runsOf(request) === 0) await pause(10);
     await pause(200);
     gateway().process.signal("SIGTERM");
     const answer = await reading;
