--- a/bench/simulation/answers/answer-world.ts
+++ b/bench/simulation/answers/answer-world.ts
@@ -25,6 +25,7 @@
 import { ConnectionEnds } from "../../../src/scheduling/runner-balancing/connection-ends.ts";
 import { RunnerBalancer } from "../../../src/scheduling/runner-balancing/runner-balancer.ts";
 import type { RunnerEntry } from "../../../src/scheduling/runner-balancing/runner-entry.ts";
+import { rawRequestText } from "../../../standins/platform/raw-request.ts";
 import { SimulatedProcess, VirtualTime } from "../virtual-time.ts";
 import { CallerConnection } from "./caller-connection.ts";
 import type { ObservedConnection } from "./observed-connection.ts";
@@ -202,6 +203,6 @@
 ];
 
 function requestText({ id, route, version }: SimulatedCall): string {
-  const program = route.retainsTurns ? `X-Program-Id: program-of-${id}\r\n` : "";
-  return `POST / HTTP/${version}\r\nHost: h\r\nX-Request-Id: ${id}\r\n${program}Content-Length: 0\r\n\r\n`;
+  const program = route.retainsTurns ? `program-of-${id}` : undefined;
+  return rawRequestText({ id, version, program });
 }
