--- a/review/support/deployment.ts
+++ b/review/support/deployment.ts
@@ -21,7 +21,9 @@
   /** Where callers send requests, IP:port. */
   readonly callers: string;
   readonly directory: string;
-  readonly process: ChildProcess;
+  readonly settingsFile: string;
+  /** Its process; another one after a restart. */
+  process: ChildProcess;
 }
 
 /** A route of the operator's configuration, in the platform's spelling. */
@@ -47,9 +49,15 @@
   readonly store = new RowStoreStandin();
   readonly gateways: Gateway[] = [];
   readonly #addresses = new TestAddresses();
+  readonly #memoryMb: number;
   #folder = "";
   #storeAddress = "";
 
+  /** @param limits the memory of a gateway's process */
+  constructor({ memoryMb } = { memoryMb: 310 }) {
+    this.#memoryMb = memoryMb;
+  }
+
   /** Starts the store and puts the first configuration there. */
   async start(routes: readonly RouteFields[], services: readonly RouteFields[]): Promise<void> {
     this.#folder = await mkdtemp(join(tmpdir(), "tulipwheel-review-"));
@@ -87,8 +95,8 @@
       const settings = this.#settingsOf(name, listen, seeds);
       const file = join(this.#folder, `${name}.json`);
       await writeFile(file, JSON.stringify(settings));
-      const process = startGateway(file);
-      this.gateways.push({ name, callers: listen.callers, directory: listen.directory, process });
+      const { callers, directory } = listen;
+      this.gateways.push({ name, callers, directory, settingsFile: file, process: startGateway(file) });
     }
     await this.#ready();
   }
@@ -103,7 +111,7 @@
       store: this.#storeAddress,
       timing: { configurationMs: 2_000, runnerDrainMs: 2_000 },
       places: { dispatchBelow: 4 },
-      buffers: { memoryMb: 310 },
+      buffers: { memoryMb: this.#memoryMb },
     };
   }
 
@@ -117,6 +125,14 @@
     }
   }
 
+  /** Kills all gateways at once, and starts them again after a time. Resolves when all are ready. */
+  async killAll(downMs: number): Promise<void> {
+    for (const { process } of this.gateways) process.kill("SIGKILL");
+    await pause(downMs);
+    for (const gateway of this.gateways) gateway.process = startGateway(gateway.settingsFile);
+    await this.#ready();
+  }
+
   /** Ends everything that was started. */
   async stop(): Promise<void> {
     for (const { process } of this.gateways) if (isRunning(process)) process.kill("SIGKILL");
