--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -1,149 +1,216 @@
 /**
- * Runners of a service with more streams than slots lose some of their answers. The route allows one runner for a request;
- * a request whose answer broke may go on at that runner only, unless the runner has ended or was cut off.
+ * A day's final fault: all processes are killed and start again. Programs with budgets then go on from turns that were
+ * answered whole, within the time that turns are kept.
  */
-import { request as httpRequest } from "node:http";
+import { createServer, request as httpRequest, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
 import { Deployment, type Gateway, HOST, pause } from "../support/deployment.ts";
 import { type CaseRecord, type CaseResult, HAS_TROUBLE, runCase } from "../support/outcome.ts";
-import { type Run, StreamRunner } from "./stream-runner.ts";
 
-const RUNNERS = 3;
-const SLOTS = 4;
-const QUEUE = 4;
-/** Answers differ in length, as on the users' sheets. */
-const MIN_EVENTS = 5;
-const MAX_EVENTS = 25;
-const EVENT_MS = 60;
-const CALLERS = 21;
-const LOAD_MS = 50_000;
+const GATEWAYS = 3;
+const PROGRAMS = 6;
+/** Turns of a program before and after the fault. All of them together, and one more, fit into its budget. */
+const TURNS_BEFORE = 4;
+const TURNS = 7;
+const TOKENS_PER_EVENT = 23;
+const EVENTS = 23;
+const EVENT_MS = 4;
+/** The most that a turn generates, and the budget, as in the example of the users' pages. */
+const MOST_TOKENS = 575;
+const BUDGET_TOKENS = 4_600;
 const DEADLINE_MS = 3_000;
-const MAX_ATTEMPTS = 1;
-/** The rule is broken by more requests than this. */
-const ALLOWED = 3;
-/** Twice the share of answers that the users' site files lose at most. */
-const LOST_SHARE = 0.1;
-const LOST_AFTER_EVENTS = 3;
-/** A run that goes on elsewhere while the one before still works after this time breaks the rule TWICE. */
-const TWICE_AFTER_MS = 400;
+/** `settle-ms` of the sheets: by then, ends of turns count. */
+const SETTLE_MS = 1_000;
+const DOWN_MS = 1_000;
+/** `recovery-s` of the sheets, and the last part of it, in which most other turns must be served. */
+const RECOVERY_MS = 12_000;
+const LAST_MS = 4_000;
+const MIN_SERVED_SHARE = 4 / 5;
+const BETWEEN_TRIES_MS = 400;
+const OTHERS_INTERVAL_MS = 100;
 
 const deployment = new Deployment();
-const runners: StreamRunner[] = [];
+const servers: Server[] = [];
+/** Identifiers of all requests that the runner has run. */
+const ran = new Set<string>();
 let requests = 0;
 
-/** The number of events of a request's answer, the same at each runner. */
-function eventsOf(request: string): number {
-  const number = Number(request.split("-")[1]);
-  return MIN_EVENTS + ((number * 7) % (MAX_EVENTS - MIN_EVENTS + 1));
+async function startRunner(record: CaseRecord): Promise<string> {
+  const server = createServer(async (request, response) => {
+    const id = String(request.headers["x-request-id"]);
+    for await (const _ of request);
+    ran.add(id);
+    record.add(`i-1 runs ${id}`);
+    const head = { "X-Request-Id": id, "X-Response-Signature": `sig.${id}`, "X-Weight-Versions": "1" };
+    response.writeHead(200, { ...head, "Content-Type": "text/event-stream" });
+    for (let event = 1; event <= EVENTS && !response.destroyed; event += 1) {
+      await pause(EVENT_MS);
+      response.write(`id: ${event}\ndata: ${id}-${event}\n\n`);
+    }
+    response.end();
+  });
+  servers.push(server);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** What a caller saw of one try of a turn. */
+interface Try {
+  readonly id: string;
+  readonly status: number;
+  readonly events: number;
+  readonly isWhole: boolean;
 }
 
-/** Sends a stream's request and reads its answer; resolves to what the caller saw. */
-function stream(gateway: Gateway, id: string): Promise<string> {
+/** Sends one try of a turn to a gateway drawn at random. */
+function tryTurn(program: string, previous: string | undefined, record: CaseRecord): Promise<Try> {
+  requests += 1;
+  const id = `req-${requests}`;
+  const gateway = deployment.gateways[Math.floor(Math.random() * GATEWAYS)] as Gateway;
   const [host, port] = gateway.callers.split(":");
+  record.add(`sent ${id} to ${gateway.name}: a turn of ${program} after ${previous ?? "none"}`);
   return new Promise((resolve) => {
-    const headers = { Host: HOST, "X-Request-Id": id, "X-Deadline-Ms": String(DEADLINE_MS), "X-Model": "m" };
-    const call = httpRequest(
-      { host, port, path: "/query/1", method: "POST", headers: { ...headers, "X-Token-Usage": "100,80" } },
-      (answer) => {
-        let events = 0;
-        answer.on("data", (bytes) => {
-          events += String(bytes).split("\n\n").length - 1;
-        });
-        answer.on("error", () => resolve(`${answer.statusCode}, broken off after ${events} events`));
-        answer.on("end", () => resolve(`${answer.statusCode}, ${events} events`));
-      },
-    );
-    call.on("error", () => resolve("no answer"));
-    call.end("{}");
+    let events = 0;
+    const end = (status: number, isWhole: boolean) => {
+      record.add(`answered ${id}: ${status}, ${events} events${isWhole ? "" : ", broken off"}`);
+      resolve({ id, status, events, isWhole: isWhole && status === 200 && events === EVENTS });
+    };
+    const headers: Record<string, string> = {
+      Host: HOST,
+      "X-Request-Id": id,
+      "X-Deadline-Ms": String(DEADLINE_MS),
+      "X-Program-Id": program,
+      "X-Session-Id": `${program}-main`,
+      "X-Program-Deadline-Ms": "40000",
+      "X-Token-Budget": String(BUDGET_TOKENS),
+      "X-Token-Usage": `1840,${MOST_TOKENS}`,
+      "X-Model": "m",
+    };
+    if (previous !== undefined) headers["X-Previous-Turn"] = previous;
+    let hasAnswer = false;
+    const options = { host, port, path: "/chat/1", method: "POST", headers, agent: false };
+    const call = httpRequest(options, (answer) => {
+      hasAnswer = true;
+      answer.on("data", (bytes) => {
+        events += String(bytes).split("\n\n").length - 1;
+      });
+      answer.on("error", () => end(answer.statusCode ?? 0, false));
+      answer.on("end", () => end(answer.statusCode ?? 0, true));
+    });
+    call.on("error", () => {
+      if (!hasAnswer) end(0, false);
+    });
+    call.end(`input of ${id}\n`);
   });
 }
 
-async function callUntil(untilMs: number, index: number, record: CaseRecord): Promise<void> {
+interface Program {
+  readonly name: string;
+  /** Turns that were answered whole. */
+  done: number;
+  /** Tokens handed to the caller, in tries that broke off, too. */
+  tokens: number;
+  last: string | undefined;
+  /** All tries of the turn that comes next. */
+  tries: Try[];
+}
+
+/** Sends turns of a program until `turns` of them are whole, or time is up. */
+async function play(program: Program, turns: number, untilMs: number, record: CaseRecord): Promise<void> {
+  while (program.done < turns && performance.now() < untilMs) {
+    const tried = await tryTurn(program.name, program.last, record);
+    program.tokens += tried.events * TOKENS_PER_EVENT;
+    program.tries.push(tried);
+    if (!tried.isWhole) {
+      await pause(BETWEEN_TRIES_MS);
+      continue;
+    }
+    program.done += 1;
+    program.last = tried.id;
+    program.tries = [];
+  }
+}
+
+/** Other programs, each with one turn. Returns the share of turns that were served. */
+async function playOthers(fromMs: number, untilMs: number, record: CaseRecord): Promise<number> {
+  await pause(Math.max(0, fromMs - performance.now()));
+  const tries: Promise<Try>[] = [];
   while (performance.now() < untilMs) {
-    const gateway = deployment.gateways[index % deployment.gateways.length] as Gateway;
-    requests += 1;
-    const id = `req-${requests}`;
-    record.add(`sent ${id} to ${gateway.name}`);
-    const answer = await stream(gateway, id);
-    record.add(`answered ${id}: ${answer}`);
-    // Callers that are refused come back later.
-    await pause(answer.startsWith("200") ? 20 : 150);
+    tries.push(tryTurn(`other-${tries.length}`, undefined, record));
+    await pause(OTHERS_INTERVAL_MS);
   }
+  const all = await Promise.all(tries);
+  return all.filter(({ isWhole }) => isWhole).length / all.length;
 }
 
 async function run(record: CaseRecord): Promise<CaseResult> {
-  let runCount = 0;
-  const loseAfter = () => {
-    runCount += 1;
-    const isLost = HAS_TROUBLE && runCount % Math.round(1 / LOST_SHARE) === 0;
-    return isLost ? LOST_AFTER_EVENTS : undefined;
-  };
+  const address = await startRunner(record);
   await deployment.start(
     [
       {
-        name: "paycheck-query",
-        "path-prefix": "/query/",
+        name: "resched-chat",
+        "path-prefix": "/chat/",
         kind: "streaming",
         "timeout-ms": DEADLINE_MS,
-        service: "agent-llm",
-        "max-attempts": MAX_ATTEMPTS,
+        service: "lm-pool",
+        "max-attempts": 1,
         resumable: true,
         sticky: true,
+        "retains-context": true,
+        "retention-s": 60,
       },
     ],
     [
       {
-        name: "agent-llm",
-        "max-connections": 180,
-        engine: { slots: SLOTS, "kv-capacity": 568_127, "tokens-per-event": 10 },
+        name: "lm-pool",
+        "max-connections": 160,
+        engine: { slots: 24, "kv-capacity": 490_370, "tokens-per-event": TOKENS_PER_EVENT },
       },
     ],
   );
-  for (let index = 1; index <= RUNNERS; index += 1) {
-    const id = `i-${index}`;
-    const options = { id, slots: SLOTS, queue: QUEUE, eventsOf, eventMs: EVENT_MS, loseAfter };
-    const runner = new StreamRunner(options, record);
-    runners.push(runner);
-    deployment.listRunner({ id, service: "agent-llm", address: await runner.listen(), slots: SLOTS });
+  deployment.listRunner({ id: "i-1", service: "lm-pool", address, slots: 24 });
+  await deployment.startGateways(GATEWAYS);
+  await pause(2_000);
+  const programs = Array.from({ length: PROGRAMS }, (_, index): Program => {
+    return { name: `program-${index + 1}`, done: 0, tokens: 0, last: undefined, tries: [] };
+  });
+  const beforeMs = performance.now() + 10_000;
+  await Promise.all(programs.map((program) => play(program, TURNS_BEFORE, beforeMs, record)));
+  if (programs.some(({ done }) => done < TURNS_BEFORE)) throw new Error("the first turns were not served");
+  await pause(SETTLE_MS + 200);
+  const faultMs = performance.now();
+  const untilMs = faultMs + RECOVERY_MS;
+  if (HAS_TROUBLE) {
+    record.add("all gateways are killed");
+    await deployment.killAll(DOWN_MS);
+    record.add("all gateways are ready again");
   }
-  await deployment.startGateways(2);
-  const untilMs = performance.now() + LOAD_MS;
-  await Promise.all(Array.from({ length: CALLERS }, (_, index) => callUntil(untilMs, index, record)));
-  return { breaches: judge(record) };
-}
-
-function judge(record: CaseRecord): string[] {
-  const byRequest = new Map<string, Run[]>();
-  for (const ran of runners.flatMap(({ runs }) => runs))
-    byRequest.set(ran.request, [...(byRequest.get(ran.request) ?? []), ran]);
-  const spread = [...byRequest].filter(
-    ([, runs]) => new Set(runs.map((ran) => ran.runner)).size > MAX_ATTEMPTS,
-  );
-  const twice = spread.filter(([, runs]) => worksOnElsewhere(runs));
-  const refused = runners.reduce((sum, runner) => sum + runner.refused, 0);
-  record.add(`${byRequest.size} requests ran, ${refused} were refused by runners as not executed`);
+  const others = playOthers(untilMs - LAST_MS, untilMs, record);
+  await Promise.all(programs.map((program) => play(program, TURNS, untilMs, record)));
+  const share = await others;
   record.add(
-    `${spread.length} requests ran on more than ${MAX_ATTEMPTS} runner; all runners lived and were reached`,
+    `${Math.round(100 * share)} in 100 of the other turns of the last ${LAST_MS / 1_000} s were served`,
   );
-  record.add(
-    `${twice.length} of these still ran at the runner before, ${TWICE_AFTER_MS} ms after they went on`,
-  );
-  if (spread.length <= ALLOWED) return [];
-  return spread.map(([id, runs]) => `BUDGET: ${id} ran on ${runs.map((ran) => ran.runner).join(" and ")}`);
+  for (const { name, done, tokens } of programs)
+    record.add(`${name}: ${done} turns answered whole, ${tokens} of ${BUDGET_TOKENS} tokens handed out`);
+  return { breaches: share < MIN_SERVED_SHARE ? [] : programs.flatMap(judge) };
 }
 
-/** Whether a later run at another runner began at least 400 ms before an earlier one ended. */
-function worksOnElsewhere(runs: readonly Run[]): boolean {
-  return runs.some((earlier) =>
-    runs.some(
-      (later) =>
-        later.runner !== earlier.runner &&
-        later.startedMs > earlier.startedMs &&
-        (earlier.endedMs ?? Number.POSITIVE_INFINITY) - later.startedMs >= TWICE_AFTER_MS,
-    ),
-  );
+/** A turn that goes on from one answered whole reached no runner, although the budget holds it. */
+function judge({ name, done, tokens, last, tries }: Program): string[] {
+  const isHeld = tokens + MOST_TOKENS <= BUDGET_TOKENS;
+  if (done >= TURNS || !isHeld || tries.some(({ id }) => ran.has(id))) return [];
+  const answers = [...new Set(tries.map(({ status }) => status))].join(", ");
+  const spent = `${tokens} of ${BUDGET_TOKENS} tokens handed out`;
+  return [
+    `LOST: turn ${done + 1} of ${name}, after ${last}, reached no runner in ${tries.length} tries (${answers}); ${spent}`,
+  ];
 }
 
 await runCase("review/3/record.txt", run, async () => {
-  for (const runner of runners) runner.close();
+  for (const server of servers) {
+    server.close();
+    server.closeAllConnections();
+  }
   await deployment.stop();
 });
