--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -12,8 +12,8 @@
 /** Turns of a program before and after the fault. All of them together, and one more, fit into its budget. */
 const TURNS_BEFORE = 4;
 const TURNS = 7;
-const TOKENS_PER_EVENT = 23;
-const EVENTS = 23;
+const TOKENS_PER_EVENT = 25;
+const EVENTS = 21;
 const EVENT_MS = 4;
 /** The most that a turn generates, and the budget, as in the example of the users' pages. */
 const MOST_TOKENS = 575;
@@ -29,7 +29,7 @@
 const BETWEEN_TRIES_MS = 400;
 const OTHERS_INTERVAL_MS = 100;
 
-const deployment = new Deployment();
+const deployment = new Deployment({ memoryMb: 380 });
 const servers: Server[] = [];
 /** Identifiers of all requests that the runner has run. */
 const ran = new Set<string>();
@@ -153,8 +153,8 @@
         kind: "streaming",
         "timeout-ms": DEADLINE_MS,
         service: "lm-pool",
-        "max-attempts": 1,
-        resumable: true,
+        "max-attempts": 2,
+        resumable: false,
         sticky: true,
         "retains-context": true,
         "retention-s": 60,
@@ -164,11 +164,11 @@
       {
         name: "lm-pool",
         "max-connections": 160,
-        engine: { slots: 24, "kv-capacity": 490_370, "tokens-per-event": TOKENS_PER_EVENT },
+        engine: { slots: 12, "kv-capacity": 490_370, "tokens-per-event": TOKENS_PER_EVENT },
       },
     ],
   );
-  deployment.listRunner({ id: "i-1", service: "lm-pool", address, slots: 24 });
+  deployment.listRunner({ id: "i-1", service: "lm-pool", address, slots: 12 });
   await deployment.startGateways(GATEWAYS);
   await pause(2_000);
   const programs = Array.from({ length: PROGRAMS }, (_, index): Program => {
