Let a stand-in of a runner end under a request

Cause: no stand-in ended because of what it was sent, so that no test or run could show what the users reported.

Change: a request's header says where it ends its runner (before the head, inside an event, between two); the runner then resets its connections and refuses new ones.

--- a/standins/platform/runner-standin.ts
+++ b/standins/platform/runner-standin.ts
@@ -6,9 +6,12 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { type AnswerEnding, endAnswer, omitFraming } from "./answer-ending.ts";
 
+/** Where in its run a request ends the process of its runner. */
+export type RunnerEnd = "beforeHead" | "insideEvent" | "betweenEvents";
+
 /** A fault that affects the following requests. */
 export type RunnerFault =
   | "none"
@@ -44,11 +47,23 @@
   cancelled: boolean;
 }
 
+/** What goes wrong with one stream. */
+interface StreamFaults {
+  readonly fault: RunnerFault;
+  readonly ending: AnswerEnding | undefined;
+  /** Undefined if the stream does not end its runner. */
+  readonly endsAt: RunnerEnd | undefined;
+}
+
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 const MISDIRECTED = 421;
 /** Request header in which a test gives the number of padding bytes to add to each event or response. */
 const PADDING_BYTES_HEADER = "x-test-filling-bytes";
+/** Request header in which a test states where the request ends its runner, as a {@link RunnerEnd}. */
+export const ENDS_RUNNER_HEADER = "x-test-ends-runner";
+/** Number of events before a request ends its runner within its stream. */
+const EVENTS_BEFORE_END = 2;
 
 /** A runner that records the requests it executes. */
 export class RunnerStandin {
@@ -75,6 +90,11 @@
   /** Time after which a stream that is not read is reset, in ms. */
   unreadTimeoutMs = 5_000;
   readonly executedRequests: ExecutedRequest[] = [];
+  /** Called when a request, or a test, has ended the runner's process. */
+  onEnded: () => void = () => undefined;
+  #hasEnded = false;
+  #endedPort = 0;
+  readonly #sockets = new Set<Socket>();
   /** The largest number of requests that ran at the same time. */
   maxRunningCount = 0;
   #runningCount = 0;
@@ -86,6 +106,10 @@
     this.#server = createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
       void this.#serve(request, response);
     });
+    this.#server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+    });
   }
 
   /** Listens on the loopback interface and returns `IP:port`. Port 0 selects a free port. */
@@ -109,6 +133,26 @@
     this.#server.closeAllConnections();
   }
 
+  /** Whether the process has ended by {@link end}. */
+  get hasEnded(): boolean {
+    return this.#hasEnded;
+  }
+
+  /** The port at which it listened before it ended. */
+  get endedPort(): number {
+    return this.#endedPort;
+  }
+
+  /** Ends as a process that is killed: resets its connections and refuses new ones. */
+  end(): void {
+    if (this.#hasEnded) return;
+    this.#endedPort = this.port;
+    this.#hasEnded = true;
+    this.#server.close();
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+    this.onEnded();
+  }
+
   /** The data of an event. */
   static eventData(requestId: string, event: number): string {
     return `${requestId}-${event}`;
@@ -131,12 +175,14 @@
     }
     const executed = this.#recordRequest(request, requestId, body, response);
     const ending = this.#takeEnding(executed);
+    const endsAt = executed.headers[ENDS_RUNNER_HEADER] as RunnerEnd | undefined;
+    const isStream = executed.headers["x-token-usage"] !== undefined;
+    if (endsAt === "beforeHead" || (endsAt !== undefined && !isStream)) return this.end();
     if (fault === "lostAnswer") return void request.socket.resetAndDestroy();
     if (fault === "silent") return;
     if (fault === "error") return void response.writeHead(500, base).end("failed");
     if (fault === "otherRequest") base["X-Request-Id"] = "another";
-    if (request.headers["x-token-usage"] !== undefined)
-      return this.#stream(executed, base, { fault, ending }, response);
+    if (isStream) return this.#stream(executed, base, { fault, ending, endsAt }, response);
     await pause(this.stepMs);
     if (ending)
       return this.#answerPlainWith(ending, `done ${requestId}${paddingOf(executed)}`, base, response);
@@ -186,7 +232,7 @@
   async #stream(
     executed: ExecutedRequest,
     headers: Record<string, string>,
-    { fault, ending }: { readonly fault: RunnerFault; readonly ending: AnswerEnding | undefined },
+    { fault, ending, endsAt }: StreamFaults,
     response: ServerResponse,
   ): Promise<void> {
     if (ending?.framing === "connection") omitFraming(response);
@@ -200,6 +246,11 @@
       await pause(this.stepMs);
       if (response.destroyed) return;
       const text = this.#eventText(event, `${RunnerStandin.eventData(executed.id, event)}${padding}`);
+      if (endsAt !== undefined && event === first + EVENTS_BEFORE_END) {
+        if (endsAt === "insideEvent") response.write(text.slice(0, text.length / 2));
+        await pause(this.stepMs);
+        return this.end();
+      }
       if (event === cutAt) {
         response.write(text.slice(0, ending?.cut?.bytes));
         break;
