Log whether a runner that broke off an answer has ended, and of which request

Cause: a try's line says that its connection ended, not whether the runner's process did, and nothing in the lines of two tries shows that they carry the same request.

Change: after a broken answer a connection is opened to the runner, for all calls that ask at the same time; the try, a metric and a line of its own say whether it has ended. A call's line holds the fingerprint of its content once an answer was broken off. No decision uses them yet.

--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -7,6 +7,7 @@
 import type { HttpAnswerHead } from "../../ports/http/http-exchange.ts";
 import type { TimerHandle } from "../../runtime/clock.ts";
 import { canFinishInTime } from "../../scheduling/admission/can-finish-in-time.ts";
+import type { RequestFingerprint } from "../../scheduling/ids/request-fingerprint.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { SoftwareVersion } from "../../scheduling/ids/software-version.ts";
 import type { PlaceCall } from "../../scheduling/place-queue/index.ts";
@@ -19,6 +20,8 @@
 import type { HeldPlace } from "../places/held-place.ts";
 import type { PendingPlaceRequest } from "../places/pending-place-request.ts";
 import type { PlaceVerdict } from "../places/place-verdict.ts";
+import { fingerprintOf } from "../poison-requests/fingerprint-of.ts";
+import type { AttemptRecord } from "../telemetry/attempt-record.ts";
 import type { CallEnd } from "../telemetry/call-end.ts";
 import { CallRecord } from "../telemetry/call-record.ts";
 import type { RateRecord } from "../telemetry/rate-record.ts";
@@ -103,6 +106,7 @@
   #deadlineTimer: TimerHandle | undefined;
   #silenceTimer: TimerHandle | undefined;
   #isOver = false;
+  #fingerprint: RequestFingerprint | undefined;
 
   constructor(parts: AttemptParts, request: RoutedRequest) {
     this.parts = parts;
@@ -358,11 +362,37 @@
     if (failure.type === "broken") this.mayHaveRun.add(runner.id);
     else this.excluded.add(runner.id);
     const last = this.record.tries.at(-1);
+    if (failure.type === "broken") void this.#checkRunner(runner, last);
     if (last) last.failure = failure.type === "notRun" ? `not run, status ${failure.status}` : failure.detail;
     this.#releasePlace(failure.type !== "broken");
     this.endAttempt();
   }
 
+  /** Finds out and records whether a runner that has broken off its answer has ended. */
+  async #checkRunner(runner: RunnerEntry, record: AttemptRecord | undefined): Promise<void> {
+    const { runnerEnds, callLog, context } = this.parts;
+    this.record.fingerprint = this.fingerprint;
+    const condition = await runnerEnds.check(runner);
+    context.metrics.recordRunnerCondition(condition);
+    if (record) record.runnerCondition = condition;
+    const { requestId: request } = this.call;
+    const { fingerprint } = this;
+    if (condition === "ended") callLog.logRunnerEnd({ runner: runner.id, request, fingerprint });
+  }
+
+  /** The content of the request, by which its tries are recognized. */
+  protected get fingerprint(): RequestFingerprint {
+    const { method, target, body } = this.exchange;
+    this.#fingerprint ??= fingerprintOf({
+      method,
+      target,
+      body,
+      call: this.call,
+      tenant: this.tenant?.name,
+    });
+    return this.#fingerprint;
+  }
+
   #recordAttempt(runner: RunnerEntry): void {
     const { board, context } = this.parts;
     const load = board.load(runner.id);
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -19,6 +19,7 @@
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { PlaceClient } from "../places/place-client.ts";
 import type { RunnerConnections } from "../runners/runner-connections.ts";
+import type { RunnerEndDetector } from "../runners/runner-end-detector.ts";
 import type { RunnerVersions } from "../runners/runner-versions.ts";
 import type { StreamOrigins } from "../streams/stream-origins.ts";
 import type { CallLog } from "../telemetry/call-log.ts";
@@ -53,6 +54,7 @@
   readonly versions: RunnerVersions;
   readonly streams: StreamOrigins;
   readonly connectionEnds: ConnectionEnds;
+  readonly runnerEnds: RunnerEndDetector;
 }
 
 /** What an attempt sends, and what is known about it. */
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -1,6 +1,7 @@
 /**
  * One gateway process: accepts callers' requests, owns partitions of programs, and tells callers which gateways to use.
  */
+import { probeConnection } from "../ports/probe-connection.ts";
 import { delay } from "../runtime/clock.ts";
 import { RpcEndpoint } from "../runtime/rpc.ts";
 import type { TcpTransport } from "../runtime/tcp-transport.ts";
@@ -33,6 +34,7 @@
 import { RateClient } from "./rates/rate-client.ts";
 import { RateHost } from "./rates/rate-host.ts";
 import { RunnerConnections } from "./runners/runner-connections.ts";
+import { RunnerEndDetector } from "./runners/runner-end-detector.ts";
 import { RunnerWatch } from "./runners/runner-watch.ts";
 import { RelayedRowStore } from "./store/relayed-row-store.ts";
 import { StoreHealth } from "./store-health.ts";
@@ -134,6 +136,7 @@
       versions: this.#runners.versions,
       streams: this.#streams,
       connectionEnds: new ConnectionEnds(),
+      runnerEnds: new RunnerEndDetector(this.#board, probeConnection),
     };
     const rateClient = new RateClient(context, this.#members, this.#partitions, this.#rpc);
     const routes = () => (this.#canServe ? this.#routing.routes : undefined);
--- a/src/gateway/telemetry/attempt-record.ts
+++ b/src/gateway/telemetry/attempt-record.ts
@@ -1,4 +1,5 @@
 import type { BodyFraming } from "../../ports/http/body-framing.ts";
+import type { RunnerCondition } from "../runners/runner-end-detector.ts";
 
 /** One attempt to run a call at a runner. */
 export interface AttemptRecord {
@@ -23,6 +24,8 @@
   unfinishedBytes?: number;
   /** Set if the answer ended with its connection, and another run is asked whether it was whole. */
   endDoubted?: true;
+  /** Whether the process of a runner that broke off its answer has ended; undefined until that is known. */
+  runnerCondition?: RunnerCondition;
   /** Why the attempt gave no answer. */
   failure?: string;
 }
--- a/src/gateway/telemetry/call-record.ts
+++ b/src/gateway/telemetry/call-record.ts
@@ -1,4 +1,5 @@
 /** Collects the decisions about one call, their reasons and their results for the call's log line. */
+import type { RequestFingerprint } from "../../scheduling/ids/request-fingerprint.ts";
 import type { AdmissionRecord } from "./admission-record.ts";
 import type { AttemptRecord } from "./attempt-record.ts";
 import type { CallEnd } from "./call-end.ts";
@@ -24,6 +25,8 @@
   retention: RetentionRecord | undefined;
   /** Undefined unless the caller takes up a stream that broke. */
   resumed: ResumedStreamRecord | undefined;
+  /** The content of the request, the same in each of its tries; set once a runner has broken off its answer. */
+  fingerprint: RequestFingerprint | undefined;
   /** Time from the arrival of the call until its first byte was forwarded, in ms. */
   firstByteMs: number | undefined;
 
@@ -38,13 +41,14 @@
   toLogFields(end: CallEnd, elapsedMs: number): object {
     const { request, program, route, configuration, tenant, rate, admission, places, retention, tries } =
       this;
-    const { firstByteMs, resumed } = this;
+    const { firstByteMs, resumed, fingerprint } = this;
     return {
       request,
       program,
       route,
       configuration,
       tenant,
+      fingerprint,
       ...end,
       elapsedMs,
       firstByteMs,
--- a/src/gateway/telemetry/gateway-metrics.ts
+++ b/src/gateway/telemetry/gateway-metrics.ts
@@ -1,4 +1,5 @@
 import type { BodyFraming } from "../../ports/http/body-framing.ts";
+import type { RunnerCondition } from "../runners/runner-end-detector.ts";
 import type { CallEnd } from "./call-end.ts";
 import type { DispatchedPlaces } from "./dispatched-places.ts";
 import type { GatewayGauges } from "./gateway-gauges.ts";
@@ -12,6 +13,8 @@
   abstract recordAttempt(outcome: string, elapsedMs: number): void;
   /** Records that a runner's answer has ended or was broken off, and what tells its end. */
   abstract recordAnswerEnd(framing: BodyFraming, end: "ended" | "broken"): void;
+  /** Records what was found of a runner that has broken off an answer. */
+  abstract recordRunnerCondition(condition: RunnerCondition): void;
   /** Records the expected duration of an attempt that has started. */
   abstract recordExpectedAttemptTime(expectedMs: number): void;
   /** Records the zone of a gateway that the directory has named to a caller; the caller's zone may be unknown. */
--- a/src/gateway/telemetry/no-metrics.ts
+++ b/src/gateway/telemetry/no-metrics.ts
@@ -5,6 +5,7 @@
   override recordCall(): void {}
   override recordAttempt(): void {}
   override recordAnswerEnd(): void {}
+  override recordRunnerCondition(): void {}
   override recordExpectedAttemptTime(): void {}
   override recordNamedGateway(): void {}
   override recordAdmission(): void {}
--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -3,6 +3,7 @@
 import type { BodyFraming } from "../../ports/http/body-framing.ts";
 import { ProcessMetrics } from "../../telemetry/metrics.ts";
 import { MetricsServer } from "../../telemetry/metrics-server.ts";
+import type { RunnerCondition } from "../runners/runner-end-detector.ts";
 import type { CallEnd } from "./call-end.ts";
 import type { DispatchedPlaces } from "./dispatched-places.ts";
 import type { GatewayGauges } from "./gateway-gauges.ts";
@@ -39,6 +40,12 @@
     labelNames: ["framing", "end"],
     registers: [],
   });
+  readonly #runnerConditions = new Counter({
+    name: "tulipwheel_gateway_broken_tries_total",
+    help: "Answers that runners broke off, by what was found of the runner: ended, running or unknown",
+    labelNames: ["runner"],
+    registers: [],
+  });
   readonly #expectedAttemptTimes = histogram(
     "try_expected_seconds",
     "Expected duration of an attempt at a runner",
@@ -143,6 +150,10 @@
     this.#answerEnds.inc({ framing, end });
   }
 
+  override recordRunnerCondition(condition: RunnerCondition): void {
+    this.#runnerConditions.inc({ runner: condition });
+  }
+
   override recordExpectedAttemptTime(expectedMs: number): void {
     this.#expectedAttemptTimes.observe(expectedMs / MS_PER_S);
   }
@@ -238,6 +249,7 @@
       this.#firstByteTimes,
       this.#attemptTimes,
       this.#answerEnds,
+      this.#runnerConditions,
       this.#expectedAttemptTimes,
       this.#namedGateways,
       this.#admissionTimes,
