--- a/standins/platform/runner-standin.ts
+++ b/standins/platform/runner-standin.ts
@@ -73,6 +73,8 @@
   fault: RunnerFault = "none";
   /** Number of further requests that the fault affects. */
   remainingFaults = Number.POSITIVE_INFINITY;
+  /** Faults of the next requests, one each; `fault` affects those after them. */
+  nextFaults: RunnerFault[] = [];
   /** How answers end; undefined for whole ones with the usual framing. `remainingFaults` holds for it, too. */
   ending: AnswerEnding | undefined;
   /** Draws the ending of each answer in place of `ending`. */
@@ -197,6 +199,8 @@
   }
 
   #takeFault(): RunnerFault {
+    const next = this.nextFaults.shift();
+    if (next) return next;
     if (this.fault === "none" || this.remainingFaults <= 0) return "none";
     this.remainingFaults -= 1;
     return this.fault;
--- /dev/null
+++ b/test/process/runners-that-end.test.ts
@@ -0,0 +1,252 @@
+/** Tests that a request under which runners have ended is not sent to more, and that no other request is held back. */
+import { afterEach, describe, it } from "node:test";
+import { expect } from "earl";
+import type { RunnerEnd, RunnerStandin } from "../../standins/platform/runner-standin.ts";
+import { knownRed } from "../support/known-red.ts";
+import {
+  type AfterEnd,
+  type CallerTry,
+  EndingRunnersCluster,
+  type RepeatedRequest,
+  tryOnce,
+} from "./support/ending-runners.ts";
+import { PATHS, pause, type TestGateway } from "./support/gateway-cluster.ts";
+
+const GATEWAYS = 3;
+const RUNNERS = 12;
+/** Runners that one request may end, whatever the number of its tries. */
+const MAX_ENDED_RUNNERS = 3;
+const TRIES = 7;
+const RETRY_MS = 120;
+/** A refusal that is known at once takes less, in ms. */
+const AT_ONCE_MS = 300;
+/** Events of a stream that lasts for several tries of another request. */
+const LONG_EVENTS = 40;
+const STEP_MS = 25;
+/** Events of a stream that ends its runner at each of several runs. */
+const MIDWAY_EVENTS = 16;
+const NOT_RUN_STATUSES = [408, 421, 429, 503];
+
+type RouteName = "turn" | "kept" | "safe" | "unsafe";
+
+interface EndingCase {
+  readonly route: RouteName;
+  readonly endsAt: RunnerEnd;
+  readonly afterEnd: AfterEnd;
+}
+
+const CASES: readonly EndingCase[] = [
+  { route: "turn", endsAt: "beforeHead", afterEnd: "entryLeaves" },
+  { route: "turn", endsAt: "beforeHead", afterEnd: "entryStays" },
+  { route: "turn", endsAt: "beforeHead", afterEnd: "restarts" },
+  { route: "turn", endsAt: "insideEvent", afterEnd: "entryLeaves" },
+  { route: "turn", endsAt: "betweenEvents", afterEnd: "entryStays" },
+  { route: "kept", endsAt: "beforeHead", afterEnd: "entryLeaves" },
+  { route: "kept", endsAt: "insideEvent", afterEnd: "restarts" },
+  { route: "safe", endsAt: "beforeHead", afterEnd: "entryLeaves" },
+  { route: "safe", endsAt: "beforeHead", afterEnd: "entryStays" },
+  { route: "unsafe", endsAt: "beforeHead", afterEnd: "restarts" },
+];
+
+let cluster: EndingRunnersCluster;
+
+function gatewayOf(index: number): TestGateway {
+  return cluster.gateways[index % cluster.gateways.length] as TestGateway;
+}
+
+function isStream(route: RouteName): boolean {
+  return route === "turn" || route === "kept";
+}
+
+function requestOf(route: RouteName, body: string, endsAt?: RunnerEnd): RepeatedRequest {
+  return { path: PATHS[route], body, endsAt };
+}
+
+/** Sends a request again and again, through the gateways in turn. */
+async function tryInTurn(route: RouteName, request: RepeatedRequest, count = TRIES): Promise<CallerTry[]> {
+  const tries: CallerTry[] = [];
+  for (let index = 0; index < count; index += 1) {
+    tries.push(await tryOnce(gatewayOf(index), request, isStream(route)));
+    await pause(RETRY_MS);
+  }
+  return tries;
+}
+
+/** Sends a request until it is answered whole, as callers of calls that may run again do. */
+async function sendUntilAnswered(
+  route: RouteName,
+  request: RepeatedRequest,
+  first: number,
+): Promise<CallerTry[]> {
+  const tries: CallerTry[] = [];
+  while (tries.length < TRIES && !isAnswered(tries)) {
+    if (tries.length > 0) await pause(RETRY_MS);
+    tries.push(await tryOnce(gatewayOf(first + tries.length), request, isStream(route)));
+  }
+  return tries;
+}
+
+function isAnswered(tries: readonly CallerTry[]): boolean {
+  const last = tries.at(-1);
+  return last?.status === 200 && last.isWhole;
+}
+
+async function expectServed(route: RouteName): Promise<void> {
+  const other = await tryOnce(gatewayOf(0), requestOf(route, "another request"), isStream(route));
+  expect([other.status, other.isWhole]).toEqual([200, true]);
+}
+
+function runsThatEnded(request: RepeatedRequest): number {
+  return cluster.runners.filter(
+    ({ hasEnded, executedRequests }) =>
+      hasEnded && executedRequests.some(({ body }) => body === request.body),
+  ).length;
+}
+
+/** Names of the tests, under which those that are known to fail are listed. */
+const NAMES = {
+  limit: ({ route, endsAt, afterEnd }: EndingCase) =>
+    `ends three runners at most under one request in all its tries (${route}, ${endsAt}, ${afterEnd})`,
+  atOnce: "refuses a request under which three runners have ended at once, and never as not run",
+  atTheSameTime: "counts tries in flight at several gateways together",
+  killed: "goes on counting when the gateways that counted are killed in turn",
+  beside: "answers every request that only sat beside one that ends runners",
+  fewRunners: "answers requests beside one that ends its runners where there are three of them",
+  otherCauses: "loses no request when runners are killed for other reasons",
+  resetOnly: "counts no runner that only resets connections",
+  full: "goes on with a broken stream at its runner only, although that refuses it as full",
+};
+
+describe("requests under which runners end", () => {
+  afterEach(() => cluster?.stop());
+
+  for (const ending of CASES) {
+    const name = NAMES.limit(ending);
+    it(name, knownRed(name), async () => {
+      cluster = await EndingRunnersCluster.start(GATEWAYS, RUNNERS, RUNNERS);
+      cluster.afterEnd = ending.afterEnd;
+      for (const runner of cluster.engines) runner.events = MIDWAY_EVENTS;
+      const bad = requestOf(ending.route, "bad", ending.endsAt);
+      await tryInTurn(ending.route, bad);
+      expect(cluster.endedCount <= MAX_ENDED_RUNNERS).toEqual(true);
+      await expectServed(ending.route);
+    });
+  }
+
+  it(NAMES.atOnce, knownRed(NAMES.atOnce), async () => {
+    cluster = await EndingRunnersCluster.start(GATEWAYS, RUNNERS, RUNNERS);
+    for (const route of ["turn", "safe", "unsafe"] as const) {
+      const bad = requestOf(route, `bad ${route}`, "beforeHead");
+      const tries = await tryInTurn(route, bad);
+      const ended = runsThatEnded(bad);
+      expect(ended).toEqual(MAX_ENDED_RUNNERS);
+      const [last, lastButOne] = [tries.at(-1) as CallerTry, tries.at(-2) as CallerTry];
+      expect([last.status, lastButOne.status]).toEqual([502, 502]);
+      expect(Math.max(last.elapsedMs, lastButOne.elapsedMs) <= AT_ONCE_MS).toEqual(true);
+      expect(tries.filter(({ status }) => NOT_RUN_STATUSES.includes(status))).toEqual([]);
+    }
+  });
+
+  it(NAMES.atTheSameTime, knownRed(NAMES.atTheSameTime), async () => {
+    cluster = await EndingRunnersCluster.start(GATEWAYS, RUNNERS, RUNNERS);
+    for (const route of ["turn", "safe"] as const) {
+      const bad = requestOf(route, `bad ${route}`, "beforeHead");
+      for (let round = 0; round < 3; round += 1)
+        await Promise.all(cluster.gateways.map((gateway) => tryOnce(gateway, bad, isStream(route))));
+      expect(runsThatEnded(bad) <= MAX_ENDED_RUNNERS).toEqual(true);
+    }
+  });
+
+  it(NAMES.killed, knownRed(NAMES.killed), async () => {
+    cluster = await EndingRunnersCluster.start(GATEWAYS, RUNNERS, RUNNERS);
+    const bad = requestOf("unsafe", "bad", "beforeHead");
+    for (let round = 0; round < 2 * GATEWAYS; round += 1) {
+      await tryOnce(gatewayOf(round), bad, false);
+      const killed = gatewayOf(round);
+      await killed.process.kill();
+      cluster.restart(killed);
+      await cluster.ready();
+    }
+    expect(cluster.endedCount <= MAX_ENDED_RUNNERS).toEqual(true);
+  });
+
+  it(NAMES.beside, knownRed(NAMES.beside), async () => {
+    cluster = await EndingRunnersCluster.start(GATEWAYS, RUNNERS, RUNNERS);
+    cluster.afterEnd = "restarts";
+    for (const runner of cluster.runners) slowDown(runner);
+    const bad = ["bad 1", "bad 2", "bad 3"].map((body) => requestOf("turn", body, "betweenEvents"));
+    const badCalls = bad.map((request) => requestOf("safe", request.body, "beforeHead"));
+    const innocent = Array.from({ length: 60 }, (_, index) =>
+      sendUntilAnswered("turn", requestOf("turn", `stream ${index}`), index),
+    );
+    const innocentCalls = Array.from({ length: 60 }, async (_, index) => {
+      await pause(index * STEP_MS);
+      return sendUntilAnswered("safe", requestOf("safe", `call ${index}`), index);
+    });
+    await pause(2 * STEP_MS);
+    const sent = [
+      ...bad.map((request) => tryInTurn("turn", request)),
+      ...badCalls.map((request) => tryInTurn("safe", request)),
+    ];
+    await Promise.all(sent);
+    const answered = [...(await Promise.all(innocent)), ...(await Promise.all(innocentCalls))];
+    expect(answered.filter((tries) => !isAnswered(tries))).toEqual([]);
+  });
+
+  it(NAMES.fewRunners, knownRed(NAMES.fewRunners), async () => {
+    cluster = await EndingRunnersCluster.start(GATEWAYS, 3, 3);
+    cluster.afterEnd = "restarts";
+    for (const runner of cluster.runners) slowDown(runner);
+    const innocent = Array.from({ length: 12 }, (_, index) =>
+      sendUntilAnswered("turn", requestOf("turn", `stream ${index}`), index),
+    );
+    await pause(2 * STEP_MS);
+    await tryInTurn("turn", requestOf("turn", "bad", "betweenEvents"));
+    const unanswered = (await Promise.all(innocent)).filter((tries) => !isAnswered(tries));
+    expect(unanswered).toEqual([]);
+  });
+
+  it(NAMES.otherCauses, knownRed(NAMES.otherCauses), async () => {
+    cluster = await EndingRunnersCluster.start(GATEWAYS, RUNNERS, RUNNERS);
+    cluster.afterEnd = "restarts";
+    for (const runner of cluster.runners) slowDown(runner);
+    const streams = Array.from({ length: 48 }, (_, index) =>
+      sendUntilAnswered("turn", requestOf("turn", `stream ${index}`), index),
+    );
+    for (let round = 0; round < 3; round += 1) {
+      await pause(8 * STEP_MS);
+      const running = cluster.engines.filter(({ hasEnded }) => !hasEnded);
+      for (const runner of running.slice(0, RUNNERS / 3)) runner.end();
+    }
+    const answers = await Promise.all(streams);
+    expect(answers.filter((tries) => !isAnswered(tries))).toEqual([]);
+  });
+
+  it(NAMES.resetOnly, knownRed(NAMES.resetOnly), async () => {
+    cluster = await EndingRunnersCluster.start(GATEWAYS, 2, 2);
+    for (const runner of cluster.services) runner.fault = "lostAnswer";
+    const request = requestOf("safe", "innocent");
+    await tryInTurn("safe", request);
+    for (const runner of cluster.services) runner.fault = "none";
+    expect(isAnswered(await tryInTurn("safe", request, 1))).toEqual(true);
+  });
+
+  it(NAMES.full, knownRed(NAMES.full), async () => {
+    cluster = await EndingRunnersCluster.start(1, RUNNERS, 0);
+    for (let round = 0; round < RUNNERS; round += 1) {
+      const request = requestOf("turn", `stream ${round}`);
+      for (const runner of cluster.engines) runner.nextFaults = ["breakStream", "full", "full"];
+      const answer = await tryOnce(gatewayOf(0), request, true);
+      expect([answer.status, answer.isWhole]).toEqual([200, true]);
+      const ran = cluster.engines.filter(({ executedRequests }) =>
+        executedRequests.some(({ body }) => body === request.body),
+      );
+      expect(ran.length).toEqual(1);
+    }
+  });
+});
+
+function slowDown(runner: RunnerStandin): void {
+  runner.events = LONG_EVENTS;
+  runner.stepMs = STEP_MS;
+}
