Leave no runner out of a stream's count because it is full

What callers saw: nothing; runners saw it. A broken stream whose runner had no room to go on with it went on at others, beyond max-attempts (BUDGET).

Cause: runners that refused the call and runners that can't be reached were in one set, and both were left out of the count.

Change: only runners that are gone (not listed, not reached, address of another one) are left out. A stream whose runner is only full asks it again every 100 ms, within the limit of attempts. The end of a stream that is only doubted does not wait.

--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -55,6 +55,7 @@
 /** Whether a runner may be chosen for a call. */
 type RunnerFilter = (runner: RunnerEntry) => boolean;
 
+const MISDIRECTED_REQUEST = 421;
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
 /** Maximum length of the detail in a log line, in characters. */
@@ -87,6 +88,8 @@
   protected readonly deadlineAtMs: number;
   /** Runners that refused the call, or could not be reached. */
   protected readonly excluded = new Set<RunnerId>();
+  /** Runners that can't run the call any more, because they have ended or can't be reached. */
+  protected readonly gone = new Set<RunnerId>();
   /** Runners that were silent for too long; a call that may run twice is sent to others. */
   protected readonly silent = new Set<RunnerId>();
   /** Runners that may have run the call. */
@@ -361,6 +364,7 @@
   protected recordFailure(runner: RunnerEntry, failure: AttemptFailure): void {
     if (failure.type === "broken") this.mayHaveRun.add(runner.id);
     else this.excluded.add(runner.id);
+    if (isGone(failure)) this.gone.add(runner.id);
     const last = this.record.tries.at(-1);
     if (failure.type === "broken") void this.#checkRunner(runner, last);
     if (last) last.failure = failure.type === "notRun" ? `not run, status ${failure.status}` : failure.detail;
@@ -496,3 +500,9 @@
     this.finish({ status: 0, kind: this.exchange.wasCut ? "slow-reader" : "caller-gone" });
   }
 }
+
+/** Whether the runner that an attempt was sent to can't be reached, or another one has its address. */
+function isGone(failure: AttemptFailure): boolean {
+  if (failure.type === "notRun") return failure.status === MISDIRECTED_REQUEST;
+  return failure.type === "unreachable";
+}
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -29,6 +29,8 @@
  * queued behind all others.
  */
 const MAX_PLACE_WAIT_MS = 1_500;
+/** How long a stream waits before it asks its runner again, which had no room to go on with it, in ms. */
+const FULL_RUNNER_RETRY_MS = 100;
 const PAYMENT_REQUIRED = 402;
 const NOT_FOUND = 404;
 const FIRST_FAILURE_STATUS = 300;
@@ -81,7 +83,10 @@
   protected override tryNext(): void {
     const resumed = this.#runnerToResume();
     if (resumed) return this.#sendTo(resumed);
-    if (this.#runnersLeft <= 0) return this.#giveUp("no runner can take the turn");
+    if (this.#runnersLeft <= 0) {
+      if (this.#isRunnerOnlyFull()) return this.#askRunnerAgain();
+      return this.#giveUp("no runner can take the turn");
+    }
     if (this.#eventCount > 0 && this.#version === undefined)
       return this.#giveUp("the software version of the stream is not known");
     this.findRunner(this.#preferred, (runner) => {
@@ -238,10 +243,27 @@
   /** How many more runners may run the turn; earlier ones that are gone do not count. */
   get #runnersLeft(): number {
     const { board } = this.parts;
-    const present = [...this.mayHaveRun].filter((id) => board.isListed(id) && !this.excluded.has(id));
+    const present = [...this.mayHaveRun].filter((id) => board.isListed(id) && !this.gone.has(id));
     return this.route.maxAttempts - present.length;
   }
 
+  /** Whether the runner of a broken stream still accepts requests, and only had no room to go on with the stream. */
+  #isRunnerOnlyFull(): boolean {
+    const last = this.#lastRunner;
+    // An end that is only doubted does not wait: it counts if nobody can be asked.
+    if (last === undefined || this.#doubtedHead !== undefined) return false;
+    if (!this.excluded.has(last) || this.gone.has(last) || this.silent.has(last)) return false;
+    return this.parts.board.ready(last) !== undefined;
+  }
+
+  #askRunnerAgain(): void {
+    this.parts.context.clock.schedule(FULL_RUNNER_RETRY_MS, () => {
+      if (this.isOver) return;
+      if (this.#lastRunner !== undefined) this.excluded.delete(this.#lastRunner);
+      this.tryNext();
+    });
+  }
+
   #body(): Buffer {
     const { body } = this.exchange;
     return this.#history.length === 0 ? body : Buffer.concat([...this.#history, body]);
