Send no request on under which three runners have ended

What callers saw: a request whose runs end their runners was sent to up to twelve runners in one try and began anew in each; then nobody was served.

Change: requests are known by a fingerprint of their content. The gateway that sees a runner end under one reports that to three gateways that its pool hashes to, and goes on, or answers, only when one has it. Runs of such a request are asked for: losses and runs in progress together stay within three; the last run is made apart from other suspects, and not while other runners end; what ended under a known poison request does not count against those beside it; a run to the end clears a request. From two losses on all gateways are told, new ones too. A request that has cost three runners gets 502 at once, never a 503.

Why it works: each run after the first end needs the word of all holders that answer, who count what is in progress; the first ones are bounded by the tries in flight at once.

Three tries in the same ms still end more than three runners: listed.

--- a/bench/simulation/answers/answer-world.ts
+++ b/bench/simulation/answers/answer-world.ts
@@ -13,6 +13,7 @@
 import { gatewaySettingsSchema } from "../../../src/gateway/gateway-settings.ts";
 import { CallerExchange } from "../../../src/gateway/ingress/caller-exchange.ts";
 import type { PartitionClient } from "../../../src/gateway/partitions/partition-client.ts";
+import { PoisonGuard } from "../../../src/gateway/poison-requests/poison-guard.ts";
 import { RunnerEndDetector } from "../../../src/gateway/runners/runner-end-detector.ts";
 import { RunnerVersions } from "../../../src/gateway/runners/runner-versions.ts";
 import { CallLog } from "../../../src/gateway/telemetry/call-log.ts";
@@ -161,7 +162,13 @@
     versions: new RunnerVersions(new Map(entries.map((entry) => [entry.name, entry])), TIMEOUT_MS),
     streams: streams as AttemptParts["streams"],
     connectionEnds: new ConnectionEnds(),
-    runnerEnds: new RunnerEndDetector(board, async () => "accepted"),
+    guard: new PoisonGuard({
+      context,
+      members: { poisonGuards: () => [] },
+      rpc: { handle: () => undefined, ask: async () => ({ type: "timeout" }) },
+      transport: { self: { instance: "", address: "" }, send: () => undefined },
+      detector: new RunnerEndDetector(board, async () => "accepted"),
+    }),
   };
 }
 
--- a/src/gateway/calls/buffered-call.ts
+++ b/src/gateway/calls/buffered-call.ts
@@ -39,6 +39,10 @@
 
   #sendTo(runner: RunnerEntry): void {
     if (!this.hasTimeFor(runner)) return this.#giveUp("no time is left for another runner");
+    this.sendOnceAdmitted(runner, () => this.#startAttempt(runner));
+  }
+
+  #startAttempt(runner: RunnerEntry): void {
     let head: HttpAnswerHead | undefined;
     const chunks: Buffer[] = [];
     const isStarted = this.startAttempt(runner, this.exchange.body, this.call.lastEventId, {
@@ -98,7 +102,7 @@
       if (this.#uncertain) this.#answer(this.#uncertain);
     });
     this.exchange.buffers.set("collected", answer.body.length);
-    this.tryNext();
+    void this.whenChecked(() => this.tryNext());
   }
 
   #answer({ head, body }: CollectedAnswer): void {
@@ -113,9 +117,13 @@
     this.recordFailure(runner, failure);
     if (failure.type !== "broken") return this.tryNext();
     const mayRepeat = this.route.kind === "safe" && this.mayHaveRun.size < this.route.maxAttempts;
-    if (!mayRepeat) return this.failWithUnknownOutcome(`the runner gave no answer: ${failure.detail}`);
+    if (!mayRepeat) {
+      // The caller may come back at another gateway, which has to know by then that the runner has ended.
+      const detail = `the runner gave no answer: ${failure.detail}`;
+      return void this.whenChecked(() => this.failWithUnknownOutcome(detail));
+    }
     this.excluded.add(runner.id);
-    this.tryNext();
+    void this.whenChecked(() => this.tryNext());
   }
 
   #giveUp(detail: string): void {
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -7,7 +7,6 @@
 import type { HttpAnswerHead } from "../../ports/http/http-exchange.ts";
 import type { TimerHandle } from "../../runtime/clock.ts";
 import { canFinishInTime } from "../../scheduling/admission/can-finish-in-time.ts";
-import type { RequestFingerprint } from "../../scheduling/ids/request-fingerprint.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { SoftwareVersion } from "../../scheduling/ids/software-version.ts";
 import type { PlaceCall } from "../../scheduling/place-queue/index.ts";
@@ -20,7 +19,7 @@
 import type { HeldPlace } from "../places/held-place.ts";
 import type { PendingPlaceRequest } from "../places/pending-place-request.ts";
 import type { PlaceVerdict } from "../places/place-verdict.ts";
-import { fingerprintOf } from "../poison-requests/fingerprint-of.ts";
+import { GuardedRuns } from "../poison-requests/guarded-runs.ts";
 import type { AttemptRecord } from "../telemetry/attempt-record.ts";
 import type { CallEnd } from "../telemetry/call-end.ts";
 import { CallRecord } from "../telemetry/call-record.ts";
@@ -73,6 +72,8 @@
 const MIN_SILENCE_TIMEOUT_MS = 400;
 /** How often a runner that stays silent is checked again, in ms. */
 const SILENCE_CHECK_INTERVAL_MS = 200;
+/** Shortest wait before a run is asked for again that may not begin now, in ms; a random time of up to the same length is added. */
+const ADMISSION_RETRY_MS = 30;
 /** Maximum number of attempts within one call, whatever their outcome. */
 const MAX_TOTAL_ATTEMPTS = 12;
 
@@ -109,7 +110,11 @@
   #deadlineTimer: TimerHandle | undefined;
   #silenceTimer: TimerHandle | undefined;
   #isOver = false;
-  #fingerprint: RequestFingerprint | undefined;
+  readonly #runs: GuardedRuns;
+  /** Whether the current attempt runs the call from its start. */
+  #isFromStart = false;
+  /** Resolves once it is known whether the last runner that broke off its answer has ended. */
+  #breakCheck: Promise<void> = Promise.resolve();
 
   constructor(parts: AttemptParts, request: RoutedRequest) {
     this.parts = parts;
@@ -126,6 +131,18 @@
     this.record.tenant = request.tenant?.name;
     this.record.rate = request.rate;
     this.record.resumed = resumedStreamRecordOf(this.call, request.resumed);
+    const guarded = {
+      pool: this.pool.name,
+      request: requestId,
+      content: () => ({
+        method: this.exchange.method,
+        target: this.exchange.target,
+        body: this.exchange.body,
+        call: this.call,
+        tenant: this.tenant?.name,
+      }),
+    };
+    this.#runs = new GuardedRuns(parts.guard, guarded, () => parts.context.clock.monotonicMs());
     this.deadlineAtMs = this.exchange.arrivedAtMs + callTimeoutMs(this.call, this.route);
   }
 
@@ -135,7 +152,9 @@
       this.#onDeadline(),
     );
     this.exchange.onGone(() => this.#onGone());
-    if (!this.#isOver) this.begin();
+    if (this.#isOver) return;
+    if (this.#runs.isPoison) this.#failAsPoison();
+    else this.begin();
   }
 
   protected abstract begin(): void;
@@ -188,7 +207,7 @@
 
   /**
    * Finds the runner for an attempt. While places are scarce, the call requests one from a dispatcher, unless it may have
-   * run already: such a call must not wait behind others, nor be refused as not run. Nor does a stream that has begun: it can
+   * run already, in this try or in an earlier one: such a call must not wait behind others, nor be refused as not run. Nor does a stream that has begun: it can
    * go on at few runners only, which dispatchers of earlier builds can't tell from the others.
    */
   protected findRunner(
@@ -198,7 +217,8 @@
     this.#promptHolder = preferred;
     const { places } = this.parts;
     const hasStarted = this.mayHaveRun.size > 0 || this.requiredVersion !== undefined;
-    if (hasStarted || !places.requiresPlace(this.pool)) return this.#chooseLocally(preferred, send);
+    if (hasStarted || this.#runs.isSuspect || !places.requiresPlace(this.pool))
+      return this.#chooseLocally(preferred, send);
     const atMs = this.elapsedMs;
     const placeRequest = places.requestPlace({
       pool: this.pool,
@@ -231,12 +251,7 @@
         this.#choice = undefined;
         return send(verdict.runner);
       case "refused":
-        return this.fail(
-          UNAVAILABLE,
-          "overloaded",
-          `no place in time: ${verdict.reason}`,
-          verdict.retryAfterMs,
-        );
+        return this.#refuseAfter("overloaded", `no place in time: ${verdict.reason}`, verdict.retryAfterMs);
       case "alone":
         return this.#chooseLocally(preferred, send);
     }
@@ -273,7 +288,12 @@
       sample: context.random.unit(),
     };
     this.#choice = choice;
-    for (const mayTake of this.#runnerFilters) {
+    const { taken } = this.#runs;
+    const filters = this.#runnerFilters;
+    const apart = filters.map((mayTake) => (runner: RunnerEntry) => {
+      return !taken.includes(runner.id) && mayTake(runner);
+    });
+    for (const mayTake of taken.length === 0 ? filters : [...apart, ...filters]) {
       const chosen = board.choose({ ...choice, mayTake });
       if (chosen) return chosen;
     }
@@ -340,6 +360,7 @@
       isCached: this.#promptHolder === runner.id,
     };
     this.#recordAttempt(runner);
+    this.#isFromStart = lastEventId === undefined;
     this.attempt = new RunnerAttempt(this.parts, runner, request, listener);
     if (this.mayRetryElsewhere(runner)) this.#watchForSilence(this.attempt, silenceTimeoutMs);
     return true;
@@ -357,6 +378,7 @@
     this.mayHaveRun.add(runner.id);
     const last = this.record.tries.at(-1);
     if (last) last.endDoubted = true;
+    this.#breakCheck = this.#checkRunner(runner, last);
     this.endAttempt();
   }
 
@@ -366,35 +388,58 @@
     else this.excluded.add(runner.id);
     if (isGone(failure)) this.gone.add(runner.id);
     const last = this.record.tries.at(-1);
-    if (failure.type === "broken") void this.#checkRunner(runner, last);
+    if (failure.type === "broken") this.#breakCheck = this.#checkRunner(runner, last);
+    else this.#runs.end("unknown");
     if (last) last.failure = failure.type === "notRun" ? `not run, status ${failure.status}` : failure.detail;
     this.#releasePlace(failure.type !== "broken");
     this.endAttempt();
   }
 
   /** Finds out and records whether a runner that has broken off its answer has ended. */
-  async #checkRunner(runner: RunnerEntry, record: AttemptRecord | undefined): Promise<void> {
-    const { runnerEnds, callLog, context } = this.parts;
-    this.record.fingerprint = this.fingerprint;
-    const condition = await runnerEnds.check(runner);
-    context.metrics.recordRunnerCondition(condition);
-    if (record) record.runnerCondition = condition;
-    const { requestId: request } = this.call;
-    const { fingerprint } = this;
-    if (condition === "ended") callLog.logRunnerEnd({ runner: runner.id, request, fingerprint });
-  }
-
-  /** The content of the request, by which its tries are recognized. */
-  protected get fingerprint(): RequestFingerprint {
-    const { method, target, body } = this.exchange;
-    this.#fingerprint ??= fingerprintOf({
-      method,
-      target,
-      body,
-      call: this.call,
-      tenant: this.tenant?.name,
+  async #checkRunner(runner: RunnerEntry, attempt: AttemptRecord | undefined): Promise<void> {
+    this.record.fingerprint = this.#runs.fingerprint;
+    const condition = await this.#runs.checkBreak(runner);
+    if (attempt) attempt.runnerCondition = condition;
+    if (condition !== "ended") return;
+    this.gone.add(runner.id);
+    this.excluded.add(runner.id);
+    const { fingerprint } = this.#runs;
+    this.parts.callLog.logRunnerEnd({ runner: runner.id, request: this.call.requestId, fingerprint });
+  }
+
+  /** Continues once it is known whether the runner that has just broken off its answer has ended. */
+  protected async whenChecked(next: () => void): Promise<void> {
+    await this.#breakCheck;
+    if (!this.#isOver) next();
+  }
+
+  /**
+   * Sends the call to a runner once it may run there: at once, unless runners have ended under its request. If it may not run
+   * there now, another attempt is made a little later.
+   */
+  protected sendOnceAdmitted(runner: RunnerEntry, send: () => void): void {
+    if (this.#runs.isSuspect) void this.#admit(runner, send);
+    else send();
+  }
+
+  async #admit(runner: RunnerEntry, send: () => void): Promise<void> {
+    this.record.fingerprint = this.#runs.fingerprint;
+    const verdict = await this.#runs.admit(runner, this.leftMs);
+    if (this.#isOver) return this.#runs.end("unknown");
+    if (verdict === "granted") return send();
+    if (verdict === "poison") return this.#failAsPoison();
+    const { clock, random } = this.parts.context;
+    const delayMs = ADMISSION_RETRY_MS * (1 + random.unit());
+    clock.schedule(delayMs, () => {
+      if (!this.#isOver) this.tryNext();
     });
-    return this.#fingerprint;
+  }
+
+  /** Ends the call, because too many runners have ended under its request. That has run, in this try or in an earlier one. */
+  #failAsPoison(): void {
+    const detail =
+      "Runners have ended while they ran this request. It is not sent to others; do not send it again.";
+    this.fail(BAD_GATEWAY, "poison-request", detail);
   }
 
   #recordAttempt(runner: RunnerEntry): void {
@@ -436,8 +481,13 @@
 
   /** Ends the call with a refusal: no runner has run it, and none will. */
   protected refuse(kind: string, detail: string, retryAfterMs = RETRY_AFTER_MS): void {
-    const { random } = this.parts.context;
-    this.fail(UNAVAILABLE, kind, detail, retryAfterMs * (1 + random.unit()));
+    this.#refuseAfter(kind, detail, retryAfterMs * (1 + this.parts.context.random.unit()));
+  }
+
+  /** Refuses the call, unless an earlier try of its request was run by a runner that ended under it. */
+  #refuseAfter(kind: string, detail: string, retryAfterMs: number): void {
+    if (this.#runs.isSuspect) this.failWithUnknownOutcome(detail);
+    else this.fail(UNAVAILABLE, kind, detail, retryAfterMs);
   }
 
   /** Ends the call with an error: it is unknown whether the call has run. */
@@ -460,6 +510,8 @@
     if (this.#isOver) return;
     this.#isOver = true;
     this.endAttempt();
+    if (this.attempt?.inProgress) this.#runs.recordAbandoned(this.attempt.runner);
+    this.#runs.end(end.kind === "answered" && this.#isFromStart ? "whole" : "unknown");
     if (this.#placeRequest) this.parts.places.cancel(this.#placeRequest);
     const { elapsedMs, record } = this;
     this.parts.callLog.logCall(record, end, elapsedMs);
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -18,8 +18,8 @@
 import type { GatewayContext } from "../gateway-context.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { PlaceClient } from "../places/place-client.ts";
+import type { PoisonGuard } from "../poison-requests/poison-guard.ts";
 import type { RunnerConnections } from "../runners/runner-connections.ts";
-import type { RunnerEndDetector } from "../runners/runner-end-detector.ts";
 import type { RunnerVersions } from "../runners/runner-versions.ts";
 import type { StreamOrigins } from "../streams/stream-origins.ts";
 import type { CallLog } from "../telemetry/call-log.ts";
@@ -54,7 +54,7 @@
   readonly versions: RunnerVersions;
   readonly streams: StreamOrigins;
   readonly connectionEnds: ConnectionEnds;
-  readonly runnerEnds: RunnerEndDetector;
+  readonly guard: PoisonGuard;
 }
 
 /** What an attempt sends, and what is known about it. */
@@ -150,6 +150,11 @@
     if (!this.#isOver) this.#exchange.resume();
   }
 
+  /** Whether the runner may still be at work on the attempt. */
+  get inProgress(): boolean {
+    return !this.#isOver;
+  }
+
   /** Whether no part of an answer has arrived. */
   get silent(): boolean {
     return !this.#isOver && !this.#pending.answered;
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -104,9 +104,11 @@
     // A stream that has begun is resumed in any case: the events that still arrive are of use to the caller.
     if (this.#eventCount === 0 && !this.hasTimeFor(runner))
       return this.#giveUp("no time is left for another runner");
-    this.#splitter.reset();
-    const isStarted = this.startAttempt(runner, this.#body(), this.#lastEventId, this.#listenerFor(runner));
-    if (!isStarted) this.#giveUp("too many runners refused the turn");
+    this.sendOnceAdmitted(runner, () => {
+      this.#splitter.reset();
+      const isStarted = this.startAttempt(runner, this.#body(), this.#lastEventId, this.#listenerFor(runner));
+      if (!isStarted) this.#giveUp("too many runners refused the turn");
+    });
   }
 
   protected override mayRetryElsewhere(runner: RunnerEntry): boolean {
@@ -331,7 +333,7 @@
     this.#doubtedHead = head;
     this.#setRunnerPaused(false);
     this.doubtEnd(runner);
-    this.tryNext();
+    void this.whenChecked(() => this.tryNext());
   }
 
   #forward(event: StreamEvent, head: HttpAnswerHead | undefined, runner: RunnerEntry): void {
@@ -452,7 +454,11 @@
     if (failure.type === "broken") {
       this.#setLastRunner(runner);
       if (this.#eventCount > 0 && this.parts.versions.isReplaced(runner)) this.#version = undefined;
-      if (!this.route.resumable) return this.failWithUnknownOutcome(`the stream broke: ${failure.detail}`);
+      const detail = `the stream broke: ${failure.detail}`;
+      return void this.whenChecked(() => {
+        if (this.route.resumable) this.tryNext();
+        else this.failWithUnknownOutcome(detail);
+      });
     }
     this.tryNext();
   }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -31,6 +31,7 @@
 import { PoolScarcity } from "./places/pool-scarcity.ts";
 import { RunnerGroups } from "./places/runner-groups.ts";
 import { TenantWeights } from "./places/tenant-weights.ts";
+import { PoisonGuard } from "./poison-requests/poison-guard.ts";
 import { RateClient } from "./rates/rate-client.ts";
 import { RateHost } from "./rates/rate-host.ts";
 import { RunnerConnections } from "./runners/runner-connections.ts";
@@ -60,6 +61,7 @@
   readonly #board: RunnerBalancer;
   readonly #connections: RunnerConnections;
   readonly #streams: StreamOrigins;
+  readonly #guard: PoisonGuard;
   readonly #buffers: BufferLimiter;
   readonly #ingress: IngressServer;
   /** Undefined if the directory lists all gateways equally, without regard to their headroom. */
@@ -126,6 +128,13 @@
       versions: this.#runners.versions,
       streamLifetimeMs: () => this.#routing.routes?.streamLifetimeMs ?? Number.POSITIVE_INFINITY,
     });
+    this.#guard = new PoisonGuard({
+      context,
+      members: this.#members,
+      rpc: this.#rpc,
+      transport,
+      detector: new RunnerEndDetector(this.#board, probeConnection),
+    });
     const callDependencies = {
       context,
       board: this.#board,
@@ -136,7 +145,7 @@
       versions: this.#runners.versions,
       streams: this.#streams,
       connectionEnds: new ConnectionEnds(),
-      runnerEnds: new RunnerEndDetector(this.#board, probeConnection),
+      guard: this.#guard,
     };
     const rateClient = new RateClient(context, this.#members, this.#partitions, this.#rpc);
     const routes = () => (this.#canServe ? this.#routing.routes : undefined);
@@ -153,8 +162,14 @@
       this.#announceReady();
     };
     this.#runners.onListRead = () => this.#announceReady();
-    this.#runners.onRemoved = (runner) => this.#connections.drain(runner);
-    this.#runners.onReplaced = (runner) => this.#connections.abort(runner);
+    this.#runners.onRemoved = (runner) => {
+      this.#connections.drain(runner);
+      this.#guard.onRunnerGone(runner);
+    };
+    this.#runners.onReplaced = (runner) => {
+      this.#connections.abort(runner);
+      this.#guard.onRunnerGone(runner);
+    };
     this.#members.selfReport = () => ({
       state: this.state,
       storeDirect: this.#store.isDirect,
@@ -243,6 +258,7 @@
     this.#members.onHeard = (member) => {
       this.#partitions.learn(member);
       this.#store.updateRelay(member.instance, member.status.storeDirect);
+      this.#guard.onMember(member.instance, member.address);
     };
     this.#members.onLoads = (source, report) =>
       this.#board.recordReport(source, report, this.#context.clock.monotonicMs());
@@ -253,6 +269,7 @@
       this.#placeHost.onGatewayLost(member.instance);
       this.#placeClient.onGatewayLost(member.instance);
       this.#store.removeRelay(member.instance);
+      this.#guard.onMemberLost(member.instance);
       this.#rpc.failPending(member.address);
     };
     this.#transport.onDisconnected((address, reason) => {
@@ -283,6 +300,10 @@
         return this.#placeHost.onReturned(message);
       case "streamsBegun":
         return this.#streams.onStreamsBegun(message);
+      case "suspectRunEnded":
+        return this.#guard.onRunEnded(message);
+      case "suspectsKnown":
+        return this.#guard.onSuspectsKnown(message);
       case "rpcRequest":
         return void this.#rpc.onRequest(message, from);
       case "rpcResponse":
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -4,6 +4,7 @@
 import type { RpcRequest, RpcResponse } from "../messages/rpc-messages.ts";
 import type { Headroom } from "../scheduling/caller-spread/headroom.ts";
 import type { ProgramId } from "../scheduling/ids/program-id.ts";
+import type { RequestFingerprint } from "../scheduling/ids/request-fingerprint.ts";
 import type { RequestId } from "../scheduling/ids/request-id.ts";
 import type { RunnerId } from "../scheduling/ids/runner-id.ts";
 import type { SoftwareVersion } from "../scheduling/ids/software-version.ts";
@@ -15,6 +16,12 @@
   PlaceRefused,
   ReturnedPlace,
 } from "../scheduling/place-queue/index.ts";
+import type {
+  KnownSuspect,
+  SuspectOutcome,
+  SuspectRun,
+  SuspectVerdict,
+} from "../scheduling/poison-requests/index.ts";
 import type { LoadReport } from "../scheduling/runner-balancing/load-report.ts";
 import type { StreamKey, StreamOrigin } from "../scheduling/stream-versions/index.ts";
 import type { StoreCall, StoreCallOutcome } from "./store/store-call.ts";
@@ -214,6 +221,31 @@
   | { readonly type: "absent"; readonly onlyVersion: SoftwareVersion | undefined }
   | { readonly type: "ambiguous" };
 
+/** A run of a request, as it is reported to the gateways that remember under which requests runners have ended. */
+export interface ReportedRun {
+  readonly pool: string;
+  readonly fingerprint: RequestFingerprint;
+  readonly request: RequestId;
+  readonly runner: RunnerId;
+}
+
+/** The receiver remembers that a runner has ended under a request. */
+export interface RunnerLossRecorded {
+  readonly type: "recorded";
+}
+
+/** Reports that a run of a suspect has ended and its runner has not. Lost messages are not repeated. */
+export interface SuspectRunEnded extends ReportedRun {
+  readonly type: "suspectRunEnded";
+  readonly outcome: Exclude<SuspectOutcome, "lost">;
+}
+
+/** Tells of requests under which several runners have ended. */
+export interface SuspectsKnown {
+  readonly type: "suspectsKnown";
+  readonly suspects: readonly KnownSuspect[];
+}
+
 /** Requests and responses of the RPCs between gateways. */
 export interface GatewayRpcSchema {
   admitTurn: { request: AdmitTurnRequest; response: AdmitTurnResponse };
@@ -223,6 +255,10 @@
   callStore: { request: StoreCall; response: StoreCallOutcome };
   findTurn: { request: FindTurnRequest; response: FindTurnResponse };
   findStream: { request: FindStreamRequest; response: FindStreamResponse };
+  /** Reports that a runner has ended under a request. */
+  recordRunnerLoss: { request: ReportedRun; response: RunnerLossRecorded };
+  /** Asks whether a run of a request may begin under which runners have ended. */
+  admitSuspect: { request: SuspectRun; response: SuspectVerdict };
   askPlace: { request: AskPlaceRequest; response: AskPlaceResponse };
 }
 
@@ -233,5 +269,7 @@
   | PlaceSettled
   | ReturnPlaces
   | StreamsBegun
+  | SuspectRunEnded
+  | SuspectsKnown
   | RpcRequest<GatewayRpcSchema>
   | RpcResponse<GatewayRpcSchema>;
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -320,6 +320,11 @@
     return candidatesWith("streamOrigins", this.#view.recentlyLost(MAX_LOST_HOLDER_AGE_MS));
   }
 
+  /** Returns the gateways that remember under which requests runners have ended, this one included. */
+  poisonGuards(): GatewayCandidate[] {
+    return [this.#ownCandidate, ...candidatesWith("poisonRequests", this.#view.alive())];
+  }
+
   get #ownCandidate(): GatewayCandidate {
     const { settings, instance } = this.#context;
     return { name: settings.name, hash: this.#selfHash, instance, address: this.#transport.self.address };
--- /dev/null
+++ b/src/gateway/poison-requests/poison-guard.ts
@@ -0,0 +1,190 @@
+/**
+ * Keeps a request under which runners have ended from ending more of them, over all its tries and all gateways. The gateway
+ * that sees a runner end tells the holders of the pool: a few gateways, chosen by hashing its name. Once several runners
+ * have ended under a request, the holders tell all gateways. A request is asked for only if
+ * this gateway knows that a runner has ended under it; the holders then admit each of its runs, and none of them may object.
+ */
+import { preferredOwners } from "../../coordination/partition-ownership/index.ts";
+import type { RequestFingerprint } from "../../scheduling/ids/request-fingerprint.ts";
+import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
+import {
+  LOST_RUNNERS_TO_SEPARATE,
+  type SuspectRun,
+  SuspectTable,
+  type SuspectVerdict,
+  strictestOf,
+} from "../../scheduling/poison-requests/index.ts";
+import type { RunnerEntry } from "../../scheduling/runner-balancing/runner-entry.ts";
+import type { ReportedRun, SuspectRunEnded, SuspectsKnown } from "../gateway-messages.ts";
+import type { GatewayCandidate } from "../members/gateway-candidate.ts";
+import type { RunnerCondition } from "../runners/runner-end-detector.ts";
+import type { PoisonGuardParts } from "./poison-guard-parts.ts";
+import { UnconfirmedBreaks } from "./unconfirmed-breaks.ts";
+
+/** Holders of each pool. */
+const HOLDERS = 3;
+/** The first holders tell all gateways: another one besides the first, which may just have been lost. */
+const ANNOUNCING_HOLDERS = 2;
+/** Gateways that tell a new one of the requests that run apart from others. */
+const INFORMANTS = 3;
+/** How long a holder has to answer, in ms. */
+const ANSWER_TIMEOUT_MS = 150;
+
+export class PoisonGuard {
+  readonly #parts: PoisonGuardParts;
+  readonly #table = new SuspectTable();
+  readonly #unconfirmed = new UnconfirmedBreaks();
+  /** Instances of gateways that were heard of. */
+  readonly #knownInstances = new Set<string>();
+
+  constructor(parts: PoisonGuardParts) {
+    this.#parts = parts;
+    parts.rpc.handle("admitSuspect", async (run) => this.#table.admit(run, this.#nowMs));
+    parts.rpc.handle("recordRunnerLoss", async (run) => {
+      this.#applyLoss(run);
+      return { type: "recorded" };
+    });
+  }
+
+  /** Whether no request is known under which a runner has ended. */
+  get isIdle(): boolean {
+    return this.#table.isEmpty;
+  }
+
+  /** Number of runners that are known to have ended under a request. */
+  lostCount(fingerprint: RequestFingerprint): number {
+    return this.#table.lostUnder(fingerprint, this.#nowMs).length;
+  }
+
+  /** Whether a request must not be sent to any runner. */
+  isPoison(fingerprint: RequestFingerprint): boolean {
+    return this.#table.isPoison(fingerprint, this.#nowMs);
+  }
+
+  /**
+   * Finds out whether a runner that has broken off an answer has ended. If so, another gateway knows of it once this resolves,
+   * unless none answers.
+   */
+  async checkBreak(run: ReportedRun, runner: RunnerEntry): Promise<RunnerCondition> {
+    const { detector, context } = this.#parts;
+    const condition = await detector.check(runner);
+    context.metrics.recordRunnerCondition(condition);
+    if (condition === "ended") await this.#reportLoss(run);
+    else this.#unconfirmed.add(run, this.#nowMs);
+    return condition;
+  }
+
+  /** Records a run that its caller or a timeout has ended: its runner may end under it all the same. */
+  recordAbandoned(run: ReportedRun): void {
+    this.#unconfirmed.add(run, this.#nowMs);
+  }
+
+  /** Handles that a runner has left the list, or has started again. */
+  onRunnerGone(runner: RunnerId): void {
+    for (const run of this.#unconfirmed.take(runner, this.#nowMs)) void this.#reportLoss(run);
+  }
+
+  /** Asks the holders of a pool whether a run of a suspect may begin. What nobody answers is decided here. */
+  async admit(pool: string, run: SuspectRun): Promise<SuspectVerdict> {
+    const asked = this.#otherHolders(pool).map(async ({ address }) => {
+      const reply = await this.#parts.rpc.ask(address, "admitSuspect", run, ANSWER_TIMEOUT_MS);
+      return reply.type === "done" ? [reply.body] : [];
+    });
+    const own = this.#isAmongFirst(pool, HOLDERS) ? [this.#table.admit(run, this.#nowMs)] : [];
+    const answers = (await Promise.all(asked)).flat();
+    for (const { lost } of answers) this.#recordLost(pool, run.fingerprint, lost);
+    const verdict = strictestOf([...own, ...answers]) ?? this.#table.admit(run, this.#nowMs);
+    if (verdict.type !== "granted") this.endRun(pool, run, "unknown");
+    this.#parts.context.metrics.recordSuspectVerdict(verdict.type);
+    return verdict;
+  }
+
+  /** Records how a granted run has ended whose runner has not. */
+  endRun(pool: string, run: SuspectRun, outcome: SuspectRunEnded["outcome"]): void {
+    const { fingerprint, request, runner } = run;
+    const ended: SuspectRunEnded = { type: "suspectRunEnded", pool, fingerprint, request, runner, outcome };
+    this.onRunEnded(ended);
+    for (const { address } of this.#otherHolders(pool)) this.#parts.transport.send(address, ended);
+  }
+
+  /** Handles the end of a run, here or at another gateway. */
+  onRunEnded({ fingerprint, request, runner, outcome }: SuspectRunEnded): void {
+    this.#table.endRun(request, runner);
+    if (outcome === "whole") this.#table.clear(fingerprint);
+  }
+
+  /** Handles the news of requests under which several runners have ended. */
+  onSuspectsKnown({ suspects }: SuspectsKnown): void {
+    for (const suspect of suspects) this.#table.learn(suspect, this.#nowMs);
+  }
+
+  /** Tells a gateway that was not heard of before under which requests several runners have ended. */
+  onMember(instance: string, address: string): void {
+    if (this.#knownInstances.has(instance)) return;
+    this.#knownInstances.add(instance);
+    const suspects = this.#table.repeated(this.#nowMs);
+    if (suspects.length === 0 || !this.#isAmongFirst(instance, INFORMANTS)) return;
+    this.#parts.transport.send(address, { type: "suspectsKnown", suspects });
+  }
+
+  /** Forgets a gateway that is lost. */
+  onMemberLost(instance: string): void {
+    this.#knownInstances.delete(instance);
+  }
+
+  /** Resolves once another holder has recorded the loss, or none is left to answer. */
+  async #reportLoss(run: ReportedRun): Promise<void> {
+    this.#applyLoss(run);
+    const reports = this.#otherHolders(run.pool).map(async ({ address }) => {
+      const reply = await this.#parts.rpc.ask(address, "recordRunnerLoss", run, ANSWER_TIMEOUT_MS);
+      if (reply.type !== "done") throw new Error("the report was not answered");
+    });
+    await Promise.any(reports).catch(() => undefined);
+  }
+
+  #applyLoss({ pool, fingerprint, request, runner }: ReportedRun): void {
+    this.#table.endRun(request, runner);
+    this.#recordLost(pool, fingerprint, [runner]);
+  }
+
+  #recordLost(pool: string, fingerprint: RequestFingerprint, runners: readonly RunnerId[]): void {
+    const nowMs = this.#nowMs;
+    if (!this.#table.recordLost(fingerprint, runners, nowMs)) return;
+    const lost = this.#table.lostUnder(fingerprint, nowMs);
+    const isPoison = this.#table.isPoison(fingerprint, nowMs);
+    if (lost.length < LOST_RUNNERS_TO_SEPARATE || !this.#isAmongFirst(pool, ANNOUNCING_HOLDERS)) return;
+    this.#parts.context.log.warn(
+      { pool, fingerprint, lost, isPoison },
+      "several runners ended under a request",
+    );
+    for (const { address } of this.#others(this.#parts.members.poisonGuards()))
+      this.#parts.transport.send(address, {
+        type: "suspectsKnown",
+        suspects: [{ fingerprint, lost, isPoison }],
+      });
+  }
+
+  #otherHolders(pool: string): GatewayCandidate[] {
+    return this.#others(this.#first(pool, HOLDERS));
+  }
+
+  #others(gateways: readonly GatewayCandidate[]): GatewayCandidate[] {
+    const own = this.#parts.transport.self.address;
+    return gateways.filter(({ address }) => address !== own);
+  }
+
+  #isAmongFirst(key: string, count: number): boolean {
+    const own = this.#parts.transport.self.address;
+    return this.#first(key, count).some(({ address }) => address === own);
+  }
+
+  /** The gateways that rendezvous hashing puts first for a key. */
+  #first(key: string, count: number): GatewayCandidate[] {
+    const { context, members } = this.#parts;
+    return preferredOwners(context.hash.hash32(key), members.poisonGuards(), count);
+  }
+
+  get #nowMs(): number {
+    return this.#parts.context.clock.monotonicMs();
+  }
+}
--- a/src/gateway/telemetry/gateway-metrics.ts
+++ b/src/gateway/telemetry/gateway-metrics.ts
@@ -15,6 +15,8 @@
   abstract recordAnswerEnd(framing: BodyFraming, end: "ended" | "broken"): void;
   /** Records what was found of a runner that has broken off an answer. */
   abstract recordRunnerCondition(condition: RunnerCondition): void;
+  /** Records whether a run of a request may begin under which runners have ended. */
+  abstract recordSuspectVerdict(verdict: string): void;
   /** Records the expected duration of an attempt that has started. */
   abstract recordExpectedAttemptTime(expectedMs: number): void;
   /** Records the zone of a gateway that the directory has named to a caller; the caller's zone may be unknown. */
--- a/src/gateway/telemetry/no-metrics.ts
+++ b/src/gateway/telemetry/no-metrics.ts
@@ -6,6 +6,7 @@
   override recordAttempt(): void {}
   override recordAnswerEnd(): void {}
   override recordRunnerCondition(): void {}
+  override recordSuspectVerdict(): void {}
   override recordExpectedAttemptTime(): void {}
   override recordNamedGateway(): void {}
   override recordAdmission(): void {}
--- a/src/gateway/telemetry/prometheus-metrics.ts
+++ b/src/gateway/telemetry/prometheus-metrics.ts
@@ -46,6 +46,12 @@
     labelNames: ["runner"],
     registers: [],
   });
+  readonly #suspectVerdicts = new Counter({
+    name: "tulipwheel_gateway_suspect_runs_total",
+    help: "Decisions on runs of requests under which runners have ended: granted, taken, running or poison",
+    labelNames: ["verdict"],
+    registers: [],
+  });
   readonly #expectedAttemptTimes = histogram(
     "try_expected_seconds",
     "Expected duration of an attempt at a runner",
@@ -154,6 +160,10 @@
     this.#runnerConditions.inc({ runner: condition });
   }
 
+  override recordSuspectVerdict(verdict: string): void {
+    this.#suspectVerdicts.inc({ verdict });
+  }
+
   override recordExpectedAttemptTime(expectedMs: number): void {
     this.#expectedAttemptTimes.observe(expectedMs / MS_PER_S);
   }
@@ -250,6 +260,7 @@
       this.#attemptTimes,
       this.#answerEnds,
       this.#runnerConditions,
+      this.#suspectVerdicts,
       this.#expectedAttemptTimes,
       this.#namedGateways,
       this.#admissionTimes,
--- a/test/process/runners-that-end.test.ts
+++ b/test/process/runners-that-end.test.ts
@@ -109,6 +109,7 @@
     `ends three runners at most under one request in all its tries (${route}, ${endsAt}, ${afterEnd})`,
   atOnce: "refuses a request under which three runners have ended at once, and never as not run",
   atTheSameTime: "counts tries in flight at several gateways together",
+  twoAtOnce: "counts two tries in flight at two gateways together",
   killed: "goes on counting when the gateways that counted are killed in turn",
   beside: "answers every request that only sat beside one that ends runners",
   fewRunners: "answers requests beside one that ends its runners where there are three of them",
@@ -157,6 +158,18 @@
     }
   });
 
+  it(NAMES.twoAtOnce, knownRed(NAMES.twoAtOnce), async () => {
+    cluster = await EndingRunnersCluster.start(GATEWAYS, RUNNERS, RUNNERS);
+    for (const route of ["turn", "safe"] as const) {
+      const bad = requestOf(route, `bad ${route}`, "beforeHead");
+      for (let round = 0; round < GATEWAYS; round += 1) {
+        const pair = [gatewayOf(round), gatewayOf(round + 1)];
+        await Promise.all(pair.map((gateway) => tryOnce(gateway, bad, isStream(route))));
+      }
+      expect(runsThatEnded(bad) <= MAX_ENDED_RUNNERS).toEqual(true);
+    }
+  });
+
   it(NAMES.killed, knownRed(NAMES.killed), async () => {
     cluster = await EndingRunnersCluster.start(GATEWAYS, RUNNERS, RUNNERS);
     const bad = requestOf("unsafe", "bad", "beforeHead");
