--- a/bench/mutations.ts
+++ b/bench/mutations.ts
@@ -12,6 +12,7 @@
 import type { Edit, Mutation } from "./mutations/mutation.ts";
 import { NODE_MUTATIONS } from "./mutations/node-mutations.ts";
 import { PLACE_MUTATIONS } from "./mutations/place-mutations.ts";
+import { POISON_MUTATIONS } from "./mutations/poison-mutations.ts";
 import { RUNNER_MUTATIONS } from "./mutations/runner-mutations.ts";
 import { SOAK_MUTATIONS } from "./mutations/soak-mutations.ts";
 import { STREAM_MUTATIONS } from "./mutations/stream-mutations.ts";
@@ -37,6 +38,7 @@
       ...SOAK_MUTATIONS,
       ...STREAM_MUTATIONS,
       ...ANSWER_MUTATIONS,
+      ...POISON_MUTATIONS,
     ];
     const queue = all.filter((mutation) => !this.only || mutation.name.includes(this.only));
     const results: string[] = [];
--- a/test/process/runners-that-end.test.ts
+++ b/test/process/runners-that-end.test.ts
@@ -25,6 +25,9 @@
 const STEP_MS = 25;
 /** Events of a stream that ends its runner at each of several runs. */
 const MIDWAY_EVENTS = 16;
+/** Longer than the time between two reads of the list, in ms. */
+const LIST_READ_MS = 1_500;
+const SHORT_DEADLINE_MS = 400;
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
 
 type RouteName = "turn" | "kept" | "safe" | "unsafe";
@@ -114,6 +117,9 @@
   beside: "answers every request that only sat beside one that ends runners",
   fewRunners: "answers requests beside one that ends its runners where there are three of them",
   otherCauses: "loses no request when runners are killed for other reasons",
+  cleared: "suspects no request that has been run to its end",
+  silent: "counts runners that fell silent under a request and left the list",
+  noneLeft: "refuses no suspect as not run while no runner is left",
   resetOnly: "counts no runner that only resets connections",
   full: "goes on with a broken stream at its runner only, although that refuses it as full",
 };
@@ -235,6 +241,43 @@
     expect(answers.filter((tries) => !isAnswered(tries))).toEqual([]);
   });
 
+  it(NAMES.cleared, knownRed(NAMES.cleared), async () => {
+    cluster = await EndingRunnersCluster.start(GATEWAYS, 2, 2);
+    cluster.afterEnd = "restarts";
+    const request = requestOf("safe", "innocent");
+    for (let round = 0; round < MAX_ENDED_RUNNERS + 1; round += 1) {
+      for (const runner of cluster.services) runner.stepMs = 4 * STEP_MS;
+      const tried = tryOnce(gatewayOf(round), request, false);
+      await pause(2 * STEP_MS);
+      for (const runner of cluster.services) if (runner.runningCount > 0) runner.end();
+      expect((await tried).status).toEqual(200);
+      await pause(LIST_READ_MS);
+    }
+  });
+
+  it(NAMES.silent, knownRed(NAMES.silent), async () => {
+    cluster = await EndingRunnersCluster.start(GATEWAYS, RUNNERS, RUNNERS);
+    const request = requestOf("unsafe", "bad");
+    for (const runner of cluster.services) runner.fault = "silent";
+    for (let round = 0; round < MAX_ENDED_RUNNERS; round += 1) {
+      await tryOnce(gatewayOf(round), request, false, SHORT_DEADLINE_MS);
+      for (const runner of cluster.services)
+        if (runner.executedRequests.length > 0) cluster.store.remove("servers", runner.id);
+      await pause(LIST_READ_MS);
+    }
+    expect(cluster.runsOf(request).length).toEqual(MAX_ENDED_RUNNERS);
+    const last = await tryOnce(gatewayOf(0), request, false, SHORT_DEADLINE_MS);
+    expect([last.status, cluster.runsOf(request).length]).toEqual([502, MAX_ENDED_RUNNERS]);
+  });
+
+  it(NAMES.noneLeft, knownRed(NAMES.noneLeft), async () => {
+    cluster = await EndingRunnersCluster.start(GATEWAYS, 2, 2);
+    for (const route of ["turn", "safe"] as const) {
+      const tries = await tryInTurn(route, requestOf(route, `bad ${route}`, "beforeHead"));
+      expect(tries.map(({ status }) => status)).toEqual(tries.map(() => 502));
+    }
+  });
+
   it(NAMES.resetOnly, knownRed(NAMES.resetOnly), async () => {
     cluster = await EndingRunnersCluster.start(GATEWAYS, 2, 2);
     for (const runner of cluster.services) runner.fault = "lostAnswer";
--- a/test/process/support/ending-runners.ts
+++ b/test/process/support/ending-runners.ts
@@ -92,13 +92,14 @@
   gateway: TestGateway,
   { path, body, endsAt }: RepeatedRequest,
   isStream: boolean,
+  deadlineMs = DEADLINE_MS,
 ): Promise<CallerTry> {
   const id = newRequestId();
   const startedMs = performance.now();
   const headers = {
     host: TEST_HOST,
     "X-Request-Id": id,
-    "X-Deadline-Ms": String(DEADLINE_MS),
+    "X-Deadline-Ms": String(deadlineMs),
     ...(isStream ? { "X-Token-Usage": "100,1000", "X-Model": "m", ...programHeaders(body) } : {}),
     ...(endsAt === undefined ? {} : { [ENDS_RUNNER_HEADER]: endsAt }),
   };
