Spare requests of the same content, and ask gateways that were just lost

Cause: a test of streams whose callers all send the same body lost some of them when runners were killed: one fingerprint, so that each resumed stream waited for the one before. And with half of a relayed fleet killed at once, gateways that take the others for lost asked nobody, or nobody told them.

Change: any run from start to end clears a request, also one that began before the ends; a request with the same content as one in progress waits at most a second, or half of its time, for it. Holders and news include gateways that were lost in the last 5 s; a new gateway is told by six.

--- a/bench/simulation/answers/answer-world.ts
+++ b/bench/simulation/answers/answer-world.ts
@@ -164,7 +164,7 @@
     connectionEnds: new ConnectionEnds(),
     guard: new PoisonGuard({
       context,
-      members: { poisonGuards: () => [] },
+      members: { poisonGuards: () => [], lostPoisonGuards: () => [] },
       rpc: { handle: () => undefined, ask: async () => ({ type: "timeout" }) },
       transport: { self: { instance: "", address: "" }, send: () => undefined },
       detector: new RunnerEndDetector(board, async () => "accepted"),
--- a/bench/simulation/gateways/guarded-caller.ts
+++ b/bench/simulation/gateways/guarded-caller.ts
@@ -115,7 +115,7 @@
 
   async #admit(runner: EndingRunner): Promise<void> {
     const verdict = await this.#runs.admit(runner.entry, this.#untilMs - this.#world.time.nowMs);
-    if (this.#isOver) return this.#runs.end("unknown");
+    if (this.#isOver) return this.#runs.end();
     this.#caller.trace.push(`${this.#world.time.nowMs} ms ${verdict} at ${runner.entry.id}`);
     if (verdict === "granted") this.#run(runner);
     else if (verdict === "poison") this.#end("heldBack");
@@ -126,7 +126,7 @@
     const { time, random } = this.#world;
     if (runner.hasEnded) {
       this.#excluded.add(runner.entry.id);
-      this.#runs.end("unknown");
+      this.#runs.end();
       return this.next();
     }
     const run = {
@@ -159,14 +159,14 @@
 
   #complete(): void {
     if (this.#isOver || !this.#gateway.serves) return this.#end("failed");
-    this.#runs.end("whole");
+    this.#runs.endWhole();
     this.#end("answered");
   }
 
   #end(end: TryEnd): void {
     if (this.#isOver) return;
     this.#isOver = true;
-    this.#runs.end("unknown");
+    this.#runs.end();
     this.#onEnd(end);
   }
 
--- a/bench/simulation/gateways/simulated-gateway.ts
+++ b/bench/simulation/gateways/simulated-gateway.ts
@@ -193,6 +193,7 @@
       else if (message.type === "streamsBegun") this.streams.onStreamsBegun(message);
       else if (message.type === "suspectRunEnded") this.guard.onRunEnded(message);
       else if (message.type === "runnerReserved") this.guard.onRunnerReserved(message);
+      else if (message.type === "suspectCleared") this.guard.onCleared(message);
       else if (message.type === "suspectsKnown") this.guard.onSuspectsKnown(message);
       else if (message.type === "rpcRequest") void this.#rpc.onRequest(message, from);
       else if (message.type === "rpcResponse") this.#rpc.onResponse(message);
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -388,7 +388,7 @@
     if (isGone(failure)) this.gone.add(runner.id);
     const last = this.record.tries.at(-1);
     if (failure.type === "broken") this.#breakCheck = this.#checkRunner(runner, last);
-    else this.#runs.end("unknown");
+    else this.#runs.end();
     if (last) last.failure = failure.type === "notRun" ? `not run, status ${failure.status}` : failure.detail;
     this.#releasePlace(failure.type !== "broken");
     this.endAttempt();
@@ -424,7 +424,7 @@
   async #admit(runner: RunnerEntry, send: () => void): Promise<void> {
     this.record.fingerprint = this.#runs.fingerprint;
     const verdict = await this.#runs.admit(runner, this.leftMs);
-    if (this.#isOver) return this.#runs.end("unknown");
+    if (this.#isOver) return this.#runs.end();
     if (verdict === "granted") return send();
     if (verdict === "poison") return this.#failAsPoison();
     const { clock, random } = this.parts.context;
@@ -510,7 +510,8 @@
     this.#isOver = true;
     this.endAttempt();
     if (this.attempt?.inProgress) this.#runs.recordAbandoned(this.attempt.runner);
-    this.#runs.end(end.kind === "answered" && this.#isFromStart ? "whole" : "unknown");
+    if (end.kind === "answered" && this.#isFromStart) this.#runs.endWhole();
+    else this.#runs.end();
     if (this.#placeRequest) this.parts.places.cancel(this.#placeRequest);
     const { elapsedMs, record } = this;
     this.parts.callLog.logCall(record, end, elapsedMs);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -304,6 +304,8 @@
         return this.#guard.onRunEnded(message);
       case "runnerReserved":
         return this.#guard.onRunnerReserved(message);
+      case "suspectCleared":
+        return this.#guard.onCleared(message);
       case "suspectsKnown":
         return this.#guard.onSuspectsKnown(message);
       case "rpcRequest":
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -234,6 +234,12 @@
   readonly type: "recorded";
 }
 
+/** Reports that a request was run to its end: it does not end runners. */
+export interface SuspectCleared {
+  readonly type: "suspectCleared";
+  readonly fingerprint: RequestFingerprint;
+}
+
 /** Reports that a run of a suspect has ended and its runner has not. Lost messages are not repeated. */
 export interface SuspectRunEnded extends ReportedRun {
   readonly type: "suspectRunEnded";
@@ -277,6 +283,7 @@
   | ReturnPlaces
   | StreamsBegun
   | SuspectRunEnded
+  | SuspectCleared
   | SuspectsKnown
   | RunnerReserved
   | RpcRequest<GatewayRpcSchema>
--- a/src/gateway/members/member-directory.ts
+++ b/src/gateway/members/member-directory.ts
@@ -325,6 +325,11 @@
     return [this.#ownCandidate, ...candidatesWith("poisonRequests", this.#view.alive())];
   }
 
+  /** Returns those that did and are considered lost, but may still run. */
+  lostPoisonGuards(): GatewayCandidate[] {
+    return candidatesWith("poisonRequests", this.#view.recentlyLost(MAX_LOST_HOLDER_AGE_MS));
+  }
+
   get #ownCandidate(): GatewayCandidate {
     const { settings, instance } = this.#context;
     return { name: settings.name, hash: this.#selfHash, instance, address: this.#transport.self.address };
--- a/src/gateway/poison-requests/guarded-runs.ts
+++ b/src/gateway/poison-requests/guarded-runs.ts
@@ -2,9 +2,9 @@
 import type { RequestFingerprint } from "../../scheduling/ids/request-fingerprint.ts";
 import type { RequestId } from "../../scheduling/ids/request-id.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
-import type { SuspectOutcome, SuspectRun, SuspectVerdict } from "../../scheduling/poison-requests/index.ts";
+import type { SuspectRun, SuspectVerdict } from "../../scheduling/poison-requests/index.ts";
 import type { RunnerEntry } from "../../scheduling/runner-balancing/runner-entry.ts";
-import type { ReportedRun } from "../gateway-messages.ts";
+import type { ReportedRun, SuspectRunEnded } from "../gateway-messages.ts";
 import type { RunnerCondition } from "../runners/runner-end-detector.ts";
 import type { RepeatedContent } from "./fingerprint-of.ts";
 import { fingerprintOf } from "./fingerprint-of.ts";
@@ -77,7 +77,7 @@
     return condition;
   }
 
-  /** Asks whether a run may begin. A granted run lasts until {@link end} or {@link checkBreak}. */
+  /** Asks whether a run may begin. A granted run lasts until {@link end}, {@link endWhole} or {@link checkBreak}. */
   async admit({ id }: RunnerEntry, leaseMs: number): Promise<SuspectVerdict["type"]> {
     const nowMs = this.#nowMs();
     if (this.#askedSinceMs === undefined) this.#leftWhenAskedMs = leaseMs;
@@ -102,7 +102,17 @@
   }
 
   /** Records the end of the granted run, if there is one. */
-  end(outcome: Exclude<SuspectOutcome, "lost">): void {
+  end(): void {
+    this.#endGranted("unknown");
+  }
+
+  /** Records that the request was run from its start to its end, by a run that was granted or that began before. */
+  endWhole(): void {
+    if (this.#granted) this.#endGranted("whole");
+    else if (this.isSuspect) this.#guard.clear(this.#request.pool, this.fingerprint);
+  }
+
+  #endGranted(outcome: SuspectRunEnded["outcome"]): void {
     if (this.#granted) this.#guard.endRun(this.#request.pool, this.#granted, outcome);
     this.#granted = undefined;
   }
--- a/src/gateway/poison-requests/poison-guard-parts.ts
+++ b/src/gateway/poison-requests/poison-guard-parts.ts
@@ -8,7 +8,7 @@
 /** Dependencies of the guard against requests that end runners. */
 export interface PoisonGuardParts {
   readonly context: GatewayContext;
-  readonly members: Pick<MemberDirectory, "poisonGuards">;
+  readonly members: Pick<MemberDirectory, "poisonGuards" | "lostPoisonGuards">;
   readonly rpc: Pick<RpcEndpoint<GatewayRpcSchema>, "ask" | "handle">;
   readonly transport: Pick<Transport<GatewayMessage>, "send" | "self">;
   readonly detector: RunnerEndDetector;
--- a/src/gateway/poison-requests/poison-guard.ts
+++ b/src/gateway/poison-requests/poison-guard.ts
@@ -14,7 +14,13 @@
   strictestOf,
 } from "../../scheduling/poison-requests/index.ts";
 import type { RunnerEntry } from "../../scheduling/runner-balancing/runner-entry.ts";
-import type { ReportedRun, RunnerReserved, SuspectRunEnded, SuspectsKnown } from "../gateway-messages.ts";
+import type {
+  ReportedRun,
+  RunnerReserved,
+  SuspectCleared,
+  SuspectRunEnded,
+  SuspectsKnown,
+} from "../gateway-messages.ts";
 import type { GatewayCandidate } from "../members/gateway-candidate.ts";
 import type { RunnerCondition } from "../runners/runner-end-detector.ts";
 import type { PoisonGuardParts } from "./poison-guard-parts.ts";
@@ -25,8 +31,8 @@
 const HOLDERS = 3;
 /** The first holders tell all gateways: another one besides the first, which may just have been lost. */
 const ANNOUNCING_HOLDERS = 2;
-/** Gateways that tell a new one of the requests that run apart from others. */
-const INFORMANTS = 3;
+/** Gateways that tell a new one under which requests several runners have ended: some of them may be new themselves. */
+const INFORMANTS = 6;
 /** How long a holder has to answer, in ms. */
 const ANSWER_TIMEOUT_MS = 150;
 
@@ -110,6 +116,18 @@
     for (const { address } of this.#otherHolders(pool)) this.#parts.transport.send(address, ended);
   }
 
+  /** Records that a request was run to its end by a run that nobody had to grant. */
+  clear(pool: string, fingerprint: RequestFingerprint): void {
+    this.onCleared({ type: "suspectCleared", fingerprint });
+    for (const { address } of this.#otherHolders(pool))
+      this.#parts.transport.send(address, { type: "suspectCleared", fingerprint });
+  }
+
+  /** Handles that a request was run to its end, here or at another gateway. */
+  onCleared({ fingerprint }: SuspectCleared): void {
+    this.#table.clear(fingerprint);
+  }
+
   /** Whether a runner is left to the last run of a request, so that others are better sent elsewhere. */
   isReserved(runner: RunnerId): boolean {
     return this.#reservations.isReserved(runner, this.#nowMs);
@@ -180,12 +198,16 @@
     const suspect = this.#table.describe(fingerprint, this.#nowMs);
     if (!suspect) return;
     this.#parts.context.log.warn(suspect, "several runners ended under a request");
-    for (const { address } of this.#others(this.#parts.members.poisonGuards()))
-      this.#parts.transport.send(address, { type: "suspectsKnown", suspects: [suspect] });
+    const { members, transport } = this.#parts;
+    for (const { address } of this.#others([...members.poisonGuards(), ...members.lostPoisonGuards()]))
+      transport.send(address, { type: "suspectsKnown", suspects: [suspect] });
   }
 
+  /** The holders, and those that would be if they were not considered lost: they may only not be heard of for a while. */
   #otherHolders(pool: string): GatewayCandidate[] {
-    return this.#others(this.#first(pool, HOLDERS));
+    const { members } = this.#parts;
+    const alive = this.#first(pool, HOLDERS);
+    return this.#others([...alive, ...this.#firstOf(pool, members.lostPoisonGuards(), HOLDERS)]);
   }
 
   #others(gateways: readonly GatewayCandidate[]): GatewayCandidate[] {
@@ -200,8 +222,11 @@
 
   /** The gateways that rendezvous hashing puts first for a key. */
   #first(key: string, count: number): GatewayCandidate[] {
-    const { context, members } = this.#parts;
-    return preferredOwners(context.hash.hash32(key), members.poisonGuards(), count);
+    return this.#firstOf(key, this.#parts.members.poisonGuards(), count);
+  }
+
+  #firstOf(key: string, gateways: readonly GatewayCandidate[], count: number): GatewayCandidate[] {
+    return preferredOwners(this.#parts.context.hash.hash32(key), gateways, count);
   }
 
   get #nowMs(): number {
--- a/src/scheduling/poison-requests/suspect-table.ts
+++ b/src/scheduling/poison-requests/suspect-table.ts
@@ -101,7 +101,8 @@
     if (lost.length >= MAX_LOST_RUNNERS) return { type: "poison", lost };
     const others = [...this.#runs].filter(([other]) => other !== request).map(([, inProgress]) => inProgress);
     const ownRuns = others.filter((other) => other.fingerprint === fingerprint).length;
-    if (lost.length + ownRuns >= MAX_LOST_RUNNERS) return { type: "running", lost };
+    // Requests that have the same content may be of several callers: none of them waits for the others all its time.
+    if (lost.length + ownRuns >= MAX_LOST_RUNNERS && !run.isOverdue) return { type: "running", lost };
     const isLast = lost.length === MAX_LOST_RUNNERS - 1;
     if (isLast && !run.isOverdue && this.#ended.calmForMs(nowMs) < CALM_MS)
       return { type: "unsettled", lost };
