--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -72,7 +72,10 @@
 const MIN_SILENCE_TIMEOUT_MS = 400;
 /** How often a runner that stays silent is checked again, in ms. */
 const SILENCE_CHECK_INTERVAL_MS = 200;
-/** Shortest wait before a run is asked for again that may not begin now, in ms; a random time of up to the same length is added. */
+/**
+ * Shortest wait before a run is asked for again that may not begin now, in ms; a random time of up to the same length is
+ * added.
+ */
 const ADMISSION_RETRY_MS = 30;
 /** Maximum number of attempts within one call, whatever their outcome. */
 const MAX_TOTAL_ATTEMPTS = 12;
@@ -207,8 +210,9 @@
 
   /**
    * Finds the runner for an attempt. While places are scarce, the call requests one from a dispatcher, unless it may have
-   * run already, in this try or in an earlier one: such a call must not wait behind others, nor be refused as not run. Nor does a stream that has begun: it can
-   * go on at few runners only, which dispatchers of earlier builds can't tell from the others.
+   * run already, in this try or in an earlier one: such a call must not wait behind others, nor be refused as not run. Nor
+   * does a stream that has begun: it can go on at few runners only, which dispatchers of earlier builds can't tell from the
+   * others.
    */
   protected findRunner(
     preferred: RunnerId | undefined,
@@ -434,7 +438,7 @@
     });
   }
 
-  /** Ends the call, because too many runners have ended under its request. That has run, in this try or in an earlier one. */
+  /** Ends the call, because too many runners have ended under its request, in this try or in earlier ones. */
   #failAsPoison(): void {
     const detail =
       "Runners have ended while they ran this request. It is not sent to others; do not send it again.";
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -243,7 +243,7 @@
 /** Reports that a run of a suspect has ended and its runner has not. Lost messages are not repeated. */
 export interface SuspectRunEnded extends ReportedRun {
   readonly type: "suspectRunEnded";
-  readonly outcome: Exclude<SuspectOutcome, "lost">;
+  readonly outcome: SuspectOutcome;
 }
 
 /** A runner is left to one run for so long, if others can be used instead; 0 if it no longer is. */
--- a/src/gateway/poison-requests/guarded-runs.ts
+++ b/src/gateway/poison-requests/guarded-runs.ts
@@ -2,9 +2,9 @@
 import type { RequestFingerprint } from "../../scheduling/ids/request-fingerprint.ts";
 import type { RequestId } from "../../scheduling/ids/request-id.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
-import type { SuspectRun, SuspectVerdict } from "../../scheduling/poison-requests/index.ts";
+import type { SuspectOutcome, SuspectRun, SuspectVerdict } from "../../scheduling/poison-requests/index.ts";
 import type { RunnerEntry } from "../../scheduling/runner-balancing/runner-entry.ts";
-import type { ReportedRun, SuspectRunEnded } from "../gateway-messages.ts";
+import type { ReportedRun } from "../gateway-messages.ts";
 import type { RunnerCondition } from "../runners/runner-end-detector.ts";
 import type { RepeatedContent } from "./fingerprint-of.ts";
 import { fingerprintOf } from "./fingerprint-of.ts";
@@ -112,7 +112,7 @@
     else if (this.isSuspect) this.#guard.clear(this.#request.pool, this.fingerprint);
   }
 
-  #endGranted(outcome: SuspectRunEnded["outcome"]): void {
+  #endGranted(outcome: SuspectOutcome): void {
     if (this.#granted) this.#guard.endRun(this.#request.pool, this.#granted, outcome);
     this.#granted = undefined;
   }
--- a/src/gateway/poison-requests/poison-guard.ts
+++ b/src/gateway/poison-requests/poison-guard.ts
@@ -8,6 +8,7 @@
 import type { RequestFingerprint } from "../../scheduling/ids/request-fingerprint.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import {
+  type SuspectOutcome,
   type SuspectRun,
   SuspectTable,
   type SuspectVerdict,
@@ -108,7 +109,7 @@
   }
 
   /** Records how a granted run has ended whose runner has not. */
-  endRun(pool: string, run: SuspectRun, outcome: SuspectRunEnded["outcome"]): void {
+  endRun(pool: string, run: SuspectRun, outcome: SuspectOutcome): void {
     const { fingerprint, request, runner } = run;
     const ended: SuspectRunEnded = { type: "suspectRunEnded", pool, fingerprint, request, runner, outcome };
     this.onRunEnded(ended);
--- a/src/scheduling/poison-requests/suspect-run.ts
+++ b/src/scheduling/poison-requests/suspect-run.ts
@@ -18,11 +18,7 @@
   readonly isOverdue: boolean;
 }
 
-/** How a run of a suspect has ended. */
+/** How a run of a suspect has ended whose runner has not. */
 export type SuspectOutcome =
-  /** Its runner has ended. */
-  | "lost"
   /** It was run from its start to its end. */
-  | "whole"
-  /** Neither, as far as is known. */
-  | "unknown";
+  "whole" | "unknown";
