--- a/src/gateway/poison-requests/runner-reservations.ts
+++ b/src/gateway/poison-requests/runner-reservations.ts
@@ -11,7 +11,11 @@
 
   /** Whether any runner is reserved. */
   hasAny(nowMs: number): boolean {
-    for (const [runner, untilMs] of this.#untilMs) if (untilMs <= nowMs) this.#untilMs.delete(runner);
+    for (const [runner, untilMs] of this.#untilMs) {
+      if (untilMs > nowMs) continue;
+      this.#untilMs.delete(runner);
+      this.#own.delete(runner);
+    }
     return this.#untilMs.size > 0;
   }
 
--- a/test/contract/poison-requests.test.ts
+++ b/test/contract/poison-requests.test.ts
@@ -278,6 +278,6 @@
       true,
     ]);
     expect(reservations.hasAny(1_999)).toEqual(true);
-    expect(reservations.hasAny(2_000)).toEqual(false);
+    expect([reservations.hasAny(2_000), reservations.isOwn(R2)]).toEqual([false, false]);
   });
 });
