Remember that a request was run to its end, and tell all gateways

Callers saw: streams and calls of one content, none of which ends a runner, got 502 poison-request after kills in several rounds, or waited for each other until their deadline.

Cause: a whole run cleared a request, but a call that was waiting reported the runners it had lost again, and only the holders heard of it: a gateway that had been told of two ends kept them for five minutes, and the next two made four. The test of cleared requests had as many gateways as holders.

Change: the runners that had ended before a whole run are remembered as such, and do not count again; the first holders tell all gateways that a request was cleared; tries of a cleared one do not wait for each other.

--- a/bench/mutations/poison-mutations.ts
+++ b/bench/mutations/poison-mutations.ts
@@ -72,10 +72,24 @@
   mutation(
     "a request stays a suspect after a whole run",
     GUARD,
-    'if (outcome === "whole") this.#table.clear(fingerprint);',
+    'if (outcome === "whole") this.onCleared({ type: "suspectCleared", pool, fingerprint });',
     "",
     PROCESSES,
   ),
+  mutation(
+    "runners that ended before a whole run count again when they are reported again",
+    "src/scheduling/poison-requests/suspect.ts",
+    "if (!this.#excused.has(runner)) this",
+    "this",
+    CONTRACT,
+  ),
+  mutation(
+    "only the holders are told that a request is no suspect any more",
+    GUARD,
+    "if (wasAnnounced && this.#isAmongFirst(cleared.pool, ANNOUNCING_HOLDERS)) this.#tellAll(cleared);",
+    "",
+    SIMULATED,
+  ),
   mutation("nobody remembers for others", GUARD, "const HOLDERS = 3;", "const HOLDERS = 0;", SIMULATED),
   mutation("one gateway remembers alone", GUARD, "const HOLDERS = 3;", "const HOLDERS = 1;", PROCESSES),
   mutation(
--- a/src/gateway/gateway-messages.ts
+++ b/src/gateway/gateway-messages.ts
@@ -237,6 +237,7 @@
 /** Reports that a request was run to its end: it does not end runners. */
 export interface SuspectCleared {
   readonly type: "suspectCleared";
+  readonly pool: string;
   readonly fingerprint: RequestFingerprint;
 }
 
--- a/src/gateway/poison-requests/poison-guard.ts
+++ b/src/gateway/poison-requests/poison-guard.ts
@@ -119,14 +119,16 @@
 
   /** Records that a request was run to its end by a run that nobody had to grant. */
   clear(pool: string, fingerprint: RequestFingerprint): void {
-    this.onCleared({ type: "suspectCleared", fingerprint });
-    for (const { address } of this.#otherHolders(pool))
-      this.#parts.transport.send(address, { type: "suspectCleared", fingerprint });
+    const cleared: SuspectCleared = { type: "suspectCleared", pool, fingerprint };
+    this.onCleared(cleared);
+    for (const { address } of this.#otherHolders(pool)) this.#parts.transport.send(address, cleared);
   }
 
-  /** Handles that a request was run to its end, here or at another gateway. */
-  onCleared({ fingerprint }: SuspectCleared): void {
-    this.#table.clear(fingerprint);
+  /** Handles that a request was run to its end, here or at another gateway. All that were told of it must know. */
+  onCleared(cleared: SuspectCleared): void {
+    const wasAnnounced = this.#table.describe(cleared.fingerprint, this.#nowMs) !== undefined;
+    this.#table.clear(cleared.fingerprint);
+    if (wasAnnounced && this.#isAmongFirst(cleared.pool, ANNOUNCING_HOLDERS)) this.#tellAll(cleared);
   }
 
   /** Whether a runner is left to the last run of a request, so that others are better sent elsewhere. */
@@ -145,9 +147,9 @@
   }
 
   /** Handles the end of a run, here or at another gateway. */
-  onRunEnded({ fingerprint, request, runner, outcome }: SuspectRunEnded): void {
+  onRunEnded({ pool, fingerprint, request, runner, outcome }: SuspectRunEnded): void {
     this.#table.endRun(request, runner);
-    if (outcome === "whole") this.#table.clear(fingerprint);
+    if (outcome === "whole") this.onCleared({ type: "suspectCleared", pool, fingerprint });
   }
 
   /** Handles the news of requests under which several runners have ended. */
@@ -199,9 +201,14 @@
     const suspect = this.#table.describe(fingerprint, this.#nowMs);
     if (!suspect) return;
     this.#parts.context.log.warn(suspect, "several runners ended under a request");
+    this.#tellAll({ type: "suspectsKnown", suspects: [suspect] });
+  }
+
+  /** Sends a message to all gateways, also to those that were just lost: they may only not be heard of for a while. */
+  #tellAll(message: SuspectsKnown | SuspectCleared): void {
     const { members, transport } = this.#parts;
     for (const { address } of this.#others([...members.poisonGuards(), ...members.lostPoisonGuards()]))
-      transport.send(address, { type: "suspectsKnown", suspects: [suspect] });
+      transport.send(address, message);
   }
 
   /** The holders, and those that would be if they were not considered lost: they may only not be heard of for a while. */
--- a/src/scheduling/poison-requests/suspect-table.ts
+++ b/src/scheduling/poison-requests/suspect-table.ts
@@ -87,9 +87,9 @@
     return true;
   }
 
-  /** Records that a request was run to its end: it does not end runners. */
+  /** Records that a request was run to its end: the runners that are known to have ended under it were ended by something else. */
   clear(fingerprint: RequestFingerprint): void {
-    this.#suspects.delete(fingerprint);
+    this.#suspects.get(fingerprint)?.excuse();
   }
 
   /** Decides whether a run may begin. A granted run counts as in progress until {@link endRun} is called. */
@@ -99,10 +99,12 @@
     this.#dropEndedRuns(nowMs);
     const lost = this.lostUnder(fingerprint, nowMs);
     if (lost.length >= MAX_LOST_RUNNERS) return { type: "poison", lost };
+    const hasBeenCleared = lost.length === 0 && run.lost.length > 0;
     const others = [...this.#runs].filter(([other]) => other !== request).map(([, inProgress]) => inProgress);
     const ownRuns = others.filter((other) => other.fingerprint === fingerprint).length;
     // Requests that have the same content may be of several callers: none of them waits for the others all its time.
-    if (lost.length + ownRuns >= MAX_LOST_RUNNERS && !run.isOverdue) return { type: "running", lost };
+    const mayWait = !run.isOverdue && !hasBeenCleared;
+    if (lost.length + ownRuns >= MAX_LOST_RUNNERS && mayWait) return { type: "running", lost };
     const isLast = lost.length === MAX_LOST_RUNNERS - 1;
     if (isLast && !run.isOverdue && this.#ended.calmForMs(nowMs) < CALM_MS)
       return { type: "unsettled", lost };
--- a/test/contract/poison-requests.test.ts
+++ b/test/contract/poison-requests.test.ts
@@ -154,6 +154,24 @@
     expect(table.lostUnder(OTHER, atMs + TTL_MS)).toEqual([]);
   });
 
+  it("does not count the runners again that had ended before a whole run, but those that end later", () => {
+    const [table, atMs] = tableWithLost(BAD, R1, R2);
+    table.clear(BAD);
+    table.learnLost(BAD, [R1, R2], atMs);
+    expect(table.admit(runOf(BAD, "a", R4, { lost: [R1] }), atMs).type).toEqual("granted");
+    expect(table.lostUnder(BAD, atMs)).toEqual([]);
+    expect([table.describe(BAD, atMs), table.isPoison(BAD, atMs)]).toEqual([undefined, false]);
+    table.recordLost(BAD, R3, atMs);
+    expect(table.lostUnder(BAD, atMs)).toEqual([R3]);
+  });
+
+  it("lets tries of a request run beside each other that has been run to its end", () => {
+    const [table, atMs] = tableWithLost(BAD, R1, R2);
+    table.clear(BAD);
+    for (const [index, runner] of [R1, R2, R3, R4].entries())
+      expect(table.admit(runOf(BAD, `try ${index}`, runner, { lost: [R1] }), atMs).type).toEqual("granted");
+  });
+
   it("remembers a bounded number of requests, the newest ones", () => {
     const table = new SuspectTable();
     for (let index = 0; index <= 10_000; index += 1)
--- a/test/process/runners-that-end.test.ts
+++ b/test/process/runners-that-end.test.ts
@@ -13,6 +13,8 @@
 import { PATHS, pause, type TestGateway } from "./support/gateway-cluster.ts";
 
 const GATEWAYS = 3;
+/** More than remember the runners that ended under a request. */
+const MANY_GATEWAYS = 6;
 const RUNNERS = 12;
 /** Runners that one request may end, whatever the number of its tries. */
 const MAX_ENDED_RUNNERS = 3;
@@ -118,6 +120,8 @@
   fewRunners: "answers requests beside one that ends its runners where there are three of them",
   otherCauses: "loses no request when runners are killed for other reasons",
   cleared: "suspects no request that has been run to its end",
+  sameContent:
+    "answers all calls of one content whose runners are killed again and again, gateway by gateway",
   silent: "counts runners that fell silent under a request and left the list",
   noneLeft: "refuses no suspect as not run while no runner is left",
   resetOnly: "counts no runner that only resets connections",
@@ -255,6 +259,22 @@
     }
   });
 
+  it(NAMES.sameContent, knownRed(NAMES.sameContent), async () => {
+    cluster = await EndingRunnersCluster.start(MANY_GATEWAYS, 2, RUNNERS);
+    cluster.afterEnd = "restarts";
+    const request = requestOf("safe", "innocent");
+    for (const gateway of cluster.gateways) {
+      const running = cluster.services.filter(({ hasEnded }) => !hasEnded);
+      for (const runner of running) runner.stepMs = 8 * STEP_MS;
+      const calls = Array.from({ length: 2 * RUNNERS }, () => tryOnce(gateway, request, false));
+      await pause(4 * STEP_MS);
+      for (const runner of running.slice(0, 2)) runner.end();
+      const statuses = (await Promise.all(calls)).map(({ status }) => status);
+      expect(statuses.filter((status) => status !== 200)).toEqual([]);
+      await pause(LIST_READ_MS);
+    }
+  });
+
   it(NAMES.silent, knownRed(NAMES.silent), async () => {
     cluster = await EndingRunnersCluster.start(GATEWAYS, RUNNERS, RUNNERS);
     const request = requestOf("unsafe", "bad");
--- a/test/simulation/poison-requests.test.ts
+++ b/test/simulation/poison-requests.test.ts
@@ -4,11 +4,17 @@
 import type { GatewayFault } from "../../bench/simulation/gateways/gateway-faults.ts";
 import {
   type GatewayFleet,
+  GatewayWorld,
   RELAYED_FLEET,
   SMALL_FLEET,
 } from "../../bench/simulation/gateways/gateway-world.ts";
 import { runPoisonSimulation } from "../../bench/simulation/gateways/run-poison-simulation.ts";
+import type { SimulatedGateway } from "../../bench/simulation/gateways/simulated-gateway.ts";
 import { loadTextHash, type TextHash } from "../../src/runtime/text-hash.ts";
+import type { RequestFingerprint } from "../../src/scheduling/ids/request-fingerprint.ts";
+import type { RequestId } from "../../src/scheduling/ids/request-id.ts";
+import type { RunnerId } from "../../src/scheduling/ids/runner-id.ts";
+import { runnerEntry } from "../contract/support/runner-entry.ts";
 import { knownRed } from "../support/known-red.ts";
 
 const DURATION_MS = 20_000;
@@ -20,6 +26,9 @@
   ["planned-stop"],
   ["kill", "freeze"],
 ];
+/** Longer than a fleet takes to start, and messages to arrive, in ms. */
+const SETTLED_MS = 6_000;
+const INNOCENT = "innocent" as RequestFingerprint;
 const SEEDS = [1, 1_013_904_226, 387_276_917];
 /** A run with fewer poison requests in all its seeds is too small to be meaningful. */
 const LEAST_POISON = 5;
@@ -43,6 +52,29 @@
     expect(poison >= LEAST_POISON).toEqual(true);
   }
 
+  it("are told from others at all gateways once these were run to their end at any of them", async () => {
+    const world = new GatewayWorld(1, hash, RELAYED_FLEET);
+    await world.time.runUntil(SETTLED_MS);
+    const { gateways } = world;
+    const lostCounts = () => new Set(gateways.map(({ guard }) => guard.lostCount(INNOCENT)));
+    for (const [index, runner] of ["r1", "r2"].entries()) {
+      const gateway = gateways[index] as SimulatedGateway;
+      gateway.probe = async () => "refused";
+      const run = {
+        pool: "p",
+        fingerprint: INNOCENT,
+        request: `try ${index}` as RequestId,
+        runner: runner as RunnerId,
+      };
+      void gateway.guard.checkBreak(run, runnerEntry(runner));
+    }
+    await world.time.runUntil(2 * SETTLED_MS);
+    expect(lostCounts()).toEqual(new Set([2]));
+    gateways.at(-1)?.guard.clear("p", INNOCENT);
+    await world.time.runUntil(3 * SETTLED_MS);
+    expect(lostCounts()).toEqual(new Set([0]));
+  });
+
   for (const faults of FAULTS) {
     const name = faults.length === 0 ? "no faults" : faults.join(" and ");
     const small = `end three runners each, and hold no other request back, under ${name}`;
