Drop suspects that are too old when gateways ask whether there are any

Cause: expired suspects were dropped only when a runner ended under another request. Until then a gateway went on hashing each request with a body, and kept up to 10,000 records, for as long as nothing ended.

Change: the question whether any suspect is known drops those that are too old.

--- a/bench/mutations/poison-mutations.ts
+++ b/bench/mutations/poison-mutations.ts
@@ -90,6 +90,13 @@
     "",
     SIMULATED,
   ),
+  mutation(
+    "suspects are kept until the next one",
+    TABLE,
+    "isEmpty(nowMs: number): boolean {\n    this.#dropExpired(nowMs);",
+    "isEmpty(_nowMs: number): boolean {",
+    CONTRACT,
+  ),
   mutation("nobody remembers for others", GUARD, "const HOLDERS = 3;", "const HOLDERS = 0;", SIMULATED),
   mutation("one gateway remembers alone", GUARD, "const HOLDERS = 3;", "const HOLDERS = 1;", PROCESSES),
   mutation(
--- a/src/gateway/poison-requests/poison-guard.ts
+++ b/src/gateway/poison-requests/poison-guard.ts
@@ -56,7 +56,7 @@
 
   /** Whether no request is known under which a runner has ended. */
   get isIdle(): boolean {
-    return this.#table.isEmpty;
+    return this.#table.isEmpty(this.#nowMs);
   }
 
   /** Number of runners that are known to have ended under a request. */
--- a/src/scheduling/poison-requests/suspect-table.ts
+++ b/src/scheduling/poison-requests/suspect-table.ts
@@ -43,7 +43,8 @@
   readonly #runs = new Map<RequestId, RunInProgress>();
   readonly #ended = new EndedRunners();
 
-  get isEmpty(): boolean {
+  isEmpty(nowMs: number): boolean {
+    this.#dropExpired(nowMs);
     return this.#suspects.size === 0;
   }
 
--- a/test/contract/poison-requests.test.ts
+++ b/test/contract/poison-requests.test.ts
@@ -172,6 +172,11 @@
       expect(table.admit(runOf(BAD, `try ${index}`, runner, { lost: [R1] }), atMs).type).toEqual("granted");
   });
 
+  it("is empty again once all that it knew is too old", () => {
+    const [table, atMs] = tableWithLost(BAD, R1);
+    expect([table.isEmpty(atMs + TTL_MS - 1), table.isEmpty(atMs + TTL_MS)]).toEqual([false, true]);
+  });
+
   it("remembers a bounded number of requests, the newest ones", () => {
     const table = new SuspectTable();
     for (let index = 0; index <= 10_000; index += 1)
