Close no connection at a planned stop whose answer still waits for its caller

Cause: a stop closes idle connections by a method of Node.js' server, which takes a connection for idle once `end` was called on its answer, also while bytes of it wait in the process; the server's `close` does the same.

Change: the gateway knows itself which connections are idle: the operating system has all of each answer, and nothing was read since.

--- a/src/gateway/ingress/ingress-server.ts
+++ b/src/gateway/ingress/ingress-server.ts
@@ -3,11 +3,11 @@
  * A planned stop closes connections between requests.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import type { CallerLimits } from "../../scheduling/routing/routing-configuration.ts";
 import type { BufferLimiter } from "../buffers/buffer-limiter.ts";
 import { CallerBuffers } from "../buffers/caller-buffers.ts";
 import type { GatewayContext } from "../gateway-context.ts";
+import { CallerConnections } from "./caller-connections.ts";
 import { CallerExchange } from "./caller-exchange.ts";
 import { INSUFFICIENT_MEMORY } from "./insufficient-memory.ts";
 import type { ProblemResponse } from "./problem-response.ts";
@@ -42,7 +42,7 @@
   readonly #context: GatewayContext;
   readonly #limiter: BufferLimiter;
   readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
+  readonly #connections = new CallerConnections();
   /** The requests that were read and whose answers are not complete yet. */
   readonly #exchanges = new Set<CallerExchange>();
   #limits = INITIAL_LIMITS;
@@ -63,10 +63,10 @@
     });
     this.#applyLimits(INITIAL_LIMITS);
     this.#server.on("request", (request, response) => void this.#serve(request, response));
-    this.#server.on("connection", (socket) => {
-      this.#sockets.add(socket);
-      socket.on("close", () => this.#sockets.delete(socket));
-    });
+    this.#server.on("connection", (socket) => this.#connections.add(socket));
+    // Node.js takes a connection for idle once `end` was called on its answer, also while bytes of the answer wait for the
+    // caller. `close` calls this method, too.
+    this.#server.closeIdleConnections = () => this.#connections.closeIdle();
   }
 
   /** The number of requests whose answer is not complete yet. */
@@ -76,7 +76,7 @@
 
   /** The number of connections of callers. */
   get connections(): number {
-    return this.#sockets.size;
+    return this.#connections.count;
   }
 
   /** Listens on `IP:port`. */
@@ -93,13 +93,12 @@
   /** Begins a planned stop: from now on, every answer closes its connection, and idle connections are closed. */
   beginStop(): void {
     this.#stopping = true;
-    this.#server.closeIdleConnections();
+    this.#connections.closeIdle();
   }
 
   /** Accepts no new connections, and closes idle ones. */
   stopListening(): void {
     this.#server.close();
-    this.#server.closeIdleConnections();
   }
 
   /** Breaks off the answers that are not complete, before the process ends: its end alone does not show that they are not. */
@@ -114,7 +113,9 @@
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = this.#context.clock.monotonicMs();
+    const { socket } = request;
     this.#active += 1;
+    this.#connections.beginAnswer(socket);
     const head = headOf(request, arrivedAtMs);
     const buffers = new CallerBuffers(this.#limiter);
     let exchange: CallerExchange | undefined;
@@ -122,6 +123,7 @@
     response.on("close", () => {
       isClosed = true;
       this.#active -= 1;
+      this.#connections.endAnswer(socket);
       buffers.close();
       if (exchange) this.#exchanges.delete(exchange);
     });
