--- a/bench/simulation/answers/answer-world.ts
+++ b/bench/simulation/answers/answer-world.ts
@@ -13,6 +13,7 @@
 import { gatewaySettingsSchema } from "../../../src/gateway/gateway-settings.ts";
 import { CallerExchange } from "../../../src/gateway/ingress/caller-exchange.ts";
 import type { PartitionClient } from "../../../src/gateway/partitions/partition-client.ts";
+import { PlannedStop } from "../../../src/gateway/planned-stop.ts";
 import { PoisonGuard } from "../../../src/gateway/poison-requests/poison-guard.ts";
 import { RunnerEndDetector } from "../../../src/gateway/runners/runner-end-detector.ts";
 import { RunnerVersions } from "../../../src/gateway/runners/runner-versions.ts";
@@ -162,6 +163,7 @@
     versions: new RunnerVersions(new Map(entries.map((entry) => [entry.name, entry])), TIMEOUT_MS),
     streams: streams as AttemptParts["streams"],
     connectionEnds: new ConnectionEnds(),
+    plannedStop: new PlannedStop(context.clock, context.settings.timing),
     guard: new PoisonGuard({
       context,
       members: { poisonGuards: () => [], lostPoisonGuards: () => [] },
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -18,6 +18,7 @@
 import type { GatewayContext } from "../gateway-context.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
 import type { PlaceClient } from "../places/place-client.ts";
+import type { PlannedStop } from "../planned-stop.ts";
 import type { PoisonGuard } from "../poison-requests/poison-guard.ts";
 import type { RunnerConnections } from "../runners/runner-connections.ts";
 import type { RunnerVersions } from "../runners/runner-versions.ts";
@@ -55,6 +56,7 @@
   readonly streams: StreamOrigins;
   readonly connectionEnds: ConnectionEnds;
   readonly guard: PoisonGuard;
+  readonly plannedStop: PlannedStop;
 }
 
 /** What an attempt sends, and what is known about it. */
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -31,6 +31,7 @@
 import { PoolScarcity } from "./places/pool-scarcity.ts";
 import { RunnerGroups } from "./places/runner-groups.ts";
 import { TenantWeights } from "./places/tenant-weights.ts";
+import { PlannedStop } from "./planned-stop.ts";
 import { PoisonGuard } from "./poison-requests/poison-guard.ts";
 import { RateClient } from "./rates/rate-client.ts";
 import { RateHost } from "./rates/rate-host.ts";
@@ -75,6 +76,7 @@
   #hasAnnouncedReady = false;
   /** Set once a planned stop has released the partitions, or no longer waits for their release. */
   #hasReleasedPartitions = false;
+  readonly #plannedStop: PlannedStop;
   #stopping: Promise<void> | undefined;
 
   /** @param baseContext the context, whose store uses this gateway's own connections only */
@@ -86,6 +88,7 @@
     const context = { ...baseContext, platform: { ...baseContext.platform, store: this.#store } };
     this.#context = context;
     const health = new StoreHealth(context);
+    this.#plannedStop = new PlannedStop(clock, context.settings.timing);
     const { byExpectedTime } = context.settings.balance;
     this.#board = new RunnerBalancer(byExpectedTime ? new CostByTime() : new CostByLoad());
     this.#members = new MemberDirectory(context, transport, health);
@@ -146,6 +149,7 @@
       streams: this.#streams,
       connectionEnds: new ConnectionEnds(),
       guard: this.#guard,
+      plannedStop: this.#plannedStop,
     };
     const rateClient = new RateClient(context, this.#members, this.#partitions, this.#rpc);
     const routes = () => (this.#canServe ? this.#routing.routes : undefined);
@@ -325,20 +329,19 @@
   }
 
   async #stop(): Promise<void> {
-    const { clock, settings, log } = this.#context;
+    const { clock, log } = this.#context;
+    this.#plannedStop.begin();
     log.info({ active: this.#ingress.active, connections: this.#ingress.connections }, "stops");
-    const startedMs = clock.monotonicMs();
     await Promise.resolve();
     this.#members.tick();
     this.#ingress.beginStop();
-    await Promise.race([this.#partitions.release(), delay(clock, settings.timing.lingerMs)]);
+    await Promise.race([this.#partitions.release(), delay(clock, this.#plannedStop.lingerLeftMs)]);
     this.#hasReleasedPartitions = true;
     this.#members.tick();
-    await delay(clock, Math.max(0, startedMs + settings.timing.lingerMs - clock.monotonicMs()));
+    await delay(clock, this.#plannedStop.lingerLeftMs);
     this.#ingress.stopListening();
-    const deadlineMs = startedMs + settings.timing.stopMs;
-    while (this.#ingress.active > 0 && clock.monotonicMs() < deadlineMs)
-      await delay(clock, STOP_POLL_INTERVAL_MS);
+    while (this.#ingress.active > 0 && this.#plannedStop.leftMs > 0)
+      await delay(clock, Math.min(STOP_POLL_INTERVAL_MS, this.#plannedStop.leftMs));
     log.info({ active: this.#ingress.active, connections: this.#ingress.connections }, "stopped");
     this.#ingress.breakOffUnfinished();
     this.#context.metrics.close();
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -36,7 +36,17 @@
   runnerDrainMs: durationSchema
     .default(1_500)
     .describe("How long a draining runner continues to serve after its entry says that it drains, ms"),
-  stopMs: durationSchema.default(6_500).describe("Maximum duration of a planned stop, ms"),
+  graceS: z
+    .number()
+    .min(0.1)
+    .max(3_600)
+    .default(8)
+    .describe("Time after SIGTERM in which the platform lets the process end by itself, s"),
+  stopMs: durationSchema
+    .optional()
+    .describe(
+      "Time for which a planned stop finishes answers, ms. If omitted, eleven twelfths of `graceS`; the rest is for the end of the process",
+    ),
   lingerMs: durationSchema
     .default(2_500)
     .describe(
--- a/test/contract/platform-settings.test.ts
+++ b/test/contract/platform-settings.test.ts
@@ -94,6 +94,15 @@
     }
   });
 
+  it("takes the time for a planned stop from the platform, with a default", () => {
+    for (const [given, expected] of [
+      ["7.5", 7.5],
+      [undefined, 8],
+    ] as const) {
+      expect(parseSettings({ ...PLATFORM_VALUES, "bounds.grace-s": given })?.timing.graceS).toEqual(expected);
+    }
+  });
+
   it("takes the time until a configuration is in force from the platform, with a default", () => {
     for (const [given, expected] of [
       ["4000", 4_000],
