Answer every request that a planned stop has no time for, and handle signals from the start

What callers saw, or would: at the end of a stop, connections of requests without an answer were closed, also of requests that had not been sent; late requests on kept connections were taken although they might be cut; SIGHUP during a start ended the process.

Change: at the end of a stop, a request that was not sent gets 503, one that was gets 502. After the time in which callers learn of the stop, a request is accepted if it must be over before the stop is, else refused at once. Signals are handled before the gateway starts.

--- a/src/gateway/calls/call-service.ts
+++ b/src/gateway/calls/call-service.ts
@@ -10,6 +10,7 @@
 import type { ProblemResponse } from "../ingress/problem-response.ts";
 import type { RequestHead } from "../ingress/request-head.ts";
 import type { RequestVerdict } from "../ingress/request-verdict.ts";
+import { STOPPING } from "../ingress/stopping.ts";
 import type { PartitionClient } from "../partitions/partition-client.ts";
 import type { RateClient } from "../rates/rate-client.ts";
 import type { RateVerdict } from "../rates/rate-verdict.ts";
@@ -115,6 +116,8 @@
     if (needsKey && !tenant) return this.#refuse(UNKNOWN_KEY, call, route, routes);
     if (this.#parts.buffers.refuses(head.bodyBytes))
       return this.#refuse(INSUFFICIENT_MEMORY, call, route, routes);
+    if (!this.#parts.plannedStop.accepts(callTimeoutMs(call, route)))
+      return this.#refuse(STOPPING, call, route, routes);
     const destination = { call, route, pool, tenant };
     return { type: "accept", run: (exchange) => void this.#admit(exchange, destination, routes) };
   }
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -16,6 +16,7 @@
 import type { RunnerEntry } from "../../scheduling/runner-balancing/runner-entry.ts";
 import type { Urgency } from "../../scheduling/urgency/urgency.ts";
 import type { CallerExchange } from "../ingress/caller-exchange.ts";
+import { STOPPING } from "../ingress/stopping.ts";
 import type { HeldPlace } from "../places/held-place.ts";
 import type { PendingPlaceRequest } from "../places/pending-place-request.ts";
 import type { PlaceVerdict } from "../places/place-verdict.ts";
@@ -151,10 +152,13 @@
 
   /** Starts the call, which ends by itself when it is answered, fails or times out. */
   run(): void {
+    // The request was refused when this process came to its end.
+    if (this.exchange.ended) return;
     this.#deadlineTimer = this.parts.context.clock.schedule(Math.max(0, this.leftMs), () =>
       this.#onDeadline(),
     );
     this.exchange.onGone(() => this.#onGone());
+    this.exchange.onBreakOff(() => this.#onBreakOff());
     if (this.#isOver) return;
     if (this.#runs.isPoison) this.#failAsPoison();
     else this.begin();
@@ -547,11 +551,20 @@
   }
 
   #onDeadline(): void {
-    const sent = this.attempt !== undefined || this.exchange.started || this.mayHaveRun.size > 0;
-    if (sent) this.fail(GATEWAY_TIMEOUT, "timeout", "The time of the call is over.");
+    if (this.#mayHaveBeenSent) this.fail(GATEWAY_TIMEOUT, "timeout", "The time of the call is over.");
     else this.refuse("timeout", "The time of the call is over; it was not run.");
   }
 
+  /** Answers the call before the process ends. */
+  #onBreakOff(): void {
+    if (this.#mayHaveBeenSent) this.failWithUnknownOutcome("this gateway has stopped");
+    else this.refuse(STOPPING.kind, STOPPING.detail, STOPPING.retryAfterMs);
+  }
+
+  get #mayHaveBeenSent(): boolean {
+    return this.attempt !== undefined || this.exchange.started || this.mayHaveRun.size > 0;
+  }
+
   #onGone(): void {
     this.finish({ status: 0, kind: this.exchange.wasCut ? "slow-reader" : "caller-gone" });
   }
--- a/src/gateway/ingress/caller-exchange.ts
+++ b/src/gateway/ingress/caller-exchange.ts
@@ -7,6 +7,7 @@
 import type { CallerBuffers } from "../buffers/caller-buffers.ts";
 import type { ProblemResponse } from "./problem-response.ts";
 import type { RequestHead } from "./request-head.ts";
+import { STOPPING } from "./stopping.ts";
 
 const JSON_CONTENT_TYPE = "application/json";
 const MS_PER_S = 1_000;
@@ -38,6 +39,7 @@
   #endsWithConnection = false;
   #onGone: () => void = () => undefined;
   #onDrain: () => void = () => undefined;
+  #onBreakOff: () => void = () => this.refuse(STOPPING);
   /** Pieces that have not been passed to the operating system yet, oldest first. */
   #queue: Buffer[] = [];
   #queuedBytes = 0;
@@ -114,6 +116,14 @@
     if (this.#gone) action();
   }
 
+  /**
+   * Sets what is called when the process ends before it has begun an answer, and answers the request. Requests that no call
+   * has taken up are refused.
+   */
+  onBreakOff(action: () => void): void {
+    this.#onBreakOff = action;
+  }
+
   /** Sets what is called when the caller has read enough for more data to be buffered. */
   onDrain(action: () => void): void {
     this.#onDrain = action;
@@ -203,8 +213,9 @@
     this.#breakConnection();
   }
 
-  /** Breaks off what has not been sent of the answer, also if it was ended. */
+  /** Answers a request whose answer has not begun; breaks off what has not been sent of another one, also if it was ended. */
   breakOff(): void {
+    if (!this.#ended && !this.started) return this.#onBreakOff();
     this.#ended = true;
     if (!this.#response.writableFinished) this.#breakConnection();
   }
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -23,11 +23,12 @@
   settingsFile: string | undefined,
   createPlatform: (settings: GatewaySettings) => GatewayPlatform,
 ): Promise<void> {
+  const starting = start(settingsFile, createPlatform);
+  // Signals may come while the process starts, when they would end it if nothing handled them.
+  process.on("SIGTERM", () => void starting.then((gateway) => gateway.stop()).then(() => process.exit(0)));
+  process.on("SIGHUP", () => void starting.then((gateway) => reload(gateway, settingsFile)));
   try {
-    const settings = await readSettings(settingsFile);
-    const gateway = await startGateway(settings, createPlatform(settings));
-    process.on("SIGTERM", () => void gateway.stop().then(() => process.exit(0)));
-    process.on("SIGHUP", () => void reload(gateway, settingsFile));
+    const gateway = await starting;
     process.on("unhandledRejection", (reason) => gateway.logUnexpectedError(reason));
   } catch (error) {
     if (!(error instanceof TulipwheelError)) throw error;
@@ -36,6 +37,14 @@
   }
 }
 
+async function start(
+  settingsFile: string | undefined,
+  createPlatform: (settings: GatewaySettings) => GatewayPlatform,
+): Promise<GatewayDaemon> {
+  const settings = await readSettings(settingsFile);
+  return startGateway(settings, createPlatform(settings));
+}
+
 async function reload(gateway: GatewayDaemon, settingsFile: string | undefined): Promise<void> {
   try {
     gateway.reload(await readSettings(settingsFile));
--- a/test/contract/ingress-stop.test.ts
+++ b/test/contract/ingress-stop.test.ts
@@ -114,6 +114,14 @@
     });
   }
 
+  it("refuses requests that no call has taken up when the process ends", async () => {
+    const { socket } = await sendUnread("1.1");
+    server.beginStop();
+    server.breakOffUnfinished();
+    const received = await receiveAll(socket);
+    expect([received.startsWith("HTTP/1.1 503"), received.includes('"stopping"')]).toEqual([true, true]);
+  });
+
   it("closes connections between two requests, and neither new ones nor those of unfinished requests", async () => {
     onExchange = (exchange) => exchange.answer(200, [], Buffer.from("done"));
     const idle = send(`GET / HTTP/1.1\r\nHost: h${HEAD_END}`);
--- a/test/process/planned-stop.test.ts
+++ b/test/process/planned-stop.test.ts
@@ -1,8 +1,9 @@
 /** Tests what a planned stop of a gateway process leaves of the requests that it has taken. */
+import { connect } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { expect } from "earl";
 import { call, newRequestId } from "./support/gateway-caller.ts";
-import { GatewayCluster, PATHS, pause, type TestGateway } from "./support/gateway-cluster.ts";
+import { GatewayCluster, PATHS, pause, TEST_HOST, type TestGateway } from "./support/gateway-cluster.ts";
 import { TestAddresses } from "./support/test-addresses.ts";
 
 /** Time after SIGTERM until the platform's last sixth of the grace period begins, by the default settings. */
@@ -40,6 +41,33 @@
   for (const runner of cluster.services) runner.stepMs = stepMs;
 }
 
+async function whenRunning(id: string): Promise<void> {
+  while (!cluster.services.some(({ executedRequests }) => executedRequests.some((one) => one.id === id)))
+    await pause(5);
+}
+
+/** Opens a connection; the returned function sends a request on it and reads until it ends. */
+function openConnection(): (deadlineMs: number) => Promise<string> {
+  const [host, port] = gateway().addresses.callers.split(":");
+  const socket = connect(Number(port), host);
+  socket.on("error", () => undefined);
+  return async (deadlineMs) => {
+    const head = [`POST ${PATHS.unsafe} HTTP/1.1`, `Host: ${TEST_HOST}`, `X-Request-Id: ${newRequestId()}`];
+    socket.write(`${head.join("\r\n")}\r\nX-Deadline-Ms: ${deadlineMs}\r\nContent-Length: 2\r\n\r\n{}`);
+    let text = "";
+    for await (const chunk of socket) text += String(chunk);
+    return text;
+  };
+}
+
+function acceptsConnections(address: string): Promise<boolean> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve) => {
+    const socket = connect(Number(port), host, () => resolve(true));
+    socket.on("connect", () => socket.destroy()).on("error", () => resolve(false));
+  });
+}
+
 describe("a planned stop of a gateway", () => {
   afterEach(() => cluster?.stop());
 
@@ -53,4 +81,51 @@
     const answer = await call(gateway(), PATHS.unsafe, newRequestId(), DEADLINE_MS);
     expect(answer.status).toEqual(200);
   });
+
+  it("answers requests that it has no time for as unknown, in place of closing their connections", async () => {
+    await startCluster({ stopMs: 700, lingerMs: 100 });
+    letRunnersTake(5_000);
+    const id = newRequestId();
+    const answering = call(gateway(), PATHS.unsafe, id, DEADLINE_MS);
+    await whenRunning(id);
+    gateway().process.signal("SIGTERM");
+    const { status, body } = await answering;
+    expect([status, body.includes("outcome-unknown")]).toEqual([502, true]);
+  });
+
+  it("refuses late requests that might be broken off, and serves those that can't", async () => {
+    await startCluster({ stopMs: 3_000, lingerMs: 300 });
+    letRunnersTake(2_000);
+    const [sendLong, sendShort] = [openConnection(), openConnection()];
+    const id = newRequestId();
+    const answering = call(gateway(), PATHS.unsafe, id, DEADLINE_MS);
+    await whenRunning(id);
+    gateway().process.signal("SIGTERM");
+    await pause(600);
+    letRunnersTake(100);
+    const [long, short] = await Promise.all([sendLong(DEADLINE_MS), sendShort(1_000)]);
+    expect([long.startsWith("HTTP/1.1 503"), long.includes('"stopping"')]).toEqual([true, true]);
+    expect(long.toLowerCase().includes("retry-after")).toEqual(true);
+    expect(short.startsWith("HTTP/1.1 200")).toEqual(true);
+    expect((await answering).status).toEqual(200);
+  });
+
+  it("survives a signal to read its settings again while it starts", async () => {
+    await startCluster({ stopMs: 700, lingerMs: 100 });
+    const { process, addresses } = await cluster.addGateway();
+    while (!(await acceptsConnections(addresses.peers))) await pause(1);
+    process.signal("SIGHUP");
+    await cluster.ready();
+    expect(process.ended).toEqual(false);
+  });
+
+  it("ends once, although it is told to stop twice", async () => {
+    await startCluster({ stopMs: 700, lingerMs: 100 });
+    const { process } = gateway();
+    process.signal("SIGTERM");
+    await pause(50);
+    process.signal("SIGTERM");
+    while (!process.ended) await pause(20);
+    expect(process.collectedOutput.match(/"msg":"stopped"/g)?.length).toEqual(1);
+  });
 });
