Look up inherited turns until the store says what they used

What callers saw, or would: after a loss of an owner, a turn that the row names and whose gateway is gone counted with its most for good if the one read of the store had no answer, or came too early; and a request that came during that read got 402, which ends its program.

Cause: the turns were forgotten before they were looked up, and a read without an answer was taken for a denial.

Change: an inherited turn is looked up at most once a second until it is found; requests wait for the lookup that is under way, and get 503 where the store did not answer.

Measured: the new test of the owned partition fails on the code before and passes.

--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -24,12 +24,22 @@
   readonly account: TokenAccount;
   /** Runner of the last turn by session. The key {@link WHOLE_PROGRAM} holds the last turn of any session. */
   readonly runners: Map<string, RunnerId>;
-  /** Turns that a previous owner left in progress. They may have ended without this owner being notified. */
+  /**
+   * Turns that a previous owner left in progress and that have not been found in the store. They may have ended without this
+   * owner being notified, or may be stored later.
+   */
   readonly inherited: Set<RequestId>;
+  /** When inherited turns may be looked up again, in ms on the monotonic clock. */
+  nextLookupAtMs: number;
+  /** The last lookup of inherited turns. */
+  lookup: Promise<InheritedLookup>;
   /** Runs while no turn has been admitted since the last one ended. */
   idleTimer: TimerHandle | undefined;
 }
 
+/** Whether the store said of each inherited turn if it has it. */
+type InheritedLookup = "known" | "unknown";
+
 /** The accounts of a partition's programs as read from the store. */
 export interface StoredAccounts {
   readonly accounts: ReadonlyMap<ProgramId, StoredAccount>;
@@ -39,6 +49,9 @@
 
 const WHOLE_PROGRAM = "";
 
+/** Time between two lookups of the turns that a program has inherited, in ms. */
+const INHERITED_LOOKUP_INTERVAL_MS = 1_000;
+
 /** Part of `settleMs` after which a program without turns counts as idle; the rest is for the store. */
 const IDLE_FRACTION = 0.6;
 
@@ -98,9 +111,12 @@
     const program = this.#getOrAddProgram(request.program);
     this.#stopIdleTimer(program);
     let reserved = this.#reserve(program, request);
-    if (reserved === "exhausted" && (await this.#settleInherited(program))) {
+    if (reserved === "exhausted") {
+      const inherited = await this.#settleInherited(program);
       if (this.#isReleasing) return MOVED;
       reserved = this.#reserve(program, request);
+      if (reserved === "exhausted" && inherited === "unknown")
+        return { type: "unavailable", detail: "the store does not say what earlier turns used" };
     }
     if (reserved === "exhausted") return { type: "exhausted", spent: program.account.committed };
     const [recorded, history] = await Promise.all([reserved, this.#history(request)]);
@@ -167,6 +183,8 @@
       account,
       runners: new Map(),
       inherited: new Set(inherited),
+      nextLookupAtMs: 0,
+      lookup: Promise.resolve("known"),
       idleTimer: undefined,
     };
     this.#programs.set(name, program);
@@ -190,19 +208,31 @@
     return Promise.race([this.#writer.writeAccount(request.program, account), late]);
   }
 
+  /** Looks inherited turns up, at most once per interval; requests that come meanwhile wait for the same lookup. */
+  #settleInherited(program: ProgramState): Promise<InheritedLookup> {
+    const nowMs = this.#context.clock.monotonicMs();
+    if (program.inherited.size > 0 && nowMs >= program.nextLookupAtMs) {
+      program.nextLookupAtMs = nowMs + INHERITED_LOOKUP_INTERVAL_MS;
+      program.lookup = this.#lookUpInherited(program);
+    }
+    return program.lookup;
+  }
+
   /**
    * Charges turns left in progress by a previous owner with their actual usage, if they are retained. Their ends are
-   * never reported once the gateways that served them are gone. Returns whether any turn was charged.
+   * never reported once the gateways that served them are gone.
    */
-  async #settleInherited({ account, inherited }: ProgramState): Promise<boolean> {
+  async #lookUpInherited({ account, inherited }: ProgramState): Promise<InheritedLookup> {
     const turns = [...inherited];
-    inherited.clear();
-    const contents = await Promise.all(turns.map((turn) => this.#turns.load(turn)));
-    const settled = contents.map((content, index) => {
+    const lookups = await Promise.all(turns.map((turn) => this.#turns.load(turn)));
+    for (const [index, lookup] of lookups.entries()) {
+      if (lookup.type !== "found") continue;
       const turn = turns[index] as RequestId;
-      return content?.tokens !== undefined && account.settle(turn, content.tokens);
-    });
-    return settled.includes(true);
+      inherited.delete(turn);
+      const { tokens } = lookup.content;
+      if (tokens !== undefined) account.settle(turn, tokens);
+    }
+    return lookups.some(({ type }) => type === "unavailable") ? "unknown" : "known";
   }
 
   #replenish(account: TokenAccount, program: ProgramId, budget: { tokens: number; most: number }): void {
--- a/src/gateway/partitions/retained-turns.ts
+++ b/src/gateway/partitions/retained-turns.ts
@@ -56,15 +56,14 @@
     this.#cache.add(turn, content);
   }
 
-  /** Loads a turn from the cache or the store. Returns undefined if neither has it or the store does not respond. */
-  async load(turn: RequestId): Promise<RetainedTurnContent | undefined> {
+  /** Looks up a turn in the cache and the store, and not in the memory of other gateways. */
+  async load(turn: RequestId): Promise<TurnLookup> {
     const known = this.cached(turn);
-    if (known) return known;
+    if (known) return { type: "found", content: known };
     const { hash, settings } = this.#context;
     const newestVersion = this.#newestVersion();
     const parts = turnParts(turn, settings.turnParts, hash);
-    const lookup = await firstFound(parts.map((part) => this.#readPart(turn, part, newestVersion)));
-    return lookup.type === "found" ? lookup.content : undefined;
+    return firstFound(parts.map((part) => this.#readPart(turn, part, newestVersion)));
   }
 
   /** Returns the inputs and outputs of a tenant's turn and of all turns before it, oldest first. */
--- a/test/contract/owned-partition.test.ts
+++ b/test/contract/owned-partition.test.ts
@@ -22,6 +22,8 @@
 const WRITE_DELAY_MS = 240;
 /** Duration of a lookup in the gateways' memory, and of the store read for the second request. */
 const LOOKUP_DELAY_MS = 150;
+/** At least the time between two lookups of inherited turns. */
+const LOOKUP_INTERVAL_MS = 1_050;
 /** Longer than any write that is still in flight takes. */
 const SETTLED_MS = 500;
 const [PREVIOUS_TURN, TURN, OTHER_TURN] = ["before", "turn", "other"] as RequestId[];
@@ -103,4 +105,31 @@
     };
     expect(await countGrants(createPartition(), PREVIOUS_TURN)).toEqual(1);
   });
+
+  // Guards against turns that count with their most for good, because a read without an answer was taken for a denial.
+  it("looks an inherited turn up again until the store says what it used", async () => {
+    const content = {
+      previousTurn: undefined,
+      input: Buffer.from("in"),
+      output: Buffer.from("out"),
+      tokens: 0,
+    };
+    const rows = turnRows(TURN as RequestId, content, "").map((row) => ({ ...row, version: 1 }));
+    const inherited = { settled: 0, ahead: 0, open: [[TURN, BUDGET.most]] } as const;
+    const accounts = new Map([["program" as ProgramId, inherited]]);
+    const partition = createPartition({ accounts, unreadable: new Set() });
+    const ask = async () => {
+      const answer = await partition.admit(admitRequest(OTHER_TURN as RequestId));
+      return answer === "moved" ? answer : answer.type;
+    };
+    expect(await ask()).toEqual("unavailable");
+    read = async () => ({ type: "rows", rows: [], more: false, version: 1 });
+    await delay(context.clock, LOOKUP_INTERVAL_MS);
+    expect(await ask()).toEqual("exhausted");
+    read = async () => ({ type: "rows", rows, more: false, version: 1 });
+    expect(await ask()).toEqual("exhausted");
+    await delay(context.clock, LOOKUP_INTERVAL_MS);
+    // A request that comes during the lookup waits for it, in place of a refusal that ends its program.
+    expect(await Promise.all([ask(), ask()])).toEqual(["granted", "granted"]);
+  });
 });
