Complete no stream whose end nobody could be asked about

Cause: such an end is checked by another run; without one it was believed.

Change: runners without room are asked again for half a second; then the connection is broken off, and the caller takes the stream up.

--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -18,6 +18,7 @@
 import type { PartitionClient } from "../partitions/partition-client.ts";
 import type { RetentionRecord } from "../telemetry/retention-record.ts";
 import { roundedShare } from "../telemetry/rounded-share.ts";
+import { DoubtedEnd } from "./doubted-end.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
 import { OWNER_RETRY_AFTER_MS } from "./owner-retry.ts";
 import type { ResumedStream } from "./resumed-stream.ts";
@@ -57,8 +58,8 @@
   /** Set once an event was forwarded whose version others may need. */
   #key: StreamKey | undefined;
   #isComplete = false;
-  /** The head of an answer that ended with its connection; undefined once another run has shown whether it was whole. */
-  #doubtedHead: HttpAnswerHead | undefined;
+  /** Set while no other run has shown whether an answer was whole that ended with its connection. */
+  #doubtedEnd: DoubtedEnd | undefined;
   /** The last event before one that a runner had begun: the stream does not end there. */
   #unfinishedAfter: number | undefined;
 
@@ -84,7 +85,7 @@
     const resumed = this.#runnerToResume();
     if (resumed) return this.#sendTo(resumed);
     if (this.#runnersLeft <= 0) {
-      if (this.#isRunnerOnlyFull()) return this.#askRunnerAgain();
+      if (this.#isRunnerOnlyFull()) return this.#askRunnersAgain();
       return this.#giveUp("no runner can take the turn");
     }
     if (this.#eventCount > 0 && this.#version === undefined)
@@ -252,16 +253,16 @@
   /** Whether the runner of a broken stream still accepts requests, and only had no room to go on with the stream. */
   #isRunnerOnlyFull(): boolean {
     const last = this.#lastRunner;
-    // An end that is only doubted does not wait: it counts if nobody can be asked.
-    if (last === undefined || this.#doubtedHead !== undefined) return false;
+    if (last === undefined || this.#doubtedEnd !== undefined) return false;
     if (!this.excluded.has(last) || this.gone.has(last) || this.silent.has(last)) return false;
     return this.parts.board.ready(last) !== undefined;
   }
 
-  #askRunnerAgain(): void {
+  /** Tries again a little later, also at runners that had no room. */
+  #askRunnersAgain(): void {
     this.parts.context.clock.schedule(FULL_RUNNER_RETRY_MS, () => {
       if (this.isOver) return;
-      if (this.#lastRunner !== undefined) this.excluded.delete(this.#lastRunner);
+      for (const id of this.excluded) if (!this.gone.has(id)) this.excluded.delete(id);
       this.tryNext();
     });
   }
@@ -325,12 +326,12 @@
    */
   #needsSecondRun({ framing }: HttpAnswerHead): boolean {
     const canAsk = this.route.resumable && this.#lastEventId !== undefined;
-    return framing === "connection" && canAsk && this.#doubtedHead === undefined;
+    return framing === "connection" && canAsk && this.#doubtedEnd === undefined;
   }
 
   /** Asks a runner, the same one if possible, for the events behind the last one. */
   #askWhatFollows(runner: RunnerEntry, head: HttpAnswerHead): void {
-    this.#doubtedHead = head;
+    this.#doubtedEnd = new DoubtedEnd(head, this.elapsedMs);
     this.#setRunnerPaused(false);
     this.doubtEnd(runner);
     void this.whenChecked(() => this.tryNext());
@@ -340,7 +341,7 @@
     const last = this.#lastEventId;
     if (event.id !== undefined && last !== undefined && event.id <= last) return;
     if (this.#eventCount === 0) this.#recordBegin(runner);
-    this.#doubtedHead = undefined;
+    this.#doubtedEnd = undefined;
     this.#sendHead(head);
     this.exchange.write(event.bytes);
     this.#eventCount += 1;
@@ -450,7 +451,7 @@
     this.attempt = undefined;
     this.#setRunnerPaused(false);
     this.recordFailure(runner, failure);
-    if (failure.type !== "notRun") this.#doubtedHead = undefined;
+    if (failure.type !== "notRun") this.#doubtedEnd = undefined;
     if (failure.type === "broken") {
       this.#setLastRunner(runner);
       if (this.#eventCount > 0 && this.parts.versions.isReplaced(runner)) this.#version = undefined;
@@ -469,8 +470,9 @@
   }
 
   #giveUp(detail: string): void {
-    // No runner could be asked, and none has failed since: the end of the connection is all there is.
-    if (this.#doubtedHead) void this.#complete(this.#doubtedHead);
+    if (this.#doubtedEnd?.mayWait(this.elapsedMs)) this.#askRunnersAgain();
+    // Nobody has vouched for the end. A caller whose connection breaks takes the stream up; one that gets its end does not.
+    else if (this.#doubtedEnd) this.failWithUnknownOutcome(`the stream may have been broken off: ${detail}`);
     else if (this.mayHaveRun.size > 0) this.failWithUnknownOutcome(detail);
     else this.refuse(this.#resumed ? "cannot-resume" : "overloaded", detail);
   }
--- a/standins/platform/runner-standin.ts
+++ b/standins/platform/runner-standin.ts
@@ -149,11 +149,20 @@
 
   /** Ends as a process that is killed: resets its connections and refuses new ones. */
   end(): void {
+    this.#end((socket) => socket.resetAndDestroy());
+  }
+
+  /** Ends as a process that exits: closes its connections, also those of unfinished answers, and refuses new ones. */
+  exit(): void {
+    this.#end((socket) => socket.destroy());
+  }
+
+  #end(endConnection: (socket: Socket) => void): void {
     if (this.#hasEnded) return;
     this.#endedPort = this.port;
     this.#hasEnded = true;
     this.#server.close();
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    for (const socket of this.#sockets) endConnection(socket);
     this.onEnded();
   }
 
--- a/test/process/answers-cut-short.test.ts
+++ b/test/process/answers-cut-short.test.ts
@@ -128,6 +128,9 @@
   betweenEvents: "goes on with a stream whose runner closed the connection between two events",
   visible: "goes on with a stream whose break shows in its framing",
   wholeStream: "completes a stream that ends with its connection at every run, after a second run agrees",
+  fullRunners: "breaks off a stream whose end nobody can vouch for while all runners are full",
+  brieflyFullRunners: "goes on with a stream that ended with its connection once a runner has room",
+  leavingRunner: "goes on with a stream whose runner leaves as planned and is still listed",
   stopRunsOut: "resets the connection of a caller without chunks when a planned stop runs out of time",
   callersWithoutChunks: "resets the connection of a caller without chunks when its stream breaks",
   retained: "keeps no turn whose answer was cut short",
@@ -204,6 +207,55 @@
     expect(runsOf(request)).toEqual(2);
   });
 
+  /** Starts a stream that its runner ends between two events; no runner has room for another run from then on. */
+  async function cutBeforeFullRunners(path: string): Promise<{ id: string; answer: Promise<RawAnswer> }> {
+    endAnswersWith({ framing: "connection", cut: { afterEvents: EVENTS - 2, bytes: 0 }, end: "fin" }, 1);
+    for (const runner of cluster.engines) runner.stepMs = 20;
+    const request = streamRequest(path);
+    const answer = sendOne(request);
+    while (runsOf(request) === 0) await pause(5);
+    for (const runner of cluster.engines) Object.assign(runner, { ending: undefined, fault: "full" });
+    for (const runner of cluster.engines) runner.remainingFaults = Number.POSITIVE_INFINITY;
+    return { id: idOf(request), answer };
+  }
+
+  it(NAMES.fullRunners, knownRed(NAMES.fullRunners), async () => {
+    for (const path of [PATHS.turn, PATHS.kept]) {
+      const { id, answer } = await cutBeforeFullRunners(path);
+      const { end, ...received } = await answer;
+      expect([end, eventNumbers({ end, ...received })]).toEqual(["broken", ALL_EVENTS.slice(0, -2)]);
+      for (const runner of cluster.engines) runner.fault = "none";
+      if (path !== PATHS.kept) continue;
+      const next = streamRequest(path);
+      const headers = { ...next.headers, "X-Previous-Turn": id };
+      expect((await sendOne({ ...next, headers })).status).toEqual(404);
+    }
+  });
+
+  it(NAMES.brieflyFullRunners, knownRed(NAMES.brieflyFullRunners), async () => {
+    for (const path of [PATHS.turn, PATHS.kept]) {
+      const { answer } = await cutBeforeFullRunners(path);
+      await pause(250);
+      for (const runner of cluster.engines) runner.fault = "none";
+      const whole = await answer;
+      expect([whole.end, eventNumbers(whole)]).toEqual(["framed", ALL_EVENTS]);
+    }
+  });
+
+  it(NAMES.leavingRunner, knownRed(NAMES.leavingRunner), async () => {
+    for (const runner of cluster.engines) runner.stepMs = 50;
+    endAnswersWith(WHOLE_BY_CONNECTION);
+    const requests = [PATHS.turn, PATHS.kept, PATHS.turn, PATHS.kept].map((path) => streamRequest(path));
+    const reading = requests.map((request) => sendOne(request));
+    while (requests.some((request) => runsOf(request) === 0)) await pause(5);
+    const [leaving] = cluster.engines as [RunnerStandin];
+    cluster.listRunner(leaving, "engine", "draining");
+    await pause(100);
+    leaving.exit();
+    for (const answer of await Promise.all(reading))
+      expect([answer.end, eventNumbers(answer)]).toEqual(["framed", ALL_EVENTS]);
+  });
+
   it(NAMES.callersWithoutChunks, knownRed(NAMES.callersWithoutChunks), async () => {
     endAnswersWith({ framing: "connection", cut: { afterEvents: 0, bytes: 8 }, end: "reset" });
     const first = await sendOne(streamRequest(PATHS.turn, { version: "1.0" }));
