Limit each part of a runner's answer, and read it at a cost that grows with its bytes

What callers saw, or would: a runner that sent bytes without end held a gateway up for seconds or filled its memory; a call that was not run waited for the body that says so.

Causes: an unfinished event was searched and copied from its start with each piece; a failed stream's body, an event and tiny pieces were held without a limit; the HTTP client bounds neither interim answers nor what stands beside chunks, and makes an error for each header line beyond its limit; an answer that says "not run" was read to its end first.

Change: a limit on each part, at which the connection ends and the runner counts as failing; an answer that exceeds one is not asked for again at that runner; "not run" sends the call elsewhere at the head, and a bounded rest is read for the connection.

--- a/bench/mutations/answer-mutations.ts
+++ b/bench/mutations/answer-mutations.ts
@@ -5,6 +5,7 @@
 const EXCHANGE = "src/gateway/ingress/caller-exchange.ts";
 const SIMULATED = "test/simulation/answers.test.ts";
 const PROCESSES = "test/process/answers-cut-short.test.ts";
+const ENDLESS = "test/process/endless-answers.test.ts";
 
 /** Replaces one text of a file; the script must fail then. */
 function mutation(
@@ -21,7 +22,7 @@
   mutation(
     "a stream that ends inside an event is complete",
     `${CALLS}/streamed-call.ts`,
-    'if (this.#splitter.rest.length > 0) return "the answer ended inside an event";',
+    'if (this.#reader.unfinishedBytes > 0) return "the answer ended inside an event";',
     "",
     SIMULATED,
   ),
@@ -42,7 +43,7 @@
   mutation(
     "a doubted end counts for every later one",
     `${CALLS}/streamed-call.ts`,
-    "    this.#doubtedHead = undefined;\n    this.#sendHead(head);",
+    "    this.#doubtedEnd = undefined;\n    this.#sendHead(head);",
     "    this.#sendHead(head);",
     SIMULATED,
   ),
@@ -130,4 +131,53 @@
     'this.#finish("success");\n      this.#listener.onFailed({ type: "broken", detail: defect });',
     PROCESSES,
   ),
+  mutation(
+    "a doubted end is complete while runners are full",
+    `${CALLS}/streamed-call.ts`,
+    "if (this.#doubtedEnd?.mayWait(this.elapsedMs)) this.#askRunnersAgain();",
+    "if (this.#doubtedEnd) void this.#complete(this.#doubtedEnd.head);",
+    PROCESSES,
+  ),
+  mutation(
+    "an event has no limit",
+    `${CALLS}/stream-reader.ts`,
+    "this.#splitter.rest.length > MAX_EVENT_BYTES",
+    "this.#splitter.rest.length < 0",
+    ENDLESS,
+  ),
+  mutation(
+    "a failed stream has no limit",
+    `${CALLS}/stream-reader.ts`,
+    "this.#failure.length > MAX_FAILURE_BYTES",
+    "this.#failure.length < 0",
+    ENDLESS,
+  ),
+  mutation(
+    "an unfinished event is searched from its start",
+    `${CALLS}/event-splitter.ts`,
+    "return Math.max(from, bytes.length - 1 - MAX_LOOK_AHEAD_BYTES);",
+    "return Math.min(from, bytes.length);",
+    "test/contract/byte-streams.test.ts",
+  ),
+  mutation(
+    "what is not body has no limit",
+    "src/ports/http/overhead-guard.ts",
+    "return overhead > MAX_OVERHEAD_BYTES",
+    "return overhead < -MAX_OVERHEAD_BYTES",
+    ENDLESS,
+  ),
+  mutation(
+    "an answer that was not run is read to its end",
+    `${CALLS}/runner-attempt.ts`,
+    'this.#fail({ type: "notRun", status: head.status });\n      return true;',
+    "return true;",
+    ENDLESS,
+  ),
+  mutation(
+    "the rest of an answer that was not run has no limit",
+    `${CALLS}/answer-drain.ts`,
+    "if (this.#bytes <= MAX_BYTES) return;",
+    "return;",
+    "test/contract/byte-streams.test.ts",
+  ),
 ];
--- a/bench/mutations/soak-mutations.ts
+++ b/bench/mutations/soak-mutations.ts
@@ -36,8 +36,8 @@
     edits: [
       {
         file: "src/gateway/calls/buffered-call.ts",
-        from: "if (!mayRepeat) return this.failWithUnknownOutcome(",
-        to: 'if (!mayRepeat) return this.refuse("overloaded", ',
+        from: "return void this.whenChecked(() => this.failWithUnknownOutcome(detail));",
+        to: 'return void this.whenChecked(() => this.refuse("overloaded", detail));',
       },
     ],
     script,
--- a/src/gateway/calls/buffered-call.ts
+++ b/src/gateway/calls/buffered-call.ts
@@ -4,6 +4,7 @@
  * certain, and an answer that stays uncertain is sent without stating its end.
  */
 
+import { ByteCollector } from "../../ports/http/byte-collector.ts";
 import type { HttpAnswerHead } from "../../ports/http/http-exchange.ts";
 import type { TimerHandle } from "../../runtime/clock.ts";
 import type { RunnerEntry } from "../../scheduling/runner-balancing/runner-entry.ts";
@@ -44,21 +45,20 @@
 
   #startAttempt(runner: RunnerEntry): void {
     let head: HttpAnswerHead | undefined;
-    const chunks: Buffer[] = [];
+    const body = new ByteCollector();
+    const heldBefore = this.#uncertain?.body.length ?? 0;
     const isStarted = this.startAttempt(runner, this.exchange.body, this.call.lastEventId, {
       onHead: (answer) => {
         head = answer;
         this.recordHead(answer);
       },
       onData: (chunk) => {
-        chunks.push(chunk);
-        this.exchange.buffers.add("collected", chunk.length);
-        if (this.exchange.buffers.exceedsShare)
-          this.failWithUnknownOutcome("there is no memory for the answer");
+        body.push(chunk);
+        this.holdCollected(heldBefore + body.length);
       },
       findDefect: () => undefined,
       onEnd: () => {
-        if (head) this.#onAnswer(runner, { head, body: Buffer.concat(chunks) });
+        if (head) this.#onAnswer(runner, { head, body: body.bytes });
         else this.failWithUnknownOutcome("an answer without a head");
       },
       onFailed: (failure) => this.#onFailed(runner, failure),
--- a/src/gateway/calls/event-splitter.ts
+++ b/src/gateway/calls/event-splitter.ts
@@ -1,4 +1,5 @@
-/** Splits a stream of bytes (`text/event-stream`) into whole events. */
+/** Splits a stream of bytes (`text/event-stream`) into whole events. Each byte is looked at a bounded number of times. */
+import { ByteCollector } from "../../ports/http/byte-collector.ts";
 
 /** One event of a stream, with its bytes unchanged. */
 export interface StreamEvent {
@@ -10,41 +11,70 @@
   readonly data: string;
 }
 
-const EVENT_END = "\n\n";
-const EVENT_END_CRLF = "\r\n\r\n";
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+/** The most bytes after a line's end that the end of an event is seen by. */
+const MAX_LOOK_AHEAD_BYTES = 2;
 
 export class EventSplitter {
-  #rest: Buffer = Buffer.alloc(0);
+  readonly #rest = new ByteCollector();
+  /** Where the search for the end of the incomplete event goes on. */
+  #searchFrom = 0;
 
   /** The bytes of an event that is not complete yet. */
   get rest(): Buffer {
-    return this.#rest;
+    return this.#rest.bytes;
   }
 
   /** Adds bytes; returns the events that are complete now. */
   push(chunk: Buffer): StreamEvent[] {
-    this.#rest = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
-    const events: StreamEvent[] = [];
-    for (let end = eventEnd(this.#rest); end > 0; end = eventEnd(this.#rest)) {
-      events.push(parseEvent(this.#rest.subarray(0, end)));
-      this.#rest = this.#rest.subarray(end);
+    if (this.#rest.length === 0) return this.#split(chunk);
+    this.#rest.push(chunk);
+    const bytes = this.#rest.bytes;
+    const end = eventEnd(bytes, this.#searchFrom);
+    if (end === 0) {
+      this.#searchFrom = resumptionPoint(bytes, this.#searchFrom);
+      return [];
     }
-    return events;
+    this.reset();
+    return [parseEvent(bytes.subarray(0, end)), ...this.#split(bytes.subarray(end))];
   }
 
   /** Discards an incomplete event. */
   reset(): void {
-    this.#rest = Buffer.alloc(0);
+    this.#rest.clear();
+    this.#searchFrom = 0;
+  }
+
+  /** Splits bytes that begin with an event, and keeps what is left of them. */
+  #split(bytes: Buffer): StreamEvent[] {
+    const events: StreamEvent[] = [];
+    let start = 0;
+    for (let end = eventEnd(bytes, start); end > 0; end = eventEnd(bytes, start)) {
+      events.push(parseEvent(bytes.subarray(start, end)));
+      start = end;
+    }
+    if (start === bytes.length) return events;
+    const rest = bytes.subarray(start);
+    this.#rest.push(rest);
+    this.#searchFrom = resumptionPoint(rest, 0);
+    return events;
+  }
+}
+
+/** The end of the first event, of which no earlier line ends it than one that ends after `from`; 0 if none is complete. */
+function eventEnd(bytes: Buffer, from: number): number {
+  for (let at = bytes.indexOf(LINE_FEED, from); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
+    if (bytes[at + 1] === LINE_FEED) return at + 2;
+    const isBlankLine = bytes[at + 1] === CARRIAGE_RETURN && bytes[at + 2] === LINE_FEED;
+    if (isBlankLine && bytes[at - 1] === CARRIAGE_RETURN) return at + 3;
   }
+  return 0;
 }
 
-/** The end of the first event; 0 if no event is complete. */
-function eventEnd(bytes: Buffer): number {
-  const plain = bytes.indexOf(EVENT_END);
-  const crlf = bytes.indexOf(EVENT_END_CRLF);
-  if (plain < 0 && crlf < 0) return 0;
-  if (crlf < 0 || (plain >= 0 && plain < crlf)) return plain + EVENT_END.length;
-  return crlf + EVENT_END_CRLF.length;
+/** Where to search on once more bytes have arrived behind ones that hold no end. */
+function resumptionPoint(bytes: Buffer, from: number): number {
+  return Math.max(from, bytes.length - 1 - MAX_LOOK_AHEAD_BYTES);
 }
 
 function parseEvent(bytes: Buffer): StreamEvent {
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -78,6 +78,8 @@
  * added.
  */
 const ADMISSION_RETRY_MS = 30;
+/** Size of a collected answer from which a lack of memory counts as its runner's fault, in bytes. */
+const LARGE_ANSWER_BYTES = 1_048_576;
 /** Maximum number of attempts within one call, whatever their outcome. */
 const MAX_TOTAL_ATTEMPTS = 12;
 
@@ -95,8 +97,8 @@
   protected readonly excluded = new Set<RunnerId>();
   /** Runners that can't run the call any more, because they have ended or can't be reached. */
   protected readonly gone = new Set<RunnerId>();
-  /** Runners that were silent for too long; a call that may run twice is sent to others. */
-  protected readonly silent = new Set<RunnerId>();
+  /** Runners that were silent for too long, or whose answer exceeded a limit; a call that may run twice is sent to others. */
+  protected readonly faulty = new Set<RunnerId>();
   /** Runners that may have run the call. */
   protected readonly mayHaveRun = new Set<RunnerId>();
   protected attempt: RunnerAttempt | undefined;
@@ -280,7 +282,7 @@
       leftMs: Math.max(0, leftMs),
       tokens: this.tokens,
       preferred,
-      excluded: [...this.excluded, ...this.silent],
+      excluded: [...this.excluded, ...this.faulty],
     };
   }
 
@@ -289,7 +291,7 @@
     const choice = {
       pool: this.pool.name,
       zone: context.settings.zone,
-      excluded: this.silent.size === 0 ? this.excluded : new Set([...this.excluded, ...this.silent]),
+      excluded: this.faulty.size === 0 ? this.excluded : new Set([...this.excluded, ...this.faulty]),
       preferred,
       promptTokens: this.call.promptTokens,
       nowMs: context.clock.monotonicMs(),
@@ -389,6 +391,20 @@
     this.endAttempt();
   }
 
+  /**
+   * Counts what is collected of the current attempt's answer. If that is too much, fails the attempt, or the call where memory
+   * is short for other reasons.
+   */
+  protected holdCollected(bytes: number, exceededLimit?: string): void {
+    const { buffers } = this.exchange;
+    buffers.set("collected", bytes);
+    if (exceededLimit === undefined && !buffers.exceedsShare) return;
+    if (exceededLimit !== undefined) this.attempt?.failAsExcessive(`the answer has ${exceededLimit}`);
+    else if (bytes > LARGE_ANSWER_BYTES)
+      this.attempt?.failAsExcessive("the answer is larger than its share of memory");
+    else this.failWithUnknownOutcome("there is no memory for the answer");
+  }
+
   /** Records that an attempt got no answer. */
   protected recordFailure(runner: RunnerEntry, failure: AttemptFailure): void {
     if (failure.type === "broken") this.mayHaveRun.add(runner.id);
@@ -397,6 +413,7 @@
     const last = this.record.tries.at(-1);
     if (failure.type === "broken") this.#breakCheck = this.#checkRunner(runner, last);
     else this.#runs.end();
+    if (failure.type === "broken" && failure.exceedsLimit) this.faulty.add(runner.id);
     if (last) last.failure = failure.type === "notRun" ? `not run, status ${failure.status}` : failure.detail;
     this.#releasePlace(failure.type !== "broken");
     this.endAttempt();
@@ -541,7 +558,7 @@
         this.#watchForSilence(attempt, SILENCE_CHECK_INTERVAL_MS);
         return;
       }
-      this.silent.add(attempt.runner.id);
+      this.faulty.add(attempt.runner.id);
       attempt.failAsSilent();
     });
   }
--- a/src/gateway/calls/runner-attempt.ts
+++ b/src/gateway/calls/runner-attempt.ts
@@ -1,5 +1,7 @@
 /** One attempt of a call at one runner: sends the request, and interprets the answer. */
+
 import type { CallContext } from "../../ports/call-protocol.ts";
+import { AnswerLimitError } from "../../ports/http/answer-limit-error.ts";
 import type { BodyFraming } from "../../ports/http/body-framing.ts";
 import {
   type HttpAnswerHead,
@@ -24,6 +26,7 @@
 import type { RunnerVersions } from "../runners/runner-versions.ts";
 import type { StreamOrigins } from "../streams/stream-origins.ts";
 import type { CallLog } from "../telemetry/call-log.ts";
+import { AnswerDrain } from "./answer-drain.ts";
 
 /** Why an attempt got no answer. */
 export type AttemptFailure =
@@ -32,7 +35,12 @@
   /** The runner states that it has not run the request and never will. */
   | { readonly type: "notRun"; readonly status: number }
   /** The request may have run, or be running. */
-  | { readonly type: "broken"; readonly detail: string };
+  | {
+      readonly type: "broken";
+      readonly detail: string;
+      /** Whether the runner sent more than an answer may have. It is likely to do so again. */
+      readonly exceedsLimit: boolean;
+    };
 
 /** Receives the answer to an attempt. Nothing is called after `onEnd` or `onFailed`. */
 export interface AttemptListener {
@@ -104,8 +112,8 @@
   #framing: BodyFraming = "connection";
   #firstByteMs = 0;
   #chunkCount = 0;
-  /** Status of an answer which states that the request was not run; its body is read and discarded. */
-  #notRunStatus: number | undefined;
+  /** Reads on behind the head of an answer which states that the request was not run. */
+  #drain: AnswerDrain | undefined;
 
   constructor(parts: AttemptParts, runner: RunnerEntry, request: AttemptRequest, listener: AttemptListener) {
     this.runner = runner;
@@ -166,39 +174,48 @@
   failAsSilent(): void {
     if (this.#isOver) return;
     this.#exchange.abort();
-    this.#fail({ type: "broken", detail: "the runner is silent, and fails others too" });
+    this.#fail(broken("the runner is silent, and fails others too"));
+  }
+
+  /** Fails the attempt because its answer is larger than an answer may be. */
+  failAsExcessive(detail: string): void {
+    if (this.#isOver) return;
+    this.#exchange.abort();
+    this.#fail({ type: "broken", detail, exceedsLimit: true });
   }
 
   onHead(head: HttpAnswerHead): boolean {
     const answer = this.#parts.context.platform.calls.parseAnswer(head.status, head.headers);
     if (answer.requestId !== this.#request.call.requestId) {
-      this.#fail({ type: "broken", detail: `an answer to ${answer.requestId} came` });
+      this.#fail(broken(`an answer to ${answer.requestId} came`));
       return false;
     }
     this.#status = head.status;
     this.#framing = head.framing;
     this.#pending.answered = true;
     this.#firstByteMs = this.#nowMs;
-    if (answer.notRun) this.#notRunStatus = head.status;
-    else this.#listener.onHead(head);
+    if (answer.notRun) {
+      this.#drain = new AnswerDrain(this.#parts.context.clock, this.#exchange);
+      this.#fail({ type: "notRun", status: head.status });
+      return true;
+    }
+    this.#listener.onHead(head);
     return true;
   }
 
   onData(chunk: Buffer): void {
-    if (this.#notRunStatus !== undefined || this.#isOver) return;
+    this.#drain?.read(chunk.length);
+    if (this.#isOver) return;
     this.#chunkCount += 1;
     this.#listener.onData(chunk);
   }
 
   onEnd(): void {
-    if (this.#notRunStatus !== undefined) {
-      this.#fail({ type: "notRun", status: this.#notRunStatus });
-      return;
-    }
+    this.#drain?.finish();
     if (this.#isOver) return;
     const defect = this.#listener.findDefect();
     if (defect !== undefined) {
-      this.#fail({ type: "broken", detail: defect });
+      this.#fail(broken(defect));
       return;
     }
     this.#parts.context.metrics.recordAnswerEnd(this.#framing, "ended");
@@ -208,8 +225,10 @@
   }
 
   onFailed(error: Error, sent: boolean): void {
-    if (this.#notRunStatus !== undefined) this.#fail({ type: "notRun", status: this.#notRunStatus });
-    else this.#fail({ type: sent ? "broken" : "unreachable", detail: error.message });
+    this.#drain?.finish();
+    const exceedsLimit = error instanceof AnswerLimitError;
+    const detail = error.message;
+    this.#fail(sent ? { type: "broken", detail, exceedsLimit } : { type: "unreachable", detail });
   }
 
   #fail(failure: AttemptFailure): void {
@@ -258,3 +277,7 @@
     return this.#parts.context.clock.monotonicMs();
   }
 }
+
+function broken(detail: string): AttemptFailure {
+  return { type: "broken", detail, exceedsLimit: false };
+}
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -19,11 +19,12 @@
 import type { RetentionRecord } from "../telemetry/retention-record.ts";
 import { roundedShare } from "../telemetry/rounded-share.ts";
 import { DoubtedEnd } from "./doubted-end.ts";
-import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
+import type { StreamEvent } from "./event-splitter.ts";
 import { OWNER_RETRY_AFTER_MS } from "./owner-retry.ts";
 import type { ResumedStream } from "./resumed-stream.ts";
 import { RoutedCall, type RoutedRequest } from "./routed-call.ts";
 import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
+import { StreamReader } from "./stream-reader.ts";
 
 /**
  * Maximum wait for a place, in ms. Callers give up a stream that stays silent for much longer, and their retry would be
@@ -34,14 +35,14 @@
 const FULL_RUNNER_RETRY_MS = 100;
 const PAYMENT_REQUIRED = 402;
 const NOT_FOUND = 404;
-const FIRST_FAILURE_STATUS = 300;
 const NO_BODY = Buffer.alloc(0);
 /** Maps each byte to one character and back, so that inputs and outputs are retained byte for byte. */
 const ENCODING = "latin1";
 
 export class StreamedCall extends RoutedCall {
   readonly #partitions: PartitionClient;
-  readonly #splitter = new EventSplitter();
+  /** Reads the answer of the current attempt. */
+  #reader = new StreamReader();
   readonly #output: string[] = [];
   #history: readonly Uint8Array[] = [];
   #preferred: RunnerId | undefined;
@@ -106,7 +107,7 @@
     if (this.#eventCount === 0 && !this.hasTimeFor(runner))
       return this.#giveUp("no time is left for another runner");
     this.sendOnceAdmitted(runner, () => {
-      this.#splitter.reset();
+      this.#reader = new StreamReader();
       const isStarted = this.startAttempt(runner, this.#body(), this.#lastEventId, this.#listenerFor(runner));
       if (!isStarted) this.#giveUp("too many runners refused the turn");
     });
@@ -236,7 +237,7 @@
    */
   #runnerToResume(): RunnerEntry | undefined {
     const last = this.#lastRunner;
-    if (last === undefined || this.excluded.has(last) || this.silent.has(last)) return undefined;
+    if (last === undefined || this.excluded.has(last) || this.faulty.has(last)) return undefined;
     const runner = this.mayHaveRun.has(last) ? this.parts.board.ready(last) : undefined;
     const isSameStart = runner?.version === this.#lastRunnerVersion;
     const fits = this.#version === undefined || runner?.version === this.#version;
@@ -254,7 +255,7 @@
   #isRunnerOnlyFull(): boolean {
     const last = this.#lastRunner;
     if (last === undefined || this.#doubtedEnd !== undefined) return false;
-    if (!this.excluded.has(last) || this.gone.has(last) || this.silent.has(last)) return false;
+    if (!this.excluded.has(last) || this.gone.has(last) || this.faulty.has(last)) return false;
     return this.parts.board.ready(last) !== undefined;
   }
 
@@ -273,24 +274,23 @@
   }
 
   #listenerFor(runner: RunnerEntry): AttemptListener {
-    let head: HttpAnswerHead | undefined;
-    const failedBody: Buffer[] = [];
-    const failed = () => head !== undefined && head.status >= FIRST_FAILURE_STATUS;
+    const reader = this.#reader;
     return {
       onHead: (answer) => {
-        head = answer;
+        reader.head = answer;
         this.recordHead(answer);
         this.#setLastRunner(runner);
       },
       onData: (chunk) => {
-        if (failed()) failedBody.push(chunk);
-        else for (const event of this.#splitter.push(chunk)) this.#forward(event, head, runner);
+        for (const event of reader.push(chunk)) this.#forward(event, reader.head, runner);
+        this.holdCollected(reader.heldBytes, reader.exceededLimit);
         if (this.exchange.isFull) this.#setRunnerPaused(true);
       },
-      findDefect: () => (failed() ? undefined : this.#findDefect(head)),
+      findDefect: () => (reader.hasFailed ? undefined : this.#findDefect(reader.head)),
       onEnd: () => {
+        const { head } = reader;
         this.#recordStreamEnd();
-        if (failed()) this.#forwardFailure(runner, head, Buffer.concat(failedBody));
+        if (reader.hasFailed) this.#forwardFailure(runner, head, reader.failureBody);
         else if (head && this.#needsSecondRun(head)) this.#askWhatFollows(runner, head);
         else void this.#complete(head);
       },
@@ -304,7 +304,7 @@
   /** Records where the answer of the current attempt has ended. */
   #recordStreamEnd(): void {
     const last = this.record.tries.at(-1);
-    const unfinishedBytes = this.#splitter.rest.length;
+    const { unfinishedBytes } = this.#reader;
     if (unfinishedBytes > 0) this.#unfinishedAfter = this.#lastEventId;
     if (!last) return;
     if (this.#lastEventId !== undefined) last.lastEvent = this.#lastEventId;
@@ -312,7 +312,7 @@
   }
 
   #findDefect(head: HttpAnswerHead | undefined): string | undefined {
-    if (this.#splitter.rest.length > 0) return "the answer ended inside an event";
+    if (this.#reader.unfinishedBytes > 0) return "the answer ended inside an event";
     if (head?.framing !== "connection") return undefined;
     const last = this.#lastEventId;
     if (this.#eventCount === 0 && last === undefined) return "the connection ended before the first event";
@@ -385,7 +385,11 @@
   #forwardFailure(runner: RunnerEntry, head: HttpAnswerHead | undefined, body: Buffer): void {
     this.attempt = undefined;
     if (this.#sentHead || !head) {
-      return this.#onFailed(runner, { type: "broken", detail: `status ${head?.status} in mid-stream` });
+      return this.#onFailed(runner, {
+        type: "broken",
+        detail: `status ${head?.status} in mid-stream`,
+        exceedsLimit: false,
+      });
     }
     this.forwardAnswer(head, body);
     this.finish({ status: head.status, kind: "runner-failed" });
@@ -449,6 +453,7 @@
 
   #onFailed(runner: RunnerEntry, failure: AttemptFailure): void {
     this.attempt = undefined;
+    this.exchange.buffers.set("collected", 0);
     this.#setRunnerPaused(false);
     this.recordFailure(runner, failure);
     if (failure.type !== "notRun") this.#doubtedEnd = undefined;
--- /dev/null
+++ b/src/ports/http/answer-limit-error.ts
@@ -0,0 +1,2 @@
+/** A server has sent more than an answer may have. */
+export class AnswerLimitError extends Error {}
--- a/src/ports/http/buffered-request.ts
+++ b/src/ports/http/buffered-request.ts
@@ -1,7 +1,11 @@
 import type { Pool } from "undici";
 import type { Clock } from "../../runtime/clock.ts";
+import { ByteCollector } from "./byte-collector.ts";
 import { type HttpRequest, sendRequest } from "./http-exchange.ts";
 
+/** Maximum size of an answer's body, in bytes. */
+const MAX_BODY_BYTES = 33_554_432;
+
 /** The result of a request whose answer is read as a whole. */
 export type BufferedRequestResult =
   | { readonly type: "answer"; readonly status: number; readonly body: Buffer }
@@ -18,7 +22,7 @@
   timeoutMs: number,
 ): Promise<BufferedRequestResult> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const body = new ByteCollector();
     let status = 0;
     const finish = (answer: BufferedRequestResult) => {
       clock.cancel(timer);
@@ -29,13 +33,17 @@
         status = head.status;
         return true;
       },
-      onData: (chunk) => chunks.push(chunk),
-      onEnd: () => finish({ type: "answer", status, body: Buffer.concat(chunks) }),
+      onData: (chunk) => {
+        body.push(chunk);
+        if (body.length > MAX_BODY_BYTES) giveUp(`the answer is larger than ${MAX_BODY_BYTES} bytes`);
+      },
+      onEnd: () => finish({ type: "answer", status, body: body.bytes }),
       onFailed: (error, sent) => finish({ type: sent ? "noAnswer" : "notSent", detail: error.message }),
     });
-    const timer = clock.schedule(timeoutMs, () => {
+    const giveUp = (detail: string) => {
       exchange.abort();
-      resolve({ type: "noAnswer", detail: `no answer within ${timeoutMs} ms` });
-    });
+      finish({ type: "noAnswer", detail });
+    };
+    const timer = clock.schedule(timeoutMs, () => giveUp(`no answer within ${timeoutMs} ms`));
   });
 }
--- a/src/ports/http/connection-pool.ts
+++ b/src/ports/http/connection-pool.ts
@@ -1,6 +1,13 @@
-import type { buildConnector, Pool } from "undici";
+import type { buildConnector, Client, Pool } from "undici";
 import openConnector from "undici/lib/core/connect.js";
 import UndiciPool from "undici/lib/dispatcher/pool.js";
+import { GuardedClient } from "./overhead-guard.ts";
+
+/**
+ * Where the client itself ends a connection because of its head, in bytes. The limit on all that is not body comes first: the
+ * client creates an error for each header line beyond its own.
+ */
+const CLIENT_MAX_HEAD_BYTES = 1_048_576;
 
 /** Options of the connection pool of one address. */
 export interface ConnectionPoolOptions {
@@ -27,6 +34,8 @@
     pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
+    maxHeaderSize: CLIENT_MAX_HEAD_BYTES,
+    factory: (origin, clientOptions) => new GuardedClient(origin, clientOptions as Client.Options),
     connect: reportResetsAsErrors(openConnector({ timeout: connectTimeout })),
   });
 }
--- a/src/ports/http/http-exchange.ts
+++ b/src/ports/http/http-exchange.ts
@@ -2,8 +2,12 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher, Pool } from "undici";
 import type { RawHeaders } from "../call-protocol.ts";
+import { AnswerLimitError } from "./answer-limit-error.ts";
 import { type BodyFraming, bodyFramingOf } from "./body-framing.ts";
 
+/** Maximum size of the status line's and the headers' content, in bytes. */
+const MAX_HEAD_BYTES = 16_384;
+
 /** An HTTP request with its whole body. */
 export interface HttpRequest {
   readonly method: string;
@@ -102,6 +106,10 @@
     if (this.#finished || status < 200) return;
     const raw = (controller.rawHeaders ?? []) as (Buffer | string)[];
     const rawHeaders = raw.map((item) => (typeof item === "string" ? item : item.toString("latin1")));
+    if (rawHeaders.reduce((sum, { length }) => sum + length, 0) > MAX_HEAD_BYTES) {
+      this.abort();
+      return this.#listener.onFailed(new AnswerLimitError("the head of the answer is too large"), true);
+    }
     this.#framing = bodyFramingOf(this.#method, status, headers);
     if (!this.#listener.onHead({ status, headers, rawHeaders, framing: this.#framing })) this.abort();
   }
--- a/src/ports/http/undici-pool.d.ts
+++ b/src/ports/http/undici-pool.d.ts
@@ -8,6 +8,12 @@
   export default Pool;
 }
 
+declare module "undici/lib/dispatcher/client.js" {
+  import { Client } from "undici";
+
+  export default Client;
+}
+
 declare module "undici/lib/core/connect.js" {
   import { buildConnector } from "undici";
 
--- a/standins/platform/runner-standin.ts
+++ b/standins/platform/runner-standin.ts
@@ -8,6 +8,7 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { type AnswerEnding, endAnswer, omitFraming } from "./answer-ending.ts";
+import { type EndlessForm, sendEndless } from "./endless-answer.ts";
 
 /** Where in its run a request ends the process of its runner. */
 export type RunnerEnd = "beforeHead" | "insideEvent" | "betweenEvents";
@@ -79,6 +80,8 @@
   ending: AnswerEnding | undefined;
   /** Draws the ending of each answer in place of `ending`. */
   drawEnding: ((request: ExecutedRequest) => AnswerEnding | undefined) | undefined;
+  /** The part of all answers that does not end; undefined for answers that do. */
+  endless: EndlessForm | undefined;
   /** The line ending within a stream's events. */
   lineEnd: "\n" | "\r\n" = "\n";
   /** Status of plain answers. */
@@ -191,7 +194,9 @@
       response.writeHead(503, { "X-Request-Id": requestId, "X-Not-Executed": "1" }).end();
       return;
     }
+    if (this.endless === "notRun") return sendEndless(request.socket, this.endless, base);
     const executed = this.#recordRequest(request, requestId, body, response);
+    if (this.endless) return sendEndless(request.socket, this.endless, base);
     const ending = this.#takeEnding(executed);
     const endsAt = executed.headers[ENDS_RUNNER_HEADER] as RunnerEnd | undefined;
     const isStream = executed.headers["x-token-usage"] !== undefined;
--- a/test/soak/faults/soak-faults.ts
+++ b/test/soak/faults/soak-faults.ts
@@ -3,6 +3,7 @@
 import type { SoakCluster } from "../soak-cluster.ts";
 import { BrokenOffAnswers } from "./broken-off-answers.ts";
 import { EndingRequests } from "./ending-requests.ts";
+import { EndlessAnswers } from "./endless-answers.ts";
 import { FaultyLink } from "./faulty-link.ts";
 import { FaultyRunner } from "./faulty-runner.ts";
 import { FaultyStore } from "./faulty-store.ts";
@@ -25,6 +26,7 @@
   runner: FaultyRunner,
   answers: BrokenOffAnswers,
   ending: EndingRequests,
+  endless: EndlessAnswers,
   storeThenKilled: FaultyStoreThenKilled,
   stoppedAndKilled: StoppedAndKilled,
 };
