--- a/bench/mutations/answer-mutations.ts
+++ b/bench/mutations/answer-mutations.ts
@@ -127,7 +127,7 @@
   mutation(
     "a runner that cuts answers short is not charged with it",
     `${CALLS}/runner-attempt.ts`,
-    'this.#fail({ type: "broken", detail: defect });',
+    "this.#fail(broken(defect));",
     'this.#finish("success");\n      this.#listener.onFailed({ type: "broken", detail: defect });',
     PROCESSES,
   ),
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -31,6 +31,7 @@
 import { resumedStreamRecordOf } from "./resumed-stream-record-of.ts";
 import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
 import { RunnerAttempt } from "./runner-attempt.ts";
+import { SilenceWatch } from "./silence-watch.ts";
 
 /** A caller's request, together with what was decided about it before the call starts. */
 export interface RoutedRequest {
@@ -71,8 +72,6 @@
 /** A runner that is silent for this multiple of the route's target latency is faulty or overloaded. */
 const SILENCE_TIMEOUT_FACTOR = 3;
 const MIN_SILENCE_TIMEOUT_MS = 400;
-/** How often a runner that stays silent is checked again, in ms. */
-const SILENCE_CHECK_INTERVAL_MS = 200;
 /**
  * Shortest wait before a run is asked for again that may not begin now, in ms; a random time of up to the same length is
  * added.
@@ -114,7 +113,7 @@
   /** The place of the current attempt; undefined if no dispatcher granted one. */
   #place: HeldPlace | undefined;
   #deadlineTimer: TimerHandle | undefined;
-  #silenceTimer: TimerHandle | undefined;
+  readonly #silence: SilenceWatch;
   #isOver = false;
   readonly #runs: GuardedRuns;
   /** Whether the current attempt runs the call from its start. */
@@ -149,6 +148,8 @@
       }),
     };
     this.#runs = new GuardedRuns(parts.guard, guarded, () => parts.context.clock.monotonicMs());
+    const { clock } = parts.context;
+    this.#silence = new SilenceWatch(clock, parts.board, (attempt) => this.#onSilent(attempt));
     this.deadlineAtMs = this.exchange.arrivedAtMs + callTimeoutMs(this.call, this.route);
   }
 
@@ -371,7 +372,7 @@
     this.#recordAttempt(runner);
     this.#isFromStart = lastEventId === undefined;
     this.attempt = new RunnerAttempt(this.parts, runner, request, listener);
-    if (this.mayRetryElsewhere(runner)) this.#watchForSilence(this.attempt, silenceTimeoutMs);
+    if (this.mayRetryElsewhere(runner)) this.#silence.start(this.attempt, silenceTimeoutMs);
     return true;
   }
 
@@ -542,29 +543,17 @@
     this.parts.callLog.logCall(record, end, elapsedMs);
     this.parts.context.metrics.recordCall(record.route, end, elapsedMs, record.firstByteMs);
     if (this.#deadlineTimer) this.parts.context.clock.cancel(this.#deadlineTimer);
-    this.#cancelSilenceTimer();
+    this.#silence.stop();
     this.attempt?.abort();
     this.onFinished();
     this.exchange.releaseCall();
   }
 
-  /** Fails the attempt if its runner stays silent and fails other requests too, so that the call is sent elsewhere. */
-  #watchForSilence(attempt: RunnerAttempt, delayMs: number): void {
-    const { clock } = this.parts.context;
-    this.#cancelSilenceTimer();
-    this.#silenceTimer = clock.schedule(delayMs, () => {
-      if (this.#isOver || this.attempt !== attempt || !attempt.silent) return;
-      if (!this.parts.board.isOutlier(attempt.runner.id, clock.monotonicMs())) {
-        this.#watchForSilence(attempt, SILENCE_CHECK_INTERVAL_MS);
-        return;
-      }
-      this.faulty.add(attempt.runner.id);
-      attempt.failAsSilent();
-    });
-  }
-
-  #cancelSilenceTimer(): void {
-    if (this.#silenceTimer) this.parts.context.clock.cancel(this.#silenceTimer);
+  /** Sends the call elsewhere whose runner stays silent. */
+  #onSilent(attempt: RunnerAttempt): void {
+    if (this.#isOver || this.attempt !== attempt) return;
+    this.faulty.add(attempt.runner.id);
+    attempt.failAsSilent();
   }
 
   #onDeadline(): void {
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -7,7 +7,6 @@
 
 import type { HttpAnswerHead } from "../../ports/http/http-exchange.ts";
 import { mayStartProgram } from "../../scheduling/admission/program-admission.ts";
-import type { ProgramId } from "../../scheduling/ids/program-id.ts";
 import type { RunnerId } from "../../scheduling/ids/runner-id.ts";
 import type { SoftwareVersion } from "../../scheduling/ids/software-version.ts";
 import type { RunnerEntry } from "../../scheduling/runner-balancing/runner-entry.ts";
@@ -21,6 +20,7 @@
 import { DoubtedEnd } from "./doubted-end.ts";
 import type { StreamEvent } from "./event-splitter.ts";
 import { OWNER_RETRY_AFTER_MS } from "./owner-retry.ts";
+import { ProgramTurn } from "./program-turn.ts";
 import type { ResumedStream } from "./resumed-stream.ts";
 import { RoutedCall, type RoutedRequest } from "./routed-call.ts";
 import type { AttemptFailure, AttemptListener, AttemptParts } from "./runner-attempt.ts";
@@ -41,6 +41,7 @@
 
 export class StreamedCall extends RoutedCall {
   readonly #partitions: PartitionClient;
+  readonly #turn: ProgramTurn;
   /** Reads the answer of the current attempt. */
   #reader = new StreamReader();
   readonly #output: string[] = [];
@@ -67,6 +68,7 @@
   constructor(parts: AttemptParts, partitions: PartitionClient, request: RoutedRequest) {
     super(parts, request);
     this.#partitions = partitions;
+    this.#turn = new ProgramTurn(this.call, this.route, this.tenant, partitions);
     this.#lastEventId = this.call.lastEventId;
     this.#resumed = request.resumed;
     this.#version = request.resumed?.version;
@@ -78,7 +80,7 @@
     if (this.route.retainsTurns && this.#lastEventId !== undefined) {
       return this.refuse("cannot-resume", "Send the turn again from its start.");
     }
-    if (this.#requiresAdmission) void this.#admit();
+    if (this.#turn.requiresAdmission) void this.#admit();
     else this.tryNext();
   }
 
@@ -137,32 +139,9 @@
     if (this.#admitted) void this.#partitions.end(this.#endRequest());
   }
 
-  /** Whether the owner of the program's partition has to admit the turn. */
-  get #requiresAdmission(): boolean {
-    const { program } = this.call;
-    return program !== undefined && (program.tokenBudget !== undefined || this.route.retainsTurns);
-  }
-
-  get #budget(): { tokens: number; most: number } | undefined {
-    const tokens = this.call.program?.tokenBudget;
-    const most = this.call.maxGeneratedTokens;
-    return tokens === undefined || most === undefined ? undefined : { tokens, most };
-  }
-
   async #admit(): Promise<void> {
-    const { program, requestId } = this.call;
-    if (!program) return;
     const { clock, settings } = this.parts.context;
-    const request = {
-      partition: this.#partitions.partitionOf(program.id),
-      program: program.id,
-      session: program.session,
-      turn: requestId,
-      budget: this.#budget,
-      history: this.route.retainsTurns
-        ? { previousTurn: program.previousTurn, tenant: this.tenant?.name }
-        : undefined,
-    };
+    const request = this.#turn.admitRequest();
     const admissionDeadlineAtMs = Math.min(
       this.deadlineAtMs,
       clock.monotonicMs() + settings.timing.ownerWaitMs,
@@ -177,7 +156,7 @@
 
   /** Unknown for programs whose turns no owner admits: none of their turns is treated as the first. */
   protected override get hasBegun(): boolean {
-    return !this.#requiresAdmission || this.#preferred !== undefined;
+    return !this.#turn.requiresAdmission || this.#preferred !== undefined;
   }
 
   /** Whether the turn's program has begun, or the runners have capacity for another program. */
@@ -410,13 +389,8 @@
   async #retain(): Promise<boolean> {
     const atMs = this.elapsedMs;
     this.record.retention = { heldBy: "nobody", atMs };
-    const content = {
-      previousTurn: this.call.program?.previousTurn,
-      tenant: this.tenant?.name,
-      input: this.exchange.body,
-      output: Buffer.from(this.#output.join(""), ENCODING),
-      ...(this.#budget ? { tokens: this.#tokens } : {}),
-    };
+    const output = Buffer.from(this.#output.join(""), ENCODING);
+    const content = this.#turn.content(this.exchange.body, output, this.#tokens);
     const { requestId } = this.call;
     const isStored = await this.#partitions.storeTurn(requestId, content, Math.max(0, this.leftMs));
     // The caller has disconnected, or the deadline has passed: the owner was told then.
@@ -437,18 +411,7 @@
   }
 
   #endRequest(): EndTurnRequest {
-    const { program, requestId } = this.call;
-    const programId = program?.id ?? ("" as ProgramId);
-    return {
-      partition: this.#partitions.partitionOf(programId),
-      program: programId,
-      session: program?.session,
-      turn: requestId,
-      budget: this.#budget,
-      tokens: this.#tokens,
-      runner: this.#lastRunner,
-      retained: undefined,
-    };
+    return this.#turn.endRequest(this.#tokens, this.#lastRunner);
   }
 
   #onFailed(runner: RunnerEntry, failure: AttemptFailure): void {
