Refuse nothing before a stop begins, and fail no stream for an event that is still arriving

Found on reading the diff: with timing.lingerMs 0 a gateway would have refused requests with long deadlines at any time; a stream whose event came in two pieces would have been ended while memory was short; an admission that ended in 402 stopped the timer that gives a reservation back.

Change: a request is refused as late only once a stop has begun; a stream's unfinished event is counted, and fails only by its own limit; the timer runs from the end of the last turn on, whatever is asked meanwhile.

--- a/src/gateway/calls/buffered-call.ts
+++ b/src/gateway/calls/buffered-call.ts
@@ -13,6 +13,8 @@
 
 const FIRST_FAILURE_STATUS = 300;
 const FIRST_SERVER_ERROR = 500;
+/** Size of a collected answer from which a lack of memory counts as its runner's fault, in bytes. */
+const LARGE_ANSWER_BYTES = 1_048_576;
 /** Fraction of the time left for which an uncertain answer is held back for other runs. */
 const MAX_HELD_BACK_FRACTION = 0.5;
 
@@ -54,7 +56,7 @@
       },
       onData: (chunk) => {
         body.push(chunk);
-        this.holdCollected(heldBefore + body.length);
+        this.#hold(heldBefore + body.length);
       },
       findDefect: () => undefined,
       onEnd: () => {
@@ -66,6 +68,16 @@
     if (!isStarted) this.#giveUp("too many runners refused the call");
   }
 
+  /** Counts what is collected. Fails the attempt if that is its runner's fault, and the call if memory is short otherwise. */
+  #hold(bytes: number): void {
+    const { buffers } = this.exchange;
+    buffers.set("collected", bytes);
+    if (!buffers.exceedsShare) return;
+    if (bytes > LARGE_ANSWER_BYTES)
+      this.attempt?.failAsExcessive("the answer is larger than its share of memory");
+    else this.failWithUnknownOutcome("there is no memory for the answer");
+  }
+
   protected override mayRetryElsewhere(runner: RunnerEntry): boolean {
     const ran = new Set([...this.mayHaveRun, runner.id]);
     return this.route.kind === "safe" && ran.size < this.route.maxAttempts;
--- a/src/gateway/calls/routed-call.ts
+++ b/src/gateway/calls/routed-call.ts
@@ -77,8 +77,6 @@
  * added.
  */
 const ADMISSION_RETRY_MS = 30;
-/** Size of a collected answer from which a lack of memory counts as its runner's fault, in bytes. */
-const LARGE_ANSWER_BYTES = 1_048_576;
 /** Maximum number of attempts within one call, whatever their outcome. */
 const MAX_TOTAL_ATTEMPTS = 12;
 
@@ -392,20 +390,6 @@
     this.endAttempt();
   }
 
-  /**
-   * Counts what is collected of the current attempt's answer. If that is too much, fails the attempt, or the call where memory
-   * is short for other reasons.
-   */
-  protected holdCollected(bytes: number, exceededLimit?: string): void {
-    const { buffers } = this.exchange;
-    buffers.set("collected", bytes);
-    if (exceededLimit === undefined && !buffers.exceedsShare) return;
-    if (exceededLimit !== undefined) this.attempt?.failAsExcessive(`the answer has ${exceededLimit}`);
-    else if (bytes > LARGE_ANSWER_BYTES)
-      this.attempt?.failAsExcessive("the answer is larger than its share of memory");
-    else this.failWithUnknownOutcome("there is no memory for the answer");
-  }
-
   /** Records that an attempt got no answer. */
   protected recordFailure(runner: RunnerEntry, failure: AttemptFailure): void {
     if (failure.type === "broken") this.mayHaveRun.add(runner.id);
--- a/src/gateway/calls/streamed-call.ts
+++ b/src/gateway/calls/streamed-call.ts
@@ -262,7 +262,9 @@
       },
       onData: (chunk) => {
         for (const event of reader.push(chunk)) this.#forward(event, reader.head, runner);
-        this.holdCollected(reader.heldBytes, reader.exceededLimit);
+        this.exchange.buffers.set("collected", reader.heldBytes);
+        const excess = reader.exceededLimit;
+        if (excess !== undefined) return this.attempt?.failAsExcessive(`the answer has ${excess}`);
         if (this.exchange.isFull) this.#setRunnerPaused(true);
       },
       findDefect: () => (reader.hasFailed ? undefined : this.#findDefect(reader.head)),
--- a/src/gateway/partitions/owned-partition.ts
+++ b/src/gateway/partitions/owned-partition.ts
@@ -33,7 +33,7 @@
   nextLookupAtMs: number;
   /** The last lookup of inherited turns. */
   lookup: Promise<InheritedLookup>;
-  /** Runs while no turn has been admitted since the last one ended. */
+  /** Runs from the end of the last turn on. */
   idleTimer: TimerHandle | undefined;
 }
 
@@ -109,7 +109,6 @@
     if (request.budget && this.#unreadable.has(request.program))
       return { type: "unavailable", detail: "the program's account cannot be read" };
     const program = this.#getOrAddProgram(request.program);
-    this.#stopIdleTimer(program);
     let reserved = this.#reserve(program, request);
     if (reserved === "exhausted") {
       const inherited = await this.#settleInherited(program);
@@ -241,19 +240,14 @@
     void this.#writer.writeAccount(program, account);
   }
 
-  #stopIdleTimer(program: ProgramState): void {
-    if (program.idleTimer) this.#context.clock.cancel(program.idleTimer);
-    program.idleTimer = undefined;
-  }
-
   #startIdleTimer(program: ProgramState, name: ProgramId): void {
-    this.#stopIdleTimer(program);
     const { clock, settings } = this.#context;
+    if (program.idleTimer) clock.cancel(program.idleTimer);
     const delayMs = settings.budget.settleMs * IDLE_FRACTION;
     program.idleTimer = clock.schedule(delayMs, () => this.#onIdle(program, name));
   }
 
-  /** Gives back what is reserved for future turns, so that it is not lost with this owner. */
+  /** Gives back what is reserved for future turns, unless one is in progress, so that it is not lost with this owner. */
   #onIdle(program: ProgramState, name: ProgramId): void {
     program.idleTimer = undefined;
     if (this.#isReleasing || this.#writer.isLost) return;
--- a/src/gateway/planned-stop.ts
+++ b/src/gateway/planned-stop.ts
@@ -39,7 +39,7 @@
    * might be broken off is left to other gateways.
    */
   accepts(timeoutMs: number): boolean {
-    return this.lingerLeftMs > 0 || timeoutMs <= this.leftMs;
+    return this.#startedAtMs === undefined || this.lingerLeftMs > 0 || timeoutMs <= this.leftMs;
   }
 
   get #elapsedMs(): number {
